--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+# The one door to everything that is done with this repository.
+
+GOLANGCI_LINT_VERSION := v2.15.0
+STRINGER_VERSION := v0.52.0
+BIN := $(CURDIR)/bin
+LINTER := $(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+STRINGER := $(BIN)/stringer-$(STRINGER_VERSION)
+MODULES := ./... ./proving/...
+
+.PHONY: all build demo test lint bench soak generate format mutants clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./cmd/... ./proving/cmd/...
+
+# The main job on separate processes: a lookup, and a mailing run that is evicted, resumed and finished.
+demo: build
+	$(BIN)/demo
+
+test:
+	go test $(MODULES)
+
+lint: $(LINTER)
+	$(LINTER) run ./...
+	cd proving && $(LINTER) run ./...
+
+bench: build
+	$(BIN)/bench
+
+soak: build
+	$(BIN)/soak
+
+generate: $(STRINGER)
+	PATH="$(BIN)/tools:$$PATH" go generate ./...
+
+format: $(LINTER)
+	$(LINTER) fmt ./...
+	cd proving && $(LINTER) fmt ./...
+
+$(LINTER):
+	GOBIN=$(BIN)/tools GOWORK=off GOFLAGS= go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(BIN)/tools/golangci-lint $@
+
+$(STRINGER):
+	GOBIN=$(BIN)/tools GOWORK=off GOFLAGS= go install golang.org/x/tools/cmd/stringer@$(STRINGER_VERSION)
+	touch $@
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/saffronpulleyd/main.go
@@ -0,0 +1,15 @@
+// Command saffronpulleyd is the daemon of saffronpulley.
+package main
+
+import (
+	"os"
+
+	"github.com/saffronpulley/saffronpulley/internal/daemon"
+)
+
+// version is set when a release is built.
+var version = "development"
+
+func main() {
+	os.Exit(daemon.Main(version, os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/agent/serve.go
@@ -0,0 +1,47 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/saffronpulley/saffronpulley/internal/control"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/lead"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
+)
+
+// newMux registers what the agent serves: to its lead, and as the lead while it is one.
+func (a *Agent) newMux() *rpc.Mux {
+	m := rpc.NewMux(a.Clock)
+	rpc.Handle(m, control.MethodDesired, a.takeDesired)
+	rpc.Handle(m, control.MethodAgentTimeline, a.events)
+	asLead(a, m, control.MethodBeat, (*lead.Lead).Beat)
+	asLead(a, m, control.MethodSubscribe, (*lead.Lead).Subscribe)
+	asLead(a, m, control.MethodSubmit, (*lead.Lead).Submit)
+	asLead(a, m, control.MethodJob, (*lead.Lead).Job)
+	asLead(a, m, control.MethodCancel, (*lead.Lead).Cancel)
+	asLead(a, m, control.MethodStatus, (*lead.Lead).Status)
+	asLead(a, m, control.MethodExplain, (*lead.Lead).Explain)
+	asLead(a, m, control.MethodTimeline, (*lead.Lead).Timeline)
+	return m
+}
+
+// asLead registers a method that only a lead serves.
+func asLead[Req, Res any](a *Agent, m *rpc.Mux, method string,
+	handle func(*lead.Lead, context.Context, *rpc.Peer, Req) (Res, error),
+) {
+	rpc.Handle(m, method, func(ctx context.Context, p *rpc.Peer, request Req) (Res, error) {
+		a.mu.Lock()
+		l := a.lead
+		a.mu.Unlock()
+		if l == nil {
+			var none Res
+			return none, fault.New(fault.Stale, "agent %s is not the lead of %s", a.ID, a.cell())
+		}
+		return handle(l, ctx, p, request)
+	})
+}
+
+func (a *Agent) events(_ context.Context, _ *rpc.Peer, q control.TimelineQuery) ([]timeline.Wire, error) {
+	return timeline.Encode(a.Recorder.Since(timeline.Stamp(q.After))), nil
+}
--- /dev/null
+++ b/internal/agent/uplink.go
@@ -0,0 +1,240 @@
+package agent
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/control"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/lead"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/store"
+	"github.com/saffronpulley/saffronpulley/internal/task"
+	"github.com/saffronpulley/saffronpulley/internal/vmlist"
+	"github.com/saffronpulley/saffronpulley/internal/worker"
+)
+
+const (
+	beatTimeout = 2 * time.Second
+	searchFirst = 200 * time.Millisecond
+	searchMost  = 5 * time.Second
+	beatGap     = 100 * time.Millisecond
+	usageStep   = 1.2
+)
+
+// sentState is what the last answered beat told the lead; the lead does not need it again.
+type sentState struct {
+	statuses map[task.Run]worker.Status
+	usage    map[task.Run]int64
+}
+
+// uplinkLoop looks for the lead of the cell, or becomes it, and beats while the lead answers.
+func (a *Agent) uplinkLoop(ctx context.Context) error {
+	wait := searchFirst
+	for ctx.Err() == nil {
+		peer, err := a.findLead(ctx)
+		if err != nil {
+			a.Logger.Debug("no lead yet: %v", err)
+			a.pause(ctx, wait/2+time.Duration(rand.Int64N(int64(wait))))
+			wait = min(wait*2, searchMost)
+			continue
+		}
+		wait = searchFirst
+		a.beatLoop(ctx, peer)
+		peer.Close()
+	}
+	return ctx.Err()
+}
+
+// findLead connects to the holder of the cell's lease; where nobody holds it, the agent tries to.
+func (a *Agent) findLead(ctx context.Context) (*rpc.Peer, error) {
+	name := lead.LeaseName(a.cell())
+	held, err := a.Store.Holder(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	if held.Holder() == "" {
+		if err := a.campaign(ctx); err != nil {
+			return nil, err
+		}
+		return a.dial(ctx, a.Address)
+	}
+	if held.Holder() == a.Address && !a.leads() {
+		return nil, fault.New(fault.Unavailable, "the lease is this address's, from before")
+	}
+	return a.dial(ctx, held.Holder())
+}
+
+func (a *Agent) cell() string { return vmlist.Cell(a.Hall, a.Rack) }
+
+func (a *Agent) dial(ctx context.Context, address string) (*rpc.Peer, error) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	return rpc.Dial(ctx, address, a.Secret, a.mux)
+}
+
+func (a *Agent) leads() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lead != nil
+}
+
+// campaign tries to take the cell's lease, and leads the cell if it does.
+func (a *Agent) campaign(ctx context.Context) error {
+	a.mu.Lock()
+	able := a.lead == nil && !a.stopping && !a.leaving
+	a.mu.Unlock()
+	if !able {
+		return fault.New(fault.Unavailable, "this agent does not stand for lead")
+	}
+	asked := time.Now()
+	lease, err := a.Store.Acquire(ctx, lead.LeaseName(a.cell()), a.Address, a.Lead.Lease)
+	if err != nil {
+		return err
+	}
+	l := lead.New(lead.Config{
+		Cell: a.cell(), Agent: a.ID, Address: a.Address, Timing: a.Lead, Store: a.Store, VMs: a.VMs,
+		Logger: a.Logger.Part("lead"), Recorder: a.Recorder,
+	})
+	a.mu.Lock()
+	a.lead = l
+	a.mu.Unlock()
+	a.leading.Go(func() { a.runLead(ctx, l, lease, asked) })
+	return nil
+}
+
+func (a *Agent) runLead(ctx context.Context, l *lead.Lead, lease store.Lease, asked time.Time) {
+	err := l.Run(ctx, lease, asked)
+	a.Logger.Info("no longer the lead: %v", err)
+	a.mu.Lock()
+	a.lead = nil
+	a.mu.Unlock()
+	// The end of a lead that knows it is one frees the lease for the next.
+	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), beatTimeout)
+	defer cancel()
+	if err := a.Store.Release(release, lead.LeaseName(a.cell()), l.Address); err != nil {
+		a.Logger.Debug("cannot release the lease: %v", err)
+	}
+}
+
+// beatLoop beats until the lead no longer answers.
+func (a *Agent) beatLoop(ctx context.Context, peer *rpc.Peer) {
+	a.mu.Lock()
+	a.sent = sentState{}
+	a.mu.Unlock()
+	introduce := true
+	failures := 0
+	for ctx.Err() == nil {
+		known, err := a.beat(ctx, peer, introduce)
+		switch {
+		case err == nil:
+			introduce, failures = !known, 0
+		case fault.Is(err, fault.Unavailable) && failures < 3:
+			failures++
+		default:
+			a.Logger.Debug("the lead does not answer: %v", err)
+			return
+		}
+		if known {
+			a.awaitBeat(ctx, peer)
+		} else {
+			a.pause(ctx, beatGap)
+		}
+	}
+}
+
+// awaitBeat waits for the next beat's time, which is soon when there is news.
+func (a *Agent) awaitBeat(ctx context.Context, peer *rpc.Peer) {
+	timer := time.NewTimer(a.Timing.Heartbeat)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-peer.Done():
+	case <-timer.C:
+	case <-a.beatNow:
+		a.pause(ctx, beatGap)
+	}
+}
+
+func (a *Agent) beat(ctx context.Context, peer *rpc.Peer, introduce bool) (bool, error) {
+	message, sent := a.compose(introduce)
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	answer, err := rpc.Call[control.Beat, control.BeatAnswer](ctx, peer, control.MethodBeat, message)
+	if err != nil {
+		return false, err
+	}
+	if !answer.Known {
+		return false, nil
+	}
+	a.mu.Lock()
+	a.sent = sent
+	a.evict = false
+	a.mu.Unlock()
+	a.forget(ctx, answer.Acked)
+	if answer.Desired != nil {
+		if _, err := a.takeDesired(ctx, peer, *answer.Desired); err != nil {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+// compose makes the next beat, with what changed since the last one that was answered.
+func (a *Agent) compose(introduce bool) (control.Beat, sentState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	message := control.Beat{
+		Instance: a.description.Instance(), Boot: a.Boot, Applied: a.applied,
+		Leaving: a.leaving, Stopping: a.stopping, Pressed: a.pressed, Evict: a.evict,
+	}
+	if introduce {
+		message.Profile = a.profile()
+	}
+	sent := sentState{statuses: make(map[task.Run]worker.Status), usage: make(map[task.Run]int64)}
+	for key, r := range a.runs {
+		if r.hasEnded() {
+			message.Reports = append(message.Reports, *r.report)
+			continue
+		}
+		sent.statuses[key] = r.status.WithProgress(0)
+		message.Statuses = append(message.Statuses, worker.EncodeStatus(sent.statuses[key]))
+	}
+	if !introduce && maps.Equal(sent.statuses, a.sent.statuses) {
+		message.Statuses = nil
+	} else {
+		message.HasStatuses = true
+	}
+	a.composeMeasurements(&message, &sent)
+	return message, sent
+}
+
+// composeMeasurements adds the usage that moved by more than a step, and the latencies; a.mu is held.
+func (a *Agent) composeMeasurements(message *control.Beat, sent *sentState) {
+	for key, u := range a.usage {
+		before, now := a.sent.usage[key], u.Used().Processors()+u.Used().Memory()
+		if float64(now) <= float64(before)*usageStep && float64(before) <= float64(now)*usageStep {
+			sent.usage[key] = before
+			continue
+		}
+		sent.usage[key] = now
+		message.Usage = append(message.Usage, worker.UsageWire{Run: worker.EncodeRun(key), Used: worker.EncodeSize(u.Used())})
+	}
+	for _, y := range a.latency {
+		message.Latency = append(message.Latency, y)
+	}
+	slices.SortFunc(message.Latency, func(x, y control.Latency) int { return strings.Compare(x.Service, y.Service) })
+	clear(a.latency)
+}
+
+func (a *Agent) profile() *control.Profile {
+	return &control.Profile{
+		Agent: a.ID, Hall: a.Hall, Rack: a.Rack, Requests: a.Requests,
+		Capacity: worker.EncodeSize(a.description.Capacity()),
+		Slots:    a.description.Slots(), Connections: a.description.Connections(),
+	}
+}
--- /dev/null
+++ b/internal/catalog/follow.go
@@ -0,0 +1,154 @@
+package catalog
+
+import (
+	"context"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/control"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/lead"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/store"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
+	"github.com/saffronpulley/saffronpulley/internal/vmlist"
+)
+
+const (
+	subscribeTimeout = 2 * time.Second
+	searchAgain      = 500 * time.Millisecond
+	refreshEach      = 200 * time.Millisecond
+)
+
+// Follower keeps a catalog up to date.
+type Follower struct {
+	Catalog *Catalog
+	Entry   string
+	Secret  string
+	Store   store.Store
+	VMs     vmlist.List
+	// List is how often the list of VMs is read, Subscribe how often each lead is asked whether it still is one.
+	List      time.Duration
+	Subscribe time.Duration
+	Logger    logging.Logger
+	Clock     *timeline.Clock
+}
+
+// Run follows the list of VMs and the lead of each cell in it until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	followed := make(map[string]context.CancelFunc)
+	go f.refreshLoop(ctx)
+	for ctx.Err() == nil {
+		wait := f.List
+		if vms, err := f.VMs.VMs(ctx); err != nil {
+			f.Logger.Debug("cannot read the list of VMs: %v", err)
+			wait = searchAgain
+		} else {
+			f.followCells(ctx, cellsOf(vms), followed)
+		}
+		store.Pause(ctx, wait)
+	}
+	for _, cancel := range followed {
+		cancel()
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) refreshLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.Catalog.Refresh(time.Now())
+		store.Pause(ctx, refreshEach)
+	}
+}
+
+func cellsOf(vms []vmlist.VM) map[string]struct{} {
+	cells := make(map[string]struct{})
+	for _, v := range vms {
+		if v.State() != vmlist.Gone {
+			cells[v.Cell()] = struct{}{}
+		}
+	}
+	return cells
+}
+
+// followCells begins to follow the cells that are new; a list that names no VM at all is not believed.
+func (f *Follower) followCells(ctx context.Context, cells map[string]struct{}, followed map[string]context.CancelFunc) {
+	if len(cells) == 0 {
+		return
+	}
+	for cell := range cells {
+		if _, ok := followed[cell]; ok {
+			continue
+		}
+		cellContext, cancel := context.WithCancel(ctx)
+		followed[cell] = cancel
+		f.Catalog.SetPeer(cell, nil)
+		go f.followCell(cellContext, cell)
+	}
+	for cell, cancel := range followed {
+		if _, ok := cells[cell]; !ok {
+			cancel()
+			delete(followed, cell)
+			f.Catalog.Drop(cell)
+		}
+	}
+}
+
+func (f *Follower) followCell(ctx context.Context, cell string) {
+	for ctx.Err() == nil {
+		if err := f.subscribe(ctx, cell); err != nil {
+			f.Logger.Debug("cell %s: %v", cell, err)
+		}
+		f.Catalog.SetPeer(cell, nil)
+		store.Pause(ctx, searchAgain)
+	}
+}
+
+// subscribe follows one lead until it is none any more.
+func (f *Follower) subscribe(ctx context.Context, cell string) error {
+	held, err := f.Store.Holder(ctx, lead.LeaseName(cell))
+	if err != nil {
+		return err
+	}
+	if held.Holder() == "" {
+		return fault.New(fault.Unavailable, "nobody leads")
+	}
+	mux := rpc.NewMux(f.Clock)
+	rpc.Handle(mux, control.MethodSummary, func(_ context.Context, _ *rpc.Peer, s control.Summary) (control.Ack, error) {
+		f.Catalog.Take(s)
+		return control.Ack{}, nil
+	})
+	peer, err := rpc.Dial(ctx, held.Holder(), f.Secret, mux)
+	if err != nil {
+		return err
+	}
+	defer peer.Close()
+	for ctx.Err() == nil {
+		if err := f.ask(ctx, cell, peer); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+		case <-peer.Done():
+			return fault.New(fault.Unavailable, "the connection to the lead ended")
+		case <-time.After(f.Subscribe):
+		}
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) ask(ctx context.Context, cell string, peer *rpc.Peer) error {
+	ctx, cancel := context.WithTimeout(ctx, subscribeTimeout)
+	defer cancel()
+	answer, err := rpc.Call[control.Subscribe, control.SubscribeAnswer](ctx, peer, control.MethodSubscribe,
+		control.Subscribe{Entry: f.Entry, Seen: f.Catalog.Seen(cell)})
+	if err != nil {
+		return err
+	}
+	if answer.Summary != nil {
+		f.Catalog.Take(*answer.Summary)
+	}
+	f.Catalog.TakeLoad(cell, answer.Load)
+	f.Catalog.SetPeer(cell, peer)
+	return nil
+}
--- /dev/null
+++ b/internal/control/cell.go
@@ -0,0 +1,141 @@
+package control
+
+import "github.com/saffronpulley/saffronpulley/internal/worker"
+
+// Subscribe asks a lead to push its summaries; it is repeated to see whether the lead still is one.
+type Subscribe struct {
+	Entry string `json:"entry"`
+	// Seen is the latest summary that the entry has.
+	Seen Position `json:"seen"`
+}
+
+// SubscribeAnswer carries the load of the cell, and its endpoints if the entry does not have them.
+type SubscribeAnswer struct {
+	Load    Load     `json:"load"`
+	Summary *Summary `json:"summary,omitempty"`
+}
+
+// Load is what entries need to choose the cell of a job.
+type Load struct {
+	// Room is how many processors are free of how many, in thousandths.
+	Room     int64 `json:"room"`
+	Capacity int64 `json:"capacity"`
+	// Waiting is how many jobs and services wait for a worker.
+	Waiting int `json:"waiting"`
+	// Largest is what the largest worker has of each resource.
+	Largest worker.SizeWire `json:"largest"`
+}
+
+// Summary is the endpoints of a cell; it is pushed when they change.
+type Summary struct {
+	Cell      string     `json:"cell"`
+	Position  Position   `json:"position"`
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
+// Endpoint is a replica that serves requests.
+type Endpoint struct {
+	Service  string `json:"service"`
+	Instance string `json:"instance"`
+	Boot     string `json:"boot"`
+	Address  string `json:"address"`
+	Hall     string `json:"hall"`
+	Slots    int    `json:"slots"`
+	Leaving  bool   `json:"leaving,omitempty"`
+}
+
+// Ack answers a message that needs no other answer.
+type Ack struct{}
+
+// Submit asks to accept a job; the same identifier is accepted once.
+type Submit struct {
+	ID       string `json:"id"`
+	Workload string `json:"workload"`
+	Payload  string `json:"payload,omitempty"`
+	Tasks    int    `json:"tasks"`
+	Millis   int64  `json:"submitted_unix_ms"`
+}
+
+// JobQuery asks for a job, or to cancel it.
+type JobQuery struct {
+	ID string `json:"id"`
+}
+
+// Job is how far a job is.
+type Job struct {
+	ID        string `json:"id"`
+	Workload  string `json:"workload"`
+	State     string `json:"state"`
+	Tasks     int    `json:"tasks"`
+	Running   int    `json:"running"`
+	Finished  int    `json:"finished"`
+	Failed    int    `json:"failed"`
+	Evictions int    `json:"evictions"`
+	Waiting   string `json:"waiting_because,omitempty"`
+	Millis    int64  `json:"submitted_unix_ms"`
+}
+
+// StatusQuery asks for the state of a cell.
+type StatusQuery struct{}
+
+// Status is the state of a cell.
+type Status struct {
+	Cell         string          `json:"cell"`
+	Lead         string          `json:"lead"`
+	Epoch        uint64          `json:"epoch"`
+	StoreUp      bool            `json:"store_up"`
+	TableVersion uint64          `json:"table_version"`
+	Commits      int64           `json:"commits"`
+	DocumentSize int             `json:"document_bytes"`
+	Workers      []WorkerStatus  `json:"workers"`
+	Services     []ServiceStatus `json:"services"`
+	Jobs         []Job           `json:"jobs"`
+}
+
+// WorkerStatus is the state of a worker.
+type WorkerStatus struct {
+	Instance     string  `json:"instance"`
+	Rack         int     `json:"rack"`
+	State        string  `json:"state"`
+	Tasks        int     `json:"tasks"`
+	Committed    string  `json:"committed"`
+	Share        float64 `json:"share"`
+	HeardMillis  int64   `json:"heard_ms_ago"`
+	Requests     string  `json:"requests"`
+	AgentBoot    string  `json:"boot"`
+	Accelerators int64   `json:"accelerators"`
+}
+
+// ServiceStatus is the state of a service in a cell.
+type ServiceStatus struct {
+	Service      string  `json:"service"`
+	Replicas     int     `json:"replicas"`
+	Running      int     `json:"running"`
+	TargetMillis int64   `json:"target_ms"`
+	Ratio        float64 `json:"ratio_of_target"`
+	Waiting      string  `json:"waiting_because,omitempty"`
+}
+
+// ExplainQuery asks why a task is where it is.
+type ExplainQuery struct {
+	Task string `json:"task"`
+}
+
+// Explanation says why a task is where it is, or why it cannot run.
+type Explanation struct {
+	Task        string `json:"task"`
+	Workload    string `json:"workload"`
+	State       string `json:"state"`
+	Instance    string `json:"instance,omitempty"`
+	Incarnation uint64 `json:"incarnation"`
+	Size        string `json:"size,omitempty"`
+	Checkpoint  string `json:"checkpoint,omitempty"`
+	Failures    int    `json:"failures"`
+	Evictions   int    `json:"evictions"`
+	Reason      string `json:"reason"`
+}
+
+// TimelineQuery asks for events after a stamp.
+type TimelineQuery struct {
+	After uint64 `json:"after"`
+}
--- /dev/null
+++ b/internal/daemon/agent.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/saffronpulley/saffronpulley/internal/admin"
+	"github.com/saffronpulley/saffronpulley/internal/agent"
+	"github.com/saffronpulley/saffronpulley/internal/lead"
+	"github.com/saffronpulley/saffronpulley/internal/worker"
+)
+
+func (p *process) runAgent(ctx context.Context) error {
+	s := p.settings
+	requests, err := open(s.Requests(), "listen.requests")
+	if err != nil {
+		return err
+	}
+	control, err := open(s.Control(), "listen.control")
+	if err != nil {
+		return err
+	}
+	operators, err := open(s.Admin(), "listen.admin")
+	if err != nil {
+		return err
+	}
+	a := agent.New(agent.Config{
+		ID: s.ID(), Boot: ulid.Make().String(), Hall: s.Hall(), Rack: s.Rack(), Secret: s.Secret(),
+		Requests: s.AdvertiseRequests(requests.Addr().String()), Control: control,
+		Address: s.AdvertiseControl(control.Addr().String()),
+		Timing: agent.Timing{
+			Heartbeat: s.Heartbeat(), Reconcile: s.Reconcile(), TaskLease: s.TaskLease(), Drain: s.Drain(), Measure: s.Measure(),
+		},
+		Lead: lead.Timing{
+			Lease: s.Lease(), Heartbeat: s.Heartbeat(), Window: s.Window(), List: s.LeadList(), CommitRate: s.CommitRate(),
+		},
+		Store: p.store, VMs: p.vms, Worker: worker.NewHTTP(s.Worker()),
+		Logger: p.logger.Part("agent"), Clock: p.clock, Recorder: p.recorder,
+	})
+	requestServer := admin.Serve(requests, p.limits(), a.Gate().Handle)
+	adminServer := p.serveAdmin(operators, a.Ready, nil)
+	p.logger.Info("agent: ready to start; requests=%s control=%s admin=%s", requests.Addr(), control.Addr(), operators.Addr())
+	err = a.Run(ctx)
+	requestServer.Close()
+	adminServer.Close()
+	p.logger.Info("agent: ended")
+	return err
+}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/saffronpulley/saffronpulley/internal/admin"
+	"github.com/saffronpulley/saffronpulley/internal/entry"
+)
+
+func (p *process) runEntry(ctx context.Context) error {
+	s := p.settings
+	callers, err := open(s.Callers(), "listen.callers")
+	if err != nil {
+		return err
+	}
+	peers, err := open(s.Peers(), "listen.peers")
+	if err != nil {
+		return err
+	}
+	operators, err := open(s.Admin(), "listen.admin")
+	if err != nil {
+		return err
+	}
+	e := entry.New(entry.Config{
+		ID: s.ID(), Hall: s.Hall(), Secret: s.Secret(), Peers: s.AdvertisePeers(peers.Addr().String()),
+		Timing: entry.Timing{
+			List: s.EntryList(), Subscribe: s.Subscribe(), Keys: s.Keys(), DefaultDeadline: s.DefaultDeadline(),
+			Drain: s.Drain(), DrainAnnounce: s.Announce(),
+		},
+		Store: p.store, VMs: p.vms, Logger: p.logger.Part("entry"), Clock: p.clock, Recorder: p.recorder, Metrics: p.metrics,
+	})
+	callersServer := admin.Serve(callers, p.limits(), e.HandleCallers)
+	peersServer := admin.Serve(peers, p.limits(), e.HandlePeers)
+	adminServer := p.serveAdmin(operators, e.Ready, e.HandleOperators)
+	p.logger.Info("entry: ready to start; callers=%s peers=%s admin=%s", callers.Addr(), peers.Addr(), operators.Addr())
+	err = e.Run(ctx)
+	callersServer.Close()
+	peersServer.Close()
+	adminServer.Close()
+	p.logger.Info("entry: ended")
+	return err
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/saffronpulley/saffronpulley/internal/admin"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/httpclient"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/metric"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/settings"
+	"github.com/saffronpulley/saffronpulley/internal/store"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
+	"github.com/saffronpulley/saffronpulley/internal/vmlist"
+)
+
+const (
+	timelineEvents = 2048
+	memoryLimit    = 26 << 20
+	readTimeout    = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxConnections = 4096
+)
+
+// process is what both roles share.
+type process struct {
+	settings *settings.Settings
+	logger   logging.Logger
+	clock    *timeline.Clock
+	recorder *timeline.Recorder
+	metrics  *metric.Registry
+	store    store.Store
+	vms      vmlist.List
+}
+
+// Run runs the role that the settings name until SIGTERM or SIGINT, which ends it in good order; a second ends it at once.
+func Run(s *settings.Settings) error {
+	logger, err := logging.New(s.LogLevel(), s.LogFormat(), s.ID())
+	if err != nil {
+		return err
+	}
+	// The collector works harder rather than let the process outgrow its share of the VM.
+	debug.SetMemoryLimit(memoryLimit)
+	httpclient.BindSource(s.Source())
+	clock := timeline.NewClock(time.Now)
+	p := &process{
+		settings: s, logger: logger, clock: clock, metrics: metric.New(),
+		recorder: timeline.NewRecorder(clock, s.ID(), timelineEvents),
+		store:    store.NewHTTP(s.Store()), vms: vmlist.NewHTTP(s.VMs()),
+	}
+	p.metrics.RegisterProcess()
+	p.metrics.Gauge("control.bytes", rpc.BytesMoved)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	go endAtSecondSignal(ctx)
+	p.recorder.Record(timeline.ProcessStarted, timeline.Subject{}, "started as "+s.Role())
+	if s.Role() == settings.RoleEntry {
+		return p.runEntry(ctx)
+	}
+	return p.runAgent(ctx)
+}
+
+// secondSignalCode is the exit code of a process that a second signal ended.
+const secondSignalCode = 130
+
+func endAtSecondSignal(ctx context.Context) {
+	<-ctx.Done()
+	second := make(chan os.Signal, 1)
+	signal.Notify(second, syscall.SIGTERM, os.Interrupt)
+	<-second
+	os.Exit(secondSignalCode)
+}
+
+func (p *process) limits() admin.Limits {
+	return admin.Limits{Body: p.settings.MaxBody(), Read: readTimeout, Idle: idleTimeout, Connections: maxConnections}
+}
+
+func open(address, setting string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadInput, "cannot listen; choose a free address for "+setting)
+	}
+	return listener, nil
+}
+
+// serveAdmin serves health, metrics and, where more is not nil, what else operators reach.
+func (p *process) serveAdmin(listener net.Listener, ready func() bool, more func(*fasthttp.RequestCtx) bool) *admin.Server {
+	health := admin.Health{Ready: ready, Metrics: p.metrics}
+	return admin.Serve(listener, p.limits(), func(ctx *fasthttp.RequestCtx) {
+		if health.Handle(ctx) || (more != nil && more(ctx)) {
+			return
+		}
+		ctx.Error("there is no such path\n", fasthttp.StatusNotFound)
+	})
+}
--- /dev/null
+++ b/internal/entry/doc.go
@@ -0,0 +1,3 @@
+// Package entry is the process on an entry VM: it takes callers' requests and
+// jobs over HTTP, routes and answers them, and takes the operators' edits.
+package entry
--- /dev/null
+++ b/internal/fault/kind.go
@@ -0,0 +1,91 @@
+package fault
+
+import "net/http"
+
+//go:generate stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind is one entry of the closed list of error kinds.
+type Kind int
+
+// The error kinds, in the order of the answer table.
+const (
+	Internal         Kind = iota // internal
+	BadInput                     // bad_input
+	NotFound                     // not_found
+	Conflict                     // conflict
+	Overloaded                   // overloaded
+	Unavailable                  // unavailable
+	OutcomeUnknown               // outcome_unknown
+	DeadlineExceeded             // deadline_exceeded
+	Leaving                      // leaving
+	Stale                        // stale
+	DoesNotFit                   // does_not_fit
+	Impossible                   // impossible
+	TooLarge                     // too_large
+	Unauthorized                 // unauthorized
+	kindCount
+)
+
+// Answer says how an error kind is presented to a caller.
+type Answer struct {
+	status  int
+	exit    int
+	ran     Ran
+	returns bool
+}
+
+// Ran says what is known about whether the refused work ran.
+type Ran string
+
+// The two things that an error answer may say about the work.
+const (
+	RanNo      Ran = "no"
+	RanUnknown Ran = "unknown"
+)
+
+var answers = [kindCount]Answer{
+	Internal:         {http.StatusInternalServerError, 1, RanUnknown, false},
+	BadInput:         {http.StatusBadRequest, 2, RanNo, false},
+	NotFound:         {http.StatusNotFound, 3, RanNo, false},
+	Conflict:         {http.StatusConflict, 4, RanNo, false},
+	Overloaded:       {http.StatusTooManyRequests, 5, RanNo, true},
+	Unavailable:      {http.StatusServiceUnavailable, 6, RanNo, true},
+	OutcomeUnknown:   {http.StatusBadGateway, 7, RanUnknown, true},
+	DeadlineExceeded: {http.StatusGatewayTimeout, 8, RanNo, true},
+	Leaving:          {http.StatusServiceUnavailable, 6, RanNo, true},
+	Stale:            {http.StatusServiceUnavailable, 6, RanNo, true},
+	DoesNotFit:       {http.StatusServiceUnavailable, 6, RanNo, true},
+	Impossible:       {http.StatusUnprocessableEntity, 9, RanNo, false},
+	TooLarge:         {http.StatusRequestEntityTooLarge, 2, RanNo, false},
+	Unauthorized:     {http.StatusUnauthorized, 10, RanNo, false},
+}
+
+// Answer returns how the kind is answered; an undeclared kind is answered as Internal.
+func (k Kind) Answer() Answer {
+	if k < 0 || k >= kindCount {
+		return answers[Internal]
+	}
+	return answers[k]
+}
+
+// Status returns the HTTP status code of the answer.
+func (a Answer) Status() int { return a.status }
+
+// ExitCode returns the exit code of a command that ends with the kind.
+func (a Answer) ExitCode() int { return a.exit }
+
+// Ran returns whether the work is known not to have run.
+func (a Answer) Ran() Ran { return a.ran }
+
+// Returns reports whether the caller should come back, so that the answer carries Retry-After.
+func (a Answer) Returns() bool { return a.returns }
+
+// ParseKind returns the kind with the given name, or Internal for a name that is not on the list.
+func ParseKind(name string) Kind {
+	for k := Internal; k < kindCount; k++ {
+		if k.String() == name {
+			return k
+		}
+	}
+	return Internal
+}
--- /dev/null
+++ b/internal/httpclient/client.go
@@ -0,0 +1,33 @@
+package httpclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// New returns a client that never sends a request twice and marks failed dials as Unavailable.
+func New(address string, timeout time.Duration) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                      address,
+		Dial:                      dial,
+		ReadTimeout:               timeout,
+		WriteTimeout:              timeout,
+		MaxConns:                  256,
+		MaxIdleConnDuration:       30 * time.Second,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader:  true,
+		DisablePathNormalizing:    true,
+	}
+}
+
+// Deadline returns the end of ctx, or the end of the timeout if that is earlier.
+func Deadline(ctx context.Context, timeout time.Duration) time.Time {
+	latest := time.Now().Add(timeout)
+	if end, ok := ctx.Deadline(); ok && end.Before(latest) {
+		return end
+	}
+	return latest
+}
--- /dev/null
+++ b/internal/idempotency/owners.go
@@ -0,0 +1,159 @@
+package idempotency
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+)
+
+// Slots is the number of slots that keys are divided into.
+const Slots = 32
+
+// SlotOf returns the slot of a service's key.
+func SlotOf(service, key string) int {
+	return int(xxhash.Sum64String(service+"\x00"+key) % Slots)
+}
+
+// Owner is who owns a slot, and whether the last owner handed it over or died.
+type Owner struct {
+	entry string
+	epoch uint64
+	doubt bool
+}
+
+// Entry returns the entry that owns the slot, empty for none yet.
+func (o Owner) Entry() string { return o.entry }
+
+// Epoch returns how often the slot has changed its owner.
+func (o Owner) Epoch() uint64 { return o.epoch }
+
+// InDoubt reports whether the owner before died without a handover.
+func (o Owner) InDoubt() bool { return o.doubt }
+
+// Owners is the document that says which entry owns each slot.
+type Owners struct {
+	members map[string]string
+	slots   [Slots]Owner
+}
+
+// Member returns the address of an entry's peers' listener.
+func (o Owners) Member(entry string) (string, bool) {
+	address, ok := o.members[entry]
+	return address, ok
+}
+
+// Members returns the entries that take part, in order.
+func (o Owners) Members() []string { return slices.Sorted(maps.Keys(o.members)) }
+
+// Owner returns the owner of a slot.
+func (o Owners) Owner(slot int) Owner { return o.slots[slot] }
+
+// Wanted returns which entry is to own a slot, the same for all who ask.
+func (o Owners) Wanted(slot int) string {
+	best, highest := "", uint64(0)
+	for _, entry := range o.Members() {
+		if score := xxhash.Sum64String(entry + "/" + strconv.Itoa(slot)); best == "" || score > highest {
+			best, highest = entry, score
+		}
+	}
+	return best
+}
+
+// Join adds an entry; slots that nobody ever owned go to those who are to own them.
+func (o Owners) Join(entry, address string) Owners {
+	next := o.clone()
+	next.members[entry] = address
+	for i := range next.slots {
+		if next.slots[i].entry == "" {
+			next.slots[i] = Owner{entry: next.Wanted(i), epoch: 1}
+		}
+	}
+	return next
+}
+
+// Hand moves a slot from its owner to another entry.
+func (o Owners) Hand(slot int, from, to string) (Owners, error) {
+	held := o.slots[slot]
+	if held.entry != from {
+		return o, fault.New(fault.Conflict, "slot %d is owned by %s", slot, held.entry)
+	}
+	next := o.clone()
+	next.slots[slot] = Owner{entry: to, epoch: held.epoch + 1}
+	return next, nil
+}
+
+// Leave removes an entry that has handed over its slots.
+func (o Owners) Leave(entry string) Owners {
+	next := o.clone()
+	delete(next.members, entry)
+	return next
+}
+
+// Bury removes an entry that died; its slots go to others, in doubt.
+func (o Owners) Bury(entry string) Owners {
+	next := o.clone()
+	delete(next.members, entry)
+	for i, held := range next.slots {
+		if held.entry != entry {
+			continue
+		}
+		next.slots[i] = Owner{entry: next.Wanted(i), epoch: held.epoch + 1, doubt: true}
+	}
+	return next
+}
+
+func (o Owners) clone() Owners {
+	members := make(map[string]string, len(o.members)+1)
+	maps.Copy(members, o.members)
+	return Owners{members: members, slots: o.slots}
+}
+
+type ownersWire struct {
+	_       struct{} `cbor:",toarray"`
+	Members map[string]string
+	Slots   []ownerWire
+}
+
+type ownerWire struct {
+	_     struct{} `cbor:",toarray"`
+	Entry string
+	Epoch uint64
+	Doubt bool
+}
+
+// EncodeOwners returns the bytes of the document as the store keeps them.
+func EncodeOwners(o Owners) ([]byte, error) {
+	wire := ownersWire{Members: o.members}
+	for _, s := range o.slots {
+		wire.Slots = append(wire.Slots, ownerWire{Entry: s.entry, Epoch: s.epoch, Doubt: s.doubt})
+	}
+	value, err := cbor.Marshal(wire)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "the owners of keys cannot be encoded")
+	}
+	return value, nil
+}
+
+// DecodeOwners returns the document of a stored value; no bytes are a document without owners.
+func DecodeOwners(value []byte) (Owners, error) {
+	if len(value) == 0 {
+		return Owners{}, nil
+	}
+	var wire ownersWire
+	if err := cbor.Unmarshal(value, &wire); err != nil {
+		return Owners{}, fault.Wrap(err, fault.Internal, "the stored owners of keys cannot be read")
+	}
+	if len(wire.Slots) != Slots {
+		return Owners{}, fault.New(fault.Internal, "the stored owners of keys have %d slots, not %d", len(wire.Slots), Slots)
+	}
+	o := Owners{members: wire.Members}
+	for i, s := range wire.Slots {
+		o.slots[i] = Owner{entry: s.Entry, epoch: s.Epoch, doubt: s.Doubt}
+	}
+	return o, nil
+}
--- /dev/null
+++ b/internal/lead/beat.go
@@ -0,0 +1,145 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/cell"
+	"github.com/saffronpulley/saffronpulley/internal/control"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/resource"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/task"
+	"github.com/saffronpulley/saffronpulley/internal/worker"
+)
+
+// Beat answers the heartbeat of an agent.
+func (l *Lead) Beat(_ context.Context, p *rpc.Peer, beat control.Beat) (control.BeatAnswer, error) {
+	d, _, loaded := l.document.Current()
+	if !loaded {
+		return control.BeatAnswer{}, fault.New(fault.Unavailable, "the lead is not ready")
+	}
+	now := time.Now()
+	l.mu.Lock()
+	a, known := l.hear(p, &beat, now)
+	if !known {
+		l.mu.Unlock()
+		return control.BeatAnswer{Known: false}, nil
+	}
+	acked, ended := l.readReports(d, a, &beat)
+	answer := control.BeatAnswer{Known: true, Acked: acked}
+	if l.holds(now) && a.revision > 0 && a.applied != l.position(a) {
+		answer.Desired = l.desired(beat.Instance, a)
+	}
+	isNew := a.revision == 0
+	l.mu.Unlock()
+	for _, e := range ended {
+		l.enqueue(e)
+	}
+	if isNew {
+		l.publish()
+	}
+	return answer, nil
+}
+
+// hear takes note of what a beat says; an agent that the lead does not know must give its profile. l.mu is held.
+func (l *Lead) hear(p *rpc.Peer, beat *control.Beat, now time.Time) (*agentView, bool) {
+	a, ok := l.agents[beat.Instance]
+	if !ok || a.boot != beat.Boot {
+		if beat.Profile == nil || !beat.HasStatuses {
+			return nil, false
+		}
+		fresh := newAgentView(beat)
+		if ok {
+			fresh.health = a.health
+		}
+		l.agents[beat.Instance], a = fresh, fresh
+	}
+	changed := a.leaving != beat.Leaving || a.stopping != beat.Stopping || a.pressed != beat.Pressed || !ok
+	a.peer, a.heard, a.applied = p, now, beat.Applied
+	a.leaving, a.stopping, a.pressed, a.evict = beat.Leaving, beat.Stopping, beat.Pressed, beat.Evict
+	if beat.HasStatuses {
+		changed = a.takeStatuses(beat.Statuses) || changed
+	}
+	l.learn(a, beat, now)
+	if changed || beat.Evict {
+		l.dirty = true
+		l.signal()
+	}
+	return a, true
+}
+
+func newAgentView(beat *control.Beat) *agentView {
+	return &agentView{
+		boot: beat.Boot, profile: *beat.Profile, capacity: beat.Profile.Capacity.Decode(),
+		statuses: make(map[task.Run]worker.Status),
+		usage:    make(map[task.Run]resource.Vector),
+		latency:  make(map[string]control.Latency),
+	}
+}
+
+func (a *agentView) takeStatuses(wires []worker.StatusWire) bool {
+	before := len(a.statuses)
+	statuses := make(map[task.Run]worker.Status, len(wires))
+	fresh := false
+	for _, w := range wires {
+		s := w.Decode()
+		old, ok := a.statuses[s.Run()]
+		fresh = fresh || !ok || old.State() != s.State() || old.Address() != s.Address()
+		statuses[s.Run()] = s
+	}
+	a.statuses = statuses
+	return fresh || len(statuses) != before
+}
+
+// readReports sorts reports into those the document has taken in and those still to commit. l.mu is held.
+func (l *Lead) readReports(d *cell.Document, a *agentView, beat *control.Beat) ([]worker.RunWire, []*operation) {
+	var acked []worker.RunWire
+	var ended []*operation
+	for _, r := range beat.Reports {
+		run := r.Run.Decode()
+		if !isCurrent(d, run, beat.Instance) {
+			acked = append(acked, r.Run)
+			continue
+		}
+		ended = append(ended, l.reportOperation(r))
+	}
+	return acked, append(ended, l.missingRuns(d, a, beat)...)
+}
+
+func isCurrent(d *cell.Document, run task.Run, instance string) bool {
+	t, ok := d.Task(run.ID())
+	return ok && t.Incarnation() == run.Incarnation() && t.Instance() == instance
+}
+
+// missingRuns finds runs that the document places on the agent, that it is no longer to run, and that it does not have.
+//
+// The agent has taken the present position, after which it starts none of them any more.
+func (l *Lead) missingRuns(d *cell.Document, a *agentView, beat *control.Beat) []*operation {
+	if a.revision == 0 || beat.Applied != l.position(a) {
+		return nil
+	}
+	wanted := make(map[task.Run]struct{}, len(a.desired))
+	for _, r := range a.desired {
+		wanted[r.Run.Decode()] = struct{}{}
+	}
+	var missing []*operation
+	for _, t := range d.Tasks() {
+		_, isWanted := wanted[t.Run()]
+		_, hasIt := a.statuses[t.Run()]
+		if t.Instance() != beat.Instance || isWanted || hasIt || isReported(beat, t.Run()) {
+			continue
+		}
+		missing = append(missing, l.reportOperation(control.Report{Run: worker.EncodeRun(t.Run()), State: task.Stopped.String()}))
+	}
+	return missing
+}
+
+func isReported(beat *control.Beat, run task.Run) bool {
+	for _, r := range beat.Reports {
+		if r.Run.Decode() == run {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lead/jobs.go
@@ -0,0 +1,135 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/cell"
+	"github.com/saffronpulley/saffronpulley/internal/control"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/scheduling"
+	"github.com/saffronpulley/saffronpulley/internal/table"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
+)
+
+const (
+	settleTime = 5 * time.Second
+	storeAgain = 5 * time.Second
+	maxOpen    = 2000
+)
+
+// Submit accepts a job once it is committed.
+func (l *Lead) Submit(ctx context.Context, _ *rpc.Peer, s control.Submit) (control.Job, error) {
+	d, _, _ := l.document.Current()
+	if j, ok := d.Job(s.ID); ok {
+		return l.jobWire(d, j), nil
+	}
+	r, err := l.checkSubmit(d, s)
+	if err != nil {
+		return control.Job{}, err
+	}
+	job := cell.NewJob(s.ID, s.Workload, s.Payload, s.Tasks, time.UnixMilli(s.Millis))
+	o := newOperation(func(d *cell.Document) (bool, error) {
+		_, known := d.Job(s.ID)
+		d.Submit(job)
+		return !known, nil
+	})
+	o.urgent = r.IsUrgent()
+	o.after = func() {
+		l.Recorder.Record(timeline.JobAccepted, timeline.Subject{Task: s.ID}, "the job is committed")
+	}
+	if err := l.commit(ctx, o); err != nil {
+		return control.Job{}, err
+	}
+	d, _, _ = l.document.Current()
+	j, _ := d.Job(s.ID)
+	return l.jobWire(d, j), nil
+}
+
+func (l *Lead) checkSubmit(d *cell.Document, s control.Submit) (table.Row, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.storeUp || !l.holds(time.Now()) {
+		return table.Row{}, fault.New(fault.Unavailable, "the store does not answer, so no job can be accepted").After(storeAgain)
+	}
+	r, ok := l.table.Row(s.Workload)
+	if !ok || r.Kind() != table.Batch {
+		return table.Row{}, fault.New(fault.NotFound, "the table has no batch workload %q", s.Workload)
+	}
+	if len(d.Jobs()) >= maxOpen {
+		return table.Row{}, fault.New(fault.Overloaded, "%s has %d open jobs, its limit", l.Cell, maxOpen).After(storeAgain)
+	}
+	if !scheduling.Possible(r.Size(), l.workers(time.Now())) {
+		if time.Since(l.began) < settleTime {
+			return table.Row{}, fault.New(fault.Unavailable, "the lead has not heard its workers yet").After(settleTime)
+		}
+		return table.Row{}, fault.New(fault.Impossible, "no worker of %s has %s, even empty", l.Cell, r.Size())
+	}
+	return r, nil
+}
+
+// commit waits until an operation is committed; a wait that ends first leaves the outcome unknown.
+func (l *Lead) commit(ctx context.Context, o *operation) error {
+	l.enqueue(o)
+	select {
+	case err := <-o.result:
+		return err
+	case <-ctx.Done():
+		return fault.New(fault.OutcomeUnknown, "the commit has not ended in time")
+	case <-l.done:
+		return fault.New(fault.OutcomeUnknown, "the lead ended before the commit")
+	}
+}
+
+// Job answers how far a job is.
+func (l *Lead) Job(_ context.Context, _ *rpc.Peer, q control.JobQuery) (control.Job, error) {
+	d, _, _ := l.document.Current()
+	j, ok := d.Job(q.ID)
+	if !ok {
+		return control.Job{}, fault.New(fault.NotFound, "%s has no job %s", l.Cell, q.ID)
+	}
+	return l.jobWire(d, j), nil
+}
+
+// Cancel ends a job once that is committed; cancellations that come together share a commit.
+func (l *Lead) Cancel(ctx context.Context, p *rpc.Peer, q control.JobQuery) (control.Job, error) {
+	l.mu.Lock()
+	up := l.storeUp
+	l.mu.Unlock()
+	if !up {
+		return control.Job{}, fault.New(fault.Unavailable, "the store does not answer, so no job can be canceled").After(storeAgain)
+	}
+	o := newOperation(func(d *cell.Document) (bool, error) {
+		if err := d.Cancel(q.ID); err != nil {
+			return false, err
+		}
+		return true, nil
+	})
+	o.after = func() {
+		l.Recorder.Record(timeline.JobCanceled, timeline.Subject{Task: q.ID}, "the cancellation is committed")
+	}
+	if err := l.commit(ctx, o); err != nil {
+		return control.Job{}, err
+	}
+	return l.Job(ctx, p, q)
+}
+
+func (l *Lead) jobWire(d *cell.Document, j cell.Job) control.Job {
+	running := 0
+	for _, t := range d.Tasks() {
+		if t.ID().Job() == j.ID() && t.IsPlaced() {
+			running++
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wire := control.Job{
+		ID: j.ID(), Workload: j.Workload(), State: j.State().String(), Tasks: j.Tasks(), Running: running,
+		Finished: j.Finished(), Failed: j.Failed(), Evictions: j.Evictions(), Millis: j.Submitted().UnixMilli(),
+	}
+	if why, ok := l.waiting[j.ID()]; ok && !j.State().IsFinal() {
+		wire.Waiting = why.String()
+	}
+	return wire
+}
--- /dev/null
+++ b/internal/lead/learn.go
@@ -0,0 +1,101 @@
+package lead
+
+import (
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/cell"
+	"github.com/saffronpulley/saffronpulley/internal/control"
+	"github.com/saffronpulley/saffronpulley/internal/interference"
+	"github.com/saffronpulley/saffronpulley/internal/sizing"
+	"github.com/saffronpulley/saffronpulley/internal/task"
+)
+
+const (
+	firstRetry = time.Second
+	lastRetry  = time.Minute
+)
+
+// learn takes in the measurements of a beat; l.mu is held.
+func (l *Lead) learn(a *agentView, beat *control.Beat, now time.Time) {
+	for _, u := range beat.Usage {
+		run := u.Run.Decode()
+		s, ok := a.statuses[run]
+		if !ok {
+			continue
+		}
+		a.usage[run] = u.Used.Decode()
+		l.estimate(s.Workload()).Observe(u.Used.Decode())
+	}
+	for _, y := range beat.Latency {
+		a.latency[y.Service] = y
+		if neighbors := a.neighbors(); len(neighbors) > 0 && y.Samples > 0 {
+			l.model.Observe(y.Service, interference.BandOf(y.Load), neighbors, y.Ratio, now)
+		}
+	}
+	for run := range a.usage {
+		if _, ok := a.statuses[run]; !ok {
+			delete(a.usage, run)
+		}
+	}
+}
+
+func (l *Lead) estimate(workload string) *sizing.Estimate {
+	e, ok := l.estimates[workload]
+	if !ok {
+		e = &sizing.Estimate{}
+		l.estimates[workload] = e
+	}
+	return e
+}
+
+// neighbors are the batch workloads on the agent's worker with their shares of its processors.
+func (a *agentView) neighbors() []interference.Neighbor {
+	shares := make(map[string]float64)
+	for _, s := range a.statuses {
+		if s.State() == task.Running && s.Address() == "" {
+			shares[s.Workload()] += float64(s.Size().Processors()) / float64(max(a.capacity.Processors(), 1))
+		}
+	}
+	neighbors := make([]interference.Neighbor, 0, len(shares))
+	for workload, share := range shares {
+		neighbors = append(neighbors, interference.NewNeighbor(workload, share))
+	}
+	return neighbors
+}
+
+// ended takes note of a run whose end was committed; l.mu is held.
+func (l *Lead) ended(instance, workload string, run task.Run, state task.State, ran time.Duration, failures int) {
+	now := time.Now()
+	delete(l.evicting, run)
+	delete(l.notBefore, run.ID())
+	a, ok := l.agents[instance]
+	switch state {
+	case task.Finished:
+		if ran > 0 {
+			l.estimate(workload).ObserveRuntime(ran)
+		}
+		if ok {
+			workerProbation.Succeed(&a.health)
+		}
+	case task.Failed:
+		l.notBefore[run.ID()] = now.Add(jitter(min(firstRetry<<min(failures, 6), lastRetry)))
+		// A task that failed elsewhere before says more about itself than about this worker.
+		if ok && failures <= 1 {
+			workerProbation.Fail(&a.health, now)
+		}
+	case task.Refused:
+		l.notBefore[run.ID()] = now.Add(jitter(firstRetry))
+		if ok {
+			workerProbation.Drop(&a.health)
+		}
+	}
+}
+
+// attempts is how often a task of a workload may fail.
+func attempts(l *Lead, t cell.Task) int {
+	r, ok := l.table.Row(t.Workload())
+	if !ok || t.IsService() {
+		return 0
+	}
+	return r.Attempts()
+}
--- /dev/null
+++ b/internal/lead/status.go
@@ -0,0 +1,180 @@
+package lead
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/cell"
+	"github.com/saffronpulley/saffronpulley/internal/control"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/resource"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/table"
+	"github.com/saffronpulley/saffronpulley/internal/task"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
+)
+
+// Status describes the cell for operators.
+func (l *Lead) Status(_ context.Context, _ *rpc.Peer, _ control.StatusQuery) (control.Status, error) {
+	d, _, _ := l.document.Current()
+	known := append(slices.Clone(d.Ended()), d.Jobs()...)
+	jobs := make([]control.Job, 0, len(known))
+	for _, j := range known {
+		jobs = append(jobs, l.jobWire(d, j))
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return control.Status{
+		Cell: l.Cell, Lead: l.Agent, Epoch: l.epoch, StoreUp: l.storeUp, TableVersion: l.table.Version(),
+		Commits: l.commits, DocumentSize: l.document.Size(), Jobs: jobs,
+		Workers: l.workerStatuses(d, time.Now()), Services: l.serviceStatuses(d),
+	}, nil
+}
+
+// workerStatuses describes the workers; l.mu is held.
+func (l *Lead) workerStatuses(d *cell.Document, now time.Time) []control.WorkerStatus {
+	committed := make(map[string]resource.Vector)
+	tasks := make(map[string]int)
+	for _, t := range d.Tasks() {
+		committed[t.Instance()] = committed[t.Instance()].Add(t.Size())
+		tasks[t.Instance()]++
+	}
+	statuses := make([]control.WorkerStatus, 0, len(l.agents))
+	for instance, a := range l.agents {
+		statuses = append(statuses, control.WorkerStatus{
+			Instance: instance, Rack: a.profile.Rack, State: l.state(instance, a, now), Tasks: tasks[instance],
+			Committed: committed[instance].String(), Share: committed[instance].DominantShare(a.capacity),
+			HeardMillis: now.Sub(a.heard).Milliseconds(), Requests: a.profile.Requests, AgentBoot: a.boot,
+			Accelerators: a.capacity.Accelerators(),
+		})
+	}
+	slices.SortFunc(statuses, func(a, b control.WorkerStatus) int { return strings.Compare(a.Instance, b.Instance) })
+	return statuses
+}
+
+// serviceStatuses describes the services against their targets; l.mu is held.
+func (l *Lead) serviceStatuses(d *cell.Document) []control.ServiceStatus {
+	var statuses []control.ServiceStatus
+	for _, r := range l.table.Rows() {
+		if r.Kind() != table.Service {
+			continue
+		}
+		s := control.ServiceStatus{
+			Service: r.Workload(), Replicas: d.Replicas(r.Workload()), TargetMillis: r.Target().Milliseconds(),
+		}
+		for _, a := range l.agents {
+			s.Running += a.running(r.Workload())
+			s.Ratio = max(s.Ratio, a.latency[r.Workload()].Ratio)
+		}
+		if why, ok := l.waiting[r.Workload()]; ok {
+			s.Waiting = why.String()
+		}
+		statuses = append(statuses, s)
+	}
+	return statuses
+}
+
+func (a *agentView) running(service string) int {
+	count := 0
+	for _, s := range a.statuses {
+		if s.Workload() == service && s.State() == task.Running {
+			count++
+		}
+	}
+	return count
+}
+
+// Explain says why a task is where it is, or why it waits.
+func (l *Lead) Explain(_ context.Context, _ *rpc.Peer, q control.ExplainQuery) (control.Explanation, error) {
+	id, err := task.ParseID(q.Task)
+	if err != nil {
+		return control.Explanation{}, err
+	}
+	d, _, _ := l.document.Current()
+	t, ok := d.Task(id)
+	if !ok {
+		return l.explainUnplaced(d, id)
+	}
+	e := control.Explanation{
+		Task: q.Task, Workload: t.Workload(), Instance: t.Instance(), Incarnation: uint64(t.Incarnation()),
+		Checkpoint: t.Checkpoint(), Failures: t.Failures(), Evictions: t.Evictions(), State: "waiting",
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !t.IsPlaced() {
+		e.Reason = l.whyWaiting(id)
+		return e, nil
+	}
+	e.Size, e.State = t.Size().String(), "placed"
+	e.Reason = "it had the least cost of the workers with room"
+	if a, ok := l.agents[t.Instance()]; ok {
+		if s, found := a.statuses[t.Run()]; found {
+			e.State = s.State().String()
+		}
+		if !a.isHeard(time.Now(), l.Timing.Heartbeat) {
+			e.Reason = "its agent is silent; it moves once the agent confirms a stop or the platform says that the VM is gone"
+		}
+	}
+	if _, ok := l.evicting[t.Run()]; ok {
+		e.Reason = "it is being checkpointed to run elsewhere"
+	}
+	return e, nil
+}
+
+func (l *Lead) explainUnplaced(d *cell.Document, id task.ID) (control.Explanation, error) {
+	j, ok := d.Job(id.Job())
+	if !ok || id.Index() >= j.Tasks() {
+		return control.Explanation{}, fault.New(fault.NotFound, "%s has no task %s", l.Cell, id)
+	}
+	e := control.Explanation{Task: id.String(), Workload: j.Workload(), State: j.State().String()}
+	if id.Index() < j.Tasks()-j.Unstarted() {
+		e.Reason = "it has ended"
+		return e, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.State, e.Reason = "waiting", l.whyWaiting(id)
+	return e, nil
+}
+
+// whyWaiting says why a task waits; l.mu is held.
+func (l *Lead) whyWaiting(id task.ID) string {
+	if until, ok := l.notBefore[id]; ok && time.Now().Before(until) {
+		return "it failed and waits before its next try"
+	}
+	if why, ok := l.waiting[id.Job()]; ok {
+		return why.String()
+	}
+	return "it waits for the next plan"
+}
+
+// Timeline returns the events of the cell after a stamp: the lead's own and those of its agents.
+func (l *Lead) Timeline(ctx context.Context, _ *rpc.Peer, q control.TimelineQuery) ([]timeline.Wire, error) {
+	l.mu.Lock()
+	var peers []*rpc.Peer
+	for _, a := range l.agents {
+		if a.peer != nil && a.isHeard(time.Now(), l.Timing.Heartbeat) {
+			peers = append(peers, a.peer)
+		}
+	}
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	results := make(chan []timeline.Wire, len(peers))
+	for _, p := range peers {
+		go func() {
+			events, err := rpc.Call[control.TimelineQuery, []timeline.Wire](ctx, p, control.MethodAgentTimeline, q)
+			if err != nil {
+				l.Logger.Debug("cannot read an agent's events: %v", err)
+			}
+			results <- events
+		}()
+	}
+	events := []timeline.Wire{}
+	for range peers {
+		events = append(events, <-results...)
+	}
+	return events, nil
+}
--- /dev/null
+++ b/internal/lead/summary.go
@@ -0,0 +1,118 @@
+package lead
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/saffronpulley/saffronpulley/internal/control"
+	"github.com/saffronpulley/saffronpulley/internal/resource"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/task"
+	"github.com/saffronpulley/saffronpulley/internal/vmlist"
+	"github.com/saffronpulley/saffronpulley/internal/worker"
+)
+
+// Subscribe hands an entry the summary of the cell and pushes later ones to it.
+func (l *Lead) Subscribe(_ context.Context, p *rpc.Peer, s control.Subscribe) (control.SubscribeAnswer, error) {
+	l.mu.Lock()
+	if _, ok := l.subscribers[p]; !ok {
+		l.subscribers[p] = struct{}{}
+		go l.unsubscribe(p)
+	}
+	summary, load := l.summary, l.load()
+	l.mu.Unlock()
+	answer := control.SubscribeAnswer{Load: load}
+	if s.Seen != summary.Position {
+		answer.Summary = &summary
+	}
+	return answer, nil
+}
+
+func (l *Lead) unsubscribe(p *rpc.Peer) {
+	select {
+	case <-p.Done():
+	case <-l.done:
+	}
+	l.mu.Lock()
+	delete(l.subscribers, p)
+	l.mu.Unlock()
+}
+
+// load describes the cell for the choice of a job's cell; l.mu is held.
+func (l *Lead) load() control.Load {
+	load := control.Load{Waiting: len(l.waiting)}
+	var largest resource.Vector
+	for _, a := range l.agents {
+		load.Capacity += a.capacity.Processors()
+		largest = largest.Max(a.capacity)
+	}
+	load.Largest = worker.EncodeSize(largest)
+	load.Room = load.Capacity
+	d, _, _ := l.document.Current()
+	for _, t := range d.Tasks() {
+		if t.IsPlaced() {
+			load.Room -= t.Size().Processors()
+		}
+	}
+	return load
+}
+
+// endpoints are the replicas that serve in the cell, in a fixed order; l.mu is held.
+func (l *Lead) endpoints() []control.Endpoint {
+	var endpoints []control.Endpoint
+	for instance, a := range l.agents {
+		if l.listed[instance] != vmlist.Gone {
+			endpoints = append(endpoints, a.endpoints(instance, l.isLeaving(instance, a))...)
+		}
+	}
+	slices.SortFunc(endpoints, func(a, b control.Endpoint) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Instance, b.Instance))
+	})
+	return endpoints
+}
+
+// endpoints are the replicas that serve behind the agent.
+func (a *agentView) endpoints(instance string, leaving bool) []control.Endpoint {
+	var endpoints []control.Endpoint
+	for _, s := range a.statuses {
+		if s.Address() == "" || s.State() != task.Running {
+			continue
+		}
+		endpoints = append(endpoints, control.Endpoint{
+			Service: s.Workload(), Instance: instance, Boot: a.boot, Address: a.profile.Requests,
+			Hall: a.profile.Hall, Slots: a.profile.Slots, Leaving: leaving || a.stopping,
+		})
+	}
+	return endpoints
+}
+
+// publishSummary pushes the endpoints to the entries if they changed.
+func (l *Lead) publishSummary() {
+	l.mu.Lock()
+	endpoints := l.endpoints()
+	if l.summary.Position.Epoch == l.epoch && slices.Equal(endpoints, l.summary.Endpoints) {
+		l.mu.Unlock()
+		return
+	}
+	l.revision++
+	l.summary = control.Summary{
+		Cell: l.Cell, Position: control.Position{Epoch: l.epoch, Revision: l.revision}, Endpoints: endpoints,
+	}
+	summary := l.summary
+	peers := slices.Collect(maps.Keys(l.subscribers))
+	l.mu.Unlock()
+	for _, p := range peers {
+		go l.pushSummary(p, summary)
+	}
+}
+
+func (l *Lead) pushSummary(p *rpc.Peer, summary control.Summary) {
+	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	defer cancel()
+	if _, err := rpc.Call[control.Summary, control.Ack](ctx, p, control.MethodSummary, summary); err != nil {
+		l.Logger.Debug("cannot push the summary: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/logging/doc.go
@@ -0,0 +1,2 @@
+// Package logging writes short sentences with a fixed prefix for each part.
+package logging
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,194 @@
+package placement
+
+import (
+	"math"
+
+	"github.com/saffronpulley/saffronpulley/internal/resource"
+)
+
+//go:generate stringer -type=Reason -linecomment -output=reason_string.go
+
+// Reason says why a node was chosen, or why it cannot be.
+type Reason int
+
+// The reasons, in the order in which a node is tested.
+const (
+	Chosen           Reason = iota // chosen
+	NoNodes                        // no workers in the cell
+	NodeLeaving                    // worker is leaving or not heard of
+	NodeProbation                  // worker is on probation after failures
+	NodeReserved                   // worker is kept free for a task that has waited too long
+	NodePressed                    // services there are near their target
+	NodeHarm                       // it would slow a service there too much
+	NodeReplica                    // a replica of the service runs there
+	TooFewProcessors               // not enough free processors
+	TooLittleMemory                // not enough free memory
+	NoAccelerators                 // not enough free accelerators
+	reasonCount
+)
+
+// Node is what is known of one VM.
+type Node struct {
+	capacity resource.Vector
+	free     resource.Vector
+	rack     int
+	closed   Reason
+	pressed  bool
+	harm     float64
+	replicas int
+	rackmate int
+	sticky   bool
+}
+
+// NewNode returns a node with its capacity and what is free of it, in a rack.
+func NewNode(capacity, free resource.Vector, rack int) Node {
+	return Node{capacity: capacity, free: free, rack: rack}
+}
+
+// Close keeps all tasks off the node for a reason.
+func (n *Node) Close(reason Reason) { n.closed = reason }
+
+// Press keeps batch tasks off the node, since its services are near their target.
+func (n *Node) Press() { n.pressed = true }
+
+// SetHarm sets by how much, as an upper bound of the share of the target, the task would slow the services there.
+func (n *Node) SetHarm(harm float64) { n.harm = harm }
+
+// SetReplicas sets how many replicas of the same service the node and its rack run.
+func (n *Node) SetReplicas(onNode, onRack int) { n.replicas, n.rackmate = onNode, onRack }
+
+// SetSticky marks the node that ran the task before.
+func (n *Node) SetSticky() { n.sticky = true }
+
+// Take lessens what is free on the node.
+func (n *Node) Take(size resource.Vector) { n.free = n.free.Sub(size) }
+
+// Free returns what is free on the node.
+func (n *Node) Free() resource.Vector { return n.free }
+
+// Capacity returns what the node has.
+func (n *Node) Capacity() resource.Vector { return n.capacity }
+
+// Weights say how much each part of the cost counts.
+type Weights struct {
+	Fit      float64
+	Scarcity float64
+	Spread   float64
+	Harm     float64
+	Sticky   float64
+	MaxHarm  float64
+}
+
+// DefaultWeights are the weights that the decision bench was run with.
+func DefaultWeights() Weights {
+	return Weights{Fit: 1, Scarcity: 2, Spread: 4, Harm: 6, Sticky: 0.2, MaxHarm: 0.35}
+}
+
+// Request is the task to place.
+type Request struct {
+	size    resource.Vector
+	service bool
+}
+
+// NewRequest returns a request for a task of a size.
+func NewRequest(size resource.Vector, service bool) Request {
+	return Request{size: size, service: service}
+}
+
+// Verdict is the answer: a node, or how many nodes were passed over for each reason.
+type Verdict struct {
+	node   int
+	cost   float64
+	counts [reasonCount]int
+}
+
+// Node returns the place of the chosen node, or -1 for none.
+func (v *Verdict) Node() int { return v.node }
+
+// Cost returns the cost of the chosen node; the least was taken.
+func (v *Verdict) Cost() float64 { return v.cost }
+
+// Count returns how many nodes were passed over for a reason.
+func (v *Verdict) Count(reason Reason) int { return v.counts[reason] }
+
+// Main returns the reason for which most nodes were passed over, or Chosen.
+func (v *Verdict) Main() Reason {
+	if v.node >= 0 {
+		return Chosen
+	}
+	most := NoNodes
+	for r := NodeLeaving; r < reasonCount; r++ {
+		if v.counts[r] > v.counts[most] {
+			most = r
+		}
+	}
+	return most
+}
+
+// Choose returns the node of least cost that the request fits on; it allocates nothing.
+func Choose(request Request, nodes []Node, weights Weights) Verdict {
+	verdict := Verdict{node: -1, cost: math.Inf(1)}
+	for i := range nodes {
+		n := &nodes[i]
+		if reason := n.refuses(request, weights); reason != Chosen {
+			verdict.counts[reason]++
+			continue
+		}
+		if cost := n.cost(request, weights); cost < verdict.cost {
+			verdict.node, verdict.cost = i, cost
+		}
+	}
+	return verdict
+}
+
+func (n *Node) refuses(request Request, weights Weights) Reason {
+	switch {
+	case n.closed != Chosen:
+		return n.closed
+	case request.service && n.replicas > 0:
+		return NodeReplica
+	case request.size.Processors() > n.free.Processors():
+		return TooFewProcessors
+	case request.size.Memory() > n.free.Memory():
+		return TooLittleMemory
+	case request.size.Accelerators() > n.free.Accelerators():
+		return NoAccelerators
+	case !request.service && n.pressed:
+		return NodePressed
+	case !request.service && n.harm > weights.MaxHarm:
+		return NodeHarm
+	default:
+		return Chosen
+	}
+}
+
+func (n *Node) cost(request Request, weights Weights) float64 {
+	left := n.free.Sub(request.size)
+	cost := weights.Fit * n.imbalance(left)
+	if request.size.Accelerators() == 0 && n.free.Accelerators() > 0 {
+		cost += weights.Scarcity * left.DominantShare(n.capacity)
+	}
+	if request.service {
+		cost += weights.Spread * float64(n.rackmate)
+		cost += weights.Fit * (1 - share(left.Processors(), n.capacity.Processors()))
+	} else {
+		cost += weights.Harm * n.harm
+		cost += weights.Fit * (1 - share(left.Processors(), n.capacity.Processors())) / 2
+	}
+	if n.sticky {
+		cost -= weights.Sticky
+	}
+	return cost
+}
+
+// imbalance is how far apart the shares of processors and memory that stay free are.
+func (n *Node) imbalance(left resource.Vector) float64 {
+	return math.Abs(share(left.Processors(), n.capacity.Processors()) - share(left.Memory(), n.capacity.Memory()))
+}
+
+func share(part, total int64) float64 {
+	if total <= 0 {
+		return 0
+	}
+	return float64(part) / float64(total)
+}
--- /dev/null
+++ b/internal/resource/doc.go
@@ -0,0 +1,2 @@
+// Package resource holds the vector of what a VM has and a task takes.
+package resource
--- /dev/null
+++ b/internal/rpc/peer.go
@@ -0,0 +1,129 @@
+package rpc
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/httpclient"
+)
+
+const methodHello = "hello"
+
+// Peer is the other end of a connection.
+type Peer struct {
+	mux        *Mux
+	connection *jsonrpc2.Conn
+	secret     string
+	trusted    atomic.Bool
+}
+
+type hello struct {
+	Secret string `json:"secret"`
+}
+
+// Dial connects to an address of the form host:port and proves the shared secret.
+func Dial(ctx context.Context, address, secret string, m *Mux) (*Peer, error) {
+	stream, err := httpclient.Dial(ctx, address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "cannot connect")
+	}
+	p := newPeer(stream, secret, m)
+	p.trusted.Store(true)
+	if _, err := Call[hello, struct{}](ctx, p, methodHello, hello{Secret: secret}); err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func newPeer(stream net.Conn, secret string, m *Mux) *Peer {
+	p := &Peer{mux: m, secret: secret}
+	objects := jsonrpc2.NewBufferedStream(countedConn{stream}, boundedCodec{})
+	// The connection reads at once, so the handler waits until the peer is whole.
+	ready := make(chan struct{})
+	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		<-ready
+		return p.handle(ctx, r)
+	})
+	p.connection = jsonrpc2.NewConn(context.Background(), objects, jsonrpc2.AsyncHandler(handler),
+		jsonrpc2.SetLogger(silent{}))
+	close(ready)
+	return p
+}
+
+func (p *Peer) handle(ctx context.Context, request *jsonrpc2.Request) (any, error) {
+	if request.Method == methodHello {
+		return p.greet(request)
+	}
+	if !p.trusted.Load() {
+		return nil, encodeError(fault.New(fault.Unauthorized, "the shared secret was not given"))
+	}
+	return p.mux.serve(ctx, p, request)
+}
+
+func (p *Peer) greet(request *jsonrpc2.Request) (any, error) {
+	var params envelope
+	var greeting hello
+	if request.Params == nil || json.Unmarshal(*request.Params, &params) != nil || json.Unmarshal(params.Body, &greeting) != nil {
+		return nil, encodeError(fault.New(fault.BadInput, "the greeting cannot be read"))
+	}
+	if subtle.ConstantTimeCompare([]byte(greeting.Secret), []byte(p.secret)) != 1 {
+		return nil, encodeError(fault.New(fault.Unauthorized, "the shared secret differs"))
+	}
+	p.trusted.Store(true)
+	return envelope{Body: json.RawMessage("{}")}, nil
+}
+
+// Done returns the channel that is closed when the connection has ended.
+func (p *Peer) Done() <-chan struct{} { return p.connection.DisconnectNotify() }
+
+// Close ends the connection.
+func (p *Peer) Close() { _ = p.connection.Close() }
+
+// Call sends a request and waits for its answer; a lost answer is of kind OutcomeUnknown.
+func Call[Req, Res any](ctx context.Context, p *Peer, method string, request Req) (Res, error) {
+	var result Res
+	body, err := json.Marshal(request)
+	if err != nil {
+		return result, fault.Wrap(err, fault.Internal, "cannot encode the request")
+	}
+	var answer envelope
+	err = p.connection.Call(ctx, method, envelope{Clock: uint64(p.mux.clock.Now()), Body: body}, &answer)
+	if err != nil {
+		return result, decodeError(err)
+	}
+	p.mux.observe(answer.Clock)
+	if err := json.Unmarshal(answer.Body, &result); err != nil {
+		return result, fault.Wrap(err, fault.OutcomeUnknown, "the answer cannot be read")
+	}
+	return result, nil
+}
+
+func decodeError(err error) error {
+	var remote *jsonrpc2.Error
+	if !errors.As(err, &remote) {
+		return fault.Wrap(err, fault.OutcomeUnknown, "the answer was lost")
+	}
+	var data errorData
+	if remote.Data != nil {
+		_ = json.Unmarshal(*remote.Data, &data)
+	}
+	kind := fault.Kind(remote.Code)
+	if kind < fault.Internal || kind > fault.Unauthorized {
+		kind = fault.Internal
+	}
+	return fault.New(kind, "%s", remote.Message).After(time.Duration(data.RetryAfterMillis) * time.Millisecond)
+}
+
+type silent struct{}
+
+// Printf implements jsonrpc2.Logger; what the library says of broken connections is told by the callers.
+func (silent) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/scheduling/services.go
@@ -0,0 +1,93 @@
+package scheduling
+
+import (
+	"github.com/saffronpulley/saffronpulley/internal/cell"
+	"github.com/saffronpulley/saffronpulley/internal/placement"
+	"github.com/saffronpulley/saffronpulley/internal/resource"
+	"github.com/saffronpulley/saffronpulley/internal/table"
+	"github.com/saffronpulley/saffronpulley/internal/task"
+)
+
+// placeServices places the waiting replicas, spread over nodes and racks.
+func (p *planner) placeServices() {
+	for _, t := range p.tasks {
+		if !t.IsService() || t.IsRetired() || t.IsPlaced() || p.full() {
+			continue
+		}
+		r, ok := p.table.Row(t.Workload())
+		if !ok {
+			continue
+		}
+		p.placeReplica(t, r)
+	}
+}
+
+func (p *planner) placeReplica(t cell.Task, r table.Row) {
+	p.setReplicas(r.Workload())
+	verdict := placement.Choose(placement.NewRequest(r.Size(), true), p.nodes, p.weights)
+	if verdict.Node() >= 0 {
+		if p.assign(t.ID(), verdict.Node(), r.Size()) {
+			p.tasks = p.document.Tasks()
+		}
+		return
+	}
+	p.plan.waiting[r.Workload()] = Waiting{reason: verdict.Main(), never: !Possible(r.Size(), p.workers)}
+	p.makeRoom(r.Size())
+}
+
+// setReplicas tells each node how many replicas of the service it and its rack run.
+func (p *planner) setReplicas(workload string) {
+	onNode := make([]int, len(p.workers))
+	onRack := make(map[int]int)
+	for _, t := range p.tasks {
+		i, ok := p.places[t.Instance()]
+		if !ok || !t.IsService() || t.Workload() != workload {
+			continue
+		}
+		onNode[i]++
+		onRack[p.workers[i].rack]++
+	}
+	for i, w := range p.workers {
+		p.nodes[i].SetReplicas(onNode[i], onRack[w.rack])
+	}
+}
+
+// makeRoom asks for evictions on the node where the fewest make a size fit.
+func (p *planner) makeRoom(size resource.Vector) {
+	var best []task.Run
+	for i, w := range p.workers {
+		if w.closed != placement.Chosen || !size.Fits(w.capacity) {
+			continue
+		}
+		victims, ok := p.victims(i, size)
+		if ok && (best == nil || len(victims) < len(best)) {
+			best = victims
+		}
+	}
+	p.plan.evict = append(p.plan.evict, best...)
+}
+
+func (p *planner) victims(node int, size resource.Vector) ([]task.Run, bool) {
+	free := p.nodes[node].Free()
+	var victims []task.Run
+	for _, t := range p.tasks {
+		if size.Fits(free) {
+			break
+		}
+		if t.Instance() != p.workers[node].instance || !Evictable(t, p.table) {
+			continue
+		}
+		victims = append(victims, t.Run())
+		free = free.Add(t.Size())
+	}
+	return victims, size.Fits(free)
+}
+
+// Evictable reports whether the budget of a batch task allows one more eviction.
+func Evictable(t cell.Task, rows table.Table) bool {
+	if t.IsService() || !t.IsPlaced() {
+		return false
+	}
+	r, ok := rows.Row(t.Workload())
+	return ok && t.Evictions() < r.Evictions()
+}
--- /dev/null
+++ b/internal/timeline/clock.go
@@ -0,0 +1,39 @@
+package timeline
+
+import (
+	"sync"
+	"time"
+)
+
+const counterBits = 16
+
+// Stamp is a time of the hybrid logical clock: milliseconds since 1970 above, a counter in the lower 16 bits.
+type Stamp uint64
+
+// Millis returns the milliseconds since 1970 of the stamp.
+func (s Stamp) Millis() int64 { return int64(s >> counterBits) }
+
+// Clock gives stamps that grow and that are above each stamp it has observed.
+type Clock struct {
+	mu   sync.Mutex
+	last Stamp
+	now  func() time.Time
+}
+
+// NewClock returns a clock over the given source of time.
+func NewClock(now func() time.Time) *Clock { return &Clock{now: now} }
+
+// Now returns a stamp above all that were given or observed before.
+func (c *Clock) Now() Stamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = max(c.last+1, Stamp(c.now().UnixMilli())<<counterBits)
+	return c.last
+}
+
+// Observe takes note of a stamp from another process.
+func (c *Clock) Observe(s Stamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = max(c.last, s)
+}
--- /dev/null
+++ b/internal/timeline/doc.go
@@ -0,0 +1,3 @@
+// Package timeline records the events of a process and orders those of all
+// processes by a hybrid logical clock.
+package timeline
--- /dev/null
+++ b/internal/timeline/event.go
@@ -0,0 +1,72 @@
+package timeline
+
+//go:generate stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind is what happened.
+type Kind int
+
+// The kinds of events.
+const (
+	ProcessStarted  Kind = iota // process_started
+	ProcessStopping             // process_stopping
+	LeadTaken                   // lead_taken
+	LeadLost                    // lead_lost
+	JobAccepted                 // job_accepted
+	JobFinished                 // job_finished
+	JobCanceled                 // job_canceled
+	TaskAssigned                // task_assigned
+	TaskStarted                 // task_started
+	TaskRefused                 // task_refused
+	TaskThrottled               // task_throttled
+	TaskEvicting                // task_evicting
+	TaskEvicted                 // task_evicted
+	TaskFinished                // task_finished
+	TaskFailed                  // task_failed
+	TaskLost                    // task_lost
+	TaskStopped                 // task_stopped
+	TableAccepted               // table_accepted
+	TableSeen                   // table_seen
+	EndpointEjected             // endpoint_ejected
+	EndpointLeaving             // endpoint_leaving
+	KeysTaken                   // keys_taken
+	WorkerProbation             // worker_probation
+	StoreLost                   // store_lost
+	StoreBack                   // store_back
+)
+
+// Event is one thing that happened in one process.
+type Event struct {
+	stamp   Stamp
+	process string
+	kind    Kind
+	task    string
+	worker  string
+	request string
+	text    string
+}
+
+// NewEvent returns an event; task, worker and request may be empty.
+func NewEvent(stamp Stamp, process string, kind Kind, task, worker, request, text string) Event {
+	return Event{stamp, process, kind, task, worker, request, text}
+}
+
+// Stamp returns when it happened.
+func (e Event) Stamp() Stamp { return e.stamp }
+
+// Process returns the identifier of the process.
+func (e Event) Process() string { return e.process }
+
+// Kind returns what happened.
+func (e Event) Kind() Kind { return e.kind }
+
+// Task returns the task that it happened to, if any.
+func (e Event) Task() string { return e.task }
+
+// Worker returns the worker that it happened on, if any.
+func (e Event) Worker() string { return e.worker }
+
+// Request returns the request that it happened to, if any.
+func (e Event) Request() string { return e.request }
+
+// Text returns a short sentence for people.
+func (e Event) Text() string { return e.text }
--- /dev/null
+++ b/internal/timeline/wire.go
@@ -0,0 +1,43 @@
+package timeline
+
+// Wire is an event as it travels between processes and to programs.
+type Wire struct {
+	Stamp   uint64 `json:"stamp"`
+	Millis  int64  `json:"unix_ms"`
+	Process string `json:"process"`
+	Kind    string `json:"kind"`
+	Task    string `json:"task,omitempty"`
+	Worker  string `json:"worker,omitempty"`
+	Request string `json:"request,omitempty"`
+	Text    string `json:"text,omitempty"`
+}
+
+// Encode returns the events as they travel.
+func Encode(events []Event) []Wire {
+	wires := make([]Wire, 0, len(events))
+	for _, e := range events {
+		wires = append(wires, Wire{
+			Stamp: uint64(e.stamp), Millis: e.stamp.Millis(), Process: e.process, Kind: e.kind.String(),
+			Task: e.task, Worker: e.worker, Request: e.request, Text: e.text,
+		})
+	}
+	return wires
+}
+
+// Decode returns the events that travelled; a kind that is not on the list becomes ProcessStarted.
+func Decode(wires []Wire) []Event {
+	events := make([]Event, 0, len(wires))
+	for _, w := range wires {
+		events = append(events, NewEvent(Stamp(w.Stamp), w.Process, parseKind(w.Kind), w.Task, w.Worker, w.Request, w.Text))
+	}
+	return events
+}
+
+func parseKind(name string) Kind {
+	for k := ProcessStarted; k <= StoreBack; k++ {
+		if k.String() == name {
+			return k
+		}
+	}
+	return ProcessStarted
+}
--- /dev/null
+++ b/proving/platform/faults.go
@@ -0,0 +1,83 @@
+package platform
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Faults is how a stand-in is told to fail, over its path /control/NAME.
+type Faults struct {
+	mu     sync.Mutex
+	down   bool
+	slow   time.Duration
+	lose   int
+	behind int
+}
+
+// Control takes down, up, slow?ms=N, lose?answers=N and old?versions=N.
+func (f *Faults) Control(ctx *fasthttp.RequestCtx) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	args := ctx.QueryArgs()
+	switch string(ctx.Path()) {
+	case "/control/down":
+		f.down = true
+	case "/control/up":
+		f.down, f.slow, f.lose, f.behind = false, 0, 0, 0
+	case "/control/slow":
+		f.slow = time.Duration(args.GetUintOrZero("ms")) * time.Millisecond
+	case "/control/lose":
+		f.lose = args.GetUintOrZero("answers")
+	case "/control/old":
+		f.behind = args.GetUintOrZero("versions")
+	default:
+		ctx.Error("no such fault", fasthttp.StatusNotFound)
+	}
+}
+
+// Enter delays a call, or refuses it while the stand-in is down.
+func (f *Faults) Enter(ctx *fasthttp.RequestCtx) bool {
+	f.mu.Lock()
+	down, slow := f.down, f.slow
+	f.mu.Unlock()
+	if slow > 0 {
+		<-time.After(slow)
+	}
+	if down {
+		ctx.Error("down", fasthttp.StatusServiceUnavailable)
+	}
+	return !down
+}
+
+// LoseAnswer drops the connection instead of the answer to a write that took effect, as often as was asked.
+func (f *Faults) LoseAnswer(ctx *fasthttp.RequestCtx) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lose == 0 {
+		return
+	}
+	f.lose--
+	ctx.Response.Reset()
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c netConn) { _ = c.Close() })
+}
+
+// Behind returns how many versions old the answers are.
+func (f *Faults) Behind() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.behind
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, answer any) {
+	body, err := json.Marshal(answer)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/proving/platform/worker.go
@@ -0,0 +1,325 @@
+package platform
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/saffronpulley/saffronpulley/internal/resource"
+	"github.com/saffronpulley/saffronpulley/internal/task"
+	"github.com/saffronpulley/saffronpulley/internal/worker"
+)
+
+// WorkerConfig describes a worker to stand in for.
+type WorkerConfig struct {
+	Instance     string
+	Capacity     resource.Vector
+	Slots        int
+	Connections  int
+	EndpointHost string
+	// Runtime is how long a batch task takes.
+	Runtime time.Duration
+	// Service is how long a request takes at an idle VM.
+	Service time.Duration
+	// UsageLag is how old usage reports are.
+	UsageLag time.Duration
+}
+
+// Worker stands in for a worker; it keeps its own books, by which the proofs judge.
+type Worker struct {
+	WorkerConfig
+	faults Faults
+
+	mu        sync.Mutex
+	runs      map[worker.RunWire]*workerRun
+	spans     []Span
+	over      int
+	failAll   bool
+	noSaves   bool
+	hang      bool
+	endpoints *endpoints
+}
+
+type workerRun struct {
+	order     worker.OrderWire
+	state     task.State
+	progress  float64
+	reference string
+	percent   int
+	lease     time.Time
+	ticked    time.Time
+	endpoint  *endpoint
+	span      int
+}
+
+// Span is the time in which a run was on the worker, in milliseconds since 1970; an end of 0 is still to come.
+type Span struct {
+	Worker string         `json:"worker"`
+	Run    worker.RunWire `json:"run"`
+	From   int64          `json:"from"`
+	Until  int64          `json:"until"`
+	Start  float64        `json:"start_progress"`
+	End    float64        `json:"end_progress"`
+	State  string         `json:"state"`
+}
+
+// Books is what the worker saw.
+type Books struct {
+	Spans []Span `json:"spans"`
+	// Over counts the moments in which the VM was committed beyond what it has.
+	Over     int            `json:"over_committed"`
+	Executed map[string]int `json:"executed"`
+}
+
+const tick = 20 * time.Millisecond
+
+// NewWorker returns a worker that runs nothing.
+func NewWorker(config WorkerConfig) *Worker {
+	w := &Worker{WorkerConfig: config, runs: make(map[worker.RunWire]*workerRun), endpoints: newEndpoints()}
+	go w.tickLoop()
+	return w
+}
+
+// Handle serves the worker's protocol, and its faults below /control/.
+func (w *Worker) Handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == "/control/books":
+		w.mu.Lock()
+		books := Books{Spans: append([]Span{}, w.spans...), Over: w.over, Executed: w.endpoints.counts()}
+		w.mu.Unlock()
+		writeJSON(ctx, books)
+	case path == "/control/set":
+		w.set(ctx)
+	case strings.HasPrefix(path, "/control/"):
+		w.faults.Control(ctx)
+	case w.faults.Enter(ctx):
+		w.call(ctx, strings.TrimPrefix(path, "/v1/"))
+	}
+}
+
+// set takes fail=yes, saves=no, hang=yes, runtime=MS, service=MS and lag=MS.
+func (w *Worker) set(ctx *fasthttp.RequestCtx) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key, value := range ctx.QueryArgs().All() {
+		millis, _ := strconv.Atoi(string(value))
+		yes := string(value) == "yes"
+		switch string(key) {
+		case "fail":
+			w.failAll = yes
+		case "saves":
+			w.noSaves = !yes
+		case "hang":
+			w.hang = yes
+		case "runtime":
+			w.Runtime = time.Duration(millis) * time.Millisecond
+		case "service":
+			w.endpoints.setService(time.Duration(millis) * time.Millisecond)
+		case "answer":
+			w.endpoints.setFault(string(value))
+		default:
+			ctx.Error("no such setting", fasthttp.StatusBadRequest)
+		}
+	}
+}
+
+func (w *Worker) call(ctx *fasthttp.RequestCtx, verb string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch verb {
+	case "describe":
+		writeJSON(ctx, worker.DescriptionWire{
+			Instance: w.Instance, Capacity: worker.EncodeSize(w.Capacity), Slots: w.Slots, Connections: w.Connections,
+		})
+	case "list":
+		w.list(ctx)
+	case "start":
+		w.start(ctx)
+	case "renew":
+		w.renew(ctx)
+	case "usage":
+		w.usage(ctx)
+	case "throttle":
+		var t worker.ThrottleWire
+		if r := w.find(ctx, &t, &t.Run); r != nil {
+			r.percent = t.Percent
+		}
+	case "checkpoint", "stop", "forget":
+		var run worker.RunWire
+		if r := w.find(ctx, &run, &run); r != nil {
+			w.end(r, run, verb)
+		}
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+}
+
+func (w *Worker) find(ctx *fasthttp.RequestCtx, message any, run *worker.RunWire) *workerRun {
+	if err := json.Unmarshal(ctx.Request.Body(), message); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return nil
+	}
+	r, ok := w.runs[*run]
+	if !ok {
+		ctx.Error("no such run", fasthttp.StatusNotFound)
+		return nil
+	}
+	return r
+}
+
+func (w *Worker) list(ctx *fasthttp.RequestCtx) {
+	statuses := []worker.StatusWire{}
+	for run, r := range w.runs {
+		status := worker.StatusWire{
+			Run: run, Workload: r.order.Workload, State: r.state.String(), Size: r.order.Size,
+			Checkpoint: r.reference, Progress: r.progress,
+		}
+		if r.endpoint != nil {
+			status.Address = r.endpoint.address
+		}
+		statuses = append(statuses, status)
+	}
+	writeJSON(ctx, statuses)
+}
+
+func (w *Worker) start(ctx *fasthttp.RequestCtx) {
+	var order worker.OrderWire
+	if err := json.Unmarshal(ctx.Request.Body(), &order); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if _, ok := w.runs[order.Run]; ok {
+		return
+	}
+	now := time.Now()
+	r := &workerRun{
+		order: order, state: task.Running, reference: order.Checkpoint, percent: 100, ticked: now,
+		lease: now.Add(time.Duration(order.LeaseMillis) * time.Millisecond), span: len(w.spans),
+	}
+	if order.Checkpoint != "" {
+		r.progress, _ = strconv.ParseFloat(strings.TrimPrefix(order.Checkpoint, "progress-"), 64)
+	}
+	if order.Service {
+		e, err := w.endpoints.open(w.EndpointHost, w.Service, w.pressure)
+		if err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+			return
+		}
+		r.endpoint = e
+	}
+	w.runs[order.Run] = r
+	w.spans = append(w.spans, Span{Worker: w.Instance, Run: order.Run, From: now.UnixMilli(), Start: r.progress})
+	if !w.used().Fits(w.Capacity) {
+		w.over++
+	}
+}
+
+// used is what the runs take; w.mu is held.
+func (w *Worker) used() resource.Vector {
+	var used resource.Vector
+	for _, r := range w.runs {
+		if !r.state.IsFinal() {
+			used = used.Add(r.order.Size.Decode())
+		}
+	}
+	return used
+}
+
+func (w *Worker) renew(ctx *fasthttp.RequestCtx) {
+	var renewal worker.RenewWire
+	if err := json.Unmarshal(ctx.Request.Body(), &renewal); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	for _, run := range renewal.Runs {
+		if r, ok := w.runs[run]; ok {
+			r.lease = time.Now().Add(time.Duration(renewal.LeaseMillis) * time.Millisecond)
+		}
+	}
+}
+
+func (w *Worker) usage(ctx *fasthttp.RequestCtx) {
+	usages := []worker.UsageWire{}
+	for run, r := range w.runs {
+		if r.state == task.Running {
+			usages = append(usages, worker.UsageWire{Run: run, Used: r.order.Size})
+		}
+	}
+	writeJSON(ctx, usages)
+}
+
+// end checkpoints, stops or forgets a run; w.mu is held.
+func (w *Worker) end(r *workerRun, run worker.RunWire, verb string) {
+	switch {
+	case verb == "forget":
+		if r.state.IsFinal() {
+			delete(w.runs, run)
+		}
+	case r.state.IsFinal():
+	case verb == "checkpoint" && !w.noSaves:
+		r.reference = "progress-" + strconv.FormatFloat(r.progress, 'f', 6, 64)
+		w.close(r, task.Checkpointed)
+	case verb == "stop":
+		w.close(r, task.Stopped)
+	}
+}
+
+// close ends a run; w.mu is held.
+func (w *Worker) close(r *workerRun, state task.State) {
+	r.state = state
+	span := &w.spans[r.span]
+	span.Until, span.End, span.State = time.Now().UnixMilli(), r.progress, state.String()
+	if r.endpoint != nil {
+		r.endpoint.close()
+	}
+}
+
+func (w *Worker) tickLoop() {
+	for now := range time.Tick(tick) {
+		w.mu.Lock()
+		for _, r := range w.runs {
+			w.advance(r, now)
+		}
+		w.mu.Unlock()
+	}
+}
+
+// advance moves a run on; w.mu is held.
+func (w *Worker) advance(r *workerRun, now time.Time) {
+	if r.state != task.Running {
+		return
+	}
+	elapsed := now.Sub(r.ticked)
+	r.ticked = now
+	switch {
+	case now.After(r.lease):
+		w.close(r, task.Stopped)
+	case r.order.Service || w.hang:
+	case w.failAll:
+		w.close(r, task.Failed)
+	default:
+		r.progress += elapsed.Seconds() / w.Runtime.Seconds() * float64(r.percent) / 100
+		if r.progress >= 1 {
+			r.progress = 1
+			w.close(r, task.Finished)
+		}
+	}
+}
+
+// pressure is the share of the VM that batch tasks use.
+func (w *Worker) pressure() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	used := 0.0
+	for _, r := range w.runs {
+		if r.state == task.Running && !r.order.Service {
+			used += float64(r.order.Size.Processors) * float64(r.percent) / 100
+		}
+	}
+	return used / float64(max(w.Capacity.Processors(), 1))
+}
--- /dev/null
+++ b/proving/scenarios/doc.go
@@ -0,0 +1,2 @@
+// Package scenarios runs the scenario scripts against real processes.
+package scenarios
--- /dev/null
+++ b/proving/stage/await.go
@@ -0,0 +1,193 @@
+package stage
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/control"
+)
+
+// region is the state of the region as an entry answers it.
+type region struct {
+	TableVersion uint64           `json:"table_version"`
+	Cells        []control.Status `json:"cells"`
+	Unreachable  []string         `json:"cells_without_lead"`
+}
+
+func (s *Stage) region(entry string) (region, error) {
+	var r region
+	address, err := s.address(entry, "admin")
+	if err != nil {
+		return r, err
+	}
+	status, body, _, err := s.post("GET", "http://"+address+"/v1/status", nil, nil)
+	if err != nil || status != http.StatusOK {
+		return r, fmt.Errorf("the status cannot be read: %d %w", status, err)
+	}
+	return r, json.Unmarshal(body, &r)
+}
+
+// awaitReady waits until each entry is ready and knows all workers.
+func (s *Stage) awaitReady(workers int) error {
+	return eventually(awaitLimit, func() error {
+		for name, p := range s.processes {
+			if !strings.HasPrefix(name, "e") || !p.isRunning() {
+				continue
+			}
+			status, _, _, err := s.post("GET", "http://"+p.addresses["admin"]+"/ready", nil, nil)
+			if err != nil || status != http.StatusOK {
+				return fmt.Errorf("%s is not ready: %d %w", name, status, err)
+			}
+			if err := s.knowsWorkers(name, workers); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func (s *Stage) knowsWorkers(entry string, workers int) error {
+	r, err := s.region(entry)
+	if err != nil {
+		return err
+	}
+	live := 0
+	for _, cell := range r.Cells {
+		for _, w := range cell.Workers {
+			if w.State == "live" {
+				live++
+			}
+		}
+	}
+	if live < workers {
+		return fmt.Errorf("%s knows %d live workers of %d", entry, live, workers)
+	}
+	return nil
+}
+
+// awaitVerb waits for a state:
+// job NAME ENTRY STATE | evictions NAME ENTRY N | running SERVICE ENTRY N | placed NAME ENTRY N |
+// lead ENTRY [not=AGENT] | worker INSTANCE ENTRY STATE | ready N | table ENTRY VERSION | executed BODY N.
+func (s *Stage) awaitVerb(args []string) (string, error) {
+	values, rest := options(args)
+	limit := awaitLimit
+	if d, err := time.ParseDuration(values["within"]); err == nil {
+		limit = d
+	}
+	began := time.Now()
+	err := eventually(limit, func() error { return s.holds(rest, values) })
+	return fmt.Sprintf("after %d ms", time.Since(began).Milliseconds()), err
+}
+
+func (s *Stage) holds(rest []string, values map[string]string) error {
+	switch rest[0] {
+	case "job", "evictions", "placed":
+		return s.jobHolds(rest)
+	case "ready":
+		return s.awaitReady(number(map[string]string{"n": rest[1]}, "n", 0))
+	case "executed":
+		return s.executedHolds(rest[1], rest[2])
+	}
+	entry := rest[len(rest)-2]
+	if rest[0] == "lead" {
+		entry = rest[1]
+	}
+	if rest[0] == "table" {
+		entry = rest[1]
+	}
+	r, err := s.region(entry)
+	if err != nil {
+		return err
+	}
+	return r.holds(rest, values)
+}
+
+func (s *Stage) executedHolds(body, want string) error {
+	_, executed, _, err := s.allBooks()
+	if err == nil && strconv.Itoa(executed[body]) != want {
+		err = fmt.Errorf("%q was run %d times", body, executed[body])
+	}
+	return err
+}
+
+func (s *Stage) jobHolds(rest []string) error {
+	state, err := s.job(rest[1], rest[2])
+	if err != nil {
+		return err
+	}
+	got := state.State
+	switch rest[0] {
+	case "evictions":
+		got = strconv.Itoa(state.Evictions)
+	case "placed":
+		got = strconv.Itoa(state.Running)
+	}
+	if got != rest[3] {
+		return fmt.Errorf("the job is %+v, not yet %s", state, rest[3])
+	}
+	return nil
+}
+
+func (r *region) holds(rest []string, values map[string]string) error {
+	switch rest[0] {
+	case "lead":
+		return r.leadHolds(values["not"])
+	case "table":
+		return r.tableHolds(rest[2])
+	case "running":
+		return r.runningHolds(rest[1], rest[3])
+	case "worker":
+		return r.workerHolds(rest[1], rest[3])
+	default:
+		return fmt.Errorf("nothing is known of %s", rest[0])
+	}
+}
+
+func (r *region) leadHolds(not string) error {
+	if len(r.Cells) == 0 || len(r.Unreachable) > 0 || r.Cells[0].Lead == not {
+		return fmt.Errorf("no new lead yet: %v", r.Unreachable)
+	}
+	return nil
+}
+
+func (r *region) tableHolds(version string) error {
+	for _, cell := range r.Cells {
+		if strconv.FormatUint(cell.TableVersion, 10) != version {
+			return fmt.Errorf("cell %s has version %d", cell.Cell, cell.TableVersion)
+		}
+	}
+	if strconv.FormatUint(r.TableVersion, 10) != version || len(r.Unreachable) > 0 {
+		return fmt.Errorf("the entry has version %d", r.TableVersion)
+	}
+	return nil
+}
+
+func (r *region) runningHolds(service, want string) error {
+	running := 0
+	for _, cell := range r.Cells {
+		for _, v := range cell.Services {
+			if v.Service == service {
+				running += v.Running
+			}
+		}
+	}
+	if strconv.Itoa(running) != want {
+		return fmt.Errorf("%d replicas of %s run", running, service)
+	}
+	return nil
+}
+
+func (r *region) workerHolds(instance, want string) error {
+	for _, cell := range r.Cells {
+		for _, w := range cell.Workers {
+			if w.Instance == instance && w.State == want {
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("worker %s is not %s", instance, want)
+}
--- /dev/null
+++ b/proving/stage/load.go
@@ -0,0 +1,95 @@
+package stage
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// load sends requests at a steady rate until it is stopped.
+type load struct {
+	quit chan struct{}
+	done sync.WaitGroup
+
+	mu      sync.Mutex
+	sent    int
+	wrong   int
+	results map[string]int
+	slowest time.Duration
+	first   string
+}
+
+func (l *load) stop() {
+	select {
+	case <-l.quit:
+	default:
+		close(l.quit)
+	}
+	l.done.Wait()
+}
+
+// startLoad sends requests to entries in turn, each with its own body that must come back.
+func (s *Stage) startLoad(name, service string, entries []string, perSecond int, headers map[string]string) error {
+	l := &load{quit: make(chan struct{}), results: make(map[string]int)}
+	urls := make([]string, 0, len(entries))
+	for _, entry := range entries {
+		address, err := s.address(entry, "callers")
+		if err != nil {
+			return err
+		}
+		urls = append(urls, "http://"+address+"/v1/services/"+service)
+	}
+	s.loads[name] = l
+	l.done.Go(func() {
+		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+		defer ticker.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-l.quit:
+				return
+			case <-ticker.C:
+				l.done.Go(func() { s.sendOne(l, urls, name+"-"+strconv.Itoa(n), n, headers) })
+			}
+		}
+	})
+	return nil
+}
+
+// sendOne sends a request, to the next entry where one refuses connections as the balancer would.
+func (s *Stage) sendOne(l *load, urls []string, body string, n int, headers map[string]string) {
+	began := time.Now()
+	var result string
+	for i := range urls {
+		status, answer, _, err := s.post("POST", urls[(n+i)%len(urls)], []byte(body), headers)
+		switch {
+		case err != nil && isRefused(err):
+			result = "refused connection"
+			continue
+		case err != nil:
+			result = "broken: " + err.Error()
+		case status == 200 && string(answer) != body:
+			result = "wrong answer"
+		case status == 200:
+			result = "200"
+		default:
+			result = kindOf(answer)
+		}
+		break
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent++
+	l.results[result]++
+	if result != "200" && l.first == "" {
+		l.first = result
+	}
+	l.slowest = max(l.slowest, time.Since(began))
+}
+
+// summary returns what became of the requests.
+func (l *load) summary() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return fmt.Sprintf("sent %d, results %v, slowest %d ms", l.sent, l.results, l.slowest.Milliseconds())
+}
--- /dev/null
+++ b/proving/stage/stage.go
@@ -0,0 +1,258 @@
+package stage
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Stage is the processes of one scenario.
+type Stage struct {
+	binaries string
+	dir      string
+	client   *http.Client
+
+	mu        sync.Mutex
+	processes map[string]*Process
+	relays    map[string]*Relay
+	sources   map[string]string
+	jobs      map[string]string
+	loads     map[string]*load
+	buried    []deadWorker
+	extra     map[string]string
+}
+
+// New returns an empty stage that runs the binaries of a directory and writes settings to another.
+func New(binaries, dir string) *Stage {
+	return &Stage{
+		binaries: binaries, dir: dir,
+		client:    &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		processes: make(map[string]*Process), relays: make(map[string]*Relay), sources: make(map[string]string),
+		jobs: make(map[string]string), loads: make(map[string]*load), extra: make(map[string]string),
+	}
+}
+
+// Close ends all processes that the stage started.
+func (s *Stage) Close() {
+	for _, l := range s.loads {
+		l.stop()
+	}
+	for _, p := range s.processes {
+		if p.isRunning() {
+			_ = p.signal(syscall.SIGKILL)
+			<-p.ended
+		}
+	}
+	for _, r := range s.relays {
+		_ = r.listener.Close()
+	}
+}
+
+// Logs returns what the processes wrote.
+func (s *Stage) Logs() string {
+	names := make([]string, 0, len(s.processes))
+	for name := range s.processes {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var out strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&out, "--- %s\n%s", name, s.processes[name].log)
+	}
+	return out.String()
+}
+
+func (s *Stage) process(name string) (*Process, error) {
+	p, ok := s.processes[name]
+	if !ok {
+		return nil, fmt.Errorf("there is no process %s", name)
+	}
+	return p, nil
+}
+
+// address is where a process listens, before any relay.
+func (s *Stage) address(name, listener string) (string, error) {
+	p, err := s.process(name)
+	if err != nil {
+		return "", err
+	}
+	return p.addresses[listener], nil
+}
+
+// relay returns the address before a listener of a process, behind which connections can be cut.
+func (s *Stage) relay(name, listener, target string) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := name + "/" + listener
+	if r, ok := s.relays[key]; ok {
+		if target != "" {
+			r.setTarget(target)
+		}
+		return r.address(), nil
+	}
+	r, err := newRelay(target)
+	if err != nil {
+		return "", err
+	}
+	s.relays[key] = r
+	return r.address(), nil
+}
+
+// startStandin starts a stand-in and the relay before it.
+func (s *Stage) startStandin(name string, args ...string) error {
+	p := &Process{name: name, args: append([]string{"standin", "--listen", "127.0.0.1:0"}, args...), log: &logFile{}}
+	s.processes[name] = p
+	if err := p.start(s.binaries); err != nil {
+		return err
+	}
+	_, err := s.relay(name, "listening", p.addresses["listening"])
+	return err
+}
+
+// defineDaemon writes the settings of a daemon; they hold for each of its starts.
+func (s *Stage) defineDaemon(name string, own map[string]string) error {
+	s.mu.Lock()
+	source := "127.0.1." + strconv.Itoa(len(s.sources)+1)
+	s.sources[name] = source
+	s.mu.Unlock()
+	values := map[string]string{
+		"id": name, "secret": "a-secret-of-the-stage", "source": source,
+		"listen.admin": "127.0.0.1:0", "log.level": "debug", "drain": "10s", "entry.announce": "500ms",
+		"agent.heartbeat": "500ms", "agent.reconcile": "50ms", "agent.task_lease": "3s", "agent.measure": "500ms",
+		"lead.lease": "2s", "lead.window": "20ms", "lead.list": "300ms", "lead.commit_bytes": "1000000",
+		"entry.list": "300ms", "entry.subscribe": "300ms", "entry.keys": "200ms",
+	}
+	var err error
+	for key, standin := range map[string]string{"store.address": "store", "vms.address": "vms"} {
+		if values[key], err = s.relay(standin, "listening", ""); err != nil {
+			return err
+		}
+	}
+	for _, overrides := range []map[string]string{own, s.extra} {
+		for key, value := range overrides {
+			values[key] = value
+		}
+	}
+	listeners := []string{"requests", "control"}
+	if own["role"] == "entry" {
+		listeners = []string{"peers"}
+		values["listen.callers"] = "127.0.0.1:0"
+	}
+	for _, listener := range listeners {
+		values["listen."+listener] = "127.0.0.1:0"
+		if values["advertise."+listener], err = s.relay(name, listener, "127.0.0.1:1"); err != nil {
+			return err
+		}
+	}
+	file := filepath.Join(s.dir, name+".yaml")
+	s.processes[name] = &Process{
+		name: name, args: []string{"saffronpulleyd", "run", file}, source: source, settings: values, log: &logFile{},
+	}
+	return os.WriteFile(file, yaml(values), 0o600)
+}
+
+// yaml writes settings as YAML.
+func yaml(values map[string]string) []byte {
+	keys := make([]string, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	var out bytes.Buffer
+	section := ""
+	for _, key := range keys {
+		if parent, child, nested := strings.Cut(key, "."); nested {
+			if parent != section {
+				fmt.Fprintf(&out, "%s:\n", parent)
+				section = parent
+			}
+			fmt.Fprintf(&out, "  %s: %q\n", child, values[key])
+			continue
+		}
+		fmt.Fprintf(&out, "%s: %q\n", key, values[key])
+	}
+	return out.Bytes()
+}
+
+// start starts a daemon, or a stand-in again, and points its relays to where it listens.
+func (s *Stage) start(name string) error {
+	p, err := s.process(name)
+	if err != nil {
+		return err
+	}
+	if err := p.start(s.binaries); err != nil {
+		return err
+	}
+	for listener, address := range p.addresses {
+		if listener == "callers" || listener == "admin" {
+			continue
+		}
+		if _, err := s.relay(name, listener, address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// setCut cuts or heals what a process sends to another.
+func (s *Stage) setCut(from, to string, cut bool) error {
+	source, ok := s.sources[from]
+	if !ok {
+		return fmt.Errorf("there is no daemon %s", from)
+	}
+	found := false
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, r := range s.relays {
+		if strings.HasPrefix(key, to+"/") {
+			r.setCut(source, cut)
+			found = true
+		}
+	}
+	if !found {
+		return fmt.Errorf("nothing stands before %s", to)
+	}
+	return nil
+}
+
+// post sends a body to a path and returns the status, the body and the headers of the answer.
+func (s *Stage) post(method, url string, body []byte, headers map[string]string) (int, []byte, http.Header, error) {
+	request, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, content, response.Header, err
+}
+
+// eventually tries until there is no error or the time is over.
+func eventually(limit time.Duration, try func() error) error {
+	end := time.Now().Add(limit)
+	for {
+		err := try()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("not within %s: %w", limit, err)
+		}
+		<-time.After(50 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/proving/stage/verbs.go
@@ -0,0 +1,284 @@
+package stage
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const stageKey = "stage"
+
+// Params returns the parameters of testscript with the verbs; binaries is the directory of the built programs.
+func Params(dir, binaries string) testscript.Params {
+	return testscript.Params{
+		Dir:   dir,
+		Setup: func(env *testscript.Env) error { return setUp(env, binaries) },
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"cluster": verb((*Stage).cluster),
+			"start":   verb((*Stage).startVerb),
+			"kill":    verb((*Stage).killVerb),
+			"term":    verb((*Stage).termVerb),
+			"freeze":  verb((*Stage).freezeVerb),
+			"thaw":    verb((*Stage).thawVerb),
+			"cut":     verb(func(s *Stage, a []string) (string, error) { return "", s.setCut(a[0], a[1], true) }),
+			"heal":    verb(func(s *Stage, a []string) (string, error) { return "", s.setCut(a[0], a[1], false) }),
+			"fault":   verb((*Stage).faultVerb),
+			"list":    verb((*Stage).listVerb),
+			"request": verb((*Stage).requestVerb),
+			"job":     verb((*Stage).jobVerb),
+			"await":   verb((*Stage).awaitVerb),
+			"load":    verb((*Stage).loadVerb),
+			"unload":  verb((*Stage).unloadVerb),
+			"books":   verb((*Stage).booksVerb),
+			"pause":   verb((*Stage).pauseVerb),
+		},
+	}
+}
+
+func setUp(env *testscript.Env, binaries string) error {
+	dir, err := os.MkdirTemp(env.WorkDir, "stage")
+	if err != nil {
+		return err
+	}
+	s := New(binaries, dir)
+	env.Values[stageKey] = s
+	env.Setenv("PATH", binaries+string(os.PathListSeparator)+env.Getenv("PATH"))
+	env.Defer(s.Close)
+	return nil
+}
+
+// verb makes a command of a method: its text goes to the log, and its error, with the processes' logs, ends the script.
+func verb(run func(*Stage, []string) (string, error)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		s, ok := ts.Value(stageKey).(*Stage)
+		if !ok {
+			ts.Fatalf("there is no stage")
+		}
+		text, err := run(s, args)
+		if text != "" {
+			ts.Logf("%s", text)
+		}
+		ts.Setenv("SAFFRONPULLEY_ENTRIES", s.adminAddresses())
+		switch {
+		case err != nil && !neg:
+			if keep := os.Getenv("STAGE_LOGS"); keep != "" {
+				_ = os.WriteFile(keep, []byte(s.Logs()), 0o600)
+			}
+			ts.Fatalf("%v", err)
+		case err == nil && neg:
+			ts.Fatalf("it went well, which it should not")
+		}
+	}
+}
+
+func (s *Stage) adminAddresses() string {
+	var addresses []string
+	for i := 1; ; i++ {
+		p, ok := s.processes["e"+strconv.Itoa(i)]
+		if !ok {
+			return strings.Join(addresses, "\n")
+		}
+		addresses = append(addresses, p.addresses["admin"])
+	}
+}
+
+// options splits words into those of the form key=value and the rest.
+func options(args []string) (map[string]string, []string) {
+	values := make(map[string]string)
+	var rest []string
+	for _, a := range args {
+		if key, value, ok := strings.Cut(a, "="); ok {
+			values[key] = value
+			continue
+		}
+		rest = append(rest, a)
+	}
+	return values, rest
+}
+
+func number(values map[string]string, key string, otherwise int) int {
+	if n, err := strconv.Atoi(values[key]); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+// cluster starts a store, a list, workers, agents and entries, and waits until they are ready.
+//
+// It takes entries=N, workers=N, racks=N (workers to a rack), hall=NAME, processors=N, and set.KEY=VALUE for settings.
+func (s *Stage) cluster(args []string) (string, error) {
+	values, _ := options(args)
+	for key, value := range values {
+		if setting, ok := strings.CutPrefix(key, "set."); ok {
+			s.extra[setting] = value
+		}
+	}
+	if err := errors.Join(s.startStandin("store", "store"), s.startStandin("vms", "vms")); err != nil {
+		return "", err
+	}
+	workers, entries := number(values, "workers", 3), number(values, "entries", 2)
+	for i := 1; i <= workers; i++ {
+		if err := s.addWorker(strconv.Itoa(i), 1+(i-1)/number(values, "racks", 3), values); err != nil {
+			return "", err
+		}
+	}
+	for i := 1; i <= entries; i++ {
+		name := "e" + strconv.Itoa(i)
+		if err := s.defineDaemon(name, map[string]string{"role": "entry", "hall": hall(values)}); err != nil {
+			return "", err
+		}
+		if err := s.start(name); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("%d processes run", len(s.processes)), s.awaitReady(workers)
+}
+
+func hall(values map[string]string) string {
+	if h, ok := values["hall"]; ok {
+		return h
+	}
+	return "cordoba"
+}
+
+// addWorker starts a worker with its agent and puts it on the list.
+func (s *Stage) addWorker(number string, rack int, values map[string]string) error {
+	args := []string{"worker", "--instance", "vm-" + number}
+	for _, flag := range []string{"processors", "memory", "accelerators", "runtime", "service"} {
+		if value, ok := values[flag]; ok {
+			args = append(args, "--"+flag, value)
+		}
+	}
+	if err := s.startStandin("w"+number, args...); err != nil {
+		return err
+	}
+	if _, err := s.setLine("vm-"+number, hall(values), rack, "live"); err != nil {
+		return err
+	}
+	address, _ := s.relay("w"+number, "listening", "")
+	err := s.defineDaemon("a"+number, map[string]string{
+		"role": "agent", "hall": hall(values), "rack": strconv.Itoa(rack), "worker.address": address,
+	})
+	if err != nil {
+		return err
+	}
+	return s.start("a" + number)
+}
+
+func (s *Stage) setLine(instance, hall string, rack int, state string) (string, error) {
+	address, err := s.address("vms", "listening")
+	if err != nil {
+		return "", err
+	}
+	line, err := json.Marshal(map[string]any{"instance": instance, "hall": hall, "rack": rack, "state": state})
+	if err != nil {
+		return "", err
+	}
+	_, _, _, err = s.post("POST", "http://"+address+"/control/set", line, nil)
+	return "", err
+}
+
+// listVerb sets a line of the list: INSTANCE STATE [hall=NAME] [rack=N].
+func (s *Stage) listVerb(args []string) (string, error) {
+	values, rest := options(args)
+	return s.setLine(rest[0], hall(values), number(values, "rack", 1), rest[1])
+}
+
+func (s *Stage) startVerb(args []string) (string, error) {
+	return "", eachOf(args, s.start)
+}
+
+func eachOf(names []string, do func(string) error) error {
+	for _, name := range names {
+		if err := do(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// killVerb ends processes at once; a worker's books are kept.
+func (s *Stage) killVerb(args []string) (string, error) {
+	return "", eachOf(args, func(name string) error {
+		p, err := s.process(name)
+		if err != nil {
+			return err
+		}
+		if strings.HasPrefix(name, "w") {
+			if err := s.bury(name); err != nil {
+				return err
+			}
+		}
+		if err := p.signal(syscall.SIGKILL); err != nil {
+			return err
+		}
+		<-p.ended
+		return nil
+	})
+}
+
+// termVerb stops processes in good order and waits for their end.
+func (s *Stage) termVerb(args []string) (string, error) {
+	return "", eachOf(args, func(name string) error {
+		p, err := s.process(name)
+		if err != nil {
+			return err
+		}
+		if err := p.signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		select {
+		case <-p.ended:
+		case <-time.After(30 * time.Second):
+			return fmt.Errorf("%s does not end", name)
+		}
+		if p.exit != 0 {
+			return fmt.Errorf("%s ended with code %d: %s", name, p.exit, p.log)
+		}
+		return nil
+	})
+}
+
+func (s *Stage) freezeVerb(args []string) (string, error) { return s.signalAll(args, syscall.SIGSTOP) }
+
+func (s *Stage) thawVerb(args []string) (string, error) { return s.signalAll(args, syscall.SIGCONT) }
+
+func (s *Stage) signalAll(args []string, signal syscall.Signal) (string, error) {
+	return "", eachOf(args, func(name string) error {
+		p, err := s.process(name)
+		if err != nil {
+			return err
+		}
+		return p.signal(signal)
+	})
+}
+
+// faultVerb tells a stand-in to fail: NAME FAULT, as its control path takes it.
+func (s *Stage) faultVerb(args []string) (string, error) {
+	address, err := s.address(args[0], "listening")
+	if err != nil {
+		return "", err
+	}
+	status, body, _, err := s.post("POST", "http://"+address+"/control/"+args[1], nil, nil)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("%s answered %d: %s", args[0], status, body)
+	}
+	return "", err
+}
+
+// pauseVerb waits for a time; it is for letting a lease lapse, not for waiting for a state.
+func (s *Stage) pauseVerb(args []string) (string, error) {
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return "", err
+	}
+	<-time.After(d)
+	return "", nil
+}
--- /dev/null
+++ b/proving/stage/work.go
@@ -0,0 +1,203 @@
+package stage
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const awaitLimit = 30 * time.Second
+
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// errorBody is the part of an error answer that scenarios judge by.
+type errorBody struct {
+	Error struct {
+		Kind string `json:"kind"`
+		Ran  string `json:"ran"`
+	} `json:"error"`
+}
+
+func kindOf(answer []byte) string {
+	var e errorBody
+	if json.Unmarshal(answer, &e) != nil || e.Error.Kind == "" {
+		return "unreadable answer"
+	}
+	return e.Error.Kind
+}
+
+// requestVerb sends a request: ENTRY SERVICE [body=B] [key=K] [repeat=yes] [deadline=MS] [want=200|KIND,KIND] [within=MS].
+func (s *Stage) requestVerb(args []string) (string, error) {
+	values, rest := options(args)
+	address, err := s.address(rest[0], "callers")
+	if err != nil {
+		return "", err
+	}
+	headers := make(map[string]string)
+	for option, header := range map[string]string{"key": "X-Request-Key", "repeat": "X-Repeatable", "deadline": "X-Deadline-Ms"} {
+		if value, ok := values[option]; ok {
+			headers[header] = value
+		}
+	}
+	began := time.Now()
+	status, answer, answered, err := s.post("POST", "http://"+address+"/v1/services/"+rest[1], []byte(values["body"]), headers)
+	took := time.Since(began)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d %s", status, answer), judge(values, status, answer, answered, took)
+}
+
+// judge checks an answer against what was wanted; each refusal that asks to return must say when.
+func judge(values map[string]string, status int, answer []byte, headers http.Header, took time.Duration) error {
+	want := values["want"]
+	if want == "" {
+		want = "200"
+	}
+	got := "200"
+	if status != http.StatusOK {
+		got = kindOf(answer)
+	}
+	if !slices.Contains(strings.Split(want, ","), got) {
+		return fmt.Errorf("the answer is %s, not %s: %s", got, want, answer)
+	}
+	if got == "200" && string(answer) != values["body"] {
+		return fmt.Errorf("the answer %q is not that of the request %q", answer, values["body"])
+	}
+	if status == http.StatusTooManyRequests && headers.Get("Retry-After") == "" {
+		return errors.New("the refusal does not say when to return")
+	}
+	if limit := number(values, "within", 0); limit > 0 && took > time.Duration(limit)*time.Millisecond {
+		return fmt.Errorf("the answer took %s", took)
+	}
+	return nil
+}
+
+// jobVerb posts a job: NAME ENTRY WORKLOAD TASKS [key=K] [want=KIND]; or cancels it: cancel NAME ENTRY.
+func (s *Stage) jobVerb(args []string) (string, error) {
+	values, rest := options(args)
+	if rest[0] == "cancel" {
+		return s.cancel(rest[1], rest[2])
+	}
+	address, err := s.address(rest[1], "callers")
+	if err != nil {
+		return "", err
+	}
+	body := fmt.Sprintf(`{"workload":%q,"tasks":%s,"key":%q}`, rest[2], rest[3], values["key"])
+	status, answer, _, err := s.post("POST", "http://"+address+"/v1/jobs", []byte(body), nil)
+	if err != nil {
+		return "", err
+	}
+	if want, ok := values["want"]; ok && want != "accepted" {
+		if kind := kindOf(answer); !slices.Contains(strings.Split(want, ","), kind) {
+			return "", fmt.Errorf("the answer is %s, not %s: %s", kind, want, answer)
+		}
+		return string(answer), nil
+	}
+	var accepted struct {
+		ID string `json:"id"`
+	}
+	if err := json.Unmarshal(answer, &accepted); err != nil || status != http.StatusAccepted {
+		return "", fmt.Errorf("the job is not accepted: %d %s", status, answer)
+	}
+	if same, ok := s.jobs[rest[0]]; ok && same != accepted.ID {
+		return "", fmt.Errorf("the job is %s, and was %s before", accepted.ID, same)
+	}
+	s.jobs[rest[0]] = accepted.ID
+	return string(answer), nil
+}
+
+func (s *Stage) cancel(name, entry string) (string, error) {
+	address, err := s.address(entry, "callers")
+	if err != nil {
+		return "", err
+	}
+	status, answer, _, err := s.post("DELETE", "http://"+address+"/v1/jobs/"+s.jobs[name], nil, nil)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("the cancellation is refused: %s", answer)
+	}
+	return string(answer), err
+}
+
+// jobState is what an entry says of a job.
+type jobState struct {
+	State     string `json:"state"`
+	Tasks     int    `json:"tasks"`
+	Running   int    `json:"running"`
+	Finished  int    `json:"finished"`
+	Failed    int    `json:"failed"`
+	Evictions int    `json:"evictions"`
+	Waiting   string `json:"waiting_because"`
+}
+
+func (s *Stage) job(name, entry string) (jobState, error) {
+	var state jobState
+	address, err := s.address(entry, "callers")
+	if err != nil {
+		return state, err
+	}
+	status, answer, _, err := s.post("GET", "http://"+address+"/v1/jobs/"+s.jobs[name], nil, nil)
+	if err != nil || status != http.StatusOK {
+		return state, fmt.Errorf("the job cannot be read: %d %s %w", status, answer, err)
+	}
+	return state, json.Unmarshal(answer, &state)
+}
+
+// loadVerb sends steady requests: NAME SERVICE ENTRY... [rate=N] [repeat=yes] [deadline=MS].
+func (s *Stage) loadVerb(args []string) (string, error) {
+	values, rest := options(args)
+	headers := map[string]string{"X-Deadline-Ms": "5000"}
+	if repeat, ok := values["repeat"]; ok {
+		headers["X-Repeatable"] = repeat
+	}
+	if deadline, ok := values["deadline"]; ok {
+		headers["X-Deadline-Ms"] = deadline
+	}
+	return "", s.startLoad(rest[0], rest[1], rest[2:], number(values, "rate", 100), headers)
+}
+
+// unloadVerb ends a load and judges it: NAME [failed=N at most] [atleast=N answered].
+func (s *Stage) unloadVerb(args []string) (string, error) {
+	values, rest := options(args)
+	l, ok := s.loads[rest[0]]
+	if !ok {
+		return "", fmt.Errorf("there is no load %s", rest[0])
+	}
+	l.stop()
+	answered := l.results["200"]
+	if allowed, given := values["failed"]; given && l.sent-answered > number(values, "failed", 0) {
+		return "", fmt.Errorf("more than %s requests failed: %s", allowed, l.summary())
+	}
+	if answered < number(values, "atleast", 1) {
+		return "", fmt.Errorf("too few requests were answered: %s", l.summary())
+	}
+	if l.results["wrong answer"] > 0 {
+		return "", fmt.Errorf("wrong answers: %s", l.summary())
+	}
+	return l.summary(), nil
+}
+
+// booksVerb judges by the workers' books, and with executed=BODY:N how often a request ran; times=BODY:N is at most N.
+func (s *Stage) booksVerb(args []string) (string, error) {
+	if err := s.checkBooks(); err != nil {
+		return "", err
+	}
+	spans, executed, _, err := s.allBooks()
+	if err != nil {
+		return "", err
+	}
+	values, _ := options(args)
+	for key, value := range values {
+		body, count, _ := strings.Cut(value, ":")
+		want := number(map[string]string{"n": count}, "n", 0)
+		if (key == "executed" && executed[body] != want) || (key == "atmost" && executed[body] > want) {
+			return "", fmt.Errorf("%q was run %d times, not %s", body, executed[body], value)
+		}
+	}
+	return fmt.Sprintf("%d runs and %d request bodies in the books", len(spans), len(executed)), nil
+}
