--- a/proving/stage/load.go
+++ b/proving/stage/load.go
@@ -14,7 +14,6 @@
 
 	mu      sync.Mutex
 	sent    int
-	wrong   int
 	results map[string]int
 	slowest time.Duration
 	first   string
--- a/proving/stage/process.go
+++ b/proving/stage/process.go
@@ -23,7 +23,6 @@
 	settings  map[string]string
 	command   *exec.Cmd
 	addresses map[string]string
-	relays    map[string]*Relay
 	ended     chan struct{}
 	exit      int
 	log       *logFile
