--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/control"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/gate"
+	"github.com/saffronpulley/saffronpulley/internal/interference"
 	"github.com/saffronpulley/saffronpulley/internal/lead"
 	"github.com/saffronpulley/saffronpulley/internal/ledger"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
@@ -78,10 +79,10 @@
 	runs     map[task.Run]*run
 	latency  map[string]control.Latency
 	usage    map[task.Run]worker.Usage
-	pressed  bool
+	weights  map[string]int
 	evict    bool
-	throttle int
 	remedies remedy.State
+	model    *interference.Model
 	lead     *lead.Lead
 	sent     sentState
 	leading  sync.WaitGroup
@@ -98,8 +99,8 @@
 		runs:    make(map[task.Run]*run),
 		latency: make(map[string]control.Latency),
 		usage:   make(map[task.Run]worker.Usage),
-
-		throttle: remedy.Full,
+		weights: make(map[string]int),
+		model:   interference.New(),
 	}
 	a.mux = a.newMux()
 	return a
--- a/internal/agent/measure.go
+++ b/internal/agent/measure.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/control"
+	"github.com/saffronpulley/saffronpulley/internal/gate"
+	"github.com/saffronpulley/saffronpulley/internal/interference"
 	"github.com/saffronpulley/saffronpulley/internal/remedy"
 	"github.com/saffronpulley/saffronpulley/internal/task"
 	"github.com/saffronpulley/saffronpulley/internal/timeline"
@@ -45,51 +49,116 @@
 	}
 }
 
+// measureLatency looks at how the services did, and has the remedies follow.
 func (a *Agent) measureLatency(ctx context.Context, now time.Time) {
-	worst := 0.0
 	a.mu.Lock()
+	before := a.throttles()
+	news := a.step(now)
+	after := a.throttles()
+	a.mu.Unlock()
+	if news {
+		a.beatSoon()
+	}
+	for key, percent := range after {
+		if before[key] != percent {
+			a.throttle(ctx, key, percent)
+		}
+	}
+}
+
+// step observes the services and lets the policy decide; it reports whether the lead should hear soon. a.mu is held.
+func (a *Agent) step(now time.Time) bool {
+	in := remedy.Input{Now: now}
+	given := a.shares(true)
+	bands := make(map[string]interference.Band)
 	for _, m := range a.gate.Measure() {
 		if m.Samples() < fewSamples {
 			continue
 		}
-		worst = max(worst, m.Ratio())
-		a.latency[m.Service()] = control.Latency{
-			Service: m.Service(), Load: m.Load(), Ratio: m.Ratio(), Samples: m.Samples(),
+		band := interference.BandOf(m.Load())
+		bands[m.Service()] = band
+		slowdown := a.model.Observe(m.Service(), band, given, m.Run(), m.Samples(), now)
+		in.Ratio, in.Slowdown = max(in.Ratio, m.Ratio()), max(in.Slowdown, slowdown)
+		a.latency[m.Service()] = latencyWire(m, given)
+	}
+	in.Loads = a.loads(bands, now)
+	pressed := a.remedies.IsPressed()
+	if remedy.DefaultPolicy().Step(&a.remedies, in) {
+		a.evict = true
+	}
+	return a.evict || pressed != a.remedies.IsPressed()
+}
+
+func latencyWire(m gate.Measurement, neighbors []interference.Neighbor) control.Latency {
+	wire := control.Latency{
+		Service: m.Service(), Load: m.Load(), Ratio: m.Ratio(), RunMicros: m.Run().Microseconds(), Samples: m.Samples(),
+	}
+	for _, n := range neighbors {
+		wire.Neighbors = append(wire.Neighbors, control.Neighbor{Workload: n.Workload(), Share: n.Share()})
+	}
+	return wire
+}
+
+// batch calls do for each batch run on the worker; a.mu is held.
+func (a *Agent) batch(do func(task.Run, *run)) {
+	for key, r := range a.runs {
+		if r.started && !r.hasEnded() && r.status.Address() == "" && !r.desired.Service {
+			do(key, r)
 		}
 	}
-	action := remedy.DefaultPolicy().Step(&a.remedies, worst, now)
-	changed := action.Throttle() != a.throttle
-	news := action.IsPressed() != a.pressed || action.Evicts()
-	a.throttle, a.pressed = action.Throttle(), action.IsPressed()
-	a.evict = a.evict || action.Evicts()
-	a.mu.Unlock()
-	if news {
-		a.beatSoon()
+}
+
+// shares are the shares of the processors of the batch workloads, as throttled or at full speed; a.mu is held.
+func (a *Agent) shares(throttled bool) []interference.Neighbor {
+	shares := make(map[string]float64)
+	a.batch(func(_ task.Run, r *run) {
+		share := float64(r.status.Size().Processors()) / float64(max(a.description.Capacity().Processors(), 1))
+		if throttled {
+			share *= float64(a.remedies.Throttle(r.status.Workload())) / remedy.Full
+		}
+		shares[r.status.Workload()] += share
+	})
+	neighbors := make([]interference.Neighbor, 0, len(shares))
+	for _, workload := range slices.Sorted(maps.Keys(shares)) {
+		neighbors = append(neighbors, interference.NewNeighbor(workload, shares[workload]))
 	}
-	if changed {
-		a.throttleBatch(ctx, action.Throttle())
+	return neighbors
+}
+
+// loads are the batch workloads with what they are believed to slow the services by at full speed; a.mu is held.
+func (a *Agent) loads(bands map[string]interference.Band, now time.Time) []remedy.Load {
+	var loads []remedy.Load
+	for _, n := range a.shares(false) {
+		harm := 0.0
+		for service, band := range bands {
+			harm = max(harm, a.model.Mean(service, n.Workload(), band, now)*n.Share())
+		}
+		loads = append(loads, remedy.NewLoad(n.Workload(), harm, a.weights[n.Workload()]))
 	}
+	return loads
+}
+
+// throttles are the throttles of the batch runs; a.mu is held.
+func (a *Agent) throttles() map[task.Run]int {
+	throttles := make(map[task.Run]int)
+	a.batch(func(key task.Run, r *run) { throttles[key] = a.remedies.Throttle(r.status.Workload()) })
+	return throttles
 }
 
-// throttleNew throttles a batch task that starts while the others are throttled.
+// throttleNew throttles a batch task that starts while others of its workload are throttled.
 func (a *Agent) throttleNew(ctx context.Context, r *run) {
 	a.mu.Lock()
-	percent := a.throttle
+	percent := a.remedies.Throttle(r.status.Workload())
 	a.mu.Unlock()
-	if percent == remedy.Full || r.desired.Service {
-		return
-	}
-	if err := a.Worker.Throttle(ctx, r.status.Run(), percent); err != nil {
-		a.Logger.Warn("cannot throttle task %s: %v", r.status.Run().ID(), err)
+	if percent != remedy.Full && !r.desired.Service {
+		a.throttle(ctx, r.status.Run(), percent)
 	}
 }
 
-func (a *Agent) throttleBatch(ctx context.Context, percent int) {
-	for _, r := range a.pick(func(r *run) bool { return r.started && !r.hasEnded() && r.status.Address() == "" }) {
-		if err := a.Worker.Throttle(ctx, r.status.Run(), percent); err != nil {
-			a.Logger.Warn("cannot throttle task %s: %v", r.status.Run().ID(), err)
-			continue
-		}
-		a.record(timeline.TaskThrottled, r.status.Run(), "may use "+strconv.Itoa(percent)+" percent of its processors")
+func (a *Agent) throttle(ctx context.Context, key task.Run, percent int) {
+	if err := a.Worker.Throttle(ctx, key, percent); err != nil {
+		a.Logger.Warn("cannot throttle task %s: %v", key.ID(), err)
+		return
 	}
+	a.record(timeline.TaskThrottled, key, "may use "+strconv.Itoa(percent)+" percent of its processors")
 }
--- a/internal/agent/reconcile.go
+++ b/internal/agent/reconcile.go
@@ -140,6 +140,7 @@
 			a.runs[key] = r
 		}
 		r.wanted, r.desired = true, d
+		a.weights[d.Workload] = d.Weight
 	}
 	return a.desired.Position
 }
--- a/internal/agent/uplink.go
+++ b/internal/agent/uplink.go
@@ -190,7 +190,7 @@
 	defer a.mu.Unlock()
 	message := control.Beat{
 		Instance: a.description.Instance(), Boot: a.Boot, Applied: a.applied,
-		Stopping: a.stopping, Pressed: a.pressed, Evict: a.evict,
+		Stopping: a.stopping, Pressed: a.remedies.IsPressed(), Evict: a.evict,
 	}
 	if introduce {
 		message.Profile = a.profile()
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -47,6 +47,19 @@
 	return (*c.services.Load())[service]
 }
 
+// Counts returns how many endpoints of each service take requests.
+func (c *Catalog) Counts() map[string]int {
+	counts := make(map[string]int)
+	for service, endpoints := range *c.services.Load() {
+		for _, e := range endpoints {
+			if !e.closed.Load() {
+				counts[service]++
+			}
+		}
+	}
+	return counts
+}
+
 // All returns the endpoints of all services, each agent's address once.
 func (c *Catalog) All() []*Endpoint {
 	byAddress := make(map[string]*Endpoint)
--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -75,7 +75,17 @@
 	Service string  `json:"service"`
 	Load    float64 `json:"load"`
 	Ratio   float64 `json:"ratio"`
-	Samples int64   `json:"samples"`
+	// RunMicros is how long requests ran at the endpoint on average.
+	RunMicros int64 `json:"run_us"`
+	Samples   int64 `json:"samples"`
+	// Neighbors are the batch workloads beside the service, throttled as they were.
+	Neighbors []Neighbor `json:"neighbors,omitempty"`
+}
+
+// Neighbor is a batch workload with the share of the VM's processors that it was given.
+type Neighbor struct {
+	Workload string  `json:"workload"`
+	Share    float64 `json:"share"`
 }
 
 // BeatAnswer is the lead's answer; Desired is left out if the agent has it already.
@@ -102,6 +112,7 @@
 	Size         worker.SizeWire `json:"size"`
 	Checkpoint   string          `json:"checkpoint,omitempty"`
 	Evict        bool            `json:"evict,omitempty"`
+	Weight       int             `json:"weight,omitempty"`
 	Concurrency  int             `json:"concurrency,omitempty"`
 	Queue        int             `json:"queue,omitempty"`
 	TargetMillis int64           `json:"target_ms,omitempty"`
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -151,12 +151,14 @@
 	TableVersion uint64           `json:"table_version"`
 	Cells        []control.Status `json:"cells"`
 	Unreachable  []string         `json:"cells_without_lead"`
+	// Endpoints is how many endpoints of each service the entry sends requests to.
+	Endpoints map[string]int `json:"endpoints"`
 }
 
 func (e *Entry) handleStatus(ctx *fasthttp.RequestCtx) {
 	limited, cancel := context.WithTimeout(context.Background(), sightTimeout)
 	defer cancel()
-	status := statusWire{Entry: e.ID, TableVersion: e.table().Version(), Unreachable: []string{}, Cells: []control.Status{}}
+	status := statusWire{Entry: e.ID, TableVersion: e.table().Version(), Unreachable: []string{}, Cells: []control.Status{}, Endpoints: e.catalog.Counts()}
 	for _, name := range e.catalog.Names() {
 		cell, err := callLead[control.StatusQuery, control.Status](limited, e, name, control.MethodStatus, control.StatusQuery{})
 		if err != nil {
--- a/internal/gate/replica.go
+++ b/internal/gate/replica.go
@@ -35,6 +35,7 @@
 	window  *hdrhistogram.Histogram
 	load    float64
 	offers  int64
+	ran     time.Duration
 }
 
 func newReplica(service, address string, slots, queue int, target time.Duration) *replica {
@@ -117,6 +118,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.limiter.Finish(ran)
+	r.ran += ran
 	_ = r.window.RecordValue(min(max(latency.Microseconds(), 1), longestLatency))
 	r.promote()
 }
@@ -134,6 +136,7 @@
 	service string
 	ratio   float64
 	load    float64
+	run     time.Duration
 	samples int64
 }
 
@@ -146,6 +149,9 @@
 // Load returns the mean share, 0 to 1, of the slots in use.
 func (m Measurement) Load() float64 { return m.load }
 
+// Run returns how long requests ran at the endpoint on average, without their wait.
+func (m Measurement) Run() time.Duration { return m.run }
+
 // Samples returns how many requests were measured.
 func (m Measurement) Samples() int64 { return m.samples }
 
@@ -153,6 +159,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := Measurement{service: r.service, samples: r.window.TotalCount()}
+	if m.samples > 0 {
+		m.run = r.ran / time.Duration(m.samples)
+	}
 	if m.samples > 0 && r.target > 0 {
 		m.ratio = float64(r.window.ValueAtQuantile(99)) / float64(r.target.Microseconds())
 	}
@@ -160,6 +169,6 @@
 		m.load = r.load / float64(r.offers)
 	}
 	r.window.Reset()
-	r.load, r.offers = 0, 0
+	r.load, r.offers, r.ran = 0, 0, 0
 	return m
 }
--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -9,12 +9,16 @@
 	// Bands is the number of bands of a service's load.
 	Bands = 4
 
-	priorMean   = 0.10
-	priorWeight = 2
-	spread      = 0.15
-	cautious    = 1.0
+	priorMean   = 0.25
+	priorWeight = 1
+	spread      = 0.3
 	halfLife    = 6 * time.Hour
 	maxPairs    = 4096
+
+	// baseRise is how fast a base that is no longer seen is given up, a second.
+	baseRise     = 0.0005
+	runSmoothing = 0.3
+	fewSamples   = 20
 )
 
 // Band is a band of a service's load, from 0 for idle to Bands-1 for its peak.
@@ -35,22 +39,37 @@
 // NewKey returns the key of a pair in a band.
 func NewKey(service, batch string, band Band) Key { return Key{service, batch, band} }
 
-// belief is what is believed of a pair: the slowdown as a share of the target for each task, and its weight in samples.
+// belief is what is believed of a pair: the slowdown by a task that takes all processors, and its weight in samples.
 type belief struct {
 	mean   float64
 	weight float64
 	seen   time.Time
 }
 
-// Model holds what was learned of all pairs of a cell; the zero value is not ready, use New.
+// base is how long requests of a service run in a band beside no batch task, in seconds.
+type base struct {
+	least  float64
+	recent float64
+	seen   time.Time
+}
+
+type baseKey struct {
+	service string
+	band    Band
+}
+
+// Model holds what was learned of all pairs; the zero value is not ready, use New.
 type Model struct {
 	beliefs map[Key]belief
+	bases   map[baseKey]base
 }
 
 // New returns a model that knows nothing but a cautious prior.
-func New() *Model { return &Model{beliefs: make(map[Key]belief)} }
+func New() *Model {
+	return &Model{beliefs: make(map[Key]belief), bases: make(map[baseKey]base)}
+}
 
-// Neighbor is a batch workload beside the service with its share of the VM's processors, 0 to 1.
+// Neighbor is a batch workload beside the service with the share of the VM's processors that it may use, 0 to 1.
 type Neighbor struct {
 	workload string
 	share    float64
@@ -62,10 +81,18 @@
 // Workload returns the batch workload.
 func (n Neighbor) Workload() string { return n.workload }
 
-// Observe takes note of a service's slowdown, as a share of its target, beside some neighbors in a band.
+// Share returns the share of the VM's processors that the workload may use, 0 to 1.
+func (n Neighbor) Share() float64 { return n.share }
+
+// Observe takes note of how long requests of a service ran on average beside some neighbors in a band, and returns
+// the slowdown, 0 for none, that is more than the service's own course.
 //
 // What the present beliefs do not explain is divided among the neighbors by their share and their uncertainty.
-func (m *Model) Observe(service string, band Band, neighbors []Neighbor, slowdown float64, now time.Time) {
+func (m *Model) Observe(service string, band Band, neighbors []Neighbor, run time.Duration, samples int64, now time.Time) float64 {
+	if samples <= 0 {
+		return 0
+	}
+	slowdown := m.slowdown(service, band, run.Seconds(), samples, now)
 	expected, blame := 0.0, 0.0
 	for _, n := range neighbors {
 		b := m.at(NewKey(service, n.workload, band), now)
@@ -73,33 +100,63 @@
 		blame += n.share * n.share / b.weight
 	}
 	if blame == 0 {
-		return
+		return slowdown
 	}
 	surprise := slowdown - expected
+	weight := float64(samples) / float64(samples+fewSamples)
 	for _, n := range neighbors {
 		key := NewKey(service, n.workload, band)
 		b := m.at(key, now)
-		part := n.share * n.share / b.weight / blame
-		m.learn(key, b, surprise*part/n.share, n.share, now)
+		gain := n.share / b.weight / (blame + spread)
+		m.learn(key, b, surprise*gain*weight, n.share*weight, now)
 	}
+	return slowdown
 }
 
-func (m *Model) learn(key Key, b belief, error, share float64, now time.Time) {
-	weight := min(share*4, 1)
+// slowdown compares a run time with the least that was seen in the band, which is given up slowly.
+func (m *Model) slowdown(service string, band Band, run float64, samples int64, now time.Time) float64 {
+	key := baseKey{service, band}
+	b, ok := m.bases[key]
+	if !ok {
+		b = m.nearestBase(service, band, run)
+		b.seen = now
+	}
+	b.recent += runSmoothing * (run - b.recent)
+	b.least *= 1 + baseRise*now.Sub(b.seen).Seconds()
+	b.seen = now
+	if samples >= fewSamples {
+		b.least = min(b.least, b.recent)
+	}
+	m.bases[key] = b
+	return max(b.recent/b.least-1, 0)
+}
+
+// nearestBase begins a band with the base of the nearest lower one, since load alone makes nothing faster.
+func (m *Model) nearestBase(service string, band Band, run float64) base {
+	for lower := band - 1; lower >= 0; lower-- {
+		if b, ok := m.bases[baseKey{service, lower}]; ok {
+			return base{least: b.least, recent: run}
+		}
+	}
+	return base{least: run, recent: run}
+}
+
+func (m *Model) learn(key Key, b belief, change, weight float64, now time.Time) {
 	if _, known := m.beliefs[key]; !known && len(m.beliefs) >= maxPairs {
 		return
 	}
-	b.mean = max(0, b.mean+error*weight/(b.weight+weight))
+	b.mean = max(0, b.mean+change)
 	b.weight += weight
 	b.seen = now
 	m.beliefs[key] = b
 }
 
-// at returns the belief of a pair, faded towards the prior by its age.
+// at returns the belief of a pair, faded towards the prior by its age; an unknown band is as the next lower known one,
+// or worse.
 func (m *Model) at(key Key, now time.Time) belief {
 	b, ok := m.beliefs[key]
 	if !ok {
-		return belief{mean: priorMean, weight: priorWeight, seen: now}
+		return belief{mean: m.priorOf(key), weight: priorWeight, seen: now}
 	}
 	kept := math.Exp2(-float64(now.Sub(b.seen)) / float64(halfLife))
 	b.weight = priorWeight + (b.weight-priorWeight)*kept
@@ -107,14 +164,23 @@
 	return b
 }
 
-// Harm returns an upper bound of the slowdown, as a share of the target, that a batch task with a share of the
-// VM's processors causes; with less seen the bound is higher.
+func (m *Model) priorOf(key Key) float64 {
+	for lower := key.band - 1; lower >= 0; lower-- {
+		if b, ok := m.beliefs[Key{key.service, key.batch, lower}]; ok {
+			return max(b.mean*1.5, priorMean/2)
+		}
+	}
+	return priorMean
+}
+
+// Harm returns an upper bound of the slowdown that a batch workload with a share of the VM's processors causes; with
+// less seen the bound is higher.
 func (m *Model) Harm(service, batch string, band Band, share float64, now time.Time) float64 {
 	b := m.at(NewKey(service, batch, band), now)
-	return (b.mean + cautious*spread/math.Sqrt(b.weight)) * share
+	return (b.mean + spread/math.Sqrt(b.weight)) * share
 }
 
-// Mean returns the slowdown believed of a pair, as a share of the target.
+// Mean returns the slowdown believed of a batch workload that takes all processors of the VM.
 func (m *Model) Mean(service, batch string, band Band, now time.Time) float64 {
 	return m.at(NewKey(service, batch, band), now).mean
 }
--- a/internal/lead/agents.go
+++ b/internal/lead/agents.go
@@ -120,7 +120,11 @@
 		} else if ok {
 			run.Evict = true
 		}
-		if r, ok := l.table.Row(t.Workload()); ok && t.IsService() {
+		r, ok := l.table.Row(t.Workload())
+		if ok && !t.IsService() {
+			run.Weight = r.Weight()
+		}
+		if ok && t.IsService() {
 			run.Concurrency, run.Queue, run.TargetMillis = r.Concurrency(), r.Queue(), r.Target().Milliseconds()
 		}
 		runs = append(runs, run)
--- a/internal/lead/beat.go
+++ b/internal/lead/beat.go
@@ -33,6 +33,9 @@
 	}
 	isNew := a.revision == 0
 	l.mu.Unlock()
+	if beat.HasStatuses {
+		l.publishSummary()
+	}
 	for _, e := range ended {
 		l.enqueue(e)
 	}
--- a/internal/lead/learn.go
+++ b/internal/lead/learn.go
@@ -28,9 +28,12 @@
 	}
 	for _, y := range beat.Latency {
 		a.latency[y.Service] = y
-		if neighbors := a.neighbors(); len(neighbors) > 0 && y.Samples > 0 {
-			l.model.Observe(y.Service, interference.BandOf(y.Load), neighbors, y.Ratio, now)
+		neighbors := make([]interference.Neighbor, 0, len(y.Neighbors))
+		for _, n := range y.Neighbors {
+			neighbors = append(neighbors, interference.NewNeighbor(n.Workload, n.Share))
 		}
+		run := time.Duration(y.RunMicros) * time.Microsecond
+		l.model.Observe(y.Service, interference.BandOf(y.Load), neighbors, run, y.Samples, now)
 	}
 	for run := range a.usage {
 		if _, ok := a.statuses[run]; !ok {
@@ -48,21 +51,6 @@
 	return e
 }
 
-// neighbors are the batch workloads on the agent's worker with their shares of its processors.
-func (a *agentView) neighbors() []interference.Neighbor {
-	shares := make(map[string]float64)
-	for _, s := range a.statuses {
-		if s.State() == task.Running && s.Address() == "" {
-			shares[s.Workload()] += float64(s.Size().Processors()) / float64(max(a.capacity.Processors(), 1))
-		}
-	}
-	neighbors := make([]interference.Neighbor, 0, len(shares))
-	for workload, share := range shares {
-		neighbors = append(neighbors, interference.NewNeighbor(workload, share))
-	}
-	return neighbors
-}
-
 // ended takes note of a run whose end was committed; l.mu is held.
 func (l *Lead) ended(instance, workload string, run task.Run, state task.State, ran time.Duration, failures int) {
 	now := time.Now()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -57,6 +57,9 @@
 // SetReplicas sets how many replicas of the same service the node and its rack run.
 func (n *Node) SetReplicas(onNode, onRack int) { n.replicas, n.rackmate = onNode, onRack }
 
+// HasReplica reports whether the node runs a replica of the same service.
+func (n *Node) HasReplica() bool { return n.replicas > 0 }
+
 // SetSticky marks the node that ran the task before.
 func (n *Node) SetSticky() { n.sticky = true }
 
@@ -81,7 +84,7 @@
 
 // DefaultWeights are the weights that the decision bench was run with.
 func DefaultWeights() Weights {
-	return Weights{Fit: 1, Scarcity: 2, Spread: 4, Harm: 6, Sticky: 0.2, MaxHarm: 0.35}
+	return Weights{Fit: 1, Scarcity: 2, Spread: 4, Harm: 6, Sticky: 0.2, MaxHarm: 0.12}
 }
 
 // Request is the task to place.
--- a/internal/remedy/remedy.go
+++ b/internal/remedy/remedy.go
@@ -1,114 +1,179 @@
 package remedy
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
-// Policy holds the thresholds, as shares of the service's target, and the waits between steps.
+// Policy holds the thresholds and the waits between steps.
 type Policy struct {
-	Tighten    float64
-	Relax      float64
-	Breach     float64
-	LookAhead  time.Duration
-	Hold       time.Duration
+	// Slack is the slowdown of services that batch tasks may cause.
+	Slack float64
+	// Breach is the share of its target at which a service is in trouble.
+	Breach float64
+	// LookAhead is how far ahead a slowdown that grows is reckoned with, since measurements lag.
+	LookAhead time.Duration
+	// Floor is the least throttle, in percent.
+	Floor int
+	// Raise is by how many percent a throttle is loosened in a step.
+	Raise int
+	// EvictAfter is how long a slowdown must outlast the tightest throttle before a task is evicted.
 	EvictAfter time.Duration
-	Cooldown   time.Duration
-	Floor      int
+	// Cooldown is how long after an eviction the next may be.
+	Cooldown time.Duration
 }
 
 // DefaultPolicy is the policy that the decision bench was run with.
 func DefaultPolicy() Policy {
 	return Policy{
-		Tighten: 0.75, Relax: 0.55, Breach: 1,
-		LookAhead: 4 * time.Second, Hold: 10 * time.Second,
-		EvictAfter: 30 * time.Second, Cooldown: 2 * time.Minute, Floor: 10,
+		Slack: 0.09, Breach: 0.9, LookAhead: 2 * time.Second, Floor: 10, Raise: 20,
+		EvictAfter: 30 * time.Second, Cooldown: 2 * time.Minute,
 	}
 }
 
 // Full is the throttle, in percent of its processors, of a task that is not throttled.
 const Full = 100
 
+const (
+	tightestBudget = 0.1
+	budgetCut      = 0.7
+	budgetRise     = 1.05
+)
+
+// Load is a batch workload on the VM with the slowdown that it is believed to cause at full speed.
+type Load struct {
+	workload string
+	harm     float64
+	weight   int
+}
+
+// NewLoad returns a load; the weight is that of the workload's row.
+func NewLoad(workload string, harm float64, weight int) Load {
+	return Load{workload: workload, harm: harm, weight: max(weight, 1)}
+}
+
+// Workload returns the batch workload.
+func (l Load) Workload() string { return l.workload }
+
+// Input is what a step looks at.
+type Input struct {
+	// Now is the moment of the step.
+	Now time.Time
+	// Ratio is the latency of 99 of 100 requests as a share of the target, of the worst service on the VM.
+	Ratio float64
+	// Slowdown is how much slower requests run than beside no batch task, of the worst service.
+	Slowdown float64
+	// Loads are the batch workloads on the VM.
+	Loads []Load
+}
+
 // State is what the policy remembers of one VM between steps; the zero value is a VM that was never looked at.
 type State struct {
-	throttle  int
-	ratio     float64
+	budget    float64
+	slowdown  float64
 	looked    time.Time
-	relaxed   time.Time
 	breached  time.Time
 	evicted   time.Time
-	isPressed bool
+	throttles map[string]int
+	pressed   bool
 }
 
-// Action is what is to be done on the VM.
-type Action struct {
-	throttle int
-	pressed  bool
-	evict    bool
+// Throttle returns the share of its processors, in percent, that tasks of a batch workload on the VM may use.
+func (s *State) Throttle(workload string) int {
+	if percent, ok := s.throttles[workload]; ok {
+		return percent
+	}
+	return Full
 }
 
-// Throttle returns the share of its processors, in percent, that each batch task on the VM may use.
-func (a Action) Throttle() int { return a.throttle }
-
 // IsPressed reports whether new batch tasks are kept off the VM.
-func (a Action) IsPressed() bool { return a.pressed }
-
-// Evicts reports whether one batch task is to be checkpointed and moved.
-func (a Action) Evicts() bool { return a.evict }
+func (s *State) IsPressed() bool { return s.pressed }
 
-// Step returns what is to be done now that the worst service on the VM is at a ratio of its target.
-func (p Policy) Step(s *State, ratio float64, now time.Time) Action {
+// Step works out the throttles, and reports whether one batch task is to be checkpointed and moved.
+//
+// The believed harm is kept within the slack before it is felt, and what is felt beyond it tightens that budget.
+func (p Policy) Step(s *State, in Input) bool {
 	if s.looked.IsZero() {
-		s.throttle, s.relaxed = Full, now
+		s.budget = 1
+		s.throttles = make(map[string]int)
 	}
-	ahead := p.ahead(s, ratio, now)
-	s.ratio, s.looked = ratio, now
-	p.setThrottle(s, ahead, now)
-	p.setPressed(s, ahead, now)
-	return Action{throttle: s.throttle, pressed: s.isPressed, evict: p.evicts(s, ratio, now)}
+	ahead := p.ahead(s, in)
+	s.slowdown, s.looked = in.Slowdown, in.Now
+	p.setBudget(s, in, ahead)
+	s.pressed = len(in.Loads) > 0 && (s.budget <= tightestBudget*2 || (in.Ratio >= p.Breach && ahead > p.Slack))
+	p.setThrottles(s, in.Loads)
+	return p.evicts(s, in)
 }
 
-// ahead is where the ratio will be at its recent slope, since measurements lag.
-func (p Policy) ahead(s *State, ratio float64, now time.Time) float64 {
-	elapsed := now.Sub(s.looked)
-	if s.looked.IsZero() || elapsed <= 0 || ratio <= s.ratio {
-		return ratio
+// ahead is where the slowdown will be at its recent slope.
+func (p Policy) ahead(s *State, in Input) float64 {
+	elapsed := in.Now.Sub(s.looked)
+	if s.looked.IsZero() || elapsed <= 0 || in.Slowdown <= s.slowdown {
+		return in.Slowdown
 	}
-	slope := (ratio - s.ratio) / elapsed.Seconds()
-	return ratio + min(slope*p.LookAhead.Seconds(), 0.5)
+	slope := (in.Slowdown - s.slowdown) / elapsed.Seconds()
+	return in.Slowdown + min(slope*p.LookAhead.Seconds(), p.Slack/2)
 }
 
-func (p Policy) setThrottle(s *State, ahead float64, now time.Time) {
+func (p Policy) setBudget(s *State, in Input, ahead float64) {
 	switch {
-	case ahead >= p.Breach:
-		s.throttle = max(s.throttle/3, p.Floor)
-		s.relaxed = now
-	case ahead >= p.Tighten:
-		s.throttle = max(s.throttle*2/3, p.Floor)
-		s.relaxed = now
-	case ahead < p.Relax && now.Sub(s.relaxed) >= p.Hold:
-		s.throttle = min(s.throttle+10, Full)
-		s.relaxed = now.Add(-p.Hold / 2)
+	case len(in.Loads) == 0:
+		s.budget = min(s.budget*budgetRise, 1)
+	case ahead > 2*p.Slack || (in.Ratio >= p.Breach && ahead > p.Slack):
+		s.budget = max(s.budget*budgetCut, tightestBudget)
+	case ahead <= p.Slack:
+		s.budget = min(s.budget*budgetRise, 1)
 	}
 }
 
-func (p Policy) setPressed(s *State, ahead float64, now time.Time) {
-	switch {
-	case ahead >= p.Tighten:
-		s.isPressed = true
-	case ahead < p.Relax && s.throttle >= Full/2 && now.Sub(s.relaxed) >= 0:
-		s.isPressed = false
+// setThrottles throttles the workloads that harm most for their weight first, until what is left is within the budget.
+func (p Policy) setThrottles(s *State, loads []Load) {
+	ordered := slices.Clone(loads)
+	slices.SortFunc(ordered, func(a, b Load) int {
+		return cmp.Or(cmp.Compare(b.harm/float64(b.weight), a.harm/float64(a.weight)), cmp.Compare(a.workload, b.workload))
+	})
+	over := -p.Slack * s.budget
+	for _, l := range ordered {
+		over += l.harm
+	}
+	next := make(map[string]int, len(ordered))
+	for _, l := range ordered {
+		percent := Full
+		if over > 0 && l.harm > 0 {
+			percent = max(int(Full*(1-over/l.harm)), p.Floor)
+			over -= l.harm * float64(Full-percent) / Full
+		}
+		next[l.workload] = p.limitStep(s.Throttle(l.workload), percent)
+	}
+	s.throttles = next
+}
+
+const smallestStep = 5
+
+// limitStep loosens a throttle slowly and leaves it where the change is small.
+func (p Policy) limitStep(before, wanted int) int {
+	if wanted > before {
+		wanted = min(wanted, before+p.Raise)
+	}
+	if wanted != Full && wanted != p.Floor && max(wanted-before, before-wanted) < smallestStep {
+		return before
 	}
+	return wanted
 }
 
-func (p Policy) evicts(s *State, ratio float64, now time.Time) bool {
-	if ratio < p.Breach || s.throttle > p.Floor {
+// evicts reports whether the slowdown outlasts the tightest throttle.
+func (p Policy) evicts(s *State, in Input) bool {
+	if len(in.Loads) == 0 || in.Ratio < p.Breach || in.Slowdown <= p.Slack || s.budget > tightestBudget {
 		s.breached = time.Time{}
 		return false
 	}
 	if s.breached.IsZero() {
-		s.breached = now
+		s.breached = in.Now
 	}
-	if now.Sub(s.breached) < p.EvictAfter || (!s.evicted.IsZero() && now.Sub(s.evicted) < p.Cooldown) {
+	if in.Now.Sub(s.breached) < p.EvictAfter || (!s.evicted.IsZero() && in.Now.Sub(s.evicted) < p.Cooldown) {
 		return false
 	}
-	s.evicted = now
+	s.evicted = in.Now
 	return true
 }
--- a/internal/scheduling/batch.go
+++ b/internal/scheduling/batch.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/cell"
-	"github.com/saffronpulley/saffronpulley/internal/interference"
 	"github.com/saffronpulley/saffronpulley/internal/placement"
 	"github.com/saffronpulley/saffronpulley/internal/queueing"
 	"github.com/saffronpulley/saffronpulley/internal/resource"
@@ -135,6 +134,7 @@
 		p.reserve(w)
 		return
 	}
+	p.addHarm(verdict.Node(), w.row.Workload(), w.size)
 	running[w.row.Workload()]++
 	w.entry.Team().Take(w.size)
 	w.took()
@@ -163,23 +163,42 @@
 	w.next++
 }
 
-// setHarm tells each node how much a task would slow the services there.
+// buildHarms works out what the batch tasks of each worker are believed to slow its services by.
+func (p *planner) buildHarms() {
+	p.harms = make([]map[string]float64, len(p.workers))
+	for i := range p.workers {
+		p.harms[i] = make(map[string]float64)
+	}
+	for _, t := range p.tasks {
+		if i, ok := p.places[t.Instance()]; ok && t.IsPlaced() && !t.IsService() {
+			p.addHarm(i, t.Workload(), t.Size())
+		}
+	}
+}
+
+func (p *planner) addHarm(node int, workload string, size resource.Vector) {
+	w := p.workers[node]
+	for service, band := range w.bands {
+		p.harms[node][service] += p.model.Mean(service, workload, band, p.now) * shareOf(size, w.capacity)
+	}
+}
+
+// setHarm tells each node how much its services would be slowed in all, with the task by an upper bound.
 func (p *planner) setHarm(r table.Row, size resource.Vector) {
 	for i, w := range p.workers {
 		harm := 0.0
 		for service, band := range w.bands {
-			harm = max(harm, p.harm(service, r.Workload(), band, size, w.capacity))
+			if !p.options.NoInterference {
+				more := p.model.Harm(service, r.Workload(), band, shareOf(size, w.capacity), p.now)
+				harm = max(harm, p.harms[i][service]+more)
+			}
 		}
 		p.nodes[i].SetHarm(harm)
 	}
 }
 
-func (p *planner) harm(service, batch string, band interference.Band, size, capacity resource.Vector) float64 {
-	if p.options.NoInterference {
-		return 0
-	}
-	share := float64(size.Processors()) / float64(max(capacity.Processors(), 1))
-	return p.model.Harm(service, batch, band, share, p.now)
+func shareOf(size, capacity resource.Vector) float64 {
+	return float64(size.Processors()) / float64(max(capacity.Processors(), 1))
 }
 
 // reserve keeps the node with the most room free for a task that has waited too long.
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -73,6 +73,8 @@
 	nodes    []placement.Node
 	places   map[string]int
 	tasks    []cell.Task
+	// harms is what the batch tasks of each worker are believed to slow each of its services by.
+	harms []map[string]float64
 }
 
 // Make plans on the document, which it changes, and returns what it did.
@@ -82,7 +84,10 @@
 	p.tasks = d.Tasks()
 	p.buildNodes()
 	p.placeServices()
-	p.placeBatch()
+	p.buildHarms()
+	if !s.options.ServicesOnly {
+		p.placeBatch()
+	}
 	return p.plan
 }
 
--- a/internal/scheduling/services.go
+++ b/internal/scheduling/services.go
@@ -56,7 +56,7 @@
 func (p *planner) makeRoom(size resource.Vector) {
 	var best []task.Run
 	for i, w := range p.workers {
-		if w.closed != placement.Chosen || !size.Fits(w.capacity) {
+		if w.closed != placement.Chosen || p.nodes[i].HasReplica() || !size.Fits(w.capacity) {
 			continue
 		}
 		victims, ok := p.victims(i, size)
--- a/internal/scheduling/snapshot.go
+++ b/internal/scheduling/snapshot.go
@@ -60,6 +60,8 @@
 	NoInterference bool
 	NoFairness     bool
 	NoPressure     bool
+	// ServicesOnly leaves the batch tasks to somebody else.
+	ServicesOnly bool
 }
 
 // Share is the part of the region that the cell is.
--- /dev/null
+++ b/proving/cmd/bench/doc.go
@@ -0,0 +1,3 @@
+// Command bench measures the decisions and the processes, and writes the
+// tables of docs/MEASUREMENTS.md.
+package main
--- /dev/null
+++ b/proving/decision/batch.go
@@ -0,0 +1,224 @@
+package decision
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/cell"
+	"github.com/saffronpulley/saffronpulley/internal/resource"
+	"github.com/saffronpulley/saffronpulley/internal/sizing"
+	"github.com/saffronpulley/saffronpulley/internal/task"
+)
+
+// restore is the work that a resumed task does over, in seconds.
+const restore = 3.0
+
+// lateReport is a usage report or a latency that has not arrived yet.
+type lateReport struct {
+	arrives time.Duration
+	take    func()
+}
+
+func (s *sim) submit(second int) {
+	if s.column.noBatch {
+		return
+	}
+	for _, j := range s.day.Jobs {
+		repeats := j.Every > 0 && second > j.At && second <= j.Until && (second-j.At)%j.Every == 0
+		if second == j.At || repeats {
+			s.addJob(j.Workload, j.Tasks)
+		}
+	}
+	for _, c := range s.day.Cancel {
+		if second != c.At {
+			continue
+		}
+		for range c.Jobs {
+			_ = s.document.Cancel(s.addJob(c.Workload, 1))
+		}
+	}
+}
+
+func (s *sim) addJob(workload string, tasks int) string {
+	s.nextID++
+	id := "job-" + strconv.Itoa(1_000_000+s.nextID)
+	s.document.Submit(cell.NewJob(id, workload, "", tasks, s.clock()))
+	return id
+}
+
+func (s *sim) loseWorkers(second int) {
+	for _, w := range s.workers {
+		if w.lost || !happens(s.day.Lost, w.number, second) {
+			continue
+		}
+		w.lost = true
+		for _, r := range w.runs {
+			s.result.workLost += r.progress * float64(r.load.RuntimeS)
+		}
+		w.runs = make(map[task.Run]*fakeRun)
+		s.document.Lose(w.instance())
+		s.dropReplica(w)
+	}
+}
+
+func (s *sim) dropReplica(w *fakeWorker) {
+	if w.replica == nil {
+		return
+	}
+	for i, r := range s.replicas {
+		if r == w.replica {
+			s.replicas = append(s.replicas[:i], s.replicas[i+1:]...)
+			break
+		}
+	}
+	s.result.refused += len(w.replica.queue)
+	w.replica.queue = nil
+	w.replica = nil
+}
+
+func (w *fakeWorker) instance() string { return "vm-" + strconv.Itoa(100+w.number) }
+
+// progress moves the runs on by a second, and reports those that end.
+func (s *sim) progress(second int) {
+	for _, w := range s.workers {
+		s.checkCommitment(w)
+		if second%5 == 0 {
+			s.reportUsage(w, second)
+		}
+		s.killForMemory(w)
+		for _, run := range w.ordered() {
+			r := w.runs[run]
+			if happens(s.day.Failing, w.number, second) {
+				s.endRun(w, run, task.Failed)
+				continue
+			}
+			contention := w.contention(s)
+			r.progress += float64(s.throttle(w, r)) / 100 / contention / float64(r.load.RuntimeS)
+			if r.progress >= 1 {
+				s.result.workDone += float64(r.load.Processors) * float64(r.load.RuntimeS)
+				s.endRun(w, run, task.Finished)
+			}
+		}
+	}
+}
+
+// ordered returns the runs of the worker in a fixed order, so that a seed gives the same day each time.
+func (w *fakeWorker) ordered() []task.Run {
+	return slices.SortedFunc(maps.Keys(w.runs), func(a, b task.Run) int {
+		return cmp.Or(strings.Compare(a.ID().Job(), b.ID().Job()), cmp.Compare(a.ID().Index(), b.ID().Index()))
+	})
+}
+
+// killForMemory fails the youngest tasks while all take more memory than there is, as the VM's kernel would.
+func (s *sim) killForMemory(w *fakeWorker) {
+	used := float64(s.day.Service.Memory)
+	for _, r := range w.runs {
+		used += float64(r.load.Memory) * r.load.Takes
+	}
+	runs := w.ordered()
+	slices.SortStableFunc(runs, func(a, b task.Run) int { return cmp.Compare(w.runs[b].started, w.runs[a].started) })
+	for _, run := range runs {
+		if used <= float64(s.day.Memory) {
+			return
+		}
+		r := w.runs[run]
+		used -= float64(r.load.Memory) * r.load.Takes
+		s.result.workLost += r.progress * float64(r.load.RuntimeS)
+		s.endRun(w, run, task.Failed)
+	}
+}
+
+// contention is how much slower tasks run when more processors are wanted than there are.
+func (w *fakeWorker) contention(s *sim) float64 {
+	used := 0.0
+	for _, r := range w.runs {
+		used += float64(r.load.Processors) * r.load.Uses * float64(s.throttle(w, r)) / 100
+	}
+	if w.replica != nil {
+		used += float64(s.day.Service.Processors)
+	}
+	return max(used/float64(s.day.Processors), 1)
+}
+
+// checkCommitment counts the workers that are committed beyond what they have.
+func (s *sim) checkCommitment(w *fakeWorker) {
+	var used resource.Vector
+	for _, r := range w.runs {
+		used = used.Add(r.size)
+	}
+	if w.replica != nil {
+		used = used.Add(resource.New(s.day.Service.Processors*1000, s.day.Service.Memory, 0))
+	}
+	if !used.Fits(s.capacity()) {
+		s.result.broken++
+	}
+}
+
+func (s *sim) capacity() resource.Vector {
+	return resource.New(s.day.Processors*1000, s.day.Memory, 0)
+}
+
+// endRun ends a run and tells the document, as an agent's report would.
+func (s *sim) endRun(w *fakeWorker, run task.Run, state task.State) {
+	r := w.runs[run]
+	delete(w.runs, run)
+	before, _ := s.document.Task(run.ID())
+	checkpoint := ""
+	if state == task.Checkpointed {
+		checkpoint = strconv.FormatFloat(r.progress, 'f', 6, 64)
+		s.result.evictions++
+		s.result.workLost += restore
+	}
+	if !s.document.Report(cell.NewReport(run, state, checkpoint), 5) {
+		return
+	}
+	switch state {
+	case task.Finished:
+		s.estimate(r.load.Name).ObserveRuntime(s.now - r.started)
+		workerProbation.Succeed(&w.health)
+	case task.Failed:
+		s.result.failures++
+		s.before[run.ID()] = s.clock().Add(time.Second)
+		if before.Failures() == 0 {
+			workerProbation.Fail(&w.health, s.clock())
+		}
+	}
+}
+
+func (s *sim) estimate(workload string) *sizing.Estimate {
+	e, ok := s.sizes[workload]
+	if !ok {
+		e = &sizing.Estimate{}
+		s.sizes[workload] = e
+	}
+	return e
+}
+
+// reportUsage sends the usage of a worker's runs on its late way.
+func (s *sim) reportUsage(w *fakeWorker, second int) {
+	for _, run := range w.ordered() {
+		r := w.runs[run]
+		use := r.load.Uses * (0.9 + 0.2*s.random.Float64())
+		used := resource.New(int64(float64(r.load.Processors)*1000*use), int64(float64(r.load.Memory)*r.load.Takes), 0)
+		workload := r.load.Name
+		s.reports = append(s.reports, lateReport{
+			arrives: s.now + s.day.lag(second), take: func() { s.estimate(workload).Observe(used) },
+		})
+	}
+}
+
+func (s *sim) takeReports() {
+	kept := s.reports[:0]
+	for _, r := range s.reports {
+		if r.arrives <= s.now {
+			r.take()
+			continue
+		}
+		kept = append(kept, r)
+	}
+	s.reports = kept
+}
--- /dev/null
+++ b/proving/decision/day.go
@@ -0,0 +1,159 @@
+package decision
+
+import (
+	"embed"
+	"fmt"
+	"path"
+	"sort"
+	"time"
+
+	"github.com/goccy/go-yaml"
+)
+
+//go:embed days/*.yaml
+var days embed.FS
+
+// Day is the load of a team and what goes wrong in it, from a data file.
+type Day struct {
+	Name       string          `yaml:"name"`
+	Workers    int             `yaml:"workers"`
+	Processors int64           `yaml:"processors"`
+	Memory     int64           `yaml:"memory_mb"`
+	Seconds    int             `yaml:"seconds"`
+	Reserved   int             `yaml:"reserved_workers"`
+	ReportLag  int             `yaml:"report_lag_s"`
+	Service    ServiceLoad     `yaml:"service"`
+	Batch      []BatchLoad     `yaml:"batch"`
+	Jobs       []JobLoad       `yaml:"jobs"`
+	Lost       []WorkerEvent   `yaml:"lost"`
+	Failing    []WorkerEvent   `yaml:"failing"`
+	Cancel     []CancelBurst   `yaml:"cancel"`
+	Late       []LateReports   `yaml:"late_reports"`
+	Noise      []NoisyInterval `yaml:"noise"`
+}
+
+// ServiceLoad is the service of a day.
+type ServiceLoad struct {
+	Name       string  `yaml:"name"`
+	Processors int64   `yaml:"processors"`
+	Memory     int64   `yaml:"memory_mb"`
+	Slots      int     `yaml:"slots"`
+	Queue      int     `yaml:"queue"`
+	TargetMs   float64 `yaml:"target_ms"`
+	MeanMs     float64 `yaml:"mean_ms"`
+	Sigma      float64 `yaml:"sigma"`
+	// Load is the share of all slots that requests take at evenly spaced moments of the day.
+	Load []float64 `yaml:"load"`
+}
+
+// BatchLoad is a batch workload; what it really takes and how much it harms is not told to the policies.
+type BatchLoad struct {
+	Name       string     `yaml:"name"`
+	Team       string     `yaml:"team"`
+	Weight     int        `yaml:"weight"`
+	Processors int64      `yaml:"processors"`
+	Memory     int64      `yaml:"memory_mb"`
+	RuntimeS   int        `yaml:"runtime_s"`
+	Evictions  int        `yaml:"evictions"`
+	DeadlineM  int        `yaml:"deadline_min"`
+	Urgent     bool       `yaml:"urgent"`
+	Uses       float64    `yaml:"really_uses"`
+	Takes      float64    `yaml:"really_takes"`
+	Harm       [4]float64 `yaml:"harm_by_band"`
+}
+
+// JobLoad is a job that is submitted at a second of the day; every and until repeat it.
+type JobLoad struct {
+	At       int    `yaml:"at"`
+	Every    int    `yaml:"every"`
+	Until    int    `yaml:"until"`
+	Workload string `yaml:"workload"`
+	Tasks    int    `yaml:"tasks"`
+}
+
+// WorkerEvent is a worker that something happens to from a second to another.
+type WorkerEvent struct {
+	Worker int `yaml:"worker"`
+	From   int `yaml:"from"`
+	Until  int `yaml:"until"`
+}
+
+// CancelBurst is a number of jobs of one task that are submitted and canceled at once.
+type CancelBurst struct {
+	At       int    `yaml:"at"`
+	Workload string `yaml:"workload"`
+	Jobs     int    `yaml:"jobs"`
+}
+
+// LateReports is a time in which usage reports lag more.
+type LateReports struct {
+	From int `yaml:"from"`
+	To   int `yaml:"to"`
+	Lag  int `yaml:"lag_s"`
+}
+
+// NoisyInterval is a time in which a workload harms more.
+type NoisyInterval struct {
+	From     int     `yaml:"from"`
+	To       int     `yaml:"to"`
+	Workload string  `yaml:"workload"`
+	Times    float64 `yaml:"times"`
+}
+
+// Days reads all days, in the order of their files.
+func Days() ([]Day, error) {
+	files, err := days.ReadDir("days")
+	if err != nil {
+		return nil, err
+	}
+	sort.Slice(files, func(i, j int) bool { return files[i].Name() < files[j].Name() })
+	all := make([]Day, 0, len(files))
+	for _, file := range files {
+		content, err := days.ReadFile(path.Join("days", file.Name()))
+		if err != nil {
+			return nil, err
+		}
+		var day Day
+		if err := yaml.UnmarshalWithOptions(content, &day, yaml.Strict()); err != nil {
+			return nil, fmt.Errorf("%s: %w", file.Name(), err)
+		}
+		all = append(all, day)
+	}
+	return all, nil
+}
+
+// load is the share of all slots that requests take at a second.
+func (d *Day) load(second float64) float64 {
+	place := second / float64(d.Seconds) * float64(len(d.Service.Load)-1)
+	i := min(int(place), len(d.Service.Load)-2)
+	part := place - float64(i)
+	return d.Service.Load[i]*(1-part) + d.Service.Load[i+1]*part
+}
+
+func (d *Day) lag(second int) time.Duration {
+	lag := d.ReportLag
+	for _, l := range d.Late {
+		if second >= l.From && second < l.To {
+			lag = l.Lag
+		}
+	}
+	return time.Duration(lag) * time.Second
+}
+
+func (d *Day) noise(second int, workload string) float64 {
+	for _, n := range d.Noise {
+		if n.Workload == workload && second >= n.From && second < n.To {
+			return n.Times
+		}
+	}
+	return 1
+}
+
+func happens(events []WorkerEvent, worker, second int) bool {
+	for _, e := range events {
+		if e.Worker == worker && second >= e.From && (e.Until == 0 || second < e.Until) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/proving/decision/result.go
@@ -0,0 +1,84 @@
+package decision
+
+import (
+	"slices"
+
+	"github.com/saffronpulley/saffronpulley/internal/cell"
+	"github.com/saffronpulley/saffronpulley/internal/table"
+)
+
+// Result is what a day came to under a column.
+type Result struct {
+	requests  int
+	late      int
+	refused   int
+	evictions int
+	failures  int
+	broken    int
+	workDone  float64
+	workLost  float64
+	onTime    float64
+	p50       float64
+	p99       float64
+	p999      float64
+}
+
+func (s *sim) row(workload string) table.Row {
+	r, _ := s.rows.Row(workload)
+	return r
+}
+
+// finish works out the latencies, and the share of the tasks due that ended.
+func (s *sim) finish() {
+	target := s.day.Service.TargetMs * 1000
+	s.result.p50 = float64(s.window.ValueAtQuantile(50)) / target
+	s.result.p99 = float64(s.window.ValueAtQuantile(99)) / target
+	s.result.p999 = float64(s.window.ValueAtQuantile(99.9)) / target
+	due, ended := 0, 0
+	for _, j := range append(slices.Clone(s.document.Ended()), s.document.Jobs()...) {
+		if j.State() == cell.JobCanceled {
+			continue
+		}
+		due += j.Tasks()
+		ended += j.Finished()
+	}
+	s.result.onTime = float64(ended) / float64(max(due, 1))
+}
+
+// Measure is one figure of a result.
+type Measure struct {
+	name string
+	of   func(Result) float64
+}
+
+// Name returns the heading of the figure.
+func (m Measure) Name() string { return m.name }
+
+// Of returns the figure of a result.
+func (m Measure) Of(r Result) float64 { return m.of(r) }
+
+// Measures returns the figures in the order of the table.
+func Measures() []Measure {
+	return []Measure{
+		{"p50/target", func(r Result) float64 { return r.p50 }},
+		{"p99/target", func(r Result) float64 { return r.p99 }},
+		{"p99.9/target", func(r Result) float64 { return r.p999 }},
+		{"late or refused %", func(r Result) float64 { return 100 * float64(r.late+r.refused) / float64(max(r.requests, 1)) }},
+		{"tasks ended %", func(r Result) float64 { return 100 * r.onTime }},
+		{"batch work", func(r Result) float64 { return r.workDone / 1000 }},
+		{"evictions", func(r Result) float64 { return float64(r.evictions) }},
+		{"work lost s", func(r Result) float64 { return r.workLost }},
+		{"failed starts", func(r Result) float64 { return float64(r.failures) }},
+		{"broken", func(r Result) float64 { return float64(r.broken) }},
+	}
+}
+
+// Median returns the median of a figure over results, with its least and largest value.
+func Median(results []Result, m Measure) (median, low, high float64) {
+	values := make([]float64, 0, len(results))
+	for _, r := range results {
+		values = append(values, m.of(r))
+	}
+	slices.Sort(values)
+	return values[len(values)/2], values[0], values[len(values)-1]
+}
--- a/proving/stage/await.go
+++ b/proving/stage/await.go
@@ -16,6 +16,7 @@
 	TableVersion uint64           `json:"table_version"`
 	Cells        []control.Status `json:"cells"`
 	Unreachable  []string         `json:"cells_without_lead"`
+	Endpoints    map[string]int   `json:"endpoints"`
 }
 
 func (s *Stage) region(entry string) (region, error) {
@@ -92,18 +93,39 @@
 	case "executed":
 		return s.executedHolds(rest[1], rest[2])
 	}
-	entry := rest[len(rest)-2]
-	if rest[0] == "lead" {
-		entry = rest[1]
+	entries := s.entries()
+	if rest[0] != "running" {
+		entries = []string{entryOf(rest)}
 	}
-	if rest[0] == "table" {
-		entry = rest[1]
+	for _, entry := range entries {
+		r, err := s.region(entry)
+		if err != nil {
+			return err
+		}
+		if err := r.holds(rest, values); err != nil {
+			return fmt.Errorf("%s: %w", entry, err)
+		}
 	}
-	r, err := s.region(entry)
-	if err != nil {
-		return err
+	return nil
+}
+
+// entryOf is the entry that is asked for a state.
+func entryOf(rest []string) string {
+	if rest[0] == "lead" || rest[0] == "table" {
+		return rest[1]
+	}
+	return rest[len(rest)-2]
+}
+
+// entries are the entries that run.
+func (s *Stage) entries() []string {
+	var names []string
+	for name, p := range s.processes {
+		if strings.HasPrefix(name, "e") && p.isRunning() {
+			names = append(names, name)
+		}
 	}
-	return r.holds(rest, values)
+	return names
 }
 
 func (s *Stage) executedHolds(body, want string) error {
@@ -175,8 +197,8 @@
 			}
 		}
 	}
-	if strconv.Itoa(running) != want {
-		return fmt.Errorf("%d replicas of %s run", running, service)
+	if strconv.Itoa(running) != want || strconv.Itoa(r.Endpoints[service]) != want {
+		return fmt.Errorf("%d replicas of %s run, and the entry knows %d", running, service, r.Endpoints[service])
 	}
 	return nil
 }
