--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,89 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/control"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/resource"
+	"github.com/saffronpulley/saffronpulley/internal/task"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
+	"github.com/saffronpulley/saffronpulley/internal/worker"
+)
+
+// adopted returns an agent whose worker, of 8 processors, runs a task of 6 from before.
+func adopted(t *testing.T) (*Agent, *fakeWorker) {
+	t.Helper()
+	f := &fakeWorker{instance: "vm-0", runs: make(map[task.Run]worker.Status), world: &world{}}
+	old := task.NewRun(task.NewID("old", 0), 1)
+	f.runs[old] = worker.NewStatus(old, "mailing", task.Running, resource.New(6000, 100, 0))
+	clock := timeline.NewClock(time.Now)
+	a := New(Config{Boot: "boot", Worker: f, Logger: logging.Discard(), Clock: clock, Recorder: timeline.NewRecorder(clock, "x", 8)})
+	assert.NilError(t, a.tryAdopt(t.Context()))
+	return a, f
+}
+
+func desired(position control.Position, boot string, names ...string) control.Desired {
+	d := control.Desired{Position: position, Boot: boot}
+	for i, name := range names {
+		run := worker.RunWire{Job: name, Incarnation: uint64(i + 1)}
+		d.Runs = append(d.Runs, control.DesiredRun{Run: run, Workload: "mailing", Size: worker.SizeWire{Processors: 3000, Memory: 100}})
+	}
+	return d
+}
+
+func TestWhatTheWorkerRunsIsCountedBeforeAnythingIsAdmitted(t *testing.T) {
+	a, f := adopted(t)
+	f.world.starts = make(map[task.Run]int)
+	_, err := a.takeDesired(t.Context(), nil, desired(control.Position{Epoch: 1, Revision: 1}, "boot", "old", "new"))
+	assert.NilError(t, err)
+	a.startWanted(t.Context())
+	a.takeWanted()
+	a.startWanted(t.Context())
+	assert.Equal(t, len(f.runs), 1)
+	message, _ := a.compose(true)
+	assert.Equal(t, len(message.Reports), 1)
+	assert.Equal(t, message.Reports[0].State, task.Refused.String())
+}
+
+func TestTakeDesired(t *testing.T) {
+	now := control.Position{Epoch: 2, Revision: 5}
+	cases := []struct {
+		name string
+		d    control.Desired
+		want fault.Kind
+	}{
+		{"newer", desired(control.Position{Epoch: 2, Revision: 6}, "boot"), -1},
+		{"the same again", desired(now, "boot"), -1},
+		{"of a later lead", desired(control.Position{Epoch: 3, Revision: 1}, "boot"), -1},
+		{"older", desired(control.Position{Epoch: 2, Revision: 4}, "boot"), fault.Stale},
+		{"of an earlier lead", desired(control.Position{Epoch: 1, Revision: 9}, "boot"), fault.Stale},
+		{"meant for an earlier start", desired(control.Position{Epoch: 2, Revision: 6}, "before"), fault.Stale},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, _ := adopted(t)
+			_, err := a.takeDesired(t.Context(), nil, desired(now, "boot"))
+			assert.NilError(t, err)
+			_, err = a.takeDesired(t.Context(), nil, c.d)
+			if c.want < 0 {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Equal(t, fault.KindOf(err), c.want)
+		})
+	}
+}
+
+func TestAnswerOfALeadOfThePastIsRefused(t *testing.T) {
+	a, _ := adopted(t)
+	_, err := a.takeDesired(t.Context(), nil, desired(control.Position{Epoch: 2, Revision: 5}, "boot"))
+	assert.NilError(t, err)
+	acked := control.BeatAnswer{Known: true, Epoch: 1, Acked: []worker.RunWire{{Job: "old", Incarnation: 1}}}
+	assert.Equal(t, fault.KindOf(a.takeAnswer(t.Context(), nil, acked, sentState{})), fault.Stale)
+	assert.Equal(t, len(a.runs), 1)
+}
--- a/internal/agent/uplink.go
+++ b/internal/agent/uplink.go
@@ -171,17 +171,26 @@
 	if !answer.Known {
 		return false, nil
 	}
+	return true, a.takeAnswer(ctx, peer, answer, sent)
+}
+
+// takeAnswer acts on the answer to a beat, unless it is of a lead of the past, which may know less than the next.
+func (a *Agent) takeAnswer(ctx context.Context, peer *rpc.Peer, answer control.BeatAnswer, sent sentState) error {
 	a.mu.Lock()
-	a.sent = sent
-	a.evict = false
+	isPast := answer.Epoch < a.desired.Position.Epoch
+	if !isPast {
+		a.sent, a.evict = sent, false
+	}
 	a.mu.Unlock()
+	if isPast {
+		return fault.New(fault.Stale, "the lead of epoch %d is of the past", answer.Epoch)
+	}
 	a.forget(ctx, answer.Acked)
-	if answer.Desired != nil {
-		if _, err := a.takeDesired(ctx, peer, *answer.Desired); err != nil {
-			return false, err
-		}
+	if answer.Desired == nil {
+		return nil
 	}
-	return true, nil
+	_, err := a.takeDesired(ctx, peer, *answer.Desired)
+	return err
 }
 
 // compose makes the next beat, with what changed since the last one that was answered.
--- a/internal/cell/change.go
+++ b/internal/cell/change.go
@@ -54,7 +54,8 @@
 	if t.IsPlaced() || d.isUnwanted(*t) {
 		return task.Run{}, fault.New(fault.Conflict, "task %s does not wait", id)
 	}
-	t.incarnation++
+	d.starts++
+	t.incarnation = d.starts
 	t.instance = instance
 	t.size = size
 	return t.Run(), nil
--- a/internal/cell/codec.go
+++ b/internal/cell/codec.go
@@ -14,8 +14,10 @@
 	_     struct{} `cbor:",toarray"`
 	Epoch uint64
 	Lead  string
-	Jobs  []jobWire
-	Ended []jobWire
+	// Starts is the highest incarnation given so far.
+	Starts uint64
+	Jobs   []jobWire
+	Ended  []jobWire
 	// Names holds each workload and VM instance once; tasks refer to them by place.
 	Names []string
 	Tasks []taskWire
@@ -69,7 +71,7 @@
 // Encode returns the bytes of the document as the store keeps them.
 func Encode(d *Document) ([]byte, error) {
 	table := &names{places: make(map[string]int)}
-	wire := documentWire{Epoch: d.epoch, Lead: d.lead}
+	wire := documentWire{Epoch: d.epoch, Lead: d.lead, Starts: uint64(d.starts)}
 	for _, j := range d.Jobs() {
 		wire.Jobs = append(wire.Jobs, encodeJob(j))
 	}
@@ -113,7 +115,7 @@
 	if err := cbor.Unmarshal(value, &wire); err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "the stored document of the cell cannot be read")
 	}
-	d.epoch, d.lead = wire.Epoch, wire.Lead
+	d.epoch, d.lead, d.starts = wire.Epoch, wire.Lead, task.Incarnation(wire.Starts)
 	for _, w := range wire.Jobs {
 		j := decodeJob(w)
 		d.jobs[j.id] = &j
--- a/internal/cell/document.go
+++ b/internal/cell/document.go
@@ -15,9 +15,11 @@
 type Document struct {
 	epoch uint64
 	lead  string
-	jobs  map[string]*Job
-	tasks map[task.ID]*Task
-	ended []Job
+	// starts is the highest incarnation given so far; a task that comes back under its old name gets none again.
+	starts task.Incarnation
+	jobs   map[string]*Job
+	tasks  map[task.ID]*Task
+	ended  []Job
 }
 
 // New returns the document of a cell that never had a lead.
@@ -28,7 +30,7 @@
 // Clone returns a copy that shares nothing.
 func (d *Document) Clone() *Document {
 	c := &Document{
-		epoch: d.epoch, lead: d.lead, ended: slices.Clone(d.ended),
+		epoch: d.epoch, lead: d.lead, starts: d.starts, ended: slices.Clone(d.ended),
 		jobs: make(map[string]*Job, len(d.jobs)), tasks: make(map[task.ID]*Task, len(d.tasks)),
 	}
 	for id, j := range d.jobs {
--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -91,6 +91,7 @@
 // BeatAnswer is the lead's answer; Desired is left out if the agent has it already.
 type BeatAnswer struct {
 	Known   bool             `json:"k"`
+	Epoch   uint64           `json:"e,omitempty"`
 	Desired *Desired         `json:"d,omitempty"`
 	Acked   []worker.RunWire `json:"a,omitempty"`
 }
--- /dev/null
+++ b/internal/idempotency/idempotency_test.go
@@ -0,0 +1,185 @@
+package idempotency
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/proptest"
+)
+
+func TestMain(m *testing.M) {
+	proptest.FixSeed()
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+func TestSecondClickGetsTheFirstAnswer(t *testing.T) {
+	k := NewKeys()
+	k.Own(1, 1, nil, time.Time{}, start)
+	first, err := k.Begin("pay", 1, start)
+	assert.NilError(t, err)
+	second, err := k.Begin("pay", 1, start)
+	assert.NilError(t, err)
+	assert.Assert(t, first.IsFirst() && !second.IsFirst())
+	answer := NewAnswer(200, "text/plain", []byte("paid"))
+	first.Finish(answer, nil)
+	<-second.Done()
+	got, err := second.Result()
+	assert.NilError(t, err)
+	assert.Equal(t, got, answer)
+	third, err := k.Begin("pay", 1, start.Add(time.Minute))
+	assert.NilError(t, err)
+	assert.Assert(t, !third.IsFirst())
+}
+
+func TestKeyIsFreeOnlyIfNothingRan(t *testing.T) {
+	cases := []struct {
+		kind  fault.Kind
+		first bool
+	}{{fault.Overloaded, true}, {fault.Leaving, true}, {fault.OutcomeUnknown, false}, {fault.Internal, false}}
+	for _, c := range cases {
+		t.Run(c.kind.String(), func(t *testing.T) {
+			k := NewKeys()
+			k.Own(1, 1, nil, time.Time{}, start)
+			ticket, err := k.Begin("pay", 1, start)
+			assert.NilError(t, err)
+			ticket.Finish(nil, fault.New(c.kind, "x"))
+			again, err := k.Begin("pay", 1, start)
+			assert.NilError(t, err)
+			assert.Equal(t, again.IsFirst(), c.first)
+		})
+	}
+}
+
+func TestDoubtAndKnownKeysAfterADeath(t *testing.T) {
+	k := NewKeys()
+	k.Own(1, 2, []string{"ran"}, start.Add(Remember), start)
+	_, err := k.Begin("new", 1, start.Add(time.Minute))
+	assert.Equal(t, fault.KindOf(err), fault.OutcomeUnknown)
+	known, err := k.Begin("ran", 1, start.Add(time.Minute))
+	assert.NilError(t, err)
+	_, err = known.Result()
+	assert.Equal(t, fault.KindOf(err), fault.OutcomeUnknown)
+	fresh, err := k.Begin("new", 1, start.Add(Remember+time.Minute))
+	assert.NilError(t, err)
+	assert.Assert(t, fresh.IsFirst())
+	_, err = k.Begin("elsewhere", 2, start)
+	assert.Equal(t, fault.KindOf(err), fault.OutcomeUnknown)
+}
+
+// TestKeysRunOnce plays double clicks through entries whose slots are handed over, buried and taken, with agents that
+// remember what they let in; no key may run twice.
+func TestKeysRunOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newKeyWorld(t)
+		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			w.step()
+		}
+	})
+}
+
+// keyWorld is entries that own one slot in turn, and an agent that remembers.
+type keyWorld struct {
+	t      *rapid.T
+	owners Owners
+	keys   map[string]*Keys
+	alive  map[string]bool
+	sealed uint64
+	ran    map[string]int
+	letIn  []string
+	now    time.Time
+	made   int
+}
+
+func newKeyWorld(t *rapid.T) *keyWorld {
+	w := &keyWorld{t: t, keys: make(map[string]*Keys), alive: make(map[string]bool), ran: make(map[string]int), now: start}
+	w.join()
+	w.join()
+	return w
+}
+
+func (w *keyWorld) join() {
+	w.made++
+	name := fmt.Sprint("entry-", w.made)
+	w.owners = w.owners.Join(name, "x")
+	w.keys[name], w.alive[name] = NewKeys(), true
+	w.take()
+}
+
+// take has the owner of the slot begin to own it, after it asked the agent if the last owner died.
+func (w *keyWorld) take() {
+	owner := w.owners.Owner(0)
+	var ran []string
+	if owner.InDoubt() {
+		w.sealed = max(w.sealed, owner.Epoch())
+		ran = append(ran, w.letIn...)
+	}
+	w.keys[owner.Entry()].Own(0, owner.Epoch(), ran, time.Time{}, w.now)
+}
+
+func (w *keyWorld) step() {
+	w.now = w.now.Add(time.Second)
+	entry := rapid.SampledFrom(w.owners.Members()).Draw(w.t, "entry")
+	switch rapid.IntRange(0, 6).Draw(w.t, "action") {
+	case 0, 1, 2, 3:
+		// Any entry that ever owned the slot may still believe that it does.
+		for name := range w.keys {
+			if name == entry || rapid.Bool().Draw(w.t, "click") {
+				w.click(name, fmt.Sprint("key-", rapid.IntRange(0, 5).Draw(w.t, "key")))
+			}
+		}
+	case 4:
+		w.hand(entry)
+	case 5:
+		if len(w.owners.Members()) > 1 {
+			w.alive[entry] = false
+			w.owners = w.owners.Bury(entry)
+			w.take()
+		}
+	case 6:
+		if w.made < 6 {
+			w.join()
+		}
+	}
+}
+
+func (w *keyWorld) hand(to string) {
+	from := w.owners.Owner(0).Entry()
+	if from == to {
+		return
+	}
+	w.keys[from].Close(0)
+	w.keys[to].Take(0, w.keys[from].Hand(0), w.now)
+	next, err := w.owners.Hand(0, from, to)
+	if err != nil {
+		w.t.Fatalf("%v", err)
+	}
+	w.owners = next
+	w.keys[from].Drop(0)
+	w.take()
+}
+
+// click asks an entry, dead ones too since they may only be paused, to run a key.
+func (w *keyWorld) click(entry, key string) {
+	ticket, err := w.keys[entry].Begin(key, 0, w.now)
+	if err != nil || !ticket.IsFirst() {
+		return
+	}
+	if ticket.Epoch() < w.sealed {
+		ticket.Finish(nil, fault.New(fault.Stale, "the key's owner has changed"))
+		return
+	}
+	w.letIn = append(w.letIn, key)
+	w.ran[key]++
+	if w.ran[key] > 1 {
+		w.t.Fatalf("%s ran %d times", key, w.ran[key])
+	}
+	ticket.Finish(NewAnswer(200, "", nil), nil)
+}
--- a/internal/lead/beat.go
+++ b/internal/lead/beat.go
@@ -26,10 +26,13 @@
 		l.mu.Unlock()
 		return control.BeatAnswer{Known: false}, nil
 	}
-	acked, ended := l.readReports(d, a, &beat)
-	answer := control.BeatAnswer{Known: true, Acked: acked}
-	if l.holds(now) && a.revision > 0 && a.applied != l.position(a) {
-		answer.Desired = l.desired(a)
+	answer, ended := control.BeatAnswer{Known: true, Epoch: l.epoch}, []*operation(nil)
+	// A lead whose lease has lapsed may know less than the next, so it decides nothing.
+	if l.holds(now) {
+		answer.Acked, ended = l.readReports(d, a, &beat)
+		if a.revision > 0 && a.applied != l.position(a) {
+			answer.Desired = l.desired(a)
+		}
 	}
 	isNew := a.revision == 0
 	l.mu.Unlock()
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -36,7 +36,7 @@
 			l.markDirty()
 		}
 		store.Pause(ctx, l.gather(pace))
-		if err := l.commitOnce(ctx); err != nil {
+		if err := l.CommitOnce(ctx); err != nil {
 			return err
 		}
 	}
@@ -60,7 +60,8 @@
 	return min(max(reserved.Delay(), l.Timing.Window), longestWait)
 }
 
-func (l *Lead) commitOnce(ctx context.Context) error {
+// CommitOnce plans, and commits what has gathered by one swap; an error says that the lead is stale.
+func (l *Lead) CommitOnce(ctx context.Context) error {
 	operations, ok := l.takePending()
 	if !ok {
 		return nil
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -121,8 +121,7 @@
 	defer close(l.done)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l.prolonged(asked, lease)
-	if err := l.takeOver(ctx); err != nil {
+	if err := l.Begin(ctx, lease, asked); err != nil {
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
@@ -139,7 +138,9 @@
 	return err
 }
 
-func (l *Lead) takeOver(ctx context.Context) error {
+// Begin takes the cell over as a new epoch, with a lease that was asked for at a time.
+func (l *Lead) Begin(ctx context.Context, lease store.Lease, asked time.Time) error {
+	l.prolonged(asked, lease)
 	taken, err := l.document.Update(ctx, func(d *cell.Document) (*cell.Document, bool, error) {
 		next := d.Clone()
 		next.TakeOver(l.Agent)
@@ -184,3 +185,15 @@
 func (l *Lead) position(a *agentView) control.Position {
 	return control.Position{Epoch: l.epoch, Revision: a.revision}
 }
+
+// LoadTable reads the table once, before it is followed.
+func (l *Lead) LoadTable(ctx context.Context) error {
+	if err := l.rows.Load(ctx); err != nil {
+		return err
+	}
+	t, _, _ := l.rows.Current()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table, l.dirty = t, true
+	return nil
+}
--- /dev/null
+++ b/internal/lead/lead_test.go
@@ -0,0 +1,145 @@
+package lead
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/cell"
+	"github.com/saffronpulley/saffronpulley/internal/control"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/resource"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/store"
+	"github.com/saffronpulley/saffronpulley/internal/task"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
+	"github.com/saffronpulley/saffronpulley/internal/vmlist"
+	"github.com/saffronpulley/saffronpulley/internal/worker"
+)
+
+// memory is a store in memory without leases.
+type memory map[string]store.Record
+
+func (m memory) Get(_ context.Context, key string) (store.Record, error) { return m[key], nil }
+
+func (m memory) Swap(_ context.Context, key string, from store.Version, value []byte) (store.Version, error) {
+	if m[key].Version() != from {
+		return 0, fault.New(fault.Conflict, "another version")
+	}
+	m[key] = store.NewRecord(from+1, value)
+	return from + 1, nil
+}
+
+func (m memory) Watch(_ context.Context, key string, _ store.Version) (store.Record, error) {
+	return m[key], nil
+}
+
+func (m memory) Acquire(_ context.Context, _, holder string, ttl time.Duration) (store.Lease, error) {
+	return store.NewLease(holder, ttl), nil
+}
+
+func (m memory) Holder(context.Context, string) (store.Lease, error) { return store.Lease{}, nil }
+
+func (m memory) Release(context.Context, string, string) error { return nil }
+
+func begin(t *testing.T, m memory, name string) *Lead {
+	t.Helper()
+	clock := timeline.NewClock(time.Now)
+	l := New(Config{
+		Cell: "h-0", Agent: name, Store: m, Logger: logging.Discard(), Recorder: timeline.NewRecorder(clock, name, 8),
+		Timing: Timing{Lease: time.Hour, Heartbeat: time.Second, CommitRate: 1 << 20},
+	})
+	assert.NilError(t, l.Begin(t.Context(), store.NewLease(name, time.Hour), time.Now()))
+	return l
+}
+
+func TestStaleLeadCommitsNothing(t *testing.T) {
+	m := memory{}
+	old := begin(t, m, "old")
+	begin(t, m, "new")
+	version := m[DocumentKey("h-0")].Version()
+	old.enqueue(newOperation(func(d *cell.Document) (bool, error) {
+		d.Scale("lookups", 1)
+		return true, nil
+	}))
+	assert.Equal(t, fault.KindOf(old.CommitOnce(t.Context())), fault.Stale)
+	assert.Equal(t, m[DocumentKey("h-0")].Version(), version)
+}
+
+func TestLeadWhoseLeaseLapsedDecidesNothing(t *testing.T) {
+	l := begin(t, memory{}, "lead")
+	beat := control.Beat{Instance: "vm-1", Boot: "b", HasStatuses: true, Profile: &control.Profile{Capacity: worker.SizeWire{Processors: 1000, Memory: 100}}}
+	answer, err := l.Beat(t.Context(), &rpc.Peer{}, beat)
+	assert.NilError(t, err)
+	assert.Assert(t, answer.Known)
+	beat.Reports = []control.Report{{Run: worker.RunWire{Job: "gone", Incarnation: 1}, State: "finished"}}
+	answer, err = l.Beat(t.Context(), &rpc.Peer{}, beat)
+	assert.NilError(t, err)
+	assert.Assert(t, answer.Desired != nil && len(answer.Acked) == 1)
+	l.prolonged(time.Now().Add(-time.Minute), store.NewLease("lead", time.Second))
+	answer, err = l.Beat(t.Context(), &rpc.Peer{}, beat)
+	assert.NilError(t, err)
+	assert.Assert(t, answer.Desired == nil && len(answer.Acked) == 0)
+}
+
+func TestRunIsGivenUpOnlyOnceTheAgentHasHeard(t *testing.T) {
+	l := begin(t, memory{}, "lead")
+	vm := control.Beat{Instance: "vm-1", Boot: "b", HasStatuses: true, Profile: &control.Profile{Capacity: worker.SizeWire{Processors: 1000, Memory: 100}}}
+	l.TakeList([]vmlist.VM{vmlist.NewVM("vm-1", "h", 1, vmlist.Live)})
+	_, err := l.Beat(t.Context(), &rpc.Peer{}, vm)
+	assert.NilError(t, err)
+	change(t, l, func(d *cell.Document) error {
+		d.Submit(cell.NewJob("job", "mailing", "", 1, time.Now()))
+		_, err := d.Assign(task.NewID("job", 0), "vm-1", resource.New(500, 10, 0))
+		return err
+	})
+	answer, err := l.Beat(t.Context(), &rpc.Peer{}, vm)
+	assert.NilError(t, err)
+	assert.Equal(t, len(answer.Desired.Runs), 1)
+	change(t, l, func(d *cell.Document) error { return d.Cancel("job") })
+	// The agent may still start what it was told before.
+	vm.Applied = answer.Desired.Position
+	answer, err = l.Beat(t.Context(), &rpc.Peer{}, vm)
+	assert.NilError(t, err)
+	assert.NilError(t, l.CommitOnce(t.Context()))
+	d, _, _ := l.document.Current()
+	assert.Equal(t, len(d.Tasks()), 1)
+	vm.Applied = answer.Desired.Position
+	_, err = l.Beat(t.Context(), &rpc.Peer{}, vm)
+	assert.NilError(t, err)
+	assert.NilError(t, l.CommitOnce(t.Context()))
+	d, _, _ = l.document.Current()
+	assert.Equal(t, len(d.Tasks()), 0)
+}
+
+func change(t *testing.T, l *Lead, do func(d *cell.Document) error) {
+	t.Helper()
+	l.enqueue(newOperation(func(d *cell.Document) (bool, error) {
+		assert.NilError(t, do(d))
+		return true, nil
+	}))
+	assert.NilError(t, l.CommitOnce(t.Context()))
+}
+
+func TestSharesOfAllCellsMakeTheWhole(t *testing.T) {
+	var vms []vmlist.VM
+	for hall, workers := range map[string]int{"a": 3, "b": 31, "c": 7} {
+		for i := range workers {
+			vms = append(vms, vmlist.NewVM(hall, hall, 1+i/3, vmlist.Live))
+		}
+	}
+	cells := make(map[string]struct{})
+	for _, v := range vms {
+		cells[v.Cell()] = struct{}{}
+	}
+	for total := range 50 {
+		sum := 0
+		for name := range cells {
+			sum += ShareOf(name, vms).Of(total)
+		}
+		assert.Equal(t, sum, total)
+	}
+}
--- a/internal/lead/lease.go
+++ b/internal/lead/lease.go
@@ -24,14 +24,15 @@
 func (l *Lead) keepLease(ctx context.Context) error {
 	for ctx.Err() == nil {
 		store.Pause(ctx, jitter(l.Timing.Lease/4))
-		if err := l.renew(ctx); err != nil {
+		if err := l.Renew(ctx); err != nil {
 			return err
 		}
 	}
 	return ctx.Err()
 }
 
-func (l *Lead) renew(ctx context.Context) error {
+// Renew prolongs the lease; an error says that another holds it or has led in between.
+func (l *Lead) Renew(ctx context.Context) error {
 	asked := time.Now()
 	lease, err := l.Store.Acquire(ctx, LeaseName(l.Cell), l.Address, l.Timing.Lease)
 	l.noteStore(err)
--- a/internal/lead/list.go
+++ b/internal/lead/list.go
@@ -21,15 +21,15 @@
 		if err != nil {
 			l.Logger.Debug("cannot read the list of VMs: %v", err)
 		} else {
-			l.takeList(vms)
+			l.TakeList(vms)
 		}
 		store.Pause(ctx, jitter(l.Timing.List))
 	}
 	return ctx.Err()
 }
 
-// takeList takes note of the list: the cell's share of the region, and VMs that are gone.
-func (l *Lead) takeList(vms []vmlist.VM) {
+// TakeList takes note of the list: the cell's share of the region, and VMs that are gone.
+func (l *Lead) TakeList(vms []vmlist.VM) {
 	now := time.Now()
 	l.mu.Lock()
 	l.listed = make(map[string]vmlist.State)
--- /dev/null
+++ b/internal/proptest/doc.go
@@ -0,0 +1,2 @@
+// Package proptest gives the property tests the same verdict on every run.
+package proptest
--- a/internal/table/csv.go
+++ b/internal/table/csv.go
@@ -117,6 +117,11 @@
 		if cell == "" {
 			cell = c.fallback
 		}
+		if cells[c.name] != "" && !slices.Contains(c.kinds, row.kind) {
+			allowed := "nothing in a row of kind " + row.kind.String()
+			bad = append(bad, CellError{line: line, row: cells["workload"], column: c.name, value: cell, allowed: allowed})
+			continue
+		}
 		if err := c.read(&row, cell); err != nil {
 			bad = append(bad, CellError{line: line, row: cells["workload"], column: c.name, value: cell, allowed: c.allowed})
 		}
--- a/proving/decision/decide.go
+++ b/proving/decision/decide.go
@@ -28,7 +28,7 @@
 			s.measure(w, second)
 		}
 	}
-	workers := s.snapshotWorkers(second)
+	workers := s.snapshotWorkers()
 	snapshot := scheduling.NewSnapshot(s.clock(), s.rows, workers, scheduling.Whole()).
 		WithEstimates(s.sizes).WithModel(s.model).WithNotBefore(s.before).WithOptions(s.column.options)
 	if s.column.placer == planned {
@@ -43,7 +43,7 @@
 }
 
 // snapshotWorkers describes the workers as a lead would.
-func (s *sim) snapshotWorkers(second int) []scheduling.Worker {
+func (s *sim) snapshotWorkers() []scheduling.Worker {
 	workers := make([]scheduling.Worker, 0, len(s.workers))
 	for _, w := range s.workers {
 		described := scheduling.NewWorker(w.instance(), s.capacity(), 1+w.number/3).Pressed(w.remedy.IsPressed())
--- a/proving/stage/stage.go
+++ b/proving/stage/stage.go
@@ -29,6 +29,7 @@
 	loads     map[string]*load
 	buried    []deadWorker
 	extra     map[string]string
+	direct    bool
 }
 
 // New returns an empty stage that runs the binaries of a directory and writes settings to another.
@@ -41,6 +42,32 @@
 	}
 }
 
+// Direct leaves the relays out, so that nothing stands between the processes that are measured.
+func (s *Stage) Direct() { s.direct = true }
+
+// Do plays a verb of the scenarios.
+func (s *Stage) Do(name string, args ...string) (string, error) {
+	run, ok := verbs[name]
+	if !ok {
+		return "", fmt.Errorf("there is no verb %s", name)
+	}
+	return run(s, args)
+}
+
+// Address returns where a process listens.
+func (s *Stage) Address(name, listener string) string { return s.processes[name].addresses[listener] }
+
+// Processes returns the names of the processes that run with their identifiers.
+func (s *Stage) Processes() map[string]int {
+	running := make(map[string]int)
+	for name, p := range s.processes {
+		if p.isRunning() {
+			running[name] = p.command.Process.Pid
+		}
+	}
+	return running
+}
+
 // Close ends all processes that the stage started.
 func (s *Stage) Close() {
 	for _, l := range s.loads {
@@ -92,6 +119,9 @@
 func (s *Stage) relay(name, listener, target string) (string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.direct {
+		return s.processes[name].addresses[listener], nil
+	}
 	key := name + "/" + listener
 	if r, ok := s.relays[key]; ok {
 		if target != "" {
@@ -149,6 +179,9 @@
 	}
 	for _, listener := range listeners {
 		values["listen."+listener] = "127.0.0.1:0"
+		if s.direct {
+			continue
+		}
 		if values["advertise."+listener], err = s.relay(name, listener, "127.0.0.1:1"); err != nil {
 			return err
 		}
--- a/proving/stage/verbs.go
+++ b/proving/stage/verbs.go
@@ -15,31 +15,42 @@
 
 const stageKey = "stage"
 
+// verbs are the commands of the scenarios.
+var verbs map[string]func(*Stage, []string) (string, error)
+
+func init() {
+	verbs = map[string]func(*Stage, []string) (string, error){
+		"cluster": (*Stage).cluster,
+		"start":   (*Stage).startVerb,
+		"crash":   (*Stage).crashVerb,
+		"term":    (*Stage).termVerb,
+		"freeze":  (*Stage).freezeVerb,
+		"thaw":    (*Stage).thawVerb,
+		"cut":     func(s *Stage, a []string) (string, error) { return "", s.setCut(a[0], a[1], true) },
+		"heal":    func(s *Stage, a []string) (string, error) { return "", s.setCut(a[0], a[1], false) },
+		"fault":   (*Stage).faultVerb,
+		"list":    (*Stage).listVerb,
+		"request": (*Stage).requestVerb,
+		"race":    (*Stage).raceVerb,
+		"job":     (*Stage).jobVerb,
+		"await":   (*Stage).awaitVerb,
+		"load":    (*Stage).loadVerb,
+		"unload":  (*Stage).unloadVerb,
+		"books":   (*Stage).booksVerb,
+		"pause":   (*Stage).pauseVerb,
+	}
+}
+
 // Params returns the parameters of testscript with the verbs; binaries is the directory of the built programs.
 func Params(dir, binaries string) testscript.Params {
+	commands := make(map[string]func(*testscript.TestScript, bool, []string))
+	for name, run := range verbs {
+		commands[name] = command(run)
+	}
 	return testscript.Params{
 		Dir:   dir,
 		Setup: func(env *testscript.Env) error { return setUp(env, binaries) },
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"cluster": verb((*Stage).cluster),
-			"start":   verb((*Stage).startVerb),
-			"crash":   verb((*Stage).crashVerb),
-			"term":    verb((*Stage).termVerb),
-			"freeze":  verb((*Stage).freezeVerb),
-			"thaw":    verb((*Stage).thawVerb),
-			"cut":     verb(func(s *Stage, a []string) (string, error) { return "", s.setCut(a[0], a[1], true) }),
-			"heal":    verb(func(s *Stage, a []string) (string, error) { return "", s.setCut(a[0], a[1], false) }),
-			"fault":   verb((*Stage).faultVerb),
-			"list":    verb((*Stage).listVerb),
-			"request": verb((*Stage).requestVerb),
-			"race":    verb((*Stage).raceVerb),
-			"job":     verb((*Stage).jobVerb),
-			"await":   verb((*Stage).awaitVerb),
-			"load":    verb((*Stage).loadVerb),
-			"unload":  verb((*Stage).unloadVerb),
-			"books":   verb((*Stage).booksVerb),
-			"pause":   verb((*Stage).pauseVerb),
-		},
+		Cmds:  commands,
 	}
 }
 
@@ -55,8 +66,8 @@
 	return nil
 }
 
-// verb makes a command of a method: its text goes to the log, and its error, with the processes' logs, ends the script.
-func verb(run func(*Stage, []string) (string, error)) func(*testscript.TestScript, bool, []string) {
+// command makes a command of a verb: its text goes to the log, and its error, with the processes' logs, ends the script.
+func command(run func(*Stage, []string) (string, error)) func(*testscript.TestScript, bool, []string) {
 	return func(ts *testscript.TestScript, neg bool, args []string) {
 		s, ok := ts.Value(stageKey).(*Stage)
 		if !ok {
--- a/proving/stage/work.go
+++ b/proving/stage/work.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -227,6 +228,9 @@
 	for key, value := range values {
 		body, count, _ := strings.Cut(value, ":")
 		want := number(map[string]string{"n": count}, "n", 0)
+		if key == "spans" && strconv.Itoa(len(spans)) != value {
+			return "", fmt.Errorf("the books hold %d runs, not %s", len(spans), value)
+		}
 		if (key == "executed" && executed[body] != want) || (key == "atmost" && executed[body] > want) {
 			return "", fmt.Errorf("%q was run %d times, not %s", body, executed[body], value)
 		}
