Heartbeats and orders tell only what changed

Ruled out: a longer heartbeat, since the bytes came with the starts.

Change: orders carry what changed since a position that the agent has, refused if it has another; beats carry the statuses that changed; short keys.

Also found: a restarted daemon's fixed port was taken by another connection once ('ended at once'); the stage keeps the addresses with relays instead. The store's stand-in counted a watch once for each write of any key.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -30,8 +30,8 @@
 func desired(position control.Position, boot string, names ...string) control.Desired {
 	d := control.Desired{Position: position, Boot: boot}
 	for i, name := range names {
-		run := worker.RunWire{Job: name, Incarnation: uint64(i + 1)}
-		d.Runs = append(d.Runs, control.DesiredRun{Run: run, Workload: "mailing", Size: worker.SizeWire{Processors: 3000, Memory: 100}})
+		run := control.Run{Job: name, Incarnation: uint64(i + 1)}
+		d.Runs = append(d.Runs, control.DesiredRun{Run: run, Workload: "mailing", Size: control.Size{3000, 100}})
 	}
 	return d
 }
@@ -50,6 +50,22 @@
 	assert.Equal(t, message.Reports[0].State, task.Refused.String())
 }
 
+// change is a message that takes the run "a" away and adds "b".
+func change(base, position control.Position) control.Desired {
+	d := desired(position, "boot", "b")
+	d.Base, d.Gone = base, []control.Run{{Job: "a", Incarnation: 1}}
+	return d
+}
+
+func TestChangeIsMerged(t *testing.T) {
+	first, second := control.Position{Epoch: 1, Revision: 1}, control.Position{Epoch: 1, Revision: 2}
+	got := merged(desired(first, "boot", "a", "c"), change(first, second))
+	assert.Equal(t, len(got.Runs), 2)
+	assert.Equal(t, got.Runs[0].Run.Job, "b")
+	assert.Equal(t, got.Runs[1].Run.Job, "c")
+	assert.Assert(t, got.IsWhole() && got.Position == second)
+}
+
 func TestTakeDesired(t *testing.T) {
 	now := control.Position{Epoch: 2, Revision: 5}
 	cases := []struct {
@@ -62,6 +78,8 @@
 		{"of a later lead", desired(control.Position{Epoch: 3, Revision: 1}, "boot"), -1},
 		{"older", desired(control.Position{Epoch: 2, Revision: 4}, "boot"), fault.Stale},
 		{"of an earlier lead", desired(control.Position{Epoch: 1, Revision: 9}, "boot"), fault.Stale},
+		{"a change of what it has", change(now, control.Position{Epoch: 2, Revision: 6}), -1},
+		{"a change of another", change(control.Position{Epoch: 2, Revision: 4}, control.Position{Epoch: 2, Revision: 6}), fault.Stale},
 		{"meant for an earlier start", desired(control.Position{Epoch: 2, Revision: 6}, "before"), fault.Stale},
 	}
 	for _, c := range cases {
@@ -83,7 +101,7 @@
 	a, _ := adopted(t)
 	_, err := a.takeDesired(t.Context(), nil, desired(control.Position{Epoch: 2, Revision: 5}, "boot"))
 	assert.NilError(t, err)
-	acked := control.BeatAnswer{Known: true, Epoch: 1, Acked: []worker.RunWire{{Job: "old", Incarnation: 1}}}
+	acked := control.BeatAnswer{Known: true, Epoch: 1, Acked: []control.Run{{Job: "old", Incarnation: 1}}}
 	assert.Equal(t, fault.KindOf(a.takeAnswer(t.Context(), nil, acked, sentState{})), fault.Stale)
 	assert.Equal(t, len(a.runs), 1)
 }
--- a/internal/agent/measure.go
+++ b/internal/agent/measure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -91,14 +92,17 @@
 
 func latencyWire(m gate.Measurement, neighbors []interference.Neighbor) control.Latency {
 	wire := control.Latency{
-		Service: m.Service(), Load: m.Load(), Ratio: m.Ratio(), RunMicros: m.Run().Microseconds(), Samples: m.Samples(),
+		Service: m.Service(), Load: rounded(m.Load()), Ratio: rounded(m.Ratio()), RunMicros: m.Run().Microseconds(), Samples: m.Samples(),
 	}
 	for _, n := range neighbors {
-		wire.Neighbors = append(wire.Neighbors, control.Neighbor{Workload: n.Workload(), Share: n.Share()})
+		wire.Neighbors = append(wire.Neighbors, control.Neighbor{Workload: n.Workload(), Share: rounded(n.Share())})
 	}
 	return wire
 }
 
+// rounded keeps three decimals, since bytes count.
+func rounded(x float64) float64 { return math.Round(x*1000) / 1000 }
+
 // batch calls do for each batch run on the worker; a.mu is held.
 func (a *Agent) batch(do func(task.Run, *run)) {
 	for key, r := range a.runs {
--- a/internal/agent/reconcile.go
+++ b/internal/agent/reconcile.go
@@ -24,12 +24,36 @@
 	if d.Position.Before(a.desired.Position) {
 		return control.Ack{}, fault.New(fault.Stale, "a later lead or a later message was here before")
 	}
-	a.desired, a.fresh = d, true
+	if !d.IsWhole() && d.Base != a.desired.Position {
+		return control.Ack{}, fault.New(fault.Stale, "the change is of another position than the agent's")
+	}
+	a.desired, a.fresh = merged(a.desired, d), true
 	a.setLeaving(d.Leaving)
 	notify(a.poke)
 	return control.Ack{}, nil
 }
 
+// merged is what an agent is to run after a message, which may tell only what changed.
+func merged(before, d control.Desired) control.Desired {
+	if d.IsWhole() {
+		return d
+	}
+	changed := make(map[control.Run]struct{}, len(d.Runs)+len(d.Gone))
+	for _, r := range d.Runs {
+		changed[r.Run] = struct{}{}
+	}
+	for _, run := range d.Gone {
+		changed[run] = struct{}{}
+	}
+	for _, r := range before.Runs {
+		if _, ok := changed[r.Run]; !ok {
+			d.Runs = append(d.Runs, r)
+		}
+	}
+	d.Base, d.Gone = control.Position{}, nil
+	return d
+}
+
 // reconcileLoop brings the worker to what is wanted, from time to time and when something new is wanted.
 func (a *Agent) reconcileLoop(ctx context.Context) error {
 	ticker := time.NewTicker(a.Timing.Reconcile)
@@ -298,7 +322,7 @@
 }
 
 // forget drops the runs whose end the lead has committed.
-func (a *Agent) forget(ctx context.Context, acked []worker.RunWire) {
+func (a *Agent) forget(ctx context.Context, acked []control.Run) {
 	for _, w := range acked {
 		key := w.Decode()
 		err := a.Worker.Forget(ctx, key)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -28,7 +28,7 @@
 		return
 	}
 	r.final = state
-	r.report = &control.Report{Run: worker.EncodeRun(r.status.Run()), State: state.String(), Checkpoint: checkpoint}
+	r.report = &control.Report{Run: control.EncodeRun(r.status.Run()), State: state.String(), Checkpoint: checkpoint}
 	if !r.adopted && state == task.Finished && r.status.Checkpoint() == "" {
 		r.report.RuntimeMillis = now.Sub(r.began).Milliseconds()
 	}
--- a/internal/agent/uplink.go
+++ b/internal/agent/uplink.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -15,7 +14,6 @@
 	"github.com/saffronpulley/saffronpulley/internal/store"
 	"github.com/saffronpulley/saffronpulley/internal/task"
 	"github.com/saffronpulley/saffronpulley/internal/vmlist"
-	"github.com/saffronpulley/saffronpulley/internal/worker"
 )
 
 const (
@@ -28,7 +26,7 @@
 
 // sentState is what the last answered beat told the lead; the lead does not need it again.
 type sentState struct {
-	statuses map[task.Run]worker.Status
+	statuses map[control.Run]control.Status
 	usage    map[task.Run]int64
 }
 
@@ -198,30 +196,40 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	message := control.Beat{
-		Instance: a.description.Instance(), Boot: a.Boot, Applied: a.applied,
+		Instance: a.description.Instance(), Boot: a.Boot, Have: a.desired.Position, Applied: a.applied,
 		Stopping: a.stopping, Pressed: a.remedies.IsPressed(), Evict: a.evict,
 	}
 	if introduce {
 		message.Profile = a.profile()
 	}
-	sent := sentState{statuses: make(map[task.Run]worker.Status), usage: make(map[task.Run]int64)}
-	for key, r := range a.runs {
+	sent := sentState{statuses: make(map[control.Run]control.Status), usage: make(map[task.Run]int64)}
+	for _, r := range a.runs {
 		if r.hasEnded() {
 			message.Reports = append(message.Reports, *r.report)
 			continue
 		}
-		sent.statuses[key] = r.status.WithProgress(0)
-		message.Statuses = append(message.Statuses, worker.EncodeStatus(sent.statuses[key]))
+		s := statusOf(r)
+		sent.statuses[s.Run] = s
+		if introduce || a.sent.statuses[s.Run] != s {
+			message.Statuses = append(message.Statuses, s)
+		}
 	}
-	if !introduce && maps.Equal(sent.statuses, a.sent.statuses) {
-		message.Statuses = nil
-	} else {
-		message.HasStatuses = true
+	for run := range a.sent.statuses {
+		if _, ok := sent.statuses[run]; !ok {
+			message.Gone = append(message.Gone, run)
+		}
 	}
 	a.composeMeasurements(&message, &sent)
 	return message, sent
 }
 
+func statusOf(r *run) control.Status {
+	return control.Status{
+		Run: control.EncodeRun(r.status.Run()), Workload: r.status.Workload(), State: r.status.State().String(),
+		Serves: r.status.Address() != "",
+	}
+}
+
 // composeMeasurements adds the usage that moved by more than a step, and the latencies; a.mu is held.
 func (a *Agent) composeMeasurements(message *control.Beat, sent *sentState) {
 	for key, u := range a.usage {
@@ -231,7 +239,7 @@
 			continue
 		}
 		sent.usage[key] = now
-		message.Usage = append(message.Usage, worker.UsageWire{Run: worker.EncodeRun(key), Used: worker.EncodeSize(u.Used())})
+		message.Usage = append(message.Usage, control.Usage{Run: control.EncodeRun(key), Used: control.EncodeSize(u.Used())})
 	}
 	for _, y := range a.latency {
 		message.Latency = append(message.Latency, y)
@@ -243,7 +251,7 @@
 func (a *Agent) profile() *control.Profile {
 	return &control.Profile{
 		Agent: a.ID, Hall: a.Hall, Rack: a.Rack, Requests: a.Requests,
-		Capacity: worker.EncodeSize(a.description.Capacity()),
+		Capacity: control.EncodeSize(a.description.Capacity()),
 		Slots:    a.description.Slots(), Connections: a.description.Connections(),
 	}
 }
--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -1,7 +1,5 @@
 package control
 
-import "github.com/saffronpulley/saffronpulley/internal/worker"
-
 // Methods that a lead serves.
 const (
 	MethodBeat      = "lead.beat"
@@ -36,85 +34,106 @@
 
 // Beat is the heartbeat of an agent; what did not change since the last answered beat is left out.
 type Beat struct {
-	Instance string              `json:"i"`
-	Boot     string              `json:"b"`
-	Applied  Position            `json:"a"`
-	Stopping bool                `json:"s,omitempty"`
-	Pressed  bool                `json:"p,omitempty"`
-	Evict    bool                `json:"v,omitempty"`
-	Profile  *Profile            `json:"f,omitempty"`
-	Statuses []worker.StatusWire `json:"t,omitempty"`
-	// HasStatuses tells an empty list from one left out.
-	HasStatuses bool               `json:"h,omitempty"`
-	Reports     []Report           `json:"o,omitempty"`
-	Usage       []worker.UsageWire `json:"u,omitempty"`
-	Latency     []Latency          `json:"y,omitempty"`
+	Instance string `json:"i"`
+	Boot     string `json:"b"`
+	// Have is the latest position that the agent was told, Applied the latest that its worker was brought to.
+	Have     Position `json:"q"`
+	Applied  Position `json:"a"`
+	Stopping bool     `json:"s,omitempty"`
+	Pressed  bool     `json:"p,omitempty"`
+	Evict    bool     `json:"v,omitempty"`
+	// Profile is given with the first beat, and then Statuses are all there are; later ones are those that changed.
+	Profile  *Profile  `json:"f,omitempty"`
+	Statuses []Status  `json:"t,omitempty"`
+	Gone     []Run     `json:"g,omitempty"`
+	Reports  []Report  `json:"o,omitempty"`
+	Usage    []Usage   `json:"u,omitempty"`
+	Latency  []Latency `json:"y,omitempty"`
 }
 
 // Profile is what does not change while an agent runs.
 type Profile struct {
-	Agent       string          `json:"agent"`
-	Hall        string          `json:"hall"`
-	Rack        int             `json:"rack"`
-	Requests    string          `json:"requests"`
-	Capacity    worker.SizeWire `json:"capacity"`
-	Slots       int             `json:"slots"`
-	Connections int             `json:"connections"`
+	Agent       string `json:"agent"`
+	Hall        string `json:"hall"`
+	Rack        int    `json:"rack"`
+	Requests    string `json:"requests"`
+	Capacity    Size   `json:"capacity"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+}
+
+// Status is a run that has not ended on the agent's worker.
+type Status struct {
+	Run      Run    `json:"r"`
+	Workload string `json:"w"`
+	State    string `json:"s"`
+	Serves   bool   `json:"e,omitempty"`
 }
 
 // Report is a run that has ended on the agent's worker.
 type Report struct {
-	Run           worker.RunWire `json:"run"`
-	State         string         `json:"state"`
-	Checkpoint    string         `json:"checkpoint,omitempty"`
-	RuntimeMillis int64          `json:"runtime_ms,omitempty"`
+	Run           Run    `json:"r"`
+	State         string `json:"s"`
+	Checkpoint    string `json:"c,omitempty"`
+	RuntimeMillis int64  `json:"m,omitempty"`
+}
+
+// Usage is what a run was measured to take.
+type Usage struct {
+	Run  Run  `json:"r"`
+	Used Size `json:"z"`
 }
 
 // Latency is how a service on the agent's worker kept its target since the last beat.
 type Latency struct {
-	Service string  `json:"service"`
-	Load    float64 `json:"load"`
-	Ratio   float64 `json:"ratio"`
+	Service string  `json:"s"`
+	Load    float64 `json:"l"`
+	Ratio   float64 `json:"r"`
 	// RunMicros is how long requests ran at the endpoint on average.
-	RunMicros int64 `json:"run_us"`
-	Samples   int64 `json:"samples"`
+	RunMicros int64 `json:"m"`
+	Samples   int64 `json:"n"`
 	// Neighbors are the batch workloads beside the service, throttled as they were.
-	Neighbors []Neighbor `json:"neighbors,omitempty"`
+	Neighbors []Neighbor `json:"b,omitempty"`
 }
 
 // Neighbor is a batch workload with the share of the VM's processors that it was given.
 type Neighbor struct {
-	Workload string  `json:"workload"`
-	Share    float64 `json:"share"`
+	Workload string  `json:"w"`
+	Share    float64 `json:"p"`
 }
 
 // BeatAnswer is the lead's answer; Desired is left out if the agent has it already.
 type BeatAnswer struct {
-	Known   bool             `json:"k"`
-	Epoch   uint64           `json:"e,omitempty"`
-	Desired *Desired         `json:"d,omitempty"`
-	Acked   []worker.RunWire `json:"a,omitempty"`
+	Known   bool     `json:"k"`
+	Epoch   uint64   `json:"e,omitempty"`
+	Desired *Desired `json:"d,omitempty"`
+	Acked   []Run    `json:"a,omitempty"`
 }
 
-// Desired is all that an agent is to run.
+// Desired is what an agent is to run: all of it, or what changed since a position that the agent has.
 type Desired struct {
-	Position Position `json:"position"`
-	Boot     string   `json:"boot"`
+	Position Position `json:"p"`
+	Base     Position `json:"q"`
+	Boot     string   `json:"b"`
 	// Leaving tells the agent that its VM is being taken away.
-	Leaving bool         `json:"leaving,omitempty"`
-	Runs    []DesiredRun `json:"runs"`
+	Leaving bool         `json:"l,omitempty"`
+	Runs    []DesiredRun `json:"r,omitempty"`
+	Gone    []Run        `json:"g,omitempty"`
 }
 
+// IsWhole reports whether the message is all that the agent is to run.
+func (d *Desired) IsWhole() bool { return d.Base == Position{} }
+
 // DesiredRun is a run with what the agent needs to know of its workload.
 type DesiredRun struct {
-	Run          worker.RunWire  `json:"run"`
-	Workload     string          `json:"workload"`
-	Service      bool            `json:"service,omitempty"`
-	Size         worker.SizeWire `json:"size"`
-	Checkpoint   string          `json:"checkpoint,omitempty"`
-	Evict        bool            `json:"evict,omitempty"`
-	Weight       int             `json:"weight,omitempty"`
-	Concurrency  int             `json:"concurrency,omitempty"`
-	Queue        int             `json:"queue,omitempty"`
-	TargetMillis int64           `json:"target_ms,omitempty"`
+	Run          Run    `json:"r"`
+	Workload     string `json:"w"`
+	Service      bool   `json:"s,omitempty"`
+	Size         Size   `json:"z"`
+	Checkpoint   string `json:"c,omitempty"`
+	Evict        bool   `json:"e,omitempty"`
+	Weight       int    `json:"h,omitempty"`
+	Concurrency  int    `json:"n,omitempty"`
+	Queue        int    `json:"q,omitempty"`
+	TargetMillis int64  `json:"t,omitempty"`
 }
--- a/internal/control/cell.go
+++ b/internal/control/cell.go
@@ -1,7 +1,5 @@
 package control
 
-import "github.com/saffronpulley/saffronpulley/internal/worker"
-
 // Subscribe asks a lead to push its summaries; it is repeated to see whether the lead still is one.
 type Subscribe struct {
 	Entry string `json:"entry"`
@@ -23,7 +21,7 @@
 	// Waiting is how many jobs and services wait for a worker.
 	Waiting int `json:"waiting"`
 	// Largest is what the largest worker has of each resource.
-	Largest worker.SizeWire `json:"largest"`
+	Largest Size `json:"largest"`
 }
 
 // Summary is the endpoints of a cell; it is pushed when they change.
@@ -78,8 +76,8 @@
 // StatusQuery asks for the state of a cell.
 type StatusQuery struct{}
 
-// Status is the state of a cell.
-type Status struct {
+// CellStatus is the state of a cell.
+type CellStatus struct {
 	Cell         string          `json:"cell"`
 	Lead         string          `json:"lead"`
 	Epoch        uint64          `json:"epoch"`
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -147,10 +147,10 @@
 
 // statusWire is the state of the region as the entry sees it.
 type statusWire struct {
-	Entry        string           `json:"entry"`
-	TableVersion uint64           `json:"table_version"`
-	Cells        []control.Status `json:"cells"`
-	Unreachable  []string         `json:"cells_without_lead"`
+	Entry        string               `json:"entry"`
+	TableVersion uint64               `json:"table_version"`
+	Cells        []control.CellStatus `json:"cells"`
+	Unreachable  []string             `json:"cells_without_lead"`
 	// Endpoints is how many endpoints of each service the entry sends requests to.
 	Endpoints map[string]int `json:"endpoints"`
 }
@@ -158,9 +158,9 @@
 func (e *Entry) handleStatus(ctx *fasthttp.RequestCtx) {
 	limited, cancel := context.WithTimeout(context.Background(), sightTimeout)
 	defer cancel()
-	status := statusWire{Entry: e.ID, TableVersion: e.table().Version(), Unreachable: []string{}, Cells: []control.Status{}, Endpoints: e.catalog.Counts()}
+	status := statusWire{Entry: e.ID, TableVersion: e.table().Version(), Unreachable: []string{}, Cells: []control.CellStatus{}, Endpoints: e.catalog.Counts()}
 	for _, name := range e.catalog.Names() {
-		cell, err := callLead[control.StatusQuery, control.Status](limited, e, name, control.MethodStatus, control.StatusQuery{})
+		cell, err := callLead[control.StatusQuery, control.CellStatus](limited, e, name, control.MethodStatus, control.StatusQuery{})
 		if err != nil {
 			status.Unreachable = append(status.Unreachable, name)
 			continue
--- a/internal/lead/agents.go
+++ b/internal/lead/agents.go
@@ -14,7 +14,6 @@
 	"github.com/saffronpulley/saffronpulley/internal/scheduling"
 	"github.com/saffronpulley/saffronpulley/internal/task"
 	"github.com/saffronpulley/saffronpulley/internal/vmlist"
-	"github.com/saffronpulley/saffronpulley/internal/worker"
 )
 
 // agentView is what the lead knows of one agent.
@@ -29,12 +28,22 @@
 	stopping bool
 	pressed  bool
 	evict    bool
-	statuses map[task.Run]worker.Status
+	statuses map[task.Run]status
 	usage    map[task.Run]resource.Vector
 	latency  map[string]control.Latency
 	health   probation.Record
 	desired  []control.DesiredRun
 	revision uint64
+	// base is what the agent is known to have been told.
+	base         []control.DesiredRun
+	baseRevision uint64
+}
+
+// status is what an agent says of a run that has not ended.
+type status struct {
+	workload string
+	state    task.State
+	serves   bool
 }
 
 var workerProbation = probation.Policy{Failures: 3, Wait: 10 * time.Second}
@@ -111,8 +120,8 @@
 	runs := make([]control.DesiredRun, 0, len(placed))
 	for _, t := range placed {
 		run := control.DesiredRun{
-			Run: worker.EncodeRun(t.Run()), Workload: t.Workload(), Service: t.IsService(),
-			Size: worker.EncodeSize(t.Size()), Checkpoint: t.Checkpoint(),
+			Run: control.EncodeRun(t.Run()), Workload: t.Workload(), Service: t.IsService(),
+			Size: control.EncodeSize(t.Size()), Checkpoint: t.Checkpoint(),
 		}
 		if _, ok := l.evicting[t.Run()]; ok && t.IsService() {
 			// A replica that moves is stopped by being left out, after its requests.
--- a/internal/lead/beat.go
+++ b/internal/lead/beat.go
@@ -10,7 +10,6 @@
 	"github.com/saffronpulley/saffronpulley/internal/resource"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
 	"github.com/saffronpulley/saffronpulley/internal/task"
-	"github.com/saffronpulley/saffronpulley/internal/worker"
 )
 
 // Beat answers the heartbeat of an agent.
@@ -36,7 +35,7 @@
 	}
 	isNew := a.revision == 0
 	l.mu.Unlock()
-	if beat.HasStatuses {
+	if beat.Profile != nil || len(beat.Statuses) > 0 || len(beat.Gone) > 0 {
 		l.publishSummary()
 	}
 	for _, e := range ended {
@@ -52,7 +51,7 @@
 func (l *Lead) hear(p *rpc.Peer, beat *control.Beat, now time.Time) (*agentView, bool) {
 	a, ok := l.agents[beat.Instance]
 	if !ok || a.boot != beat.Boot {
-		if beat.Profile == nil || !beat.HasStatuses {
+		if beat.Profile == nil {
 			return nil, false
 		}
 		fresh := newAgentView(beat)
@@ -64,9 +63,8 @@
 	changed := a.stopping != beat.Stopping || a.pressed != beat.Pressed || !ok
 	a.peer, a.heard, a.applied = p, now, beat.Applied
 	a.stopping, a.pressed, a.evict = beat.Stopping, beat.Pressed, beat.Evict
-	if beat.HasStatuses {
-		changed = a.takeStatuses(beat.Statuses) || changed
-	}
+	changed = a.takeStatuses(beat) || changed
+	l.noteBase(a, beat.Have)
 	l.learn(a, beat, now)
 	if changed || beat.Evict {
 		l.dirty = true
@@ -78,29 +76,44 @@
 func newAgentView(beat *control.Beat) *agentView {
 	return &agentView{
 		boot: beat.Boot, profile: *beat.Profile, capacity: beat.Profile.Capacity.Decode(),
-		statuses: make(map[task.Run]worker.Status),
+		statuses: make(map[task.Run]status),
 		usage:    make(map[task.Run]resource.Vector),
 		latency:  make(map[string]control.Latency),
 	}
 }
 
-func (a *agentView) takeStatuses(wires []worker.StatusWire) bool {
-	before := len(a.statuses)
-	statuses := make(map[task.Run]worker.Status, len(wires))
-	fresh := false
-	for _, w := range wires {
-		s := w.Decode()
-		old, ok := a.statuses[s.Run()]
-		fresh = fresh || !ok || old.State() != s.State() || old.Address() != s.Address()
-		statuses[s.Run()] = s
-	}
-	a.statuses = statuses
-	return fresh || len(statuses) != before
+// noteBase compares what the agent was told with what the lead believes that it was told; l.mu is held.
+func (l *Lead) noteBase(a *agentView, have control.Position) {
+	switch have {
+	case l.position(a):
+		a.setBase()
+	case control.Position{Epoch: l.epoch, Revision: a.baseRevision}:
+	default:
+		a.base, a.baseRevision = nil, 0
+	}
+}
+
+// takeStatuses takes over the statuses that changed, or all of them with a first beat, and reports whether any did.
+func (a *agentView) takeStatuses(beat *control.Beat) bool {
+	before := a.statuses
+	if beat.Profile != nil {
+		a.statuses = make(map[task.Run]status, len(beat.Statuses))
+	}
+	changed := len(beat.Gone) > 0 || (beat.Profile != nil && len(before) != len(beat.Statuses))
+	for _, s := range beat.Statuses {
+		now := status{workload: s.Workload, state: task.ParseState(s.State), serves: s.Serves}
+		changed = changed || before[s.Run.Decode()] != now
+		a.statuses[s.Run.Decode()] = now
+	}
+	for _, run := range beat.Gone {
+		delete(a.statuses, run.Decode())
+	}
+	return changed
 }
 
 // readReports sorts reports into those the document has taken in and those still to commit. l.mu is held.
-func (l *Lead) readReports(d *cell.Document, a *agentView, beat *control.Beat) ([]worker.RunWire, []*operation) {
-	var acked []worker.RunWire
+func (l *Lead) readReports(d *cell.Document, a *agentView, beat *control.Beat) ([]control.Run, []*operation) {
+	var acked []control.Run
 	var ended []*operation
 	for _, r := range beat.Reports {
 		run := r.Run.Decode()
@@ -136,7 +149,7 @@
 		if t.Instance() != beat.Instance || isWanted || hasIt || isReported(beat, t.Run()) {
 			continue
 		}
-		missing = append(missing, l.reportOperation(control.Report{Run: worker.EncodeRun(t.Run()), State: task.Stopped.String()}))
+		missing = append(missing, l.reportOperation(control.Report{Run: control.EncodeRun(t.Run()), State: task.Stopped.String()}))
 	}
 	return missing
 }
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -183,7 +183,7 @@
 
 // position is where an agent is to be; l.mu is held.
 func (l *Lead) position(a *agentView) control.Position {
-	return control.Position{Epoch: l.epoch, Revision: a.revision}
+	return a.position(l.epoch)
 }
 
 // LoadTable reads the table once, before it is followed.
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -17,7 +17,6 @@
 	"github.com/saffronpulley/saffronpulley/internal/task"
 	"github.com/saffronpulley/saffronpulley/internal/timeline"
 	"github.com/saffronpulley/saffronpulley/internal/vmlist"
-	"github.com/saffronpulley/saffronpulley/internal/worker"
 )
 
 // memory is a store in memory without leases.
@@ -71,11 +70,11 @@
 
 func TestLeadWhoseLeaseLapsedDecidesNothing(t *testing.T) {
 	l := begin(t, memory{}, "lead")
-	beat := control.Beat{Instance: "vm-1", Boot: "b", HasStatuses: true, Profile: &control.Profile{Capacity: worker.SizeWire{Processors: 1000, Memory: 100}}}
+	beat := control.Beat{Instance: "vm-1", Boot: "b", Profile: &control.Profile{Capacity: control.Size{1000, 100}}}
 	answer, err := l.Beat(t.Context(), &rpc.Peer{}, beat)
 	assert.NilError(t, err)
 	assert.Assert(t, answer.Known)
-	beat.Reports = []control.Report{{Run: worker.RunWire{Job: "gone", Incarnation: 1}, State: "finished"}}
+	beat.Reports = []control.Report{{Run: control.Run{Job: "gone", Incarnation: 1}, State: "finished"}}
 	answer, err = l.Beat(t.Context(), &rpc.Peer{}, beat)
 	assert.NilError(t, err)
 	assert.Assert(t, answer.Desired != nil && len(answer.Acked) == 1)
@@ -87,7 +86,7 @@
 
 func TestRunIsGivenUpOnlyOnceTheAgentHasHeard(t *testing.T) {
 	l := begin(t, memory{}, "lead")
-	vm := control.Beat{Instance: "vm-1", Boot: "b", HasStatuses: true, Profile: &control.Profile{Capacity: worker.SizeWire{Processors: 1000, Memory: 100}}}
+	vm := control.Beat{Instance: "vm-1", Boot: "b", Profile: &control.Profile{Capacity: control.Size{1000, 100}}}
 	l.TakeList([]vmlist.VM{vmlist.NewVM("vm-1", "h", 1, vmlist.Live)})
 	_, err := l.Beat(t.Context(), &rpc.Peer{}, vm)
 	assert.NilError(t, err)
--- a/internal/lead/learn.go
+++ b/internal/lead/learn.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		a.usage[run] = u.Used.Decode()
-		l.estimate(s.Workload()).Observe(u.Used.Decode())
+		l.estimate(s.workload).Observe(u.Used.Decode())
 	}
 	for _, y := range beat.Latency {
 		a.latency[y.Service] = y
--- a/internal/lead/push.go
+++ b/internal/lead/push.go
@@ -38,10 +38,43 @@
 	defer cancel()
 	if _, err := rpc.Call[control.Desired, control.Ack](ctx, peer, control.MethodDesired, *desired); err != nil {
 		l.Logger.Debug("cannot tell %s what to run: %v", instance, err)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.position(l.epoch) == desired.Position {
+		a.setBase()
 	}
 }
 
-// desired is the message that tells an agent what to run; l.mu is held.
+// setBase takes note that the agent has the present position, against which later changes are told; l.mu is held.
+func (a *agentView) setBase() { a.base, a.baseRevision = a.desired, a.revision }
+
+// position is where the agent is to be; l.mu is held.
+func (a *agentView) position(epoch uint64) control.Position {
+	return control.Position{Epoch: epoch, Revision: a.revision}
+}
+
+// desired is the message that tells an agent what to run, or what changed of it; l.mu is held.
 func (l *Lead) desired(a *agentView) *control.Desired {
-	return &control.Desired{Position: l.position(a), Boot: a.boot, Leaving: a.leaving, Runs: a.desired}
+	d := &control.Desired{Position: l.position(a), Boot: a.boot, Leaving: a.leaving}
+	if a.baseRevision == 0 {
+		d.Runs = a.desired
+		return d
+	}
+	d.Base = control.Position{Epoch: l.epoch, Revision: a.baseRevision}
+	before := make(map[control.Run]control.DesiredRun, len(a.base))
+	for _, r := range a.base {
+		before[r.Run] = r
+	}
+	for _, r := range a.desired {
+		if old, ok := before[r.Run]; !ok || old != r {
+			d.Runs = append(d.Runs, r)
+		}
+		delete(before, r.Run)
+	}
+	for run := range before {
+		d.Gone = append(d.Gone, run)
+	}
+	return d
 }
--- a/internal/lead/status.go
+++ b/internal/lead/status.go
@@ -17,7 +17,7 @@
 )
 
 // Status describes the cell for operators.
-func (l *Lead) Status(_ context.Context, _ *rpc.Peer, _ control.StatusQuery) (control.Status, error) {
+func (l *Lead) Status(_ context.Context, _ *rpc.Peer, _ control.StatusQuery) (control.CellStatus, error) {
 	d, _, _ := l.document.Current()
 	known := append(slices.Clone(d.Ended()), d.Jobs()...)
 	jobs := make([]control.Job, 0, len(known))
@@ -26,7 +26,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return control.Status{
+	return control.CellStatus{
 		Cell: l.Cell, Lead: l.Agent, Epoch: l.epoch, StoreUp: l.storeUp, TableVersion: l.table.Version(),
 		Commits: l.commits, DocumentSize: l.document.Size(), Jobs: jobs,
 		Workers: l.workerStatuses(d, time.Now()), Services: l.serviceStatuses(d),
@@ -79,7 +79,7 @@
 func (a *agentView) running(service string) int {
 	count := 0
 	for _, s := range a.statuses {
-		if s.Workload() == service && s.State() == task.Running {
+		if s.workload == service && s.state == task.Running {
 			count++
 		}
 	}
@@ -111,7 +111,7 @@
 	e.Reason = "it had the least cost of the workers with room"
 	if a, ok := l.agents[t.Instance()]; ok {
 		if s, found := a.statuses[t.Run()]; found {
-			e.State = s.State().String()
+			e.State = s.state.String()
 		}
 		if !a.isHeard(time.Now(), l.Timing.Heartbeat) {
 			e.Reason = "its agent is silent; it moves once the agent confirms a stop or the platform says that the VM is gone"
--- a/internal/lead/summary.go
+++ b/internal/lead/summary.go
@@ -12,7 +12,6 @@
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
 	"github.com/saffronpulley/saffronpulley/internal/task"
 	"github.com/saffronpulley/saffronpulley/internal/vmlist"
-	"github.com/saffronpulley/saffronpulley/internal/worker"
 )
 
 // Subscribe hands an entry the summary of the cell and pushes later ones to it.
@@ -49,7 +48,7 @@
 		load.Capacity += a.capacity.Processors()
 		largest = largest.Max(a.capacity)
 	}
-	load.Largest = worker.EncodeSize(largest)
+	load.Largest = control.EncodeSize(largest)
 	load.Room = load.Capacity
 	d, _, _ := l.document.Current()
 	for _, t := range d.Tasks() {
@@ -78,11 +77,11 @@
 func (a *agentView) endpoints(instance string, leaving bool) []control.Endpoint {
 	var endpoints []control.Endpoint
 	for _, s := range a.statuses {
-		if s.Address() == "" || s.State() != task.Running {
+		if !s.serves || s.state != task.Running {
 			continue
 		}
 		endpoints = append(endpoints, control.Endpoint{
-			Service: s.Workload(), Instance: instance, Boot: a.boot, Address: a.profile.Requests,
+			Service: s.workload, Instance: instance, Boot: a.boot, Address: a.profile.Requests,
 			Hall: a.profile.Hall, Slots: a.profile.Slots, Leaving: leaving || a.stopping,
 		})
 	}
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -165,10 +165,10 @@
 
 // status is the state of the region as an entry answers it.
 type status struct {
-	Entry        string           `json:"entry"`
-	TableVersion uint64           `json:"table_version"`
-	Cells        []control.Status `json:"cells"`
-	Unreachable  []string         `json:"cells_without_lead"`
+	Entry        string               `json:"entry"`
+	TableVersion uint64               `json:"table_version"`
+	Cells        []control.CellStatus `json:"cells"`
+	Unreachable  []string             `json:"cells_without_lead"`
 }
 
 func (s *status) inForce(version uint64) bool {
--- a/internal/store/document.go
+++ b/internal/store/document.go
@@ -93,6 +93,9 @@
 	return nil
 }
 
+// Set takes over a value that was seen elsewhere, unless a later one is known.
+func (d *Document[T]) Set(version Version, value T) { d.set(version, value, 0) }
+
 func (d *Document[T]) set(version Version, value T, size int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/proving/cmd/bench/path.go
+++ b/proving/cmd/bench/path.go
@@ -19,6 +19,7 @@
 const (
 	pathConnections = 64
 	pathTime        = 5 * time.Second
+	pathPace        = 10 * time.Millisecond
 	pathTable       = `workload,kind,team,processors,memory_mb,replicas,target_ms,concurrency,queue
 lookups,service,federacion,4,8000,1,1000,8,56
 `
@@ -87,9 +88,16 @@
 	fmt.Printf("\nrequest path, %d connections, %s each, 64-byte bodies\n\n", pathConnections, pathTime)
 	fmt.Println("| what | requests/s | p50 us | p99 us | cores of entry | cores of agent |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- |")
-	timePath(s, "bare fasthttp echo", "http://"+echo+"/")
-	timePath(s, "straight to the endpoint", "http://"+endpoint+"/")
-	timePath(s, "through entry and agent, may be repeated", "http://"+s.Address("e1", "callers")+"/v1/services/lookups")
+	through := "http://" + s.Address("e1", "callers") + "/v1/services/lookups"
+	for _, pace := range []time.Duration{0, pathPace} {
+		load := "as fast as it goes"
+		if pace > 0 {
+			load = fmt.Sprintf("one request each %s", pace)
+		}
+		timePath(s, "bare fasthttp echo, "+load, "http://"+echo+"/", pace)
+		timePath(s, "straight to the endpoint, "+load, "http://"+endpoint+"/", pace)
+		timePath(s, "through entry and agent, "+load, through, pace)
+	}
 	return nil
 }
 
@@ -117,7 +125,7 @@
 }
 
 // timePath sends requests over a fixed number of connections, each as soon as the last was answered.
-func timePath(s *stage.Stage, name, url string) {
+func timePath(s *stage.Stage, name, url string, pace time.Duration) {
 	client := &fasthttp.Client{MaxConnsPerHost: pathConnections}
 	body := make([]byte, 64)
 	var mu sync.Mutex
@@ -126,9 +134,11 @@
 	before := cpuTimes(s.Processes())
 	end := time.Now().Add(pathTime)
 	var senders sync.WaitGroup
-	for range pathConnections {
+	for i := range pathConnections {
 		senders.Go(func() {
-			own, bad := sendUntil(client, url, body, end)
+			// Paced senders take turns, else each round would be a burst.
+			<-time.After(pace * time.Duration(i) / pathConnections)
+			own, bad := sendUntil(client, url, body, end, pace)
 			mu.Lock()
 			defer mu.Unlock()
 			total.Merge(own)
@@ -145,7 +155,7 @@
 	}
 }
 
-func sendUntil(client *fasthttp.Client, url string, body []byte, end time.Time) (*hdrhistogram.Histogram, int) {
+func sendUntil(client *fasthttp.Client, url string, body []byte, end time.Time, pace time.Duration) (*hdrhistogram.Histogram, int) {
 	own := hdrhistogram.New(1, 60_000_000, 3)
 	failed := 0
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -162,6 +172,9 @@
 			continue
 		}
 		_ = own.RecordValue(max(time.Since(began).Microseconds(), 1))
+		if pace > 0 {
+			<-time.After(time.Until(began.Add(pace)))
+		}
 	}
 	return own, failed
 }
--- a/proving/decision/batch.go
+++ b/proving/decision/batch.go
@@ -153,13 +153,17 @@
 	if w.replica != nil {
 		used = used.Add(resource.New(s.day.Service.Processors*1000, s.day.Service.Memory, 0))
 	}
-	if !used.Fits(s.capacity()) {
+	if !used.Fits(s.capacityOf(w)) {
 		s.result.broken++
 	}
 }
 
-func (s *sim) capacity() resource.Vector {
-	return resource.New(s.day.Processors*1000, s.day.Memory, 0)
+func (s *sim) capacityOf(w *fakeWorker) resource.Vector {
+	accelerators := int64(0)
+	if w.number < s.day.Accelerated {
+		accelerators = s.day.Accelerators
+	}
+	return resource.New(s.day.Processors*1000, s.day.Memory, accelerators)
 }
 
 // endRun ends a run and tells the document, as an agent's report would.
--- a/proving/decision/day.go
+++ b/proving/decision/day.go
@@ -15,21 +15,24 @@
 
 // Day is the load of a team and what goes wrong in it, from a data file.
 type Day struct {
-	Name       string          `yaml:"name"`
-	Workers    int             `yaml:"workers"`
-	Processors int64           `yaml:"processors"`
-	Memory     int64           `yaml:"memory_mb"`
-	Seconds    int             `yaml:"seconds"`
-	Reserved   int             `yaml:"reserved_workers"`
-	ReportLag  int             `yaml:"report_lag_s"`
-	Service    ServiceLoad     `yaml:"service"`
-	Batch      []BatchLoad     `yaml:"batch"`
-	Jobs       []JobLoad       `yaml:"jobs"`
-	Lost       []WorkerEvent   `yaml:"lost"`
-	Failing    []WorkerEvent   `yaml:"failing"`
-	Cancel     []CancelBurst   `yaml:"cancel"`
-	Late       []LateReports   `yaml:"late_reports"`
-	Noise      []NoisyInterval `yaml:"noise"`
+	Name       string `yaml:"name"`
+	Workers    int    `yaml:"workers"`
+	Processors int64  `yaml:"processors"`
+	Memory     int64  `yaml:"memory_mb"`
+	Seconds    int    `yaml:"seconds"`
+	Reserved   int    `yaml:"reserved_workers"`
+	// Accelerated is how many workers, the first ones, have accelerators, and Accelerators how many each has.
+	Accelerated  int             `yaml:"accelerated_workers"`
+	Accelerators int64           `yaml:"accelerators"`
+	ReportLag    int             `yaml:"report_lag_s"`
+	Service      ServiceLoad     `yaml:"service"`
+	Batch        []BatchLoad     `yaml:"batch"`
+	Jobs         []JobLoad       `yaml:"jobs"`
+	Lost         []WorkerEvent   `yaml:"lost"`
+	Failing      []WorkerEvent   `yaml:"failing"`
+	Cancel       []CancelBurst   `yaml:"cancel"`
+	Late         []LateReports   `yaml:"late_reports"`
+	Noise        []NoisyInterval `yaml:"noise"`
 }
 
 // ServiceLoad is the service of a day.
@@ -48,18 +51,20 @@
 
 // BatchLoad is a batch workload; what it really takes and how much it harms is not told to the policies.
 type BatchLoad struct {
-	Name       string     `yaml:"name"`
-	Team       string     `yaml:"team"`
-	Weight     int        `yaml:"weight"`
-	Processors int64      `yaml:"processors"`
-	Memory     int64      `yaml:"memory_mb"`
-	RuntimeS   int        `yaml:"runtime_s"`
-	Evictions  int        `yaml:"evictions"`
-	DeadlineM  int        `yaml:"deadline_min"`
-	Urgent     bool       `yaml:"urgent"`
-	Uses       float64    `yaml:"really_uses"`
-	Takes      float64    `yaml:"really_takes"`
-	Harm       [4]float64 `yaml:"harm_by_band"`
+	Name       string `yaml:"name"`
+	Team       string `yaml:"team"`
+	Weight     int    `yaml:"weight"`
+	Processors int64  `yaml:"processors"`
+	Memory     int64  `yaml:"memory_mb"`
+	// Accelerators is how many a task takes.
+	Accelerators int64      `yaml:"accelerators"`
+	RuntimeS     int        `yaml:"runtime_s"`
+	Evictions    int        `yaml:"evictions"`
+	DeadlineM    int        `yaml:"deadline_min"`
+	Urgent       bool       `yaml:"urgent"`
+	Uses         float64    `yaml:"really_uses"`
+	Takes        float64    `yaml:"really_takes"`
+	Harm         [4]float64 `yaml:"harm_by_band"`
 }
 
 // JobLoad is a job that is submitted at a second of the day; every and until repeat it.
--- a/proving/decision/decide.go
+++ b/proving/decision/decide.go
@@ -30,7 +30,7 @@
 	}
 	workers := s.snapshotWorkers()
 	snapshot := scheduling.NewSnapshot(s.clock(), s.rows, workers, scheduling.Whole()).
-		WithEstimates(s.sizes).WithModel(s.model).WithNotBefore(s.before).WithOptions(s.column.options)
+		WithEstimates(s.sizes).WithModel(s.model).WithNotBefore(s.before).WithOptions(s.column.options).WithWeights(s.column.weights())
 	if s.column.placer == planned {
 		plan := scheduling.Make(s.document, snapshot)
 		for _, run := range plan.Evict() {
@@ -46,7 +46,7 @@
 func (s *sim) snapshotWorkers() []scheduling.Worker {
 	workers := make([]scheduling.Worker, 0, len(s.workers))
 	for _, w := range s.workers {
-		described := scheduling.NewWorker(w.instance(), s.capacity(), 1+w.number/3).Pressed(w.remedy.IsPressed())
+		described := scheduling.NewWorker(w.instance(), s.capacityOf(w), 1+w.number/3).Pressed(w.remedy.IsPressed())
 		if w.replica != nil {
 			described = described.WithBands(map[string]interference.Band{s.day.Service.Name: w.band})
 		}
--- a/proving/decision/sim.go
+++ b/proving/decision/sim.go
@@ -131,13 +131,13 @@
 }
 
 func (s *sim) makeTable() (table.Table, error) {
-	text := "workload,kind,team,weight,processors,memory_mb,replicas,target_ms,runtime_s,evictions,deadline_min,urgent,concurrency\n"
+	text := "workload,kind,team,weight,processors,memory_mb,replicas,target_ms,runtime_s,evictions,deadline_min,urgent,concurrency,accelerators\n"
 	v := s.day.Service
-	text += fmt.Sprintf("%s,service,%s,100,%d,%d,%d,%d,,,,,8\n", v.Name, s.day.Name, v.Processors, v.Memory, s.serving(), int(v.TargetMs))
+	text += fmt.Sprintf("%s,service,%s,100,%d,%d,%d,%d,,,,,8,0\n", v.Name, s.day.Name, v.Processors, v.Memory, s.serving(), int(v.TargetMs))
 	for i := range s.day.Batch {
 		b := &s.day.Batch[i]
 		s.load[b.Name] = b
-		text += fmt.Sprintf("%s,batch,%s,%d,%d,%d,,,%d,%d,%d,no,4096\n", b.Name, b.Team, b.Weight, b.Processors, b.Memory, b.RuntimeS, b.Evictions, b.DeadlineM)
+		text += fmt.Sprintf("%s,batch,%s,%d,%d,%d,,,%d,%d,%d,no,4096,%d\n", b.Name, b.Team, b.Weight, b.Processors, b.Memory, b.RuntimeS, b.Evictions, b.DeadlineM, b.Accelerators)
 	}
 	rows, err := table.Parse([]byte(text))
 	if err != nil {
--- a/proving/platform/store.go
+++ b/proving/platform/store.go
@@ -79,9 +79,11 @@
 	wait := time.Duration(ctx.QueryArgs().GetUintOrZero("wait_ms")) * time.Millisecond
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		s.reads++
 		latest, changed := s.latest(key), s.changed
 		s.mu.Unlock()
 		if wait == 0 || latest.version > after {
--- a/proving/stage/await.go
+++ b/proving/stage/await.go
@@ -13,10 +13,10 @@
 
 // region is the state of the region as an entry answers it.
 type region struct {
-	TableVersion uint64           `json:"table_version"`
-	Cells        []control.Status `json:"cells"`
-	Unreachable  []string         `json:"cells_without_lead"`
-	Endpoints    map[string]int   `json:"endpoints"`
+	TableVersion uint64               `json:"table_version"`
+	Cells        []control.CellStatus `json:"cells"`
+	Unreachable  []string             `json:"cells_without_lead"`
+	Endpoints    map[string]int       `json:"endpoints"`
 }
 
 func (s *Stage) region(entry string) (region, error) {
@@ -39,7 +39,11 @@
 			if !strings.HasPrefix(name, "e") || !p.isRunning() {
 				continue
 			}
-			status, _, _, err := s.post("GET", "http://"+p.addresses["admin"]+"/ready", nil, nil)
+			address, err := s.address(name, "admin")
+			if err != nil {
+				return err
+			}
+			status, _, _, err := s.post("GET", "http://"+address+"/ready", nil, nil)
 			if err != nil || status != http.StatusOK {
 				return fmt.Errorf("%s is not ready: %d %w", name, status, err)
 			}
--- a/proving/stage/process.go
+++ b/proving/stage/process.go
@@ -20,7 +20,6 @@
 	name      string
 	args      []string
 	source    string
-	settings  map[string]string
 	command   *exec.Cmd
 	addresses map[string]string
 	ended     chan struct{}
--- a/proving/stage/stage.go
+++ b/proving/stage/stage.go
@@ -106,12 +106,16 @@
 	return p, nil
 }
 
-// address is where a process listens, before any relay.
+// address is where a process is reached by the stage. Callers and operators reach a daemon over a relay, whose
+// address stays the same over its starts.
 func (s *Stage) address(name, listener string) (string, error) {
 	p, err := s.process(name)
 	if err != nil {
 		return "", err
 	}
+	if listener == "callers" || listener == "admin" {
+		return s.relay(name, listener, "")
+	}
 	return p.addresses[listener], nil
 }
 
@@ -188,7 +192,7 @@
 	}
 	file := filepath.Join(s.dir, name+".yaml")
 	s.processes[name] = &Process{
-		name: name, args: []string{"saffronpulleyd", "run", file}, source: source, settings: values, log: &logFile{},
+		name: name, args: []string{"saffronpulleyd", "run", file}, source: source, log: &logFile{},
 	}
 	return os.WriteFile(file, yaml(values), 0o600)
 }
@@ -225,13 +229,7 @@
 	if err := p.start(s.binaries); err != nil {
 		return err
 	}
-	if err := s.keepAddresses(p); err != nil {
-		return err
-	}
 	for listener, address := range p.addresses {
-		if listener == "callers" || listener == "admin" {
-			continue
-		}
 		if _, err := s.relay(name, listener, address); err != nil {
 			return err
 		}
@@ -239,19 +237,6 @@
 	return nil
 }
 
-// keepAddresses has a daemon listen for callers and operators where it did at its first start.
-func (s *Stage) keepAddresses(p *Process) error {
-	if p.settings == nil {
-		return nil
-	}
-	for _, listener := range []string{"callers", "admin"} {
-		if address, ok := p.addresses[listener]; ok {
-			p.settings["listen."+listener] = address
-		}
-	}
-	return os.WriteFile(filepath.Join(s.dir, p.name+".yaml"), yaml(p.settings), 0o600)
-}
-
 // setCut cuts or heals what a process sends to another.
 func (s *Stage) setCut(from, to string, cut bool) error {
 	source, ok := s.sources[from]
--- a/proving/stage/verbs.go
+++ b/proving/stage/verbs.go
@@ -93,11 +93,11 @@
 func (s *Stage) adminAddresses() string {
 	var addresses []string
 	for i := 1; ; i++ {
-		p, ok := s.processes["e"+strconv.Itoa(i)]
-		if !ok {
+		address, err := s.address("e"+strconv.Itoa(i), "admin")
+		if err != nil {
 			return strings.Join(addresses, "\n")
 		}
-		addresses = append(addresses, p.addresses["admin"])
+		addresses = append(addresses, address)
 	}
 }
 
