--- a/internal/lead/learn.go
+++ b/internal/lead/learn.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"github.com/saffronpulley/saffronpulley/internal/cell"
 	"github.com/saffronpulley/saffronpulley/internal/control"
 	"github.com/saffronpulley/saffronpulley/internal/interference"
 	"github.com/saffronpulley/saffronpulley/internal/sizing"
 	"github.com/saffronpulley/saffronpulley/internal/task"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
 )
 
 const (
@@ -68,8 +68,8 @@
 	case task.Failed:
 		l.notBefore[run.ID()] = now.Add(jitter(min(firstRetry<<min(failures, 6), lastRetry)))
 		// A task that failed elsewhere before says more about itself than about this worker.
-		if ok && failures <= 1 {
-			workerProbation.Fail(&a.health, now)
+		if ok && failures <= 1 && workerProbation.Fail(&a.health, now) {
+			l.Recorder.Record(timeline.WorkerProbation, subjectOf(run, instance), "the worker gets one trial at a time")
 		}
 	case task.Refused:
 		l.notBefore[run.ID()] = now.Add(jitter(firstRetry))
@@ -78,12 +78,3 @@
 		}
 	}
 }
-
-// attempts is how often a task of a workload may fail.
-func attempts(l *Lead, t cell.Task) int {
-	r, ok := l.table.Row(t.Workload())
-	if !ok || t.IsService() {
-		return 0
-	}
-	return r.Attempts()
-}
--- a/internal/lead/operation.go
+++ b/internal/lead/operation.go
@@ -74,10 +74,15 @@
 	return o
 }
 
+// attemptsOf is how often a task may fail; a replica may for ever.
 func (l *Lead) attemptsOf(t cell.Task) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return attempts(l, t)
+	r, ok := l.table.Row(t.Workload())
+	if !ok || t.IsService() {
+		return 0
+	}
+	return r.Attempts()
 }
 
 var endKinds = map[task.State]timeline.Kind{
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -37,7 +37,6 @@
 	harm     float64
 	replicas int
 	rackmate int
-	sticky   bool
 }
 
 // NewNode returns a node with its capacity and what is free of it, in a rack.
@@ -60,9 +59,6 @@
 // HasReplica reports whether the node runs a replica of the same service.
 func (n *Node) HasReplica() bool { return n.replicas > 0 }
 
-// SetSticky marks the node that ran the task before.
-func (n *Node) SetSticky() { n.sticky = true }
-
 // Take lessens what is free on the node.
 func (n *Node) Take(size resource.Vector) { n.free = n.free.Sub(size) }
 
@@ -78,13 +74,12 @@
 	Scarcity float64
 	Spread   float64
 	Harm     float64
-	Sticky   float64
 	MaxHarm  float64
 }
 
 // DefaultWeights are the weights that the decision bench was run with.
 func DefaultWeights() Weights {
-	return Weights{Fit: 1, Scarcity: 2, Spread: 4, Harm: 6, Sticky: 0.2, MaxHarm: 0.12}
+	return Weights{Fit: 1, Scarcity: 2, Spread: 4, Harm: 6, MaxHarm: 0.12}
 }
 
 // Request is the task to place.
@@ -178,9 +173,6 @@
 		cost += weights.Harm * n.harm
 		cost += weights.Fit * (1 - share(left.Processors(), n.capacity.Processors())) / 2
 	}
-	if n.sticky {
-		cost -= weights.Sticky
-	}
 	return cost
 }
 
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,42 @@
+package placement
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/resource"
+)
+
+func nodes(n int) []Node {
+	list := make([]Node, n)
+	for i := range list {
+		list[i] = NewNode(resource.New(30000, 125000, 0), resource.New(int64(1000*(i%20)), 60000, 0), 1+i/3)
+		list[i].SetHarm(float64(i%7) / 100)
+	}
+	return list
+}
+
+func TestChooseAllocatesNothing(t *testing.T) {
+	list, request := nodes(32), NewRequest(resource.New(4000, 8000, 0), false)
+	weights := DefaultWeights()
+	assert.Equal(t, testing.AllocsPerRun(100, func() { Choose(request, list, weights) }), 0.0)
+}
+
+func TestScarceAcceleratorsAreLeftFree(t *testing.T) {
+	plain := NewNode(resource.New(8000, 8000, 0), resource.New(6000, 6000, 0), 1)
+	scarce := NewNode(resource.New(8000, 8000, 4), resource.New(8000, 8000, 4), 1)
+	verdict := Choose(NewRequest(resource.New(1000, 1000, 0), false), []Node{scarce, plain}, DefaultWeights())
+	assert.Equal(t, verdict.Node(), 1)
+	verdict = Choose(NewRequest(resource.New(1000, 1000, 2), false), []Node{scarce, plain}, DefaultWeights())
+	assert.Equal(t, verdict.Node(), 0)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	list, request := nodes(32), NewRequest(resource.New(4000, 8000, 0), false)
+	weights := DefaultWeights()
+	b.ReportAllocs()
+	for b.Loop() {
+		Choose(request, list, weights)
+	}
+}
--- a/internal/queueing/queueing.go
+++ b/internal/queueing/queueing.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/resource"
@@ -123,8 +122,3 @@
 	}
 	return best
 }
-
-// Sort orders items by the work they stand for, first to last.
-func Sort[T any](items []T, entry func(*T) *Entry, now time.Time, capacity resource.Vector) {
-	slices.SortStableFunc(items, func(a, b T) int { return compare(entry(&a), entry(&b), now, capacity) })
-}
--- a/internal/resource/vector.go
+++ b/internal/resource/vector.go
@@ -36,11 +36,6 @@
 	return Vector{v.processors - o.processors, v.memory - o.memory, v.accelerators - o.accelerators}
 }
 
-// Times returns the vector n times.
-func (v Vector) Times(n int64) Vector {
-	return Vector{v.processors * n, v.memory * n, v.accelerators * n}
-}
-
 // Max returns the larger of both vectors in each resource.
 func (v Vector) Max(o Vector) Vector {
 	return Vector{max(v.processors, o.processors), max(v.memory, o.memory), max(v.accelerators, o.accelerators)}
@@ -51,9 +46,6 @@
 	return v.processors <= room.processors && v.memory <= room.memory && v.accelerators <= room.accelerators
 }
 
-// IsZero reports whether nothing is asked of any resource.
-func (v Vector) IsZero() bool { return v == Vector{} }
-
 // DominantShare returns the largest share, 0 to 1 and above, that v takes of total in one resource.
 func (v Vector) DominantShare(total Vector) float64 {
 	share := ratio(v.processors, total.processors)
--- a/internal/table/codec.go
+++ b/internal/table/codec.go
@@ -25,8 +25,24 @@
 	After   []byte
 }
 
-// Encode returns the bytes of the table as the store keeps them.
+// maxValue is the largest value in bytes, below the store's megabyte.
+const maxValue = 1_000_000
+
+// Encode returns the bytes of the table as the store keeps them; where they would be too many, the oldest edits go.
 func Encode(t Table) ([]byte, error) {
+	for {
+		value, err := encode(t)
+		if err != nil || len(value) <= maxValue {
+			return value, err
+		}
+		if len(t.history) == 0 {
+			return nil, fault.New(fault.TooLarge, "the table takes %d bytes; the limit is %d", len(value), maxValue)
+		}
+		t.history = t.history[(len(t.history)+1)/2:]
+	}
+}
+
+func encode(t Table) ([]byte, error) {
 	wire := tableWire{Version: t.version, Rows: Format(t.rows)}
 	for _, c := range t.history {
 		wire.History = append(wire.History, encodeChange(c))
--- a/internal/table/merge.go
+++ b/internal/table/merge.go
@@ -48,16 +48,6 @@
 	return slices.ContainsFunc(t.history, func(c Change) bool { return c.writeID == writeID })
 }
 
-// Accepted returns the version that the edit with a write identifier made.
-func (t Table) Accepted(writeID string) (uint64, bool) {
-	for _, c := range t.history {
-		if c.writeID == writeID {
-			return c.version, true
-		}
-	}
-	return 0, false
-}
-
 func (t Table) rowsAt(version uint64) (map[string]Row, error) {
 	rows := rowMap(t.rows)
 	if version > t.version {
--- /dev/null
+++ b/proving/cmd/soak/main.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/saffronpulley/saffronpulley/proving/stage"
+)
+
+const (
+	workers = 11
+	entries = 3
+	failure = 4 * time.Second
+	rows    = `workload,kind,team,processors,memory_mb,replicas,target_ms,runtime_s,evictions,concurrency,attempts
+lookups,service,federacion,4,8000,11,100,,,8,
+mailing,batch,federacion,4,4000,,,3,100,100,100
+settlement,batch,reembolsos,3,4000,,,5,100,100,100
+`
+)
+
+func main() {
+	app := kingpin.New("soak", "Runs today's sizes under failures.")
+	length := app.Flag("for", "How long.").Default("5m").Duration()
+	seed := app.Flag("seed", "Seed of the failures.").Default("1").Uint64()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := soak(*length, *seed); err != nil {
+		fmt.Fprintf(os.Stderr, "soak: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// soaker plays failures on a stage.
+type soaker struct {
+	stage  *stage.Stage
+	random *rand.Rand
+	jobs   []string
+}
+
+func soak(length time.Duration, seed uint64) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return err
+	}
+	s := &soaker{stage: stage.New(filepath.Dir(program), dir), random: rand.New(rand.NewPCG(seed, 2))}
+	defer func() { s.stage.Close(); _ = os.RemoveAll(dir) }()
+	if err := s.prepare(); err != nil {
+		return err
+	}
+	before := s.sizes()
+	if err := s.play(length); err != nil {
+		return err
+	}
+	return s.finish(before)
+}
+
+func (s *soaker) do(verb string, args ...string) error {
+	text, err := s.stage.Do(verb, args...)
+	if err != nil {
+		return fmt.Errorf("%s %v: %w", verb, args, err)
+	}
+	if verb == "unload" || verb == "books" {
+		fmt.Println(verb, args, text)
+	}
+	return nil
+}
+
+func (s *soaker) prepare() error {
+	if err := s.do("cluster", "entries="+strconv.Itoa(entries), "workers="+strconv.Itoa(workers), "runtime=3s"); err != nil {
+		return err
+	}
+	url := "http://" + s.stage.Address("e1", "admin") + "/v1/table?base=0&author=soak&write_id=soak"
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request.SetRequestURI(url)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetBodyString(rows)
+	if err := fasthttp.Do(request, response); err != nil || response.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("the table is refused: %s %w", response.Body(), err)
+	}
+	if err := s.do("await", "running", "lookups", "e1", strconv.Itoa(workers)); err != nil {
+		return err
+	}
+	if err := s.do("load", "repeatable", "lookups", "e1", "e2", "e3", "rate=150", "repeat=yes"); err != nil {
+		return err
+	}
+	return s.do("load", "once", "lookups", "e3", "e1", "e2", "rate=100")
+}
+
+// play makes something fail every few seconds, and posts a job now and then.
+func (s *soaker) play(length time.Duration) error {
+	end := time.Now().Add(length)
+	for round := 0; time.Now().Before(end); round++ {
+		began := time.Now()
+		if round%3 == 0 {
+			s.post(round)
+		}
+		if err := s.fail(); err != nil {
+			return err
+		}
+		<-time.After(time.Until(began.Add(failure)))
+	}
+	return nil
+}
+
+// post posts a job; one that is refused for now is not counted.
+func (s *soaker) post(round int) {
+	name := "job-" + strconv.Itoa(round)
+	workload := []string{"mailing", "settlement"}[s.random.IntN(2)]
+	for _, entry := range []string{"e1", "e2", "e3"} {
+		if _, err := s.stage.Do("job", name, entry, workload, "20", "key="+name); err == nil {
+			s.jobs = append(s.jobs, name)
+			return
+		}
+	}
+}
+
+func (s *soaker) fail() error {
+	agent := "a" + strconv.Itoa(1+s.random.IntN(workers))
+	entry := "e" + strconv.Itoa(1+s.random.IntN(entries))
+	vm := "vm-" + agent[1:]
+	switch s.random.IntN(9) {
+	case 0:
+		return s.all([]string{"crash", agent}, []string{"start", agent})
+	case 1:
+		return s.all([]string{"term", agent}, []string{"start", agent})
+	case 2:
+		return s.all([]string{"term", entry}, []string{"start", entry})
+	case 3:
+		return s.all([]string{"freeze", agent}, []string{"pause", "3s"}, []string{"thaw", agent})
+	case 4:
+		return s.all([]string{"fault", "store", "down"}, []string{"pause", "3s"}, []string{"fault", "store", "up"})
+	case 5:
+		return s.all([]string{"fault", "store", "lose?answers=2"})
+	case 6:
+		return s.all([]string{"list", vm, "leaving"}, []string{"pause", "2s"}, []string{"list", vm, "live"})
+	case 7:
+		return s.all([]string{"crash", entry}, []string{"start", entry})
+	default:
+		return s.all([]string{"freeze", entry}, []string{"pause", "1s"}, []string{"thaw", entry})
+	}
+}
+
+func (s *soaker) all(steps ...[]string) error {
+	for _, step := range steps {
+		if err := s.do(step[0], step[1:]...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// finish lets everything end, and judges.
+func (s *soaker) finish(before map[string]size) error {
+	if err := s.do("await", "ready", strconv.Itoa(workers), "within=60s"); err != nil {
+		return err
+	}
+	lost := 0
+	for _, name := range s.jobs {
+		if err := s.do("await", "job", name, "e1", "finished", "within=90s"); err != nil {
+			fmt.Println("a job does not end:", err)
+			lost++
+		}
+	}
+	if err := s.all([]string{"unload", "repeatable"}, []string{"unload", "once"}, []string{"books"}); err != nil {
+		return err
+	}
+	fmt.Printf("jobs posted %d of 20 tasks each, not ended %d\n", len(s.jobs), lost)
+	after := s.sizes()
+	for _, name := range []string{"e1", "e2", "e3", "a1", "a2", "a11"} {
+		fmt.Printf("%s: goroutines %d then %d, descriptors %d then %d, heap %d then %d bytes\n", name,
+			before[name].goroutines, after[name].goroutines, before[name].descriptors, after[name].descriptors,
+			before[name].heap, after[name].heap)
+	}
+	if lost > 0 {
+		return fmt.Errorf("%d jobs did not end", lost)
+	}
+	return nil
+}
+
+// size is how large a process is.
+type size struct {
+	goroutines, heap int64
+	descriptors      int
+}
+
+func (s *soaker) sizes() map[string]size {
+	sizes := make(map[string]size)
+	for name, pid := range s.stage.Processes() {
+		if name[0] != 'a' && name[0] != 'e' {
+			continue
+		}
+		var metrics map[string]struct {
+			Value int64 `json:"value"`
+		}
+		status, body, err := fasthttp.GetTimeout(nil, "http://"+s.stage.Address(name, "admin")+"/metrics", 5*time.Second)
+		if err == nil && status == fasthttp.StatusOK {
+			_ = json.Unmarshal(body, &metrics)
+		}
+		open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+		sizes[name] = size{
+			goroutines: metrics["process.goroutines"].Value, heap: metrics["process.heap_bytes"].Value, descriptors: len(open),
+		}
+	}
+	return sizes
+}
--- a/proving/stage/verbs.go
+++ b/proving/stage/verbs.go
@@ -33,6 +33,7 @@
 		"list":    (*Stage).listVerb,
 		"request": (*Stage).requestVerb,
 		"race":    (*Stage).raceVerb,
+		"idle":    (*Stage).idleVerb,
 		"job":     (*Stage).jobVerb,
 		"api":     (*Stage).apiVerb,
 		"await":   (*Stage).awaitVerb,
--- a/proving/stage/work.go
+++ b/proving/stage/work.go
@@ -71,6 +71,32 @@
 	return "", errors.Join(all...)
 }
 
+// idleVerb checks that a worker runs no request for a time: NAME D.
+func (s *Stage) idleVerb(args []string) (string, error) {
+	before, err := s.requestsOf(args[0])
+	if err != nil {
+		return "", err
+	}
+	if _, err := s.pauseVerb(args[1:]); err != nil {
+		return "", err
+	}
+	after, err := s.requestsOf(args[0])
+	if err == nil && after != before {
+		err = fmt.Errorf("%s ran %d requests", args[0], after-before)
+	}
+	return fmt.Sprintf("%s ran %d requests before", args[0], before), err
+}
+
+// requestsOf is how many requests a worker has run.
+func (s *Stage) requestsOf(name string) (int, error) {
+	books, err := s.books(name)
+	total := 0
+	for _, n := range books.Executed {
+		total += n
+	}
+	return total, err
+}
+
 // judge checks an answer against what was wanted; each refusal that asks to return must say when.
 func judge(values map[string]string, status int, answer []byte, headers http.Header, took time.Duration) error {
 	want := values["want"]
