What the server turns away is answered as JSON; failed requests on the time line

Refused requests go onto it five a second at the most, as they come in floods. One map of ends and one check of the secret serve where two stood.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/saffronpulley/saffronpulley/internal/metric"
@@ -34,9 +35,14 @@
 }
 
 // Serve starts to serve on the listener within the limits.
-func Serve(listener net.Listener, limits Limits, handler fasthttp.RequestHandler) *Server {
+//
+// Refused answers what the server turns away before the handler sees it: a body that is too large, or no HTTP.
+func Serve(listener net.Listener, limits Limits, handler fasthttp.RequestHandler,
+	refused func(*fasthttp.RequestCtx, error),
+) *Server {
 	s := &Server{done: make(chan struct{}), server: &fasthttp.Server{
 		Handler:               handler,
+		ErrorHandler:          refused,
 		Name:                  "saffronpulley",
 		MaxRequestBodySize:    limits.Body,
 		ReadBufferSize:        maxHeader,
@@ -70,6 +76,21 @@
 	}
 }
 
+// RefusePlainly answers what the server turns away with a plain sentence.
+func RefusePlainly(ctx *fasthttp.RequestCtx, err error) {
+	ctx.Error(err.Error()+"\n", refusalStatus(err))
+}
+
+// IsTooLarge reports whether the server turned a request away since its body is over the limit.
+func IsTooLarge(err error) bool { return errors.Is(err, fasthttp.ErrBodyTooLarge) }
+
+func refusalStatus(err error) int {
+	if IsTooLarge(err) {
+		return fasthttp.StatusRequestEntityTooLarge
+	}
+	return fasthttp.StatusBadRequest
+}
+
 // CloseAll closes servers at the same time.
 func CloseAll(servers ...*Server) {
 	var closing sync.WaitGroup
--- a/internal/agent/reconcile.go
+++ b/internal/agent/reconcile.go
@@ -7,6 +7,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/control"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/gate"
+	"github.com/saffronpulley/saffronpulley/internal/lead"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
 	"github.com/saffronpulley/saffronpulley/internal/store"
 	"github.com/saffronpulley/saffronpulley/internal/task"
@@ -123,18 +124,10 @@
 	}
 	r.end(state, checkpoint, now)
 	a.ledger.End(r.status.Run())
-	a.record(endKinds[state], r.status.Run(), "the run has ended: "+state.String())
+	a.record(lead.EndKind(state), r.status.Run(), "the run has ended: "+state.String())
 	a.beatSoon()
 }
 
-var endKinds = map[task.State]timeline.Kind{
-	task.Finished:     timeline.TaskFinished,
-	task.Failed:       timeline.TaskFailed,
-	task.Checkpointed: timeline.TaskEvicted,
-	task.Stopped:      timeline.TaskStopped,
-	task.Refused:      timeline.TaskRefused,
-}
-
 func (a *Agent) record(kind timeline.Kind, r task.Run, text string) {
 	a.Recorder.Record(kind, timeline.Subject{Task: r.ID().String(), Worker: a.description.Instance()}, text)
 }
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -38,7 +38,7 @@
 		Store: p.store, VMs: p.vms, Worker: worker.NewHTTP(s.Worker()),
 		Logger: p.logger.Part("agent"), Clock: p.clock, Recorder: p.recorder,
 	})
-	requestServer := admin.Serve(requests, p.limits(), a.Gate().Handle)
+	requestServer := admin.Serve(requests, p.limits(), a.Gate().Handle, admin.RefusePlainly)
 	adminServer := p.serveAdmin(operators, a.Ready, nil)
 	p.logger.Info("agent: ready to start; requests=%s control=%s admin=%s", requests.Addr(), control.Addr(), operators.Addr())
 	err = a.Run(ctx)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -29,8 +29,8 @@
 		},
 		Store: p.store, VMs: p.vms, Logger: p.logger.Part("entry"), Clock: p.clock, Recorder: p.recorder, Metrics: p.metrics,
 	})
-	callersServer := admin.Serve(callers, p.limits(), e.HandleCallers)
-	peersServer := admin.Serve(peers, p.limits(), e.HandlePeers)
+	callersServer := admin.Serve(callers, p.limits(), e.HandleCallers, entry.RefuseCaller)
+	peersServer := admin.Serve(peers, p.limits(), e.HandlePeers, admin.RefusePlainly)
 	adminServer := p.serveAdmin(operators, e.Ready, e.HandleOperators)
 	p.logger.Info("entry: ready to start; callers=%s peers=%s admin=%s", callers.Addr(), peers.Addr(), operators.Addr())
 	err = e.Run(ctx)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -100,5 +100,5 @@
 			return
 		}
 		ctx.Error("there is no such path\n", fasthttp.StatusNotFound)
-	})
+	}, admin.RefusePlainly)
 }
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/saffronpulley/saffronpulley/internal/admin"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 )
 
@@ -36,6 +37,15 @@
 	writeJSON(ctx, answer.Status(), errorWire{Error: detail})
 }
 
+// RefuseCaller answers what the server itself turns away.
+func RefuseCaller(ctx *fasthttp.RequestCtx, err error) {
+	if admin.IsTooLarge(err) {
+		writeError(ctx, fault.Wrap(err, fault.TooLarge, "the body is over the limit"))
+		return
+	}
+	writeError(ctx, fault.Wrap(err, fault.BadInput, "the request cannot be read"))
+}
+
 // retryAfterSeconds is the header's form of a wait: whole seconds, rounded up.
 func retryAfterSeconds(d time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(d.Seconds())))
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -9,6 +9,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/idempotency"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
 )
 
 // Headers of callers' requests and of their answers.
@@ -77,6 +78,7 @@
 	ctx.Response.Header.Set(HeaderRequestID, r.id)
 	if err != nil {
 		e.Metrics.Counter("requests.failed." + fault.KindOf(err).String()).Inc(1)
+		e.recordFailure(r, err)
 		writeError(ctx, err)
 		return
 	}
@@ -84,6 +86,19 @@
 	writeAnswer(ctx, answer)
 }
 
+// recordFailure puts a failed request on the time line; of those that are refused some a second, since they come in
+// floods.
+func (e *Entry) recordFailure(r *request, err error) {
+	subject := timeline.Subject{Request: r.id}
+	text := r.service + ": " + err.Error()
+	switch {
+	case fault.KindOf(err).Answer().Ran() == fault.RanUnknown:
+		e.Recorder.Record(timeline.RequestInDoubt, subject, text)
+	case e.refusals.Allow():
+		e.Recorder.Record(timeline.RequestRefused, subject, text)
+	}
+}
+
 func writeAnswer(ctx *fasthttp.RequestCtx, answer *idempotency.Answer) {
 	ctx.SetStatusCode(answer.Status())
 	ctx.SetContentType(answer.ContentType())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/saffronpulley/saffronpulley/internal/catalog"
 	"github.com/saffronpulley/saffronpulley/internal/idempotency"
@@ -51,6 +52,8 @@
 	Metrics  *metric.Registry
 }
 
+const refusalsPerSecond = 5
+
 // Entry is the process on an entry VM.
 type Entry struct {
 	Config
@@ -61,6 +64,8 @@
 	leaving atomic.Bool
 	open    atomic.Int64
 	numbers requestNumbers
+	// refusals bounds how many refused requests go onto the time line.
+	refusals *rate.Limiter
 
 	mu      sync.Mutex
 	budgets map[string]*routing.Budget
@@ -75,6 +80,8 @@
 		done:    make(chan struct{}),
 		budgets: make(map[string]*routing.Budget),
 		numbers: newRequestNumbers(config.ID),
+
+		refusals: rate.NewLimiter(refusalsPerSecond, refusalsPerSecond),
 	}
 	e.keys = newKeyring(e, idempotency.NewKeys())
 	return e
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 	tb.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(tb, err)
-	server := admin.Serve(listener, admin.Limits{Body: 1 << 20, Read: time.Minute, Idle: time.Minute, Connections: 1024}, handler)
+	server := admin.Serve(listener, admin.Limits{Body: 1 << 20, Read: time.Minute, Idle: time.Minute, Connections: 1024}, handler, RefuseCaller)
 	tb.Cleanup(server.Close)
 	return listener.Addr().String()
 }
@@ -71,6 +72,18 @@
 	})
 }
 
+func TestBodyOverTheLimitIsRefusedAsJSON(t *testing.T) {
+	e := newPath(t)
+	address := serve(t, e.HandleCallers)
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request.SetRequestURI("http://" + address + "/v1/services/lookups")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetBody(make([]byte, 1<<20+1))
+	assert.NilError(t, fasthttp.Do(request, response))
+	assert.Equal(t, response.StatusCode(), fasthttp.StatusRequestEntityTooLarge)
+	assert.Assert(t, strings.Contains(string(response.Body()), `"kind":"too_large"`))
+}
+
 func TestRequestComesBackWhole(t *testing.T) {
 	e := newPath(t)
 	for _, body := range []string{"", "x", string(make([]byte, 1<<20-1))} {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"crypto/subtle"
 	"encoding/json"
 	"strconv"
 	"time"
@@ -22,7 +21,7 @@
 
 // HandlePeers serves the other entries of the region.
 func (e *Entry) HandlePeers(ctx *fasthttp.RequestCtx) {
-	if subtle.ConstantTimeCompare(ctx.Request.Header.Peek(control.HeaderSecret), []byte(e.Secret)) != 1 {
+	if !control.HasSecret(&ctx.Request, e.Secret) {
 		writePeerError(ctx, fault.New(fault.Unauthorized, "the shared secret differs"))
 		return
 	}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"encoding/json"
 	"strconv"
 	"time"
@@ -18,7 +17,7 @@
 
 // Handle serves the requests of entries.
 func (g *Gate) Handle(ctx *fasthttp.RequestCtx) {
-	if subtle.ConstantTimeCompare(ctx.Request.Header.Peek(control.HeaderSecret), []byte(g.Secret)) != 1 {
+	if !control.HasSecret(&ctx.Request, g.Secret) {
 		g.refuse(ctx, fault.New(fault.Unauthorized, "the shared secret differs"))
 		return
 	}
--- a/internal/lead/operation.go
+++ b/internal/lead/operation.go
@@ -85,6 +85,7 @@
 	return r.Attempts()
 }
 
+// endKinds are the events of runs that end.
 var endKinds = map[task.State]timeline.Kind{
 	task.Finished:     timeline.TaskFinished,
 	task.Failed:       timeline.TaskFailed,
@@ -93,9 +94,12 @@
 	task.Refused:      timeline.TaskRefused,
 }
 
+// EndKind returns the event of a run that ends in a state.
+func EndKind(state task.State) timeline.Kind { return endKinds[state] }
+
 func (l *Lead) recordEnd(run task.Run, before cell.Task, state task.State, jobEnded bool) {
 	subject := timeline.Subject{Task: run.ID().String(), Worker: before.Instance()}
-	l.Recorder.Record(endKinds[state], subject, "the end of the run is committed")
+	l.Recorder.Record(EndKind(state), subject, "the end of the run is committed")
 	if jobEnded {
 		l.Recorder.Record(timeline.JobFinished, timeline.Subject{Task: run.ID().Job()}, "the job has ended")
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -106,13 +106,3 @@
 	defer l.mu.Unlock()
 	return run.Incarnation() <= l.lastEnded(run.ID())
 }
-
-// Used returns what the VM is committed to.
-func (l *Ledger) Used() resource.Vector {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.used
-}
-
-// Capacity returns what the VM has.
-func (l *Ledger) Capacity() resource.Vector { return l.capacity }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -65,9 +65,6 @@
 // Free returns what is free on the node.
 func (n *Node) Free() resource.Vector { return n.free }
 
-// Capacity returns what the node has.
-func (n *Node) Capacity() resource.Vector { return n.capacity }
-
 // Weights say how much each part of the cost counts.
 type Weights struct {
 	Fit      float64
@@ -103,12 +100,6 @@
 // Node returns the place of the chosen node, or -1 for none.
 func (v *Verdict) Node() int { return v.node }
 
-// Cost returns the cost of the chosen node; the least was taken.
-func (v *Verdict) Cost() float64 { return v.cost }
-
-// Count returns how many nodes were passed over for a reason.
-func (v *Verdict) Count(reason Reason) int { return v.counts[reason] }
-
 // Main returns the reason for which most nodes were passed over, or Chosen.
 func (v *Verdict) Main() Reason {
 	if v.node >= 0 {
--- a/internal/queueing/queueing.go
+++ b/internal/queueing/queueing.go
@@ -22,9 +22,6 @@
 	return &Team{used: used, quota: quota, weight: max(weight, 1)}
 }
 
-// Used returns what the team uses.
-func (t *Team) Used() resource.Vector { return t.used }
-
 // Take adds to what the team uses.
 func (t *Team) Take(size resource.Vector) { t.used = t.used.Add(size) }
 
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -27,18 +27,6 @@
 	never  bool
 }
 
-// Reason returns why most workers were passed over.
-func (w Waiting) Reason() placement.Reason { return w.reason }
-
-// IsQuota reports whether the team's quota is used up.
-func (w Waiting) IsQuota() bool { return w.quota }
-
-// IsLimit reports whether the workload's concurrency is used up.
-func (w Waiting) IsLimit() bool { return w.limit }
-
-// IsNever reports whether no worker of the cell could ever run the task.
-func (w Waiting) IsNever() bool { return w.never }
-
 // String returns the reason as a short sentence.
 func (w Waiting) String() string {
 	switch {
--- a/internal/scheduling/plan_test.go
+++ b/internal/scheduling/plan_test.go
@@ -155,4 +155,3 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/MaxAssignments, "ns/task")
 }
-
--- a/internal/table/csv.go
+++ b/internal/table/csv.go
@@ -22,15 +22,6 @@
 	allowed string
 }
 
-// Line returns the line of the cell in the file, from 1.
-func (e CellError) Line() int { return e.line }
-
-// Row returns the workload of the row.
-func (e CellError) Row() string { return e.row }
-
-// Column returns the heading of the column.
-func (e CellError) Column() string { return e.column }
-
 // Error returns the sentence that names row, column, value and what would be right.
 func (e CellError) Error() string {
 	return fmt.Sprintf("line %d, row %q, column %s: %q is not right; use %s", e.line, e.row, e.column, e.value, e.allowed)
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -32,6 +32,9 @@
 	WorkerProbation             // worker_probation
 	StoreLost                   // store_lost
 	StoreBack                   // store_back
+	RequestRefused              // request_refused
+	RequestInDoubt              // request_in_doubt
+	kindCount
 )
 
 // Event is one thing that happened in one process.
--- a/internal/timeline/kind_string.go
+++ b/internal/timeline/kind_string.go
@@ -33,11 +33,14 @@
 	_ = x[WorkerProbation-22]
 	_ = x[StoreLost-23]
 	_ = x[StoreBack-24]
+	_ = x[RequestRefused-25]
+	_ = x[RequestInDoubt-26]
+	_ = x[kindCount-27]
 }
 
-const _Kind_name = "process_startedprocess_stoppinglead_takenlead_lostjob_acceptedjob_finishedjob_canceledtask_assignedtask_startedtask_refusedtask_throttledtask_evictingtask_evictedtask_finishedtask_failedtask_losttask_stoppedtable_acceptedtable_seenendpoint_ejectedendpoint_leavingkeys_takenworker_probationstore_loststore_back"
+const _Kind_name = "process_startedprocess_stoppinglead_takenlead_lostjob_acceptedjob_finishedjob_canceledtask_assignedtask_startedtask_refusedtask_throttledtask_evictingtask_evictedtask_finishedtask_failedtask_losttask_stoppedtable_acceptedtable_seenendpoint_ejectedendpoint_leavingkeys_takenworker_probationstore_loststore_backrequest_refusedrequest_in_doubtkindCount"
 
-var _Kind_index = [...]uint16{0, 15, 31, 41, 50, 62, 74, 86, 99, 111, 123, 137, 150, 162, 175, 186, 195, 207, 221, 231, 247, 263, 273, 289, 299, 309}
+var _Kind_index = [...]uint16{0, 15, 31, 41, 50, 62, 74, 86, 99, 111, 123, 137, 150, 162, 175, 186, 195, 207, 221, 231, 247, 263, 273, 289, 299, 309, 324, 340, 349}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/timeline/wire.go
+++ b/internal/timeline/wire.go
@@ -34,7 +34,7 @@
 }
 
 func parseKind(name string) Kind {
-	for k := ProcessStarted; k <= StoreBack; k++ {
+	for k := ProcessStarted; k < kindCount; k++ {
 		if k.String() == name {
 			return k
 		}
--- a/internal/worker/wire.go
+++ b/internal/worker/wire.go
@@ -95,14 +95,6 @@
 	return wires
 }
 
-// EncodeStatus returns the status as it is written.
-func EncodeStatus(s Status) StatusWire {
-	return StatusWire{
-		Run: EncodeRun(s.run), Workload: s.workload, State: s.state.String(), Size: EncodeSize(s.size),
-		Checkpoint: s.checkpoint, Address: s.address, Progress: s.progress,
-	}
-}
-
 // Decode returns the status that was written.
 func (w StatusWire) Decode() Status {
 	status := NewStatus(w.Run.Decode(), w.Workload, task.ParseState(w.State), w.Size.Decode())
--- a/proving/decision/result.go
+++ b/proving/decision/result.go
@@ -54,9 +54,6 @@
 // Name returns the heading of the figure.
 func (m Measure) Name() string { return m.name }
 
-// Of returns the figure of a result.
-func (m Measure) Of(r Result) float64 { return m.of(r) }
-
 // Measures returns the figures in the order of the table.
 func Measures() []Measure {
 	return []Measure{
