Harm that was learned from a pause no longer keeps batch away for good

Cause: a soak of five minutes with a failure each four seconds ended with two jobs that no worker would take ('it would slow a service there too much'), though lookups were at 3 % of their target: requests that a frozen agent held for seconds had taught the model that mailing slows lookups hundreds of times, and since it was never placed again, nothing was unlearned. Ruled out: the throttle and the pressure, which were off on all workers.

Change: a sample counts as three times the least run time at the most; beliefs fade over half an hour, before six; a service far from its target bears more.

--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -12,13 +12,16 @@
 	priorMean   = 0.25
 	priorWeight = 1
 	spread      = 0.3
-	halfLife    = 6 * time.Hour
+	halfLife    = 30 * time.Minute
 	maxPairs    = 4096
 
 	// baseRise is how fast a base that is no longer seen is given up, a second.
 	baseRise     = 0.0005
 	runSmoothing = 0.3
 	fewSamples   = 20
+
+	// mostSlowdown bounds a sample: what is slower than that was paused or lost, and no neighbor did it.
+	mostSlowdown = 2
 )
 
 // Band is a band of a service's load, from 0 for idle to Bands-1 for its peak.
@@ -121,6 +124,7 @@
 		b = m.nearestBase(service, band, run)
 		b.seen = now
 	}
+	run = min(run, b.least*(1+mostSlowdown))
 	b.recent += runSmoothing * (run - b.recent)
 	b.least *= 1 + baseRise*now.Sub(b.seen).Seconds()
 	b.seen = now
--- a/internal/lead/agents.go
+++ b/internal/lead/agents.go
@@ -9,6 +9,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/interference"
 	"github.com/saffronpulley/saffronpulley/internal/placement"
 	"github.com/saffronpulley/saffronpulley/internal/probation"
+	"github.com/saffronpulley/saffronpulley/internal/remedy"
 	"github.com/saffronpulley/saffronpulley/internal/resource"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
 	"github.com/saffronpulley/saffronpulley/internal/scheduling"
@@ -93,11 +94,14 @@
 	workers := make([]scheduling.Worker, 0, len(l.agents))
 	for instance, a := range l.agents {
 		bands := make(map[string]interference.Band, len(a.latency))
+		worst := 0.0
 		for service, y := range a.latency {
 			bands[service] = interference.BandOf(y.Load)
+			worst = max(worst, y.Ratio)
 		}
+		bears := remedy.DefaultPolicy().Tolerance(worst)
 		w := scheduling.NewWorker(instance, a.capacity, a.profile.Rack)
-		workers = append(workers, w.Closed(l.closed(instance, a, now)).Pressed(a.pressed).WithBands(bands))
+		workers = append(workers, w.Closed(l.closed(instance, a, now)).Pressed(a.pressed).Tolerating(bears).WithBands(bands))
 	}
 	slices.SortFunc(workers, func(a, b scheduling.Worker) int {
 		if a.Instance() < b.Instance() {
@@ -115,32 +119,37 @@
 }
 
 // desiredRuns is all that an instance is to run by the document; l.mu is held.
+//
+// A replica that moves is stopped by being left out, after its requests.
 func (l *Lead) desiredRuns(d *cell.Document, instance string) []control.DesiredRun {
 	placed := d.Placed(instance)
 	runs := make([]control.DesiredRun, 0, len(placed))
 	for _, t := range placed {
-		run := control.DesiredRun{
-			Run: control.EncodeRun(t.Run()), Workload: t.Workload(), Service: t.IsService(),
-			Size: control.EncodeSize(t.Size()), Checkpoint: t.Checkpoint(),
+		if _, moves := l.evicting[t.Run()]; !moves || !t.IsService() {
+			runs = append(runs, l.desiredRun(t))
 		}
-		if _, ok := l.evicting[t.Run()]; ok && t.IsService() {
-			// A replica that moves is stopped by being left out, after its requests.
-			continue
-		} else if ok {
-			run.Evict = true
-		}
-		r, ok := l.table.Row(t.Workload())
-		if ok && !t.IsService() {
-			run.Weight = r.Weight()
-		}
-		if ok && t.IsService() {
-			run.Concurrency, run.Queue, run.TargetMillis = r.Concurrency(), r.Queue(), r.Target().Milliseconds()
-		}
-		runs = append(runs, run)
 	}
 	return runs
 }
 
+// desiredRun is a task with what its agent needs to know of the workload; l.mu is held.
+func (l *Lead) desiredRun(t cell.Task) control.DesiredRun {
+	run := control.DesiredRun{
+		Run: control.EncodeRun(t.Run()), Workload: t.Workload(), Service: t.IsService(),
+		Size: control.EncodeSize(t.Size()), Checkpoint: t.Checkpoint(),
+	}
+	_, run.Evict = l.evicting[t.Run()]
+	r, ok := l.table.Row(t.Workload())
+	switch {
+	case !ok:
+	case t.IsService():
+		run.Concurrency, run.Queue, run.TargetMillis = r.Concurrency(), r.Queue(), r.Target().Milliseconds()
+	default:
+		run.Weight = r.Weight()
+	}
+	return run
+}
+
 // publish works out anew what each agent is to run, and has the changes sent.
 func (l *Lead) publish() {
 	d, _, loaded := l.document.Current()
--- a/internal/remedy/remedy.go
+++ b/internal/remedy/remedy.go
@@ -8,8 +8,13 @@
 
 // Policy holds the thresholds and the waits between steps.
 type Policy struct {
-	// Slack is the slowdown of services that batch tasks may cause.
+	// Slack is the slowdown of services that batch tasks may cause in any case.
 	Slack float64
+	// Safe is the share of its target that a service is kept under, Use the part of the headroom to it that batch
+	// tasks may use beyond the slack, and Most bounds that.
+	Safe float64
+	Use  float64
+	Most float64
 	// Breach is the share of its target at which a service is in trouble.
 	Breach float64
 	// LookAhead is how far ahead a slowdown that grows is reckoned with, since measurements lag.
@@ -27,7 +32,7 @@
 // DefaultPolicy is the policy that the decision bench was run with.
 func DefaultPolicy() Policy {
 	return Policy{
-		Slack: 0.09, Breach: 0.9, LookAhead: 2 * time.Second, Floor: 10, Raise: 20,
+		Slack: 0.09, Safe: 0.8, Use: 0.15, Most: 1, Breach: 0.9, LookAhead: 2 * time.Second, Floor: 10, Raise: 20,
 		EvictAfter: 30 * time.Second, Cooldown: 2 * time.Minute,
 	}
 }
@@ -90,6 +95,17 @@
 // IsPressed reports whether new batch tasks are kept off the VM.
 func (s *State) IsPressed() bool { return s.pressed }
 
+// SlackAt returns the slowdown that batch tasks may cause to a service at a share of its target, 0 for not known.
+func (p Policy) SlackAt(ratio float64) float64 {
+	if ratio <= 0 {
+		return p.Slack
+	}
+	return min(max(p.Use*(p.Safe/ratio-1), p.Slack), p.Most)
+}
+
+// Tolerance returns how much more a service at a share of its target bears than the plain slack, 1 for the same.
+func (p Policy) Tolerance(ratio float64) float64 { return p.SlackAt(ratio) / p.Slack }
+
 // Step works out the throttles, and reports whether one batch task is to be checkpointed and moved.
 //
 // The believed harm is kept within the slack before it is felt, and what is felt beyond it tightens that budget.
@@ -98,6 +114,7 @@
 		s.budget = 1
 		s.throttles = make(map[string]int)
 	}
+	p.Slack = p.SlackAt(in.Ratio)
 	ahead := p.ahead(s, in)
 	s.slowdown, s.looked = in.Slowdown, in.Now
 	p.setBudget(s, in, ahead)
--- a/internal/scheduling/batch.go
+++ b/internal/scheduling/batch.go
@@ -193,7 +193,7 @@
 				harm = max(harm, p.harms[i][service]+more)
 			}
 		}
-		p.nodes[i].SetHarm(harm)
+		p.nodes[i].SetHarm(harm / w.bears)
 	}
 }
 
--- a/internal/scheduling/plan_test.go
+++ b/internal/scheduling/plan_test.go
@@ -124,6 +124,11 @@
 	Make(d, NewSnapshot(now, rows(t, text), list, Whole()).WithModel(model))
 	assert.Equal(t, len(d.Placed("vm-00")), 0)
 	assert.Equal(t, len(d.Placed("vm-01")), 3)
+	// A service far from its target bears more.
+	list[0] = list[0].Tolerating(10)
+	d.Submit(cell.NewJob("more", "mailing", "", 3, now))
+	Make(d, NewSnapshot(now, rows(t, text), list, Whole()).WithModel(model))
+	assert.Assert(t, len(d.Placed("vm-00")) > 0)
 }
 
 // BenchmarkMake is the time of a plan for each task that it places, in a cell of 32 workers with 500 tasks.
--- a/internal/scheduling/snapshot.go
+++ b/internal/scheduling/snapshot.go
@@ -18,12 +18,13 @@
 	rack     int
 	closed   placement.Reason
 	pressed  bool
+	bears    float64
 	bands    map[string]interference.Band
 }
 
 // NewWorker returns a worker that takes all kinds of tasks.
 func NewWorker(instance string, capacity resource.Vector, rack int) Worker {
-	return Worker{instance: instance, capacity: capacity, rack: rack}
+	return Worker{instance: instance, capacity: capacity, rack: rack, bears: 1}
 }
 
 // Closed returns the worker closed for a reason; Chosen leaves it open.
@@ -32,6 +33,10 @@
 // Pressed returns the worker with or without room for batch tasks beside its services.
 func (w Worker) Pressed(pressed bool) Worker { w.pressed = pressed; return w }
 
+// Tolerating returns the worker whose services bear a number of times the plain harm, since they are far from their
+// targets.
+func (w Worker) Tolerating(times float64) Worker { w.bears = times; return w }
+
 // WithBands returns the worker with the load band of each service on it.
 func (w Worker) WithBands(bands map[string]interference.Band) Worker { w.bands = bands; return w }
 
--- a/proving/decision/decide.go
+++ b/proving/decision/decide.go
@@ -46,7 +46,7 @@
 func (s *sim) snapshotWorkers() []scheduling.Worker {
 	workers := make([]scheduling.Worker, 0, len(s.workers))
 	for _, w := range s.workers {
-		described := scheduling.NewWorker(w.instance(), s.capacityOf(w), 1+w.number/3).Pressed(w.remedy.IsPressed())
+		described := scheduling.NewWorker(w.instance(), s.capacityOf(w), 1+w.number/3).Pressed(w.remedy.IsPressed()).Tolerating(remedy.DefaultPolicy().Tolerance(w.ratio))
 		if w.replica != nil {
 			described = described.WithBands(map[string]interference.Band{s.day.Service.Name: w.band})
 		}
