--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -67,16 +67,15 @@
 
 // Weights say how much each part of the cost counts.
 type Weights struct {
-	Fit      float64
-	Scarcity float64
-	Spread   float64
-	Harm     float64
-	MaxHarm  float64
+	Fit     float64
+	Spread  float64
+	Harm    float64
+	MaxHarm float64
 }
 
 // DefaultWeights are the weights that the decision bench was run with.
 func DefaultWeights() Weights {
-	return Weights{Fit: 1, Scarcity: 2, Spread: 4, Harm: 6, MaxHarm: 0.12}
+	return Weights{Fit: 1, Spread: 4, Harm: 6, MaxHarm: 0.12}
 }
 
 // Request is the task to place.
@@ -154,9 +153,6 @@
 func (n *Node) cost(request Request, weights Weights) float64 {
 	left := n.free.Sub(request.size)
 	cost := weights.Fit * n.imbalance(left)
-	if request.size.Accelerators() == 0 && n.free.Accelerators() > 0 {
-		cost += weights.Scarcity * left.DominantShare(n.capacity)
-	}
 	if request.service {
 		cost += weights.Spread * float64(n.rackmate)
 		cost += weights.Fit * (1 - share(left.Processors(), n.capacity.Processors()))
--- a/proving/decision/column.go
+++ b/proving/decision/column.go
@@ -1,7 +1,6 @@
 package decision
 
 import (
-	"github.com/saffronpulley/saffronpulley/internal/placement"
 	"github.com/saffronpulley/saffronpulley/internal/scheduling"
 )
 
@@ -27,21 +26,11 @@
 	noProbation bool
 	noAdmission bool
 	noBalance   bool
-	noScarcity  bool
 }
 
 // Name returns the name of the column.
 func (c Column) Name() string { return c.name }
 
-// weights are the weights of placement under the column.
-func (c Column) weights() placement.Weights {
-	weights := placement.DefaultWeights()
-	if c.noScarcity {
-		weights.Scarcity = 0
-	}
-	return weights
-}
-
 // Columns returns ours, the simpler ways, and ours with each part turned off.
 func Columns() []Column {
 	return []Column{
@@ -61,6 +50,5 @@
 		{name: "ours without probation", noProbation: true},
 		{name: "ours without admission", noAdmission: true},
 		{name: "ours without balancing", noBalance: true},
-		{name: "ours without scarcity", noScarcity: true},
 	}
 }
--- a/proving/decision/decide.go
+++ b/proving/decision/decide.go
@@ -30,7 +30,7 @@
 	}
 	workers := s.snapshotWorkers()
 	snapshot := scheduling.NewSnapshot(s.clock(), s.rows, workers, scheduling.Whole()).
-		WithEstimates(s.sizes).WithModel(s.model).WithNotBefore(s.before).WithOptions(s.column.options).WithWeights(s.column.weights())
+		WithEstimates(s.sizes).WithModel(s.model).WithNotBefore(s.before).WithOptions(s.column.options)
 	if s.column.placer == planned {
 		plan := scheduling.Make(s.document, snapshot)
 		for _, run := range plan.Evict() {
