An empty list scales nothing away; a lead answers only once it has taken over

A list that names no VM of a cell whose agents are heard is not believed now. Ruled out: the entries, which kept their endpoints. - two_at_once: with a slow store an agent holds the lease before it has read the document; an entry that asked it then made it read what was not there, and the agent died (nil document in Lead.load), three tasks stranded with it. A lead answers only after its takeover.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -8,8 +9,10 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/control"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/lead"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
 	"github.com/saffronpulley/saffronpulley/internal/resource"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
 	"github.com/saffronpulley/saffronpulley/internal/task"
 	"github.com/saffronpulley/saffronpulley/internal/timeline"
 	"github.com/saffronpulley/saffronpulley/internal/worker"
@@ -105,3 +108,18 @@
 	assert.Equal(t, fault.KindOf(a.takeAnswer(t.Context(), nil, acked, sentState{})), fault.Stale)
 	assert.Equal(t, len(a.runs), 1)
 }
+
+// A lead that waited for a slow store once answered an entry from a document that it did not have, and died of it.
+func TestLeadThatHasNotTakenOverAnswersNothing(t *testing.T) {
+	a, _ := adopted(t)
+	a.lead = lead.New(lead.Config{Cell: "h-0"})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := rpc.Serve(listener, "secret", a.mux)
+	defer server.Close()
+	peer, err := rpc.Dial(t.Context(), listener.Addr().String(), "secret", rpc.NewMux(a.Clock))
+	assert.NilError(t, err)
+	defer peer.Close()
+	_, err = rpc.Call[control.Subscribe, control.SubscribeAnswer](t.Context(), peer, control.MethodSubscribe, control.Subscribe{})
+	assert.Equal(t, fault.KindOf(err), fault.Stale)
+}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -34,7 +34,7 @@
 		a.mu.Lock()
 		l := a.lead
 		a.mu.Unlock()
-		if l == nil {
+		if l == nil || !l.Ready() {
 			var none Res
 			return none, fault.New(fault.Stale, "agent %s is not the lead of %s", a.ID, a.cell())
 		}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -116,6 +116,13 @@
 // Done returns the channel that is closed when the lead has ended.
 func (l *Lead) Done() <-chan struct{} { return l.done }
 
+// Ready reports whether the lead has taken the cell over, before which it has no document to answer from.
+func (l *Lead) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.epoch > 0
+}
+
 // Run holds the cell from a lease just acquired until the lease is another's or ctx ends.
 func (l *Lead) Run(ctx context.Context, lease store.Lease, asked time.Time) error {
 	defer close(l.done)
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -114,6 +114,18 @@
 	assert.Equal(t, len(d.Tasks()), 0)
 }
 
+// An empty list once scaled every service of the cell to nothing.
+func TestListThatNamesNoVMOfTheCellIsNotBelieved(t *testing.T) {
+	l := begin(t, memory{}, "lead")
+	_, err := l.Beat(t.Context(), &rpc.Peer{}, control.Beat{Instance: "vm-1", Boot: "b", Profile: &control.Profile{Capacity: control.Size{1000, 100}}})
+	assert.NilError(t, err)
+	l.TakeList([]vmlist.VM{vmlist.NewVM("vm-1", "h", 1, vmlist.Live)})
+	share := l.share
+	l.TakeList(nil)
+	assert.Equal(t, l.share, share)
+	assert.Equal(t, share.Of(3), 3)
+}
+
 func change(t *testing.T, l *Lead, do func(d *cell.Document) error) {
 	t.Helper()
 	l.enqueue(newOperation(func(d *cell.Document) (bool, error) {
--- a/internal/lead/list.go
+++ b/internal/lead/list.go
@@ -29,9 +29,16 @@
 }
 
 // TakeList takes note of the list: the cell's share of the region, and VMs that are gone.
+//
+// A list that names no VM of the cell, whose agents are heard, is not believed.
 func (l *Lead) TakeList(vms []vmlist.VM) {
 	now := time.Now()
 	l.mu.Lock()
+	if len(l.agents) > 0 && !namesCell(l.Cell, vms) {
+		l.mu.Unlock()
+		l.Logger.Warn("the list names no VM of %s, and is not believed", l.Cell)
+		return
+	}
 	l.listed = make(map[string]vmlist.State)
 	for _, v := range vms {
 		if v.Cell() == l.Cell {
@@ -48,6 +55,10 @@
 	l.signal()
 }
 
+func namesCell(cellName string, vms []vmlist.VM) bool {
+	return slices.ContainsFunc(vms, func(v vmlist.VM) bool { return v.Cell() == cellName })
+}
+
 // ShareOf works out the share of a cell from the list.
 func ShareOf(cellName string, vms []vmlist.VM) scheduling.Share {
 	counts := make(map[string]int)
