--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,6 @@
 BIN := $(CURDIR)/bin
 LINTER := $(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION)
 STRINGER := $(BIN)/stringer-$(STRINGER_VERSION)
-MODULES := ./... ./proving/...
 
 .PHONY: all build demo test lint bench soak docs generate format mutants fuzz clean
 
@@ -19,7 +18,8 @@
 	$(BIN)/demo
 
 test:
-	go test $(MODULES)
+	go test ./...
+	go test -count=1 ./proving/...
 
 lint: $(LINTER)
 	$(LINTER) run ./...
