--- /dev/null
+++ b/cmd/saffronpulley/doc.go
@@ -0,0 +1,2 @@
+// Command saffronpulley is the operators' command line of saffronpulley.
+package main
--- a/cmd/saffronpulley/main.go
+++ b/cmd/saffronpulley/main.go
@@ -1,4 +1,3 @@
-// Command saffronpulley is the operators' command line of saffronpulley.
 package main
 
 import (
--- /dev/null
+++ b/cmd/saffronpulleyd/doc.go
@@ -0,0 +1,2 @@
+// Command saffronpulleyd is the daemon of saffronpulley.
+package main
--- a/cmd/saffronpulleyd/main.go
+++ b/cmd/saffronpulleyd/main.go
@@ -1,4 +1,3 @@
-// Command saffronpulleyd is the daemon of saffronpulley.
 package main
 
 import (
