--- a/internal/agent/reconcile.go
+++ b/internal/agent/reconcile.go
@@ -9,7 +9,6 @@
 	"github.com/saffronpulley/saffronpulley/internal/gate"
 	"github.com/saffronpulley/saffronpulley/internal/lead"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
-	"github.com/saffronpulley/saffronpulley/internal/store"
 	"github.com/saffronpulley/saffronpulley/internal/task"
 	"github.com/saffronpulley/saffronpulley/internal/timeline"
 	"github.com/saffronpulley/saffronpulley/internal/worker"
@@ -342,5 +341,3 @@
 	a.gate.Leave()
 	a.beatSoon()
 }
-
-func (a *Agent) pause(ctx context.Context, d time.Duration) { store.Pause(ctx, d) }
--- a/internal/agent/uplink.go
+++ b/internal/agent/uplink.go
@@ -37,7 +37,7 @@
 		peer, err := a.findLead(ctx)
 		if err != nil {
 			a.Logger.Debug("no lead yet: %v", err)
-			a.pause(ctx, wait/2+time.Duration(rand.Int64N(int64(wait))))
+			store.Pause(ctx, wait/2+time.Duration(rand.Int64N(int64(wait))))
 			wait = min(wait*2, searchMost)
 			continue
 		}
@@ -140,7 +140,7 @@
 		if known {
 			a.awaitBeat(ctx, peer)
 		} else {
-			a.pause(ctx, beatGap)
+			store.Pause(ctx, beatGap)
 		}
 	}
 }
@@ -154,7 +154,7 @@
 	case <-peer.Done():
 	case <-timer.C:
 	case <-a.beatNow:
-		a.pause(ctx, beatGap)
+		store.Pause(ctx, beatGap)
 	}
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -143,7 +143,8 @@
 
 // serve answers a request: one with a key that may not be repeated through the owner of the key, others at once.
 func (e *Entry) serve(r *request) (*idempotency.Answer, error) {
-	if e.leaving.Load() && !e.stillAnnouncing() {
+	// Until its keys are handed over a stopping entry takes requests, since the balancer may not know yet.
+	if e.keys.closing.Load() {
 		return nil, fault.New(fault.Leaving, "the entry is stopping")
 	}
 	if err := e.checkService(r.service); err != nil {
@@ -155,9 +156,6 @@
 	return e.route(r)
 }
 
-// stillAnnouncing reports whether a stopping entry still takes requests, since the balancer may not know yet.
-func (e *Entry) stillAnnouncing() bool { return !e.keys.closing.Load() }
-
 func (e *Entry) checkService(service string) error {
 	t, _, loaded := e.rows.Current()
 	if !loaded {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -63,22 +63,13 @@
 	return fault.New(fault.Unavailable, "%s has no endpoint for now", r.service).After(noEndpoint)
 }
 
+// pick chooses an endpoint that was not tried yet; where all are closed, one on probation is better than none.
 func (e *Entry) pick(service string, tried []*catalog.Endpoint) *catalog.Endpoint {
 	endpoints := e.catalog.Endpoints(service)
 	random := rand.Uint64()
-	i := routing.Choose(endpoints, func(p **catalog.Endpoint) routing.Candidate {
-		if slices.Contains(tried, *p) {
-			return routing.Closed()
-		}
-		return (*p).Candidate()
-	}, random)
+	i := chooseUntried(endpoints, tried, (*catalog.Endpoint).Candidate, random)
 	if i < 0 {
-		i = routing.Choose(endpoints, func(p **catalog.Endpoint) routing.Candidate {
-			if slices.Contains(tried, *p) {
-				return routing.Closed()
-			}
-			return (*p).LastResort()
-		}, random)
+		i = chooseUntried(endpoints, tried, (*catalog.Endpoint).LastResort, random)
 	}
 	if i < 0 {
 		return nil
@@ -86,6 +77,15 @@
 	return endpoints[i]
 }
 
+func chooseUntried(endpoints, tried []*catalog.Endpoint, view func(*catalog.Endpoint) routing.Candidate, random uint64) int {
+	return routing.Choose(endpoints, func(p **catalog.Endpoint) routing.Candidate {
+		if slices.Contains(tried, *p) {
+			return routing.Closed()
+		}
+		return view(*p)
+	}, random)
+}
+
 // mayRetry decides whether a request may be sent to another endpoint after an error.
 func (e *Entry) mayRetry(endpoint *catalog.Endpoint, r *request, n int, err error) bool {
 	switch fault.KindOf(err) {
