--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/node"
 	"github.com/saffronpulley/saffronpulley/internal/settings"
 )
 
@@ -18,6 +19,7 @@
 	run := app.Command("run", "Runs the daemon.")
 	check := app.Command("check", "Checks the settings and starts nothing.")
 	list := app.Command("settings", "Lists all settings.")
+	onPlatform := app.Command("node", "Runs an entry or an agent on the platform, by the settings that "+node.SettingsVariable+" names.")
 	var file string
 	var overrides []string
 	for _, c := range []*kingpin.CmdClause{run, check} {
@@ -33,13 +35,15 @@
 		writeList(out)
 		return 0
 	}
+	if command == onPlatform.FullCommand() {
+		return exitCode(node.Run(os.Getenv(node.SettingsVariable)), problems)
+	}
 	s, err := settings.Load(file, overrides, os.LookupEnv)
 	if err == nil && command == run.FullCommand() {
 		err = Run(s)
 	}
 	if err != nil {
-		fmt.Fprintf(problems, "saffronpulleyd: %v\n", err)
-		return fault.KindOf(err).Answer().ExitCode()
+		return exitCode(err, problems)
 	}
 	if command == check.FullCommand() {
 		fmt.Fprintf(out, "%s is right\n", file)
@@ -47,6 +51,15 @@
 	return 0
 }
 
+// exitCode writes why the command failed, if it did, and returns its code.
+func exitCode(err error, problems io.Writer) int {
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintf(problems, "saffronpulleyd: %v\n", err)
+	return fault.KindOf(err).Answer().ExitCode()
+}
+
 func writeList(out io.Writer) {
 	for _, s := range settings.List() {
 		fallback := s.Default()
--- /dev/null
+++ b/internal/dispatch/campaign.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+)
+
+const (
+	// leaseTime is how long the lead stands without renewal: three times a slow answer of the store, and the longest that
+	// nothing is scheduled after a lead dies.
+	leaseTime = 1500 * time.Millisecond
+	// renewEvery is how often the lease is renewed.
+	renewEvery = 400 * time.Millisecond
+	// campaignPause lies between two attempts to win the lead.
+	campaignPause = 150 * time.Millisecond
+	// standBack is how long an entry with a whole core waits before it stands for the lead; weaker ones wait longer.
+	standBack = 15 * time.Millisecond
+)
+
+// campaign waits until nobody leads, or an earlier life of this process does, and returns the new term.
+func (d *Dispatcher) campaign(ctx context.Context) (*term, error) {
+	for ctx.Err() == nil {
+		changed := d.config.Lead.Changed()
+		value, known := d.config.Lead.Value()
+		if known && (value.Revision == 0 || value.Held.Node == d.config.Node) && d.rested() {
+			pause(ctx, time.Duration(float64(standBack)/max(d.config.Strength, 0.05)))
+			return d.stand(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(campaignPause):
+		}
+	}
+	return nil, ctx.Err()
+}
+
+func (d *Dispatcher) rested() bool { return time.Now().UnixMilli() >= d.rest.Load() }
+
+// stand tries to win the lead once.
+func (d *Dispatcher) stand(ctx context.Context) (*term, error) {
+	store := d.config.Store
+	held, err := store.Get(ctx, record.LeadKey)
+	if err != nil {
+		return nil, err
+	}
+	if held.Revision() != 0 {
+		holder, err := record.DecodeLead(held.Value())
+		if err != nil {
+			return nil, err
+		}
+		if holder.Node != d.config.Node {
+			_, err := d.config.Lead.Refresh(ctx)
+			return nil, fault.New(fault.Conflict, "%s leads (%v)", holder.Node, err)
+		}
+	}
+	chainItem, err := store.Get(ctx, record.ChainKey)
+	if err != nil {
+		return nil, err
+	}
+	chain, err := record.DecodeChain(chainItem.Value())
+	if err != nil {
+		return nil, err
+	}
+	lease, err := store.Grant(ctx, leaseTime)
+	if err != nil {
+		return nil, err
+	}
+	t := newTerm(d, chain.Epoch+1, lease)
+	if err := t.enter(ctx, held.Revision(), chainItem.Revision()); err != nil {
+		return nil, err
+	}
+	return t, t.load(ctx)
+}
+
+// enter writes the lead and the beginning of its chain in one transaction.
+func (t *term) enter(ctx context.Context, held, chain kv.Revision) error {
+	change, err := t.entering(held, chain)
+	if err != nil {
+		return err
+	}
+	asked := time.Now()
+	revision, err := t.store.Commit(ctx, change)
+	if fault.Is(err, fault.OutcomeUnknown) {
+		revision, err = t.entered(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	t.chain, t.verified = revision, asked
+	return nil
+}
+
+func (t *term) entering(held, chain kv.Revision) (kv.Txn, error) {
+	config := t.d.config
+	lead, err := record.Encode(record.Lead{Node: config.Node, Boot: config.Boot, Address: config.Address, Epoch: t.epoch})
+	if err != nil {
+		return kv.Txn{}, err
+	}
+	link, err := record.Encode(record.Chain{Epoch: t.epoch, Boot: config.Boot})
+	if err != nil {
+		return kv.Txn{}, err
+	}
+	return kv.Txn{
+		Conditions: []kv.Condition{{Key: record.LeadKey, Revision: held}, {Key: record.ChainKey, Revision: chain}},
+		Puts:       []kv.Put{{Key: record.LeadKey, Value: lead, Lease: t.lease}, {Key: record.ChainKey, Value: link}},
+	}, nil
+}
+
+// entered finds out whether an entering transaction whose answer was lost was done.
+func (t *term) entered(ctx context.Context) (kv.Revision, error) {
+	item, err := t.store.Get(ctx, record.ChainKey)
+	if err != nil {
+		return 0, err
+	}
+	chain, err := record.DecodeChain(item.Value())
+	if err != nil {
+		return 0, err
+	}
+	if chain.Epoch != t.epoch || chain.Boot != t.d.config.Boot {
+		return 0, fault.New(fault.Conflict, "the lead was not taken")
+	}
+	return item.Revision(), nil
+}
+
+// resign lets the lease go, so that another entry can lead at once.
+func (t *term) resign() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaseTime)
+	defer cancel()
+	if err := t.store.End(ctx, t.lease); err != nil {
+		t.logger.Warn("the lease of the lead could not be given up: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/cycle.go
@@ -0,0 +1,241 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+)
+
+const (
+	// mostRecords leaves room beside the chain and the lead in a transaction of kv.MaxEntries.
+	mostRecords = kv.MaxEntries - 4
+	// retryFirst and retryLast bound the pause before a commit is repeated.
+	retryFirst = 15 * time.Millisecond
+	retryLast  = 250 * time.Millisecond
+)
+
+// batch is what one transaction writes.
+type batch struct {
+	change   kv.Txn
+	versions map[*tracked]uint64
+	runs     []batchedRun
+	removed  []job.ID
+	relock   bool
+}
+
+type batchedRun struct {
+	id   job.TaskID
+	host job.Host
+	run  int
+}
+
+// cycle plans, commits what changed, and sends the orders that the commit allows.
+func (t *term) cycle(ctx context.Context) error {
+	t.mu.Lock()
+	t.expire()
+	t.unstick()
+	t.plan()
+	t.mu.Unlock()
+	for {
+		t.mu.Lock()
+		b, err := t.batch()
+		t.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		if b == nil {
+			break
+		}
+		if err := t.commit(ctx, b); err != nil {
+			return err
+		}
+	}
+	t.flush()
+	return t.prove(ctx)
+}
+
+// batch gathers what changed, nil where nothing did.
+func (t *term) batch() (*batch, error) {
+	b := &batch{versions: make(map[*tracked]uint64), relock: t.relock}
+	if b.relock {
+		lead, err := t.entering(0, t.chain)
+		if err != nil {
+			return nil, err
+		}
+		b.change.Conditions = lead.Conditions[:1]
+		b.change.Puts = lead.Puts[:1]
+	}
+	for id := range t.dirty {
+		if len(b.versions) == mostRecords {
+			break
+		}
+		delete(t.dirty, id)
+		if err := b.add(t.jobs[id]); err != nil {
+			return nil, err
+		}
+	}
+	t.sweep(b)
+	if len(b.versions) == 0 && len(b.removed) == 0 && !b.relock {
+		return nil, nil
+	}
+	chain, err := record.Encode(record.Chain{Epoch: t.epoch, Boot: t.d.config.Boot, Commit: t.commits + 1})
+	if err != nil {
+		return nil, err
+	}
+	b.change.Conditions = append(b.change.Conditions, kv.Condition{Key: record.ChainKey, Revision: t.chain})
+	b.change.Puts = append(b.change.Puts, kv.Put{Key: record.ChainKey, Value: chain})
+	b.collect(t)
+	return b, nil
+}
+
+func (b *batch) add(known *tracked) error {
+	if known == nil {
+		return nil
+	}
+	value, err := known.job.EncodeProgress()
+	if err != nil {
+		return err
+	}
+	b.change.Puts = append(b.change.Puts, kv.Put{Key: record.ProgressKey(known.job.ID()), Value: value})
+	b.versions[known] = known.version
+	return nil
+}
+
+// collect notes the runs that the batch commits for the first time.
+func (b *batch) collect(t *term) {
+	for h, hosted := range t.hosts {
+		for id, p := range hosted.runs {
+			if known := t.jobs[id.Job]; !p.committed && b.has(known) {
+				b.runs = append(b.runs, batchedRun{id: id, host: h, run: p.run})
+			}
+		}
+	}
+}
+
+func (b *batch) has(known *tracked) bool {
+	_, ok := b.versions[known]
+	return ok
+}
+
+// sweep removes the records of jobs that ended long ago.
+func (t *term) sweep(b *batch) {
+	const keysOfJob = 3
+	for id, known := range t.jobs {
+		if len(b.versions)+keysOfJob*(len(b.removed)+1) > mostRecords {
+			return
+		}
+		if known.ended.IsZero() || time.Since(known.ended) < keepEnded || known.saved < known.version {
+			continue
+		}
+		b.removed = append(b.removed, id)
+		b.change.Removes = append(b.change.Removes, record.ProgressKey(id), record.JobKey(id), record.CancelKey(id))
+	}
+}
+
+// commit writes the batch, however often it takes, and then lets its runs start.
+func (t *term) commit(ctx context.Context, b *batch) error {
+	wait := retryFirst
+	for {
+		asked := time.Now()
+		revision, err := t.store.Commit(ctx, b.change)
+		if fault.Is(err, fault.Conflict) {
+			revision, err = t.landed(ctx)
+		}
+		if err == nil {
+			t.committedBatch(b, revision, asked)
+			return nil
+		}
+		if fault.Is(err, fault.Stale) || ctx.Err() != nil {
+			return err
+		}
+		t.logger.Warn("a commit is repeated; commit=%d records=%d reason=%v", t.commits+1, len(b.versions), err)
+		if fault.Is(err, fault.NotFound) {
+			return fault.Wrap(err, fault.Stale, "the lease of the lead is over")
+		}
+		pause(ctx, wait)
+		wait = min(2*wait, retryLast)
+	}
+}
+
+// landed finds out whether the commit that failed by its condition was done earlier; Stale says that another leads.
+func (t *term) landed(ctx context.Context) (kv.Revision, error) {
+	item, err := t.store.Get(ctx, record.ChainKey)
+	if err != nil {
+		return 0, err
+	}
+	chain, err := record.DecodeChain(item.Value())
+	if err != nil {
+		return 0, err
+	}
+	if chain.Epoch != t.epoch || chain.Boot != t.d.config.Boot || chain.Commit != t.commits+1 {
+		return 0, fault.New(fault.Stale, "epoch %d leads", chain.Epoch)
+	}
+	return item.Revision(), nil
+}
+
+// committedBatch takes note of what the store has now.
+func (t *term) committedBatch(b *batch, revision kv.Revision, asked time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.chain, t.verified = revision, asked
+	t.commits++
+	if b.relock {
+		t.relock = false
+	}
+	for known, version := range b.versions {
+		known.saved = max(known.saved, version)
+	}
+	for _, id := range b.removed {
+		delete(t.jobs, id)
+	}
+	for _, r := range b.runs {
+		t.release(r)
+	}
+	close(t.committed)
+	t.committed = make(chan struct{})
+}
+
+// release orders a run that is committed, or takes it back where its job has ended meanwhile.
+func (t *term) release(r batchedRun) {
+	h := t.hosts[r.host]
+	if h == nil || h.runs[r.id] == nil || h.runs[r.id].run != r.run {
+		return
+	}
+	p := h.runs[r.id]
+	p.committed, p.moved = true, time.Now()
+	if !p.stopping {
+		t.orderStart(r.host, r.id, p)
+		return
+	}
+	h.remove(r.id, r.run)
+	if known := t.jobs[r.id.Job]; known != nil && known.job.Unplace(r.id, r.run) {
+		t.touch(known)
+	}
+}
+
+// prove confirms that the term still stands where no commit did of late.
+func (t *term) prove(ctx context.Context) error {
+	t.mu.Lock()
+	chain, verified := t.chain, t.verified
+	t.mu.Unlock()
+	if time.Since(verified) < proveEvery {
+		return nil
+	}
+	asked := time.Now()
+	item, err := t.store.Get(ctx, record.ChainKey)
+	if err != nil {
+		t.logger.Warn("the lead could not be confirmed: %v", err)
+		return nil
+	}
+	if item.Revision() != chain {
+		return fault.New(fault.Stale, "another entry leads")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.verified = asked
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/follow"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/metric"
+	"github.com/saffronpulley/saffronpulley/internal/policy"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+)
+
+// Policies gives the newest configuration and takes one that came from another process.
+type Policies interface {
+	// Newest returns the configuration, nil before the first.
+	Newest() *policy.Policy
+	// Offer returns the configuration as the store holds it.
+	Offer() link.Offer
+	// Take keeps an offer unless a newer one is known.
+	Take(offer link.Offer)
+}
+
+// Config holds what a dispatcher needs.
+type Config struct {
+	Node    string
+	Boot    string
+	Address string
+	// Strength is the processor share of the VM; the strongest entry stands first for the lead.
+	Strength float64
+	Store    kv.Store
+	Lead     *follow.Follower[record.Lead]
+	Policies Policies
+	Logger   logging.Logger
+	Metrics  *metric.Registry
+}
+
+// Dispatcher leads whenever its process holds the lead.
+type Dispatcher struct {
+	config Config
+	logger logging.Logger
+	term   atomic.Pointer[term]
+	done   chan struct{}
+	rest   atomic.Int64
+}
+
+// New returns a dispatcher that does not lead yet.
+func New(config Config) *Dispatcher {
+	return &Dispatcher{config: config, logger: config.Logger, done: make(chan struct{})}
+}
+
+// Done returns the channel that is closed when Run has ended.
+func (d *Dispatcher) Done() <-chan struct{} { return d.done }
+
+// Register adds the dispatcher's methods to a mux.
+func (d *Dispatcher) Register(m *rpc.Mux) {
+	rpc.Handle(m, link.MethodReport, d.report)
+	rpc.Handle(m, link.MethodPing, d.ping)
+	rpc.Handle(m, link.MethodWaiting, d.waiting)
+}
+
+// Leads reports whether the process leads as far as it knows.
+func (d *Dispatcher) Leads() bool { return d.term.Load() != nil }
+
+// Run stands for the lead and leads, until ctx ends; then the lead is given up.
+func (d *Dispatcher) Run(ctx context.Context) {
+	defer close(d.done)
+	for ctx.Err() == nil {
+		t, err := d.campaign(ctx)
+		if err != nil {
+			if ctx.Err() == nil {
+				d.logger.Warn("the lead was not won: %v", err)
+				pause(ctx, campaignPause)
+			}
+			continue
+		}
+		d.lead(ctx, t)
+	}
+}
+
+func (d *Dispatcher) lead(ctx context.Context, t *term) {
+	d.logger.Info("lead taken; epoch=%d jobs=%d", t.epoch, len(t.jobs))
+	d.term.Store(t)
+	err := t.run(ctx)
+	d.term.Store(nil)
+	t.close()
+	d.logger.Info("lead ended; epoch=%d reason=%v", t.epoch, err)
+	if ctx.Err() != nil || fault.Is(err, fault.Leaving) {
+		t.resign()
+	}
+}
+
+func (d *Dispatcher) current() (*term, error) {
+	t := d.term.Load()
+	if t == nil {
+		return nil, fault.New(fault.Stale, "this entry does not lead")
+	}
+	return t, nil
+}
+
+func (d *Dispatcher) report(_ context.Context, p *rpc.Peer, r link.Report) (link.ReportAnswer, error) {
+	t, err := d.current()
+	if err != nil {
+		return link.ReportAnswer{}, err
+	}
+	return t.report(p, r)
+}
+
+func (d *Dispatcher) ping(_ context.Context, _ *rpc.Peer, p link.Ping) (link.PingAnswer, error) {
+	d.config.Policies.Take(p.Offer)
+	t, err := d.current()
+	if err != nil {
+		return link.PingAnswer{}, err
+	}
+	answer := link.PingAnswer{Entries: t.entry(p.Address)}
+	if own := d.config.Policies.Offer(); own.Revision != p.Revision {
+		answer.Offer = own
+		if own.Revision < p.Revision {
+			answer.Value = nil
+		}
+	}
+	return answer, nil
+}
+
+func (d *Dispatcher) waiting(_ context.Context, _ *rpc.Peer, w link.Waiting) (link.WaitingAnswer, error) {
+	t, err := d.current()
+	if err != nil {
+		return link.WaitingAnswer{}, err
+	}
+	return link.WaitingAnswer{Count: t.waiting(w.Queue)}, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/dispatch/hosted.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/plan"
+)
+
+// hosted is one life of a worker and what is placed there.
+type hosted struct {
+	worker plan.Worker
+	runs   map[job.TaskID]*placed
+	// failures counts runs that ended as failed since the last that was done.
+	failures int
+}
+
+// placed is a run that is placed on a worker.
+type placed struct {
+	step *job.Step
+	run  int
+	// committed says that the store has the run, sent when its order last left.
+	committed bool
+	sent      time.Time
+	stopping  bool
+	stopSent  time.Time
+	percent   int
+	moved     time.Time
+}
+
+func (t *term) host(h job.Host) *hosted {
+	known := t.hosts[h]
+	if known == nil {
+		known = &hosted{worker: plan.Worker{Host: h, Trials: -1}, runs: make(map[job.TaskID]*placed)}
+		t.hosts[h] = known
+	}
+	return known
+}
+
+// add counts a run that the store has.
+func (h *hosted) add(id job.TaskID, step *job.Step, run int) {
+	h.runs[id] = &placed{step: step, run: run, committed: true, moved: time.Now()}
+	h.worker.Take(step)
+}
+
+// remove counts a run as gone.
+func (h *hosted) remove(id job.TaskID, run int) {
+	p := h.runs[id]
+	if p == nil || p.run != run {
+		return
+	}
+	delete(h.runs, id)
+	h.worker.Give(p.step)
+}
+
+// stop asks for the end of a run; its room stays taken until the end is known.
+func (t *term) stop(id job.TaskID, task *job.Task) {
+	h := t.hosts[task.Host()]
+	if h == nil || h.runs[id] == nil || h.runs[id].run != task.Run() {
+		return
+	}
+	p := h.runs[id]
+	p.stopping = true
+	if !p.committed {
+		return
+	}
+	p.stopSent = time.Now()
+	t.orderStop(task.Host(), id, p.run)
+}
+
+// lose takes all runs of a worker's life back, which surely are no more.
+func (t *term) lose(h *hosted, reason string) {
+	if len(h.runs) > 0 {
+		t.logger.Warn("a worker's runs are lost; vm=%s instance=%s runs=%d reason=%s",
+			h.worker.Host.VM, h.worker.Host.Instance, len(h.runs), reason)
+	}
+	for id, p := range h.runs {
+		t.apply(id, p.run, job.EndLapsed, "", h.worker.Host)
+	}
+	delete(t.hosts, h.worker.Host)
+	t.wakeUp()
+}
+
+// apply takes note of the end of a run, wherever the task stands now.
+func (t *term) apply(id job.TaskID, run int, end job.End, checkpoint string, host job.Host) {
+	if h := t.hosts[host]; h != nil {
+		h.remove(id, run)
+	}
+	known := t.jobs[id.Job]
+	if known == nil || !known.job.Ended(id, run, end, checkpoint) {
+		return
+	}
+	if h := t.hosts[host]; h != nil {
+		h.judge(end)
+	}
+	if end == job.EndFailed {
+		known.failed[host] = true
+	}
+	if state := known.job.State(); state.Final() && known.ended.IsZero() {
+		t.logger.Info("job ended; job=%s state=%s ms=%d", id.Job, state, time.Since(known.since).Milliseconds())
+		t.finish(known)
+	}
+	t.touch(known)
+}
+
+func (h *hosted) judge(end job.End) {
+	switch end {
+	case job.EndDone:
+		h.failures = 0
+	case job.EndFailed:
+		h.failures++
+	default:
+	}
+}
--- /dev/null
+++ b/internal/dispatch/planning.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/plan"
+)
+
+const (
+	// openFor is how old a report may be for new tasks to be placed on its worker: two reports that did not come.
+	openFor = 1300 * time.Millisecond
+	// suspectFrom is how many failures in a row close a worker but for a trial.
+	suspectFrom = 3
+	// stuckAfter is how long a task may stand still at full pace before it is started elsewhere.
+	stuckAfter = 2500 * time.Millisecond
+)
+
+// expire gives up the workers whose permission is over.
+func (t *term) expire() {
+	now := time.Now()
+	for h, known := range t.hosts {
+		a := t.agents[h.VM]
+		switch {
+		case a != nil && a.host == h:
+			known.worker.Open = known.worker.Open && now.Sub(a.heard) < openFor
+			if now.Sub(a.heard) > permission+margin {
+				t.lose(known, "its agent was not heard")
+			}
+		case now.Sub(t.started) > trust+margin:
+			t.lose(known, "its agent never reported to this lead")
+		}
+	}
+}
+
+// unstick stops tasks that stand still, so that they start again elsewhere.
+func (t *term) unstick() {
+	for h, known := range t.hosts {
+		for id, p := range known.runs {
+			if p.step.Lasting || !p.committed || p.stopping || p.sent.IsZero() || time.Since(p.moved) < stuckAfter {
+				continue
+			}
+			owner := t.jobs[id.Job]
+			if owner == nil || !known.worker.Open {
+				continue
+			}
+			t.logger.Info("task stands still and is stopped; task=%s run=%d vm=%s percent=%d", id, p.run, h.VM, p.percent)
+			owner.failed[h] = true
+			known.failures++
+			p.stopping, p.stopSent = true, time.Now()
+			t.orderStop(h, id, p.run)
+		}
+	}
+}
+
+// plan places what waits; the placements count once they are committed.
+func (t *term) plan() {
+	groups := t.groups()
+	if len(groups) == 0 {
+		return
+	}
+	workers := make([]*plan.Worker, 0, len(t.hosts))
+	for _, h := range t.hosts {
+		h.worker.Trials = h.trials()
+		workers = append(workers, &h.worker)
+	}
+	sortWorkers(workers)
+	for _, p := range plan.Make(workers, groups) {
+		known := t.jobs[p.Task.Job]
+		run := known.job.Place(p.Task, p.Host, p.Run)
+		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now()}
+		t.logger.Info("task placed; task=%s run=%d vm=%s waited_ms=%d", p.Task, run, p.Host.VM, time.Since(known.since).Milliseconds())
+		t.touch(known)
+	}
+}
+
+// trials returns how many tasks may be placed on a worker that failed several times, below 0 for any number.
+func (h *hosted) trials() int {
+	switch {
+	case h.failures < suspectFrom:
+		return -1
+	case h.busy():
+		return 0
+	}
+	return 1
+}
+
+// busy reports whether a task that ends by itself runs here.
+func (h *hosted) busy() bool {
+	for _, p := range h.runs {
+		if !p.step.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// groups returns the waiting tasks that may start now.
+func (t *term) groups() []*plan.Group {
+	var groups []*plan.Group
+	now := time.Now()
+	for _, known := range t.jobs {
+		if known.job.State().Final() {
+			continue
+		}
+		for k := range known.job.Times() {
+			if known.job.Spec().Times > 0 && now.Before(known.job.Due(k)) {
+				break
+			}
+			groups = append(groups, t.groupsOf(known, k, now)...)
+		}
+	}
+	return groups
+}
+
+func (t *term) groupsOf(known *tracked, k int, now time.Time) []*plan.Group {
+	var groups []*plan.Group
+	queue := t.queueOf(known)
+	since := known.since
+	if known.job.Spec().Times > 0 {
+		since = known.job.Due(k)
+	}
+	for n := range known.job.Spec().Steps {
+		waiting, held := waitingOf(known.job, k, n)
+		if len(waiting) == 0 || !known.job.Open(k, n) {
+			continue
+		}
+		need := now.Sub(since) + known.job.Remaining(k)
+		objective := known.job.Objective()
+		groups = append(groups, &plan.Group{
+			Job: known.job, Time: k, Number: n, Step: &known.job.Spec().Steps[n], Service: queue.Service,
+			Indexes: waiting, Held: held, Avoid: known.failed, Priority: queue.Priority,
+			Slack: objective - need, Late: lateFactor*objective - need,
+		})
+	}
+	return groups
+}
+
+// lateFactor times the objective is when a job earns nothing any more.
+const lateFactor = 3
+
+func waitingOf(j *job.Job, k, n int) ([]int, map[job.Host]int) {
+	var waiting []int
+	held := make(map[job.Host]int)
+	tasks := j.Tasks(k, n)
+	for i := range tasks {
+		switch tasks[i].Phase() {
+		case job.Waiting:
+			waiting = append(waiting, i)
+		case job.Placed:
+			held[tasks[i].Host()]++
+		case job.Done:
+		}
+	}
+	return waiting, held
+}
+
+// queueOf returns the queue as the newest configuration has it.
+func (t *term) queueOf(known *tracked) job.Queue {
+	accepted := known.job.Queue()
+	if newest := t.d.config.Policies.Newest(); newest != nil {
+		if q, ok := newest.Queue(accepted.Name); ok {
+			return q
+		}
+	}
+	return accepted
+}
+
+func sortWorkers(workers []*plan.Worker) {
+	slices.SortFunc(workers, func(a, b *plan.Worker) int {
+		return cmp.Or(cmp.Compare(a.Host.VM, b.Host.VM), cmp.Compare(a.Host.Instance, b.Host.Instance))
+	})
+}
--- /dev/null
+++ b/internal/dispatch/term.go
@@ -0,0 +1,269 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+)
+
+const (
+	// permission is how long an agent may go on after a report: long enough for another lead to take over.
+	permission = 5 * time.Second
+	// trust is how long after the last proof that it leads a lead still permits anything; a new lead waits as long for
+	// workers that have not reported to it.
+	trust = 10 * time.Second
+	// margin covers the way of messages and the rates of clocks when the end of a permission is reckoned.
+	margin = 400 * time.Millisecond
+	// doubtAfter is how old the proof may be before agents are told to look for another lead themselves.
+	doubtAfter = 1500 * time.Millisecond
+	// proveEvery is how often a lead without commits proves that it leads.
+	proveEvery = 500 * time.Millisecond
+	// gather is how long changes are gathered for one commit: little beside the quarter second that a lookup has.
+	gather = 5 * time.Millisecond
+	// tick is the longest time between two plans, for what falls due by time alone.
+	tick = 100 * time.Millisecond
+	// keepEnded is how long jobs that ended are known; the platform asks for two minutes.
+	keepEnded = 150 * time.Second
+)
+
+// term is the time in which a process leads under one epoch.
+type term struct {
+	d       *Dispatcher
+	epoch   uint64
+	lease   kv.LeaseID
+	store   kv.Store
+	logger  logging.Logger
+	started time.Time
+	wake    chan struct{}
+	done    chan struct{}
+	inputs  kv.Revision
+
+	// mu guards all below; nothing else is locked while it is held.
+	mu        sync.Mutex
+	chain     kv.Revision
+	commits   uint64
+	verified  time.Time
+	jobs      map[job.ID]*tracked
+	hosts     map[job.Host]*hosted
+	agents    map[string]*agent
+	entries   map[string]time.Time
+	dirty     map[job.ID]struct{}
+	relock    bool
+	committed chan struct{}
+}
+
+// tracked is a job with what the lead notes of it.
+type tracked struct {
+	job *job.Job
+	// since is when the job was accepted, by the lead's own clock.
+	since time.Time
+	ended time.Time
+	// version counts the changes, saved is the version that the store has.
+	version uint64
+	saved   uint64
+	failed  map[job.Host]bool
+}
+
+func newTerm(d *Dispatcher, epoch uint64, lease kv.LeaseID) *term {
+	return &term{
+		d: d, epoch: epoch, lease: lease, store: d.config.Store, logger: d.logger, started: time.Now(),
+		wake: make(chan struct{}, 1), done: make(chan struct{}), committed: make(chan struct{}),
+		jobs: make(map[job.ID]*tracked), hosts: make(map[job.Host]*hosted), agents: make(map[string]*agent),
+		entries: make(map[string]time.Time), dirty: make(map[job.ID]struct{}),
+	}
+}
+
+// load reads all jobs and how far they are; nothing of them changes any more but by this term.
+func (t *term) load(ctx context.Context) error {
+	inputs, at, err := t.store.Range(ctx, record.Inputs)
+	if err != nil {
+		return err
+	}
+	progress, _, err := t.store.Range(ctx, record.Progress)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inputs = at
+	for _, i := range inputs {
+		t.takeJob(i)
+	}
+	for _, i := range progress {
+		if err := t.takeProgress(i); err != nil {
+			return err
+		}
+	}
+	for _, i := range inputs {
+		t.takeCancel(i)
+	}
+	return nil
+}
+
+func (t *term) takeProgress(i kv.Item) error {
+	id, _ := record.ProgressOf(i.Key())
+	known, ok := t.jobs[id]
+	if !ok {
+		t.logger.Error("the progress of a job without its record is left; job=%s", id)
+		return nil
+	}
+	if err := known.job.ApplyProgress(i.Value()); err != nil {
+		return err
+	}
+	known.job.Each(func(id job.TaskID, task *job.Task) {
+		if task.Phase() == job.Placed {
+			t.host(task.Host()).add(id, &known.job.Spec().Steps[id.Step], task.Run())
+			t.hosts[task.Host()].runs[id].stopping = known.job.State().Final()
+		}
+	})
+	if known.job.State().Final() {
+		known.ended = time.Now()
+	}
+	return nil
+}
+
+// run leads until ctx ends or another leads.
+func (t *term) run(ctx context.Context) error {
+	group, bounded := errgroup.WithContext(ctx)
+	group.Go(func() error { return t.watchInputs(bounded) })
+	group.Go(func() error { return t.renew(bounded) })
+	group.Go(func() error { return t.work(bounded) })
+	return group.Wait()
+}
+
+// close lets the agents go, which then look for another lead.
+func (t *term) close() {
+	close(t.done)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range t.agents {
+		if a.peer != nil {
+			a.peer.Close()
+		}
+	}
+}
+
+func (t *term) wakeUp() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// work plans and commits whenever something changed.
+func (t *term) work(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.wake:
+			pause(ctx, gather)
+		case <-ticker.C:
+		}
+		if err := t.cycle(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// renew keeps the lease and proves now and then that the term still stands.
+func (t *term) renew(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, renewEvery)
+		err := t.store.Renew(ctx, t.lease)
+		switch {
+		case err == nil:
+		case fault.Is(err, fault.NotFound):
+			t.loseLease(ctx)
+		default:
+			t.logger.Warn("the lease was not renewed: %v", err)
+		}
+		if t.lonely() {
+			t.d.rest.Store(time.Now().Add(lonelyRest).UnixMilli())
+			return fault.New(fault.Leaving, "no agent reports to this lead")
+		}
+	}
+	return ctx.Err()
+}
+
+const (
+	// lonelyAfter is how long a lead goes on without reports before it leaves the lead to another entry.
+	lonelyAfter = 2500 * time.Millisecond
+	// lonelyRest is how long it does not stand again.
+	lonelyRest = 4 * time.Second
+)
+
+// lonely reports whether the lead has lost all its agents, as one that is cut off has.
+func (t *term) lonely() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.entries) == 0 {
+		return false
+	}
+	latest := t.started
+	for _, a := range t.agents {
+		latest = later(latest, a.heard)
+	}
+	return time.Since(latest) > lonelyAfter
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// loseLease asks for a new lease; the next commit puts the lead's key under it.
+func (t *term) loseLease(ctx context.Context) {
+	lease, err := t.store.Grant(ctx, leaseTime)
+	if err != nil {
+		t.logger.Warn("the lease ran out and there is no new one yet: %v", err)
+		return
+	}
+	t.mu.Lock()
+	t.lease, t.relock = lease, true
+	t.mu.Unlock()
+	t.logger.Info("the lease ran out; the lead is entered again under a new one")
+	t.wakeUp()
+}
+
+// entry takes note of an entry and returns all that were heard of.
+func (t *term) entry(address string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entries[address] = time.Now()
+	return t.entryList()
+}
+
+func (t *term) entryList() []string {
+	list := []string{t.d.config.Address}
+	for address, heard := range t.entries {
+		if time.Since(heard) < trust {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+func (t *term) waiting(queue string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, known := range t.jobs {
+		if known.job.Queue().Name == queue && known.job.State() == job.Queued {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -23,6 +23,7 @@
 	Impossible                   // impossible
 	TooLarge                     // too_large
 	Unauthorized                 // unauthorized
+	Gone                         // gone
 	kindCount
 )
 
@@ -58,6 +59,7 @@
 	Impossible:       {http.StatusUnprocessableEntity, 9, RanNo, false},
 	TooLarge:         {http.StatusRequestEntityTooLarge, 2, RanNo, false},
 	Unauthorized:     {http.StatusUnauthorized, 10, RanNo, false},
+	Gone:             {http.StatusGone, 3, RanNo, false},
 }
 
 // Answer returns how the kind is answered; an undeclared kind is answered as Internal.
--- a/internal/fault/kind_string.go
+++ b/internal/fault/kind_string.go
@@ -22,12 +22,13 @@
 	_ = x[Impossible-11]
 	_ = x[TooLarge-12]
 	_ = x[Unauthorized-13]
-	_ = x[kindCount-14]
+	_ = x[Gone-14]
+	_ = x[kindCount-15]
 }
 
-const _Kind_name = "internalbad_inputnot_foundconflictoverloadedunavailableoutcome_unknowndeadline_exceededleavingstaledoes_not_fitimpossibletoo_largeunauthorizedkindCount"
+const _Kind_name = "internalbad_inputnot_foundconflictoverloadedunavailableoutcome_unknowndeadline_exceededleavingstaledoes_not_fitimpossibletoo_largeunauthorizedgonekindCount"
 
-var _Kind_index = [...]uint8{0, 8, 17, 26, 34, 44, 55, 70, 87, 94, 99, 111, 121, 130, 142, 151}
+var _Kind_index = [...]uint8{0, 8, 17, 26, 34, 44, 55, 70, 87, 94, 99, 111, 121, 130, 142, 146, 155}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,201 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+)
+
+const (
+	// watchWait is how long a watch waits; a watch that hears nothing more is noticed after it.
+	watchWait = 1500 * time.Millisecond
+	// retryFirst and retryLast bound the pause after a failed call: under the second within which an outage's end is to be
+	// noticed, and few enough calls beside the store's rate.
+	retryFirst = 50 * time.Millisecond
+	retryLast  = 400 * time.Millisecond
+)
+
+// Value is a decoded value and the revision at which it was written, 0 where the key is absent.
+type Value[T any] struct {
+	Held     T
+	Revision kv.Revision
+}
+
+// Follower keeps the newest value of a key.
+type Follower[T any] struct {
+	store  kv.Store
+	key    string
+	decode func([]byte) (T, error)
+	logger logging.Logger
+	done   chan struct{}
+
+	mu       sync.Mutex
+	value    Value[T]
+	known    bool
+	verified time.Time
+	changed  chan struct{}
+}
+
+// New returns a follower of a key that has not read it yet.
+func New[T any](store kv.Store, key string, decode func([]byte) (T, error), logger logging.Logger) *Follower[T] {
+	return &Follower[T]{
+		store: store, key: key, decode: decode, logger: logger, done: make(chan struct{}), changed: make(chan struct{}),
+	}
+}
+
+// Done returns the channel that is closed when Run has ended.
+func (f *Follower[T]) Done() <-chan struct{} { return f.done }
+
+// Value returns the newest value and whether the key was read or offered at all.
+func (f *Follower[T]) Value() (Value[T], bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.value, f.known
+}
+
+// Verified returns when the store last confirmed the value.
+func (f *Follower[T]) Verified() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.verified
+}
+
+// Changed returns a channel that is closed at the next change.
+func (f *Follower[T]) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Offer takes a value that came another way, unless a newer one is known.
+func (f *Follower[T]) Offer(v Value[T]) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.set(v)
+}
+
+func (f *Follower[T]) set(v Value[T]) {
+	if f.known && v.Revision <= f.value.Revision {
+		return
+	}
+	f.value, f.known = v, true
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Refresh reads the key as of now.
+func (f *Follower[T]) Refresh(ctx context.Context) (kv.Revision, error) {
+	asked := time.Now()
+	item, err := f.store.Get(ctx, f.key)
+	if err != nil {
+		return 0, err
+	}
+	return item.Revision(), f.take(item, item.Revision(), asked)
+}
+
+// take keeps an item; at is the revision at which it is known to be the newest.
+func (f *Follower[T]) take(item kv.Item, at kv.Revision, asked time.Time) error {
+	var held T
+	if item.Revision() > 0 {
+		decoded, err := f.decode(item.Value())
+		if err != nil {
+			return err
+		}
+		held = decoded
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.verified = asked
+	if item.Revision() == 0 {
+		f.clear(at)
+		return nil
+	}
+	f.set(Value[T]{Held: held, Revision: item.Revision()})
+	return nil
+}
+
+// clear takes note that the key is absent.
+func (f *Follower[T]) clear(at kv.Revision) {
+	var none T
+	if f.known && f.value.Revision == 0 {
+		return
+	}
+	if f.known && at != 0 && at <= f.value.Revision {
+		return
+	}
+	f.value, f.known = Value[T]{Held: none}, true
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Run follows the key until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	defer close(f.done)
+	pause := retryFirst
+	var after kv.Revision
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, after)
+		if err == nil {
+			after, pause = next, retryFirst
+			continue
+		}
+		if after != 0 {
+			f.logger.Warn("the watch of %s ended and the key is read again: %v", f.key, err)
+		}
+		after = 0
+		sleep(ctx, pause)
+		pause = min(2*pause, retryLast)
+	}
+}
+
+// step reads the key where no revision is known, else waits for its next change.
+func (f *Follower[T]) step(ctx context.Context, after kv.Revision) (kv.Revision, error) {
+	asked := time.Now()
+	if after == 0 {
+		items, at, err := f.store.Range(ctx, f.key)
+		if err != nil {
+			return 0, err
+		}
+		return at, f.takeOf(items, at, asked)
+	}
+	events, at, err := f.store.Watch(ctx, f.key, after, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range events {
+		if e.Item().Key() != f.key {
+			continue
+		}
+		item := e.Item()
+		if e.Gone() {
+			item = kv.NewItem(f.key, nil, 0)
+		}
+		if err := f.take(item, e.Item().Revision(), asked); err != nil {
+			return 0, err
+		}
+	}
+	return at, nil
+}
+
+func (f *Follower[T]) takeOf(items []kv.Item, at kv.Revision, asked time.Time) error {
+	for _, i := range items {
+		if i.Key() == f.key {
+			return f.take(i, i.Revision(), asked)
+		}
+	}
+	if at == 0 {
+		return fault.New(fault.Unavailable, "the store named no revision")
+	}
+	return f.take(kv.NewItem(f.key, nil, 0), at, asked)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,115 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+)
+
+// Clock is a time on the worker's own steady clock, counted from its start.
+type Clock time.Duration
+
+// Refusal says why a worker did not do an order.
+type Refusal int
+
+//go:generate stringer -type=Refusal -linecomment -output=refusal_string.go
+
+// The refusals of a worker.
+const (
+	Accepted      Refusal = iota // accepted
+	RefusedFence                 // fence
+	RefusedOld                   // old
+	RefusedLate                  // late
+	RefusedRoom                  // room
+	RefusedAdvice                // ticket
+	RefusedWrong                 // wrong
+	RefusedBusy                  // busy
+)
+
+// ParseRefusal returns the refusal of a name; an unknown name is RefusedWrong.
+func ParseRefusal(name string) Refusal {
+	for r := RefusedFence; r <= RefusedBusy; r++ {
+		if r.String() == name {
+			return r
+		}
+	}
+	return RefusedWrong
+}
+
+// Run is one start of a task.
+type Run struct {
+	Task   job.TaskID
+	Number int
+}
+
+// Start orders a run.
+type Start struct {
+	Run        Run
+	Text       string
+	Until      Clock
+	Fence      uint64
+	Checkpoint string
+	// Ticket is the permission of the service that advises the queue, empty where none does.
+	Ticket string
+}
+
+// Running is a run that the worker has.
+type Running struct {
+	Run        Run
+	Checkpoint string
+	// Percent is how much of its work is done, or 100 for a lasting task that is at work.
+	Percent int
+	// Figure is the tail latency in milliseconds for a task that serves, else the thousandths of a core in use.
+	Figure int
+}
+
+// Ended is the end of a run, numbered from 1 within a life of the worker.
+type Ended struct {
+	Number     uint64
+	Run        Run
+	End        job.End
+	Checkpoint string
+}
+
+// View is what a worker has and had.
+type View struct {
+	Running []Running
+	Ended   []Ended
+	Clock   Clock
+}
+
+// Hold renews the time of all that runs, lets ends up to Seen go, and asks for what runs.
+type Hold struct {
+	Fence uint64
+	Seen  uint64
+	// Until is a time on the worker's clock, 0 to renew nothing.
+	Until Clock
+	// Wait is how long the answer may wait for an end.
+	Wait time.Duration
+}
+
+// Report is what a worker tells of itself.
+type Report struct {
+	Instance string
+	Service  string
+	Capacity job.Size
+	// Labels are the worker's kind and its rack.
+	Labels   []string
+	Draining bool
+	// Remaining is the least time left to a draining worker.
+	Remaining time.Duration
+	Sequence  uint64
+	Clock     Clock
+}
+
+// Worker runs tasks beside an agent.
+//
+// Errors are of kind Stale when another life of the worker answers, Unavailable when nothing was sent, and
+// OutcomeUnknown when the order may have been done or may still be.
+type Worker interface {
+	Start(ctx context.Context, instance string, order Start) (Refusal, error)
+	Stop(ctx context.Context, instance string, run Run, fence uint64) (Refusal, error)
+	Pace(ctx context.Context, instance string, run Run, percent int, fence uint64) (Refusal, error)
+	Hold(ctx context.Context, instance string, hold Hold) (View, Refusal, error)
+}
--- /dev/null
+++ b/internal/intake/desk.go
@@ -0,0 +1,227 @@
+package intake
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/follow"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/metric"
+	"github.com/saffronpulley/saffronpulley/internal/policy"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+	"github.com/saffronpulley/saffronpulley/internal/relay"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+)
+
+// retryAfter is when a caller is told to come back while the store is away; shorter than most of its outages.
+const retryAfter = time.Second
+
+// Address is what a caller named: a host and a path, which together tell the queue and the job.
+type Address struct {
+	Host string
+	Path string
+}
+
+// Config holds what a desk needs.
+type Config struct {
+	Store    *relay.Store
+	Pool     *relay.Pool
+	Policies *Policies
+	Lead     *follow.Follower[record.Lead]
+	Logger   logging.Logger
+	Metrics  *metric.Registry
+}
+
+// Desk serves callers.
+type Desk struct {
+	config Config
+	logger logging.Logger
+}
+
+// New returns a desk.
+func New(config Config) *Desk { return &Desk{config: config, logger: config.Logger} }
+
+// route finds the queue that an address names, and the rest of the path.
+func (d *Desk) route(ctx context.Context, a Address) (*policy.Route, string, error) {
+	current := d.config.Policies.Newest()
+	if current == nil {
+		return nil, "", fault.New(fault.Unavailable, "there is no configuration yet").After(retryAfter)
+	}
+	found := current.Route(a.Host, a.Path)
+	if found == nil {
+		current = d.config.Policies.Fresh(ctx)
+		found = current.Route(a.Host, a.Path)
+	}
+	if found == nil {
+		return nil, "", fault.New(fault.NotFound, "version %d of the configuration has no queue there", current.Version())
+	}
+	return found, strings.TrimPrefix(a.Path, found.Prefix), nil
+}
+
+// jobAt finds the queue and the job that an address names.
+func (d *Desk) jobAt(ctx context.Context, a Address) (*policy.Route, job.ID, error) {
+	route, rest, err := d.route(ctx, a)
+	if err != nil {
+		return nil, "", err
+	}
+	id := job.ID(rest)
+	if !id.Valid() {
+		return nil, "", fault.New(fault.BadInput, "%q names no job; a job's name has 16 hexadecimal digits", rest)
+	}
+	return route, id, nil
+}
+
+// Submit takes a job; it is kept once the answer is without an error.
+func (d *Desk) Submit(ctx context.Context, a Address, decode func() (job.Spec, error)) error {
+	began := time.Now()
+	route, id, err := d.jobAt(ctx, a)
+	if err != nil {
+		return err
+	}
+	spec, err := decode()
+	if err != nil {
+		d.logger.Info("job refused; job=%s queue=%s reason=%v", id, route.Queue.Name, err)
+		return err
+	}
+	value, err := job.Encode(spec, route.Queue, time.Now())
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "the job cannot be encoded")
+	}
+	err = d.write(ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: record.JobKey(id)}},
+		Puts:       []kv.Put{{Key: record.JobKey(id), Value: value}},
+	})
+	d.logger.Info("job handed in; job=%s queue=%s version=%d ms=%d outcome=%v",
+		id, route.Queue.Name, d.config.Policies.Newest().Version(), time.Since(began).Milliseconds(), outcome(err))
+	return err
+}
+
+// write makes a change whose condition fails only if it was made before.
+func (d *Desk) write(ctx context.Context, change kv.Txn) error {
+	err := d.config.Store.Commit(ctx, change)
+	if fault.Is(err, fault.Conflict) {
+		return nil
+	}
+	return d.refusal(err)
+}
+
+// refusal tells the caller when to come back.
+func (d *Desk) refusal(err error) error {
+	if err == nil {
+		return nil
+	}
+	kind := fault.KindOf(err)
+	if kind == fault.DeadlineExceeded {
+		kind = fault.OutcomeUnknown
+	}
+	return fault.Wrap(err, kind, "the job was not handled").After(retryAfter)
+}
+
+func outcome(err error) string {
+	if err == nil {
+		return "accepted"
+	}
+	return fault.KindOf(err).String()
+}
+
+// Cancel cancels a job.
+func (d *Desk) Cancel(ctx context.Context, a Address) error {
+	_, id, err := d.jobAt(ctx, a)
+	if err != nil {
+		return err
+	}
+	item, err := d.config.Store.Get(ctx, record.JobKey(id))
+	if err != nil {
+		return d.refusal(err)
+	}
+	if item.Revision() == 0 {
+		return fault.New(fault.Gone, "there is no job %s", id)
+	}
+	err = d.write(ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: record.CancelKey(id)}},
+		Puts:       []kv.Put{{Key: record.CancelKey(id), Value: []byte{1}}},
+	})
+	d.logger.Info("job canceled; job=%s outcome=%s", id, outcome(err))
+	return err
+}
+
+// State returns the state of a job as it is committed.
+func (d *Desk) State(ctx context.Context, a Address) (job.State, error) {
+	_, id, err := d.jobAt(ctx, a)
+	if err != nil {
+		return job.Queued, err
+	}
+	progress, err := d.config.Store.Get(ctx, record.ProgressKey(id))
+	if err != nil {
+		return job.Queued, d.refusal(err)
+	}
+	if progress.Revision() > 0 {
+		return job.DecodeState(progress.Value())
+	}
+	accepted, err := d.config.Store.Get(ctx, record.JobKey(id))
+	if err != nil {
+		return job.Queued, d.refusal(err)
+	}
+	if accepted.Revision() == 0 {
+		return job.Queued, fault.New(fault.Gone, "there is no job %s", id)
+	}
+	return job.Queued, nil
+}
+
+// NamesQueue reports whether the path names a queue and no job.
+func (d *Desk) NamesQueue(a Address) bool {
+	current := d.config.Policies.Newest()
+	if current == nil {
+		return false
+	}
+	found := current.Route(a.Host, a.Path)
+	return (found != nil && found.Prefix == a.Path) || (found == nil && strings.HasSuffix(a.Path, "/"))
+}
+
+const (
+	// waitingPatience bounds the question to the lead, waitingPause lies between two.
+	waitingPatience = 500 * time.Millisecond
+	waitingPause    = 80 * time.Millisecond
+)
+
+// Waiting returns how many jobs of a queue have not begun, as the lead knows.
+func (d *Desk) Waiting(ctx context.Context, a Address) (int, error) {
+	route, _, err := d.route(ctx, a)
+	if err != nil {
+		return 0, err
+	}
+	for {
+		count, err := d.askWaiting(ctx, route.Queue.Name)
+		if err == nil {
+			return count, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, fault.Wrap(err, fault.Unavailable, "the lead cannot be asked").After(retryAfter)
+		case <-time.After(waitingPause):
+		}
+	}
+}
+
+func (d *Desk) askWaiting(ctx context.Context, queue string) (int, error) {
+	lead, known := d.config.Lead.Value()
+	if !known || lead.Revision == 0 {
+		return 0, fault.New(fault.Unavailable, "nobody leads")
+	}
+	bounded, cancel := context.WithTimeout(ctx, waitingPatience)
+	defer cancel()
+	peer, err := d.config.Pool.Peer(bounded, lead.Held.Address)
+	if err != nil {
+		return 0, err
+	}
+	answer, err := rpc.Call[link.Waiting, link.WaitingAnswer](bounded, peer, link.MethodWaiting, link.Waiting{Queue: queue})
+	if err != nil && !fault.Is(err, fault.Stale) {
+		d.config.Pool.Drop(lead.Held.Address)
+	}
+	return answer.Count, err
+}
--- /dev/null
+++ b/internal/job/codec.go
@@ -0,0 +1,207 @@
+package job
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+)
+
+// storedJob is an accepted job in the store; it never changes.
+type storedJob struct {
+	_        struct{} `cbor:",toarray"`
+	Text     string
+	Steps    []storedStep
+	Times    int
+	Start    int64
+	Interval int64
+	Queue    storedQueue
+	Accepted int64
+}
+
+type storedStep struct {
+	_            struct{} `cbor:",toarray"`
+	Count        int
+	CPU          int
+	Memory       int
+	GPU          int
+	Estimate     int64
+	DependsOn    []int
+	Flags        uint
+	Requires     string
+	Affinity     string
+	AntiAffinity int
+	Image        string
+	Target       int64
+	MayMiss      int
+}
+
+type storedQueue struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Service  string
+	Priority int
+	Attempts int
+	Stretch  float64
+	Target   int64
+	Advised  bool
+}
+
+// storedProgress is how far a job is; tasks that never had a run are left out.
+type storedProgress struct {
+	_     struct{} `cbor:",toarray"`
+	State int
+	Hosts []storedHost
+	Tasks []storedTask
+}
+
+type storedHost struct {
+	_        struct{} `cbor:",toarray"`
+	VM       string
+	Instance string
+}
+
+type storedTask struct {
+	_          struct{} `cbor:",toarray"`
+	Time       int
+	Step       int
+	Index      int
+	Phase      int
+	Run        int
+	Failures   int
+	Host       int
+	Checkpoint string
+}
+
+const (
+	flagCheckpoints = 1 << iota
+	flagGang
+	flagSameRack
+	flagSpeculative
+	flagLasting
+	flagFills
+)
+
+// Encode returns the accepted job as it is stored.
+func Encode(spec Spec, queue Queue, accepted time.Time) ([]byte, error) {
+	stored := storedJob{
+		Text: spec.Text, Times: spec.Times, Interval: spec.Interval.Milliseconds(), Accepted: accepted.UnixMilli(),
+		Queue: storedQueue{
+			Name: queue.Name, Service: queue.Service, Priority: queue.Priority, Attempts: queue.Attempts,
+			Stretch: queue.Stretch, Target: queue.Target.Milliseconds(), Advised: queue.Advised,
+		},
+	}
+	if spec.Times > 0 {
+		stored.Start = spec.Start.UnixMilli()
+	}
+	for _, s := range spec.Steps {
+		stored.Steps = append(stored.Steps, storedStep{
+			Count: s.Count, CPU: s.Size.CPU, Memory: s.Size.Memory, GPU: s.Size.GPU, Estimate: s.Estimate.Milliseconds(),
+			DependsOn: s.DependsOn, Flags: flagsOf(s), Requires: s.Requires, Affinity: s.Affinity,
+			AntiAffinity: s.AntiAffinity, Image: s.Image, Target: s.Target.Milliseconds(), MayMiss: s.MayMiss,
+		})
+	}
+	return cbor.Marshal(stored)
+}
+
+func flagsOf(s Step) uint {
+	var flags uint
+	for flag, set := range map[uint]bool{
+		flagCheckpoints: s.Checkpoints, flagGang: s.Gang, flagSameRack: s.SameRack,
+		flagSpeculative: s.Speculative, flagLasting: s.Lasting, flagFills: s.Fills,
+	} {
+		if set {
+			flags |= flag
+		}
+	}
+	return flags
+}
+
+// Decode returns the stored job, with nothing begun.
+func Decode(id ID, data []byte) (*Job, error) {
+	var stored storedJob
+	if err := cbor.Unmarshal(data, &stored); err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "the record of job "+string(id)+" cannot be read")
+	}
+	spec := Spec{Text: stored.Text, Times: stored.Times, Interval: millis(stored.Interval)}
+	if stored.Times > 0 {
+		spec.Start = time.UnixMilli(stored.Start)
+	}
+	for _, s := range stored.Steps {
+		spec.Steps = append(spec.Steps, Step{
+			Count: s.Count, Size: Size{CPU: s.CPU, Memory: s.Memory, GPU: s.GPU}, Estimate: millis(s.Estimate),
+			DependsOn: s.DependsOn, Checkpoints: s.Flags&flagCheckpoints != 0, Gang: s.Flags&flagGang != 0,
+			SameRack: s.Flags&flagSameRack != 0, Speculative: s.Flags&flagSpeculative != 0,
+			Lasting: s.Flags&flagLasting != 0, Fills: s.Flags&flagFills != 0, Requires: s.Requires,
+			Affinity: s.Affinity, AntiAffinity: s.AntiAffinity, Image: s.Image, Target: millis(s.Target), MayMiss: s.MayMiss,
+		})
+	}
+	q := stored.Queue
+	queue := Queue{
+		Name: q.Name, Service: q.Service, Priority: q.Priority, Attempts: q.Attempts,
+		Stretch: q.Stretch, Target: millis(q.Target), Advised: q.Advised,
+	}
+	return New(id, spec, queue, time.UnixMilli(stored.Accepted)), nil
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// EncodeProgress returns how far the job is, as it is stored.
+func (j *Job) EncodeProgress() ([]byte, error) {
+	stored := storedProgress{State: int(j.State())}
+	hosts := make(map[Host]int)
+	j.Each(func(id TaskID, t *Task) {
+		if t.run == 0 && t.phase == Waiting {
+			return
+		}
+		row := storedTask{
+			Time: id.Time, Step: id.Step, Index: id.Index, Phase: int(t.phase), Run: t.run,
+			Failures: t.failures, Checkpoint: t.checkpoint,
+		}
+		if t.phase == Placed {
+			if _, known := hosts[t.host]; !known {
+				stored.Hosts = append(stored.Hosts, storedHost{VM: t.host.VM, Instance: t.host.Instance})
+				hosts[t.host] = len(stored.Hosts)
+			}
+			row.Host = hosts[t.host]
+		}
+		stored.Tasks = append(stored.Tasks, row)
+	})
+	return cbor.Marshal(stored)
+}
+
+// DecodeState returns the state of a stored progress.
+func DecodeState(data []byte) (State, error) {
+	var stored storedProgress
+	if err := cbor.Unmarshal(data, &stored); err != nil {
+		return Queued, fault.Wrap(err, fault.Internal, "the progress of a job cannot be read")
+	}
+	return State(stored.State), nil
+}
+
+// ApplyProgress brings a decoded job to a stored progress.
+func (j *Job) ApplyProgress(data []byte) error {
+	var stored storedProgress
+	if err := cbor.Unmarshal(data, &stored); err != nil {
+		return fault.Wrap(err, fault.Internal, "the progress of job "+string(j.id)+" cannot be read")
+	}
+	for _, row := range stored.Tasks {
+		task := j.Task(TaskID{Job: j.id, Time: row.Time, Step: row.Step, Index: row.Index})
+		if task == nil {
+			return fault.New(fault.Internal, "the progress of job %s names a task that it has not", j.id)
+		}
+		*task = Task{phase: Phase(row.Phase), run: row.Run, failures: row.Failures, checkpoint: row.Checkpoint}
+		if row.Host > 0 && row.Host <= len(stored.Hosts) {
+			host := stored.Hosts[row.Host-1]
+			task.host = Host{VM: host.VM, Instance: host.Instance}
+		}
+		if task.phase == Done {
+			j.open--
+		}
+		j.begun = j.begun || task.run > 0
+	}
+	j.failed = State(stored.State) == Failed
+	j.canceled = State(stored.State) == Canceled
+	return nil
+}
--- /dev/null
+++ b/internal/job/task.go
@@ -0,0 +1,105 @@
+package job
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// TaskID names a task: its job, which of the job's times, its step, and its number in the step.
+type TaskID struct {
+	Job   ID
+	Time  int
+	Step  int
+	Index int
+}
+
+// String returns the name of the task as the worker knows it.
+func (t TaskID) String() string { return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Time, t.Step, t.Index) }
+
+// ParseTaskID reads the name of a task.
+func ParseTaskID(text string) (TaskID, bool) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskID{}, false
+	}
+	var numbers [3]int
+	for i, p := range parts[1:] {
+		n, err := strconv.Atoi(p)
+		if err != nil || n < 0 {
+			return TaskID{}, false
+		}
+		numbers[i] = n
+	}
+	return TaskID{Job: ID(parts[0]), Time: numbers[0], Step: numbers[1], Index: numbers[2]}, true
+}
+
+// Host is one life of a worker on a VM.
+type Host struct {
+	VM       string
+	Instance string
+}
+
+// Phase says where a task stands.
+type Phase int
+
+//go:generate stringer -type=Phase,State,End -linecomment -output=names_string.go
+
+// The phases of a task.
+const (
+	Waiting Phase = iota // waiting
+	Placed               // placed
+	Done                 // done
+)
+
+// State is what callers are told of a job.
+type State int
+
+// The states of a job.
+const (
+	Queued    State = iota // queued
+	Running                // running
+	Completed              // completed
+	Failed                 // failed
+	Canceled               // cancelled
+)
+
+// Final reports whether the state no longer changes.
+func (s State) Final() bool { return s >= Completed }
+
+// End is how a run ended.
+type End int
+
+// The ends of a run.
+const (
+	EndDone    End = iota // done
+	EndFailed             // failed
+	EndStopped            // stopped
+	EndLapsed             // lapsed
+	EndBroken             // broken
+	EndAlone              // alone
+)
+
+// Task is the state of a task.
+type Task struct {
+	phase      Phase
+	run        int
+	failures   int
+	host       Host
+	checkpoint string
+}
+
+// Phase returns where the task stands.
+func (t *Task) Phase() Phase { return t.phase }
+
+// Run returns the number of the latest run, 0 before the first.
+func (t *Task) Run() int { return t.run }
+
+// Failures returns how many runs ended as failed.
+func (t *Task) Failures() int { return t.failures }
+
+// Host returns where the latest run was placed.
+func (t *Task) Host() Host { return t.host }
+
+// Checkpoint returns the latest saved progress, empty for none.
+func (t *Task) Checkpoint() string { return t.checkpoint }
--- /dev/null
+++ b/internal/link/messages.go
@@ -0,0 +1,165 @@
+package link
+
+// Methods of the processes.
+const (
+	// MethodReport is an agent's call to the lead, MethodOrders the lead's call back.
+	MethodReport = "report"
+	MethodOrders = "orders"
+	// MethodPing is an entry's call to the lead; MethodWaiting asks the lead for a queue's count.
+	MethodPing    = "ping"
+	MethodWaiting = "waiting"
+	// MethodGet and MethodCommit ask an entry to reach the store for a process that cannot.
+	MethodGet    = "store.get"
+	MethodCommit = "store.commit"
+)
+
+// Run names a run.
+type Run struct {
+	Task   string `json:"t"`
+	Number int    `json:"r"`
+}
+
+// Running is a run that a worker has.
+type Running struct {
+	Run
+	Percent    int    `json:"p,omitempty"`
+	Figure     int    `json:"f,omitempty"`
+	Pace       int    `json:"a,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+}
+
+// Ended is a run that ended on a worker.
+type Ended struct {
+	Run
+	Sequence   uint64 `json:"n"`
+	End        int    `json:"e"`
+	Checkpoint string `json:"c,omitempty"`
+}
+
+// Rejected is a run that surely never started there and never will.
+type Rejected struct {
+	Run
+	Refusal int `json:"w"`
+}
+
+// Report tells the lead what an agent and its worker have.
+type Report struct {
+	VM    string `json:"vm"`
+	Hall  string `json:"hall"`
+	Epoch uint64 `json:"epoch"`
+	// Instance is the life of the worker; empty while the agent knows of none.
+	Instance string   `json:"instance,omitempty"`
+	Service  string   `json:"service,omitempty"`
+	CPU      int      `json:"cpu,omitempty"`
+	Memory   int      `json:"memory,omitempty"`
+	GPU      int      `json:"gpu,omitempty"`
+	Labels   []string `json:"labels,omitempty"`
+	Draining bool     `json:"draining,omitempty"`
+	// RemainingMillis is the least time left to a draining worker.
+	RemainingMillis int64 `json:"remaining_ms,omitempty"`
+	// Silent says that the worker does not answer, Lapsed that the time of all that it runs is surely over.
+	Silent bool `json:"silent,omitempty"`
+	Lapsed bool `json:"lapsed,omitempty"`
+	// Fenced says that the worker has seen this epoch, so that Running, Ended and Pending are all there is.
+	Fenced   bool       `json:"fenced,omitempty"`
+	Running  []Running  `json:"running,omitempty"`
+	Ended    []Ended    `json:"ended,omitempty"`
+	Pending  []Run      `json:"pending,omitempty"`
+	Rejected []Rejected `json:"rejected,omitempty"`
+	// Unknown names runs of which the agent has no profile.
+	Unknown []Run `json:"unknown,omitempty"`
+}
+
+// ReportAnswer is the lead's answer to a report.
+type ReportAnswer struct {
+	Epoch uint64 `json:"epoch"`
+	// PermissionMillis is how long the worker may go on, counted from when the report was sent.
+	PermissionMillis int64 `json:"permission_ms"`
+	// Seen is up to which number the ends are committed.
+	Seen uint64 `json:"seen"`
+	// Doubtful says that the lead has not confirmed for a while that it leads.
+	Doubtful bool      `json:"doubtful,omitempty"`
+	Entries  []string  `json:"entries,omitempty"`
+	Profiles []Profile `json:"profiles,omitempty"`
+}
+
+// Profile is what an agent has to know of a run beside its name.
+type Profile struct {
+	Run
+	Image        string `json:"image,omitempty"`
+	CPU          int    `json:"cpu"`
+	TargetMillis int64  `json:"target_ms,omitempty"`
+	Fills        bool   `json:"fills,omitempty"`
+	Lasting      bool   `json:"lasting,omitempty"`
+}
+
+// Start orders a run.
+type Start struct {
+	Profile
+	Checkpoint string `json:"checkpoint,omitempty"`
+	Ticket     string `json:"ticket,omitempty"`
+}
+
+// Orders are the lead's orders to an agent.
+type Orders struct {
+	Epoch  uint64  `json:"epoch"`
+	Starts []Start `json:"starts,omitempty"`
+	Stops  []Run   `json:"stops,omitempty"`
+	// Texts holds the text of each job that Starts name, by the job's name.
+	Texts map[string]string `json:"texts,omitempty"`
+}
+
+// Ping tells the lead of an entry and of the newest configuration that it knows.
+type Ping struct {
+	Entry   string `json:"entry"`
+	Address string `json:"address"`
+	Epoch   uint64 `json:"epoch"`
+	Offer
+}
+
+// Offer is a configuration as the store holds it, with its revision; the value is left out where both have it.
+type Offer struct {
+	Revision uint64 `json:"revision,omitempty"`
+	Value    []byte `json:"value,omitempty"`
+}
+
+// PingAnswer is the lead's answer to an entry.
+type PingAnswer struct {
+	Entries []string `json:"entries"`
+	Offer
+}
+
+// Waiting asks for the count of a queue.
+type Waiting struct {
+	Queue string `json:"queue"`
+}
+
+// WaitingAnswer is how many jobs of a queue have not begun.
+type WaitingAnswer struct {
+	Count int `json:"count"`
+}
+
+// Get asks for a key of the store.
+type Get struct {
+	Key string `json:"key"`
+}
+
+// Item is a key of the store.
+type Item struct {
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+}
+
+// Commit asks for a change of the store.
+type Commit struct {
+	Conditions map[string]uint64 `json:"conditions"`
+	Puts       map[string][]byte `json:"puts"`
+}
+
+// CommitAnswer is the revision of a change.
+type CommitAnswer struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Empty is an answer without content.
+type Empty struct{}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -25,9 +25,9 @@
 	logger.Context = log.NewContext(nil).Str("process", process).Value()
 	switch format {
 	case "json":
-		logger.Writer = log.IOWriter{Writer: os.Stderr}
+		logger.Writer = log.IOWriter{Writer: os.Stdout}
 	case "console":
-		logger.Writer = &log.ConsoleWriter{Writer: os.Stderr}
+		logger.Writer = &log.ConsoleWriter{Writer: os.Stdout}
 	default:
 		return Logger{}, fault.New(fault.BadInput, "%q is not a log format; use json or console", format)
 	}
--- /dev/null
+++ b/internal/node/agent.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"context"
+
+	"github.com/saffronpulley/saffronpulley/internal/admin"
+	"github.com/saffronpulley/saffronpulley/internal/relay"
+	"github.com/saffronpulley/saffronpulley/internal/runner"
+	"github.com/saffronpulley/saffronpulley/platform"
+)
+
+func (p *process) runAgent(ctx context.Context) error {
+	r := runner.New(runner.Config{
+		VM: p.settings.ID(), Hall: p.settings.Hall(), Worker: platform.NewWorker(p.settings.Worker()),
+		Store: relay.New(p.store, p.pool), Pool: p.pool, Clock: p.clock, Secret: secret,
+		Logger: p.logger.Part("agent"), Metrics: p.metrics,
+	})
+	reports, err := serve(p.settings.Reports(), "listen.reports", platform.HandleReports(r))
+	if err != nil {
+		return err
+	}
+	metrics, err := p.serveMetrics(func() bool { return true })
+	if err != nil {
+		return err
+	}
+	defer admin.CloseAll(reports, metrics)
+	if err := r.Run(ctx); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/saffronpulley/saffronpulley/internal/admin"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/metric"
+	"github.com/saffronpulley/saffronpulley/internal/relay"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
+	"github.com/saffronpulley/saffronpulley/platform"
+)
+
+const (
+	// secret keeps strangers' connections apart; the platform gives the processes none of their own, and its network none
+	// but its machines.
+	secret = "saffronpulley-processes"
+	// memoryShare is the part of the VM's memory that the collector keeps to.
+	memoryShare = 0.6
+	// collectAt lets the heap of the small processes grow before it is collected, which costs processor time.
+	collectAt = 300
+	// bodyLimit is above what the operators' limits allow; a job over the latter is refused with a sentence.
+	bodyLimit      = 4 << 20
+	readTimeout    = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxConnections = 3000
+)
+
+// process is what both roles share.
+type process struct {
+	settings *Settings
+	boot     string
+	logger   logging.Logger
+	clock    *timeline.Clock
+	metrics  *metric.Registry
+	store    kv.Store
+	mux      *rpc.Mux
+	pool     *relay.Pool
+}
+
+// Run runs the role that the settings name until SIGTERM or SIGINT; SIGHUP reads the settings again.
+func Run(path string) error {
+	settings, err := Load(path)
+	if err != nil {
+		return err
+	}
+	logger, err := logging.New(settings.LogLevel(), "json", settings.ID())
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes())))
+	debug.SetGCPercent(collectAt)
+	p := &process{
+		settings: settings, boot: ulid.Make().String(), logger: logger, clock: timeline.NewClock(time.Now),
+		metrics: metric.New(), store: platform.NewStore(settings.Store()),
+	}
+	p.metrics.RegisterProcess()
+	p.mux = rpc.NewMux(p.clock)
+	p.pool = relay.NewPool(settings.PeerAddress(), secret, p.mux, settings.Neighbors())
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	go p.reload(ctx, path)
+	logger.Info("process: started; role=%s boot=%s hall=%s", settings.Role(), p.boot, settings.Hall())
+	if settings.Role() == RoleEntry {
+		err = p.runEntry(ctx)
+	} else {
+		err = p.runAgent(ctx)
+	}
+	logger.Info("process: ended; reason=%v", err)
+	return err
+}
+
+// reload reads the settings again at SIGHUP; what has changed beside the log level takes effect at the next start.
+func (p *process) reload(ctx context.Context, path string) {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGHUP)
+	defer signal.Stop(asked)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-asked:
+		}
+		fresh, err := Load(path)
+		if err != nil {
+			p.logger.Error("process: the changed settings are not taken: %v", err)
+			continue
+		}
+		p.pool.Learn(fresh.Neighbors())
+		p.logger.Info("process: settings read again; changed=%t", fresh.file != p.settings.file)
+	}
+}
+
+func open(address, setting string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadInput, "cannot listen; choose a free address for "+setting)
+	}
+	return listener, nil
+}
+
+func limits() admin.Limits {
+	return admin.Limits{Body: bodyLimit, Read: readTimeout, Idle: idleTimeout, Connections: maxConnections}
+}
+
+func serve(address, setting string, handler fasthttp.RequestHandler) (*admin.Server, error) {
+	listener, err := open(address, setting)
+	if err != nil {
+		return nil, err
+	}
+	return admin.Serve(listener, limits(), handler, admin.RefusePlainly), nil
+}
+
+// serveMetrics serves the metrics of the process.
+func (p *process) serveMetrics(ready func() bool) (*admin.Server, error) {
+	health := admin.Health{Ready: ready, Metrics: p.metrics}
+	return serve(p.settings.MetricsAddress(), "ports.metrics", func(ctx *fasthttp.RequestCtx) {
+		if !health.Handle(ctx) {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	})
+}
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,214 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+)
+
+// Group is the waiting tasks of one step of one time of a job.
+type Group struct {
+	Job     *job.Job
+	Time    int
+	Number  int
+	Step    *job.Step
+	Service string
+	// Indexes are the tasks that wait; Held counts the step's tasks on each worker.
+	Indexes []int
+	Held    map[job.Host]int
+	// Avoid names workers on which a task of the group failed or was rejected a moment ago.
+	Avoid map[job.Host]bool
+	// Priority 0 goes first. Slack is the time left before the objective is missed if all goes well from now on,
+	// Late the same before nothing is earned at all.
+	Priority int
+	Slack    time.Duration
+	Late     time.Duration
+}
+
+// Placement gives a task to a worker; Run is 0 for the task's next run, and the shared run of a gang.
+type Placement struct {
+	Task job.TaskID
+	Step *job.Step
+	Host job.Host
+	Run  int
+}
+
+// Make places what waits, most urgent first, and returns the placements in that order.
+func Make(workers []*Worker, groups []*Group) []Placement {
+	slices.SortStableFunc(groups, before)
+	var placed []Placement
+	for _, g := range groups {
+		if g.Step.Gang {
+			placed = append(placed, placeGang(workers, g)...)
+			continue
+		}
+		placed = append(placed, placeEach(workers, g)...)
+	}
+	return placed
+}
+
+// urgency orders groups: short work of serving queues, then lasting tasks, then batch that can still earn, then the rest.
+func (g *Group) urgency() int {
+	switch {
+	case g.Step.Lasting:
+		return 1
+	case g.Late <= 0:
+		return 4
+	case g.Step.Fills && g.Slack <= 0:
+		return 3
+	case g.Step.Fills:
+		return 2
+	}
+	return 0
+}
+
+func before(a, b *Group) int {
+	return cmp.Or(
+		cmp.Compare(a.urgency(), b.urgency()),
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.Slack, b.Slack),
+		cmp.Compare(a.Job.ID(), b.Job.ID()),
+		cmp.Compare(a.Time, b.Time),
+		cmp.Compare(a.Number, b.Number),
+	)
+}
+
+func placeEach(workers []*Worker, g *Group) []Placement {
+	var placed []Placement
+	for _, i := range g.Indexes {
+		w := best(workers, g)
+		if w == nil {
+			break
+		}
+		placed = append(placed, g.take(w, i, 0))
+	}
+	return placed
+}
+
+func (g *Group) take(w *Worker, index, run int) Placement {
+	w.Take(g.Step)
+	if w.Trials > 0 {
+		w.Trials--
+	}
+	g.Held[w.Host]++
+	id := job.TaskID{Job: g.Job.ID(), Time: g.Time, Step: g.Number, Index: index}
+	return Placement{Task: id, Step: g.Step, Host: w.Host, Run: run}
+}
+
+// placeGang places all tasks of a gang or none.
+func placeGang(workers []*Worker, g *Group) []Placement {
+	if len(g.Indexes) < g.Step.Count {
+		return nil
+	}
+	for _, candidates := range racks(workers, g.Step) {
+		if placed := gangOn(candidates, g); placed != nil {
+			return placed
+		}
+	}
+	return nil
+}
+
+// racks returns the sets of workers to try for a gang: each rack by itself where that matters, then all.
+func racks(workers []*Worker, step *job.Step) [][]*Worker {
+	var sets [][]*Worker
+	if step.SameRack {
+		byRack := make(map[string][]*Worker)
+		var names []string
+		for _, w := range workers {
+			rack := w.rack()
+			if _, known := byRack[rack]; !known {
+				names = append(names, rack)
+			}
+			byRack[rack] = append(byRack[rack], w)
+		}
+		slices.Sort(names)
+		for _, name := range names {
+			sets = append(sets, byRack[name])
+		}
+	}
+	return append(sets, workers)
+}
+
+// rack returns the label that names the rack, which comes after the kind.
+func (w *Worker) rack() string {
+	if len(w.Labels) < 2 {
+		return ""
+	}
+	return w.Labels[1]
+}
+
+func gangOn(workers []*Worker, g *Group) []Placement {
+	run := g.Job.NextGangRun(g.Time, g.Number)
+	var placed []Placement
+	var taken []*Worker
+	for _, i := range g.Indexes {
+		w := best(workers, g)
+		if w == nil {
+			for _, t := range taken {
+				t.Give(g.Step)
+				g.Held[t.Host]--
+			}
+			return nil
+		}
+		taken = append(taken, w)
+		placed = append(placed, g.take(w, i, run))
+	}
+	return placed
+}
+
+// best returns the worker that suits a task of the group best, nil where none may take it.
+func best(workers []*Worker, g *Group) *Worker {
+	var chosen *Worker
+	var lowest float64
+	for _, w := range workers {
+		if !w.admits(g) {
+			continue
+		}
+		cost, ok := costOf(w, g)
+		if ok && (chosen == nil || cost < lowest) {
+			chosen, lowest = w, cost
+		}
+	}
+	return chosen
+}
+
+// Weights of a placement's cost, in shares of a worker's processors: what is avoided goes last of all, data that
+// lies elsewhere costs more than any crowding, and a worker that is pressed is a third of a worker more crowded.
+const (
+	avoidedCost = 10.0
+	farCost     = 2.0
+	pressedCost = 0.35
+)
+
+// costOf returns how crowded the worker would be, and whether the task would get anything at all there.
+func costOf(w *Worker, g *Group) (float64, bool) {
+	if w.Capacity.CPU == 0 {
+		return 0, false
+	}
+	share := func(cpu int) float64 { return float64(cpu) / float64(w.Capacity.CPU) }
+	var cost float64
+	switch {
+	case g.Step.Fills:
+		if w.Spare() < g.Step.Size.CPU && w.Filling > 0 {
+			return 0, false
+		}
+		cost = 1 - share(w.Spare())
+	default:
+		cost = share(w.Used.CPU) + share(w.Filling)/4
+	}
+	if w.Pressed {
+		cost += pressedCost
+	}
+	if g.Avoid[w.Host] {
+		cost += avoidedCost
+	}
+	if g.Step.Affinity != "" && !slices.Contains(w.Labels, g.Step.Affinity) {
+		cost += farCost
+	}
+	if w.Speed > 0 {
+		cost += 1/w.Speed - 1
+	}
+	return cost, true
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+)
+
+const (
+	// directPatience bounds a call to the store; slow answers take some 250 ms and are worth waiting for.
+	directPatience = 700 * time.Millisecond
+	// peerPatience bounds a call through an entry, which itself waits for the store.
+	peerPatience = 900 * time.Millisecond
+	// avoidFor is how long the store is not tried first after it failed.
+	avoidFor = 1500 * time.Millisecond
+	// pause lies between two rounds of attempts.
+	pause = 60 * time.Millisecond
+)
+
+// Store reaches the store directly or through an entry.
+type Store struct {
+	direct kv.Store
+	pool   *Pool
+
+	mu     sync.Mutex
+	failed time.Time
+}
+
+// New returns a store over the direct one and the entries of a pool.
+func New(direct kv.Store, pool *Pool) *Store { return &Store{direct: direct, pool: pool} }
+
+// attempt is one way to the store.
+type attempt func(ctx context.Context) error
+
+// Get returns the item of a key as of now.
+func (s *Store) Get(ctx context.Context, key string) (kv.Item, error) {
+	var item kv.Item
+	direct := func(ctx context.Context) (err error) {
+		item, err = s.direct.Get(ctx, key)
+		return err
+	}
+	peer := func(p *rpc.Peer) attempt {
+		return func(ctx context.Context) error {
+			answer, err := rpc.Call[link.Get, link.Item](ctx, p, link.MethodGet, link.Get{Key: key})
+			item = kv.NewItem(key, answer.Value, kv.Revision(answer.Revision))
+			return err
+		}
+	}
+	err := s.try(ctx, direct, peer)
+	return item, err
+}
+
+// Commit makes a change that is safe to repeat: each of its keys stands under a condition.
+func (s *Store) Commit(ctx context.Context, change kv.Txn) error {
+	request := link.Commit{Conditions: map[string]uint64{}, Puts: map[string][]byte{}}
+	for _, c := range change.Conditions {
+		request.Conditions[c.Key] = uint64(c.Revision)
+	}
+	for _, p := range change.Puts {
+		request.Puts[p.Key] = p.Value
+	}
+	direct := func(ctx context.Context) error {
+		_, err := s.direct.Commit(ctx, change)
+		return err
+	}
+	peer := func(p *rpc.Peer) attempt {
+		return func(ctx context.Context) error {
+			_, err := rpc.Call[link.Commit, link.CommitAnswer](ctx, p, link.MethodCommit, request)
+			return err
+		}
+	}
+	return s.try(ctx, direct, peer)
+}
+
+// try goes through the ways to the store until one gives an answer or ctx ends.
+//
+// The error is of kind OutcomeUnknown if any attempt may have been done.
+func (s *Store) try(ctx context.Context, direct attempt, peer func(*rpc.Peer) attempt) error {
+	var doubt error
+	for {
+		err := s.round(ctx, direct, peer, &doubt)
+		if settled(err) {
+			return err
+		}
+		if !wait(ctx, pause) {
+			if doubt != nil {
+				return doubt
+			}
+			return fault.Wrap(err, fault.Unavailable, "the store cannot be reached")
+		}
+	}
+}
+
+func (s *Store) round(ctx context.Context, direct attempt, peer func(*rpc.Peer) attempt, doubt *error) error {
+	last := error(fault.New(fault.Unavailable, "no entry can be reached"))
+	note := func(err error) bool {
+		if fault.Is(err, fault.OutcomeUnknown) || fault.Is(err, fault.DeadlineExceeded) {
+			*doubt = fault.Wrap(err, fault.OutcomeUnknown, "the store's answer was lost")
+		}
+		last = err
+		return settled(err)
+	}
+	avoided := s.avoided()
+	if !avoided && note(s.straight(ctx, direct)) {
+		return last
+	}
+	for _, p := range s.pool.Peers(ctx) {
+		bounded, cancel := context.WithTimeout(ctx, peerPatience)
+		err := peer(p)(bounded)
+		cancel()
+		if note(err) {
+			return last
+		}
+		if ctx.Err() != nil {
+			return last
+		}
+	}
+	if avoided {
+		note(s.straight(ctx, direct))
+	}
+	return last
+}
+
+func (s *Store) straight(ctx context.Context, direct attempt) error {
+	bounded, cancel := context.WithTimeout(ctx, directPatience)
+	defer cancel()
+	err := direct(bounded)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed = time.Time{}
+	if !settled(err) {
+		s.failed = time.Now()
+	}
+	return err
+}
+
+func (s *Store) avoided() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.failed) < avoidFor
+}
+
+// settled reports whether an answer came that no other way would change.
+func settled(err error) bool {
+	kinds := []fault.Kind{fault.Conflict, fault.NotFound, fault.BadInput, fault.TooLarge}
+	return err == nil || slices.Contains(kinds, fault.KindOf(err))
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return ctx.Err() == nil
+	}
+}
--- a/internal/rpc/peer.go
+++ b/internal/rpc/peer.go
@@ -117,7 +117,7 @@
 		_ = json.Unmarshal(*remote.Data, &data)
 	}
 	kind := fault.Kind(remote.Code)
-	if kind < fault.Internal || kind > fault.Unauthorized {
+	if kind < fault.Internal || kind > fault.Gone {
 		kind = fault.Internal
 	}
 	return fault.New(kind, "%s", remote.Message).After(time.Duration(data.RetryAfterMillis) * time.Millisecond)
--- /dev/null
+++ b/internal/runner/orders.go
@@ -0,0 +1,182 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+)
+
+const (
+	// orderPause lies between two attempts at an order that got no answer.
+	orderPause = 80 * time.Millisecond
+	// orderAttempts is how often a start is tried before it is taken back by a stop.
+	orderAttempts = 4
+)
+
+// takeOrders takes the lead's orders and carries them out afterwards; orders of an earlier lead or connection are refused.
+func (r *Runner) takeOrders(_ context.Context, p *rpc.Peer, orders link.Orders) (link.Empty, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if orders.Epoch != r.epoch || p != r.session {
+		return link.Empty{}, fault.New(fault.Stale, "the agent follows epoch %d", r.epoch)
+	}
+	l := r.life
+	if l == nil {
+		return link.Empty{}, fault.New(fault.Unavailable, "the agent knows no worker")
+	}
+	for i := range orders.Starts {
+		start := orders.Starts[i]
+		id, ok := job.ParseTaskID(start.Task)
+		if !ok {
+			return link.Empty{}, fault.New(fault.BadInput, "%q names no task", start.Task)
+		}
+		r.begin(l, host.Run{Task: id, Number: start.Number}, &start, orders.Texts[string(id.Job)])
+	}
+	for _, stop := range orders.Stops {
+		run, ok := parseRun(stop)
+		if !ok {
+			return link.Empty{}, fault.New(fault.BadInput, "%q names no task", stop.Task)
+		}
+		r.end(l, run)
+	}
+	return link.Empty{}, nil
+}
+
+// begin carries out a start unless it is under way already.
+func (r *Runner) begin(l *life, run host.Run, start *link.Start, text string) {
+	if l.orders[run] != nil {
+		return
+	}
+	l.profiles[run] = start.Profile
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &order{start: start, text: text, cancel: cancel}
+	l.orders[run] = o
+	if l.report.Draining {
+		o.refuse(l, host.RefusedBusy)
+		signal(r.changed)
+		return
+	}
+	go r.start(ctx, l, run, o)
+}
+
+// end carries out a stop, in place of a start that is under way.
+func (r *Runner) end(l *life, run host.Run) {
+	if o := l.orders[run]; o != nil {
+		if o.stop {
+			return
+		}
+		o.cancel()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &order{stop: true, cancel: cancel}
+	l.orders[run] = o
+	go r.stop(ctx, l, run, o)
+}
+
+func (o *order) refuse(l *life, why host.Refusal) {
+	o.refused, o.final, o.views = why, true, l.views
+}
+
+// current reports whether the order still counts: the same life of the worker, the same epoch, and no newer order.
+func (r *Runner) current(l *life, run host.Run, o *order) bool {
+	return r.life == l && l.orders[run] == o
+}
+
+// start tries a start until the worker answers; one that may have been done is taken back by a stop.
+func (r *Runner) start(ctx context.Context, l *life, run host.Run, o *order) {
+	defer o.cancel()
+	doubtful := false
+	for range orderAttempts {
+		r.mu.Lock()
+		until, epoch, valid := r.until(l), r.epoch, r.current(l, run, o)
+		draining := l.report.Draining
+		r.mu.Unlock()
+		if !valid || ctx.Err() != nil {
+			return
+		}
+		if draining || until == 0 {
+			break
+		}
+		refusal, err := r.config.Worker.Start(ctx, l.report.Instance, host.Start{
+			Run: run, Text: o.text, Until: until, Fence: epoch, Checkpoint: o.start.Checkpoint, Ticket: o.start.Ticket,
+		})
+		if err == nil && r.started(l, run, o, refusal, doubtful) {
+			return
+		}
+		doubtful = doubtful || (err != nil && !fault.Is(err, fault.Unavailable)) || err == nil
+		if fault.Is(err, fault.Stale) {
+			return
+		}
+		pause(ctx, orderPause)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.current(l, run, o) {
+		return
+	}
+	if !doubtful {
+		o.refuse(l, host.RefusedBusy)
+		signal(r.changed)
+		return
+	}
+	r.logger.Warn("start without an answer is taken back; task=%s run=%d", run.Task, run.Number)
+	r.end(l, run)
+}
+
+// started takes the worker's answer to a start and reports whether the order is at its end.
+func (r *Runner) started(l *life, run host.Run, o *order, refusal host.Refusal, doubtful bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.current(l, run, o) {
+		return true
+	}
+	switch {
+	case refusal == host.Accepted:
+		delete(l.orders, run)
+		l.profiles[run] = o.start.Profile
+		return true
+	case refusal == host.RefusedLate:
+		return false
+	case doubtful && refusal != host.RefusedOld:
+		return false
+	}
+	r.logger.Info("start refused; task=%s run=%d refusal=%s", run.Task, run.Number, refusal)
+	o.refuse(l, refusal)
+	signal(r.changed)
+	return true
+}
+
+// stop tries a stop until the worker answers; then the run is no more and never will be.
+func (r *Runner) stop(ctx context.Context, l *life, run host.Run, o *order) {
+	defer o.cancel()
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		epoch, valid := r.epoch, r.current(l, run, o)
+		r.mu.Unlock()
+		if !valid {
+			return
+		}
+		refusal, err := r.config.Worker.Stop(ctx, l.report.Instance, run, epoch)
+		if err == nil && (refusal == host.Accepted || refusal == host.RefusedOld) {
+			r.mu.Lock()
+			o.refuse(l, host.RefusedOld)
+			r.mu.Unlock()
+			signal(r.changed)
+			return
+		}
+		if fault.Is(err, fault.Stale) {
+			return
+		}
+		pause(ctx, orderPause)
+	}
+}
+
+func parseRun(r link.Run) (host.Run, bool) {
+	id, ok := job.ParseTaskID(r.Task)
+	return host.Run{Task: id, Number: r.Number}, ok
+}
--- /dev/null
+++ b/internal/runner/uplink.go
@@ -0,0 +1,204 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+)
+
+const (
+	// reportEvery is the longest time between two reports.
+	reportEvery = 600 * time.Millisecond
+	// reportPatience bounds the answer to a report, which may wait for a commit.
+	reportPatience = 1100 * time.Millisecond
+	// dialPatience bounds how long a connection to the lead may take.
+	dialPatience = 500 * time.Millisecond
+	// lookPatience bounds the search for the lead, lookPause lies between two.
+	lookPatience = 900 * time.Millisecond
+	lookPause    = 120 * time.Millisecond
+)
+
+// report keeps a connection to the lead and tells it what the worker has.
+func (r *Runner) report(ctx context.Context) error {
+	for ctx.Err() == nil {
+		lead, err := r.find(ctx)
+		if err == nil {
+			err = r.follow(ctx, lead)
+		}
+		if ctx.Err() == nil {
+			r.logger.Warn("no lead; reason=%v", err)
+			pause(ctx, lookPause)
+		}
+	}
+	return ctx.Err()
+}
+
+// find returns who leads, by the store or through an entry.
+func (r *Runner) find(ctx context.Context) (record.Lead, error) {
+	bounded, cancel := context.WithTimeout(ctx, lookPatience)
+	defer cancel()
+	item, err := r.config.Store.Get(bounded, record.LeadKey)
+	if err != nil {
+		return record.Lead{}, err
+	}
+	if item.Revision() == 0 {
+		return record.Lead{}, fault.New(fault.Unavailable, "nobody leads")
+	}
+	return record.DecodeLead(item.Value())
+}
+
+// follow reports to one lead until it does not answer or another leads.
+func (r *Runner) follow(ctx context.Context, lead record.Lead) error {
+	bounded, cancel := context.WithTimeout(ctx, dialPatience)
+	session, err := rpc.Dial(bounded, lead.Address, r.config.Secret, r.mux)
+	cancel()
+	if err != nil {
+		return err
+	}
+	defer session.Close()
+	if err := r.adopt(session, lead); err != nil {
+		return err
+	}
+	r.logger.Info("lead followed; epoch=%d node=%s", lead.Epoch, lead.Node)
+	checked := time.Now()
+	for ctx.Err() == nil {
+		doubtful, err := r.tell(ctx, session)
+		if err != nil {
+			return err
+		}
+		if doubtful && time.Since(checked) > lookPatience {
+			checked = time.Now()
+			if now, err := r.find(ctx); err == nil && now.Epoch > lead.Epoch {
+				return fault.New(fault.Stale, "epoch %d leads in place of %d", now.Epoch, lead.Epoch)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-session.Done():
+			return fault.New(fault.Unavailable, "the lead closed the connection")
+		case <-r.changed:
+		case <-time.After(reportEvery):
+		}
+	}
+	return ctx.Err()
+}
+
+// adopt binds the agent to a lead; it never goes back to an earlier epoch.
+func (r *Runner) adopt(session *rpc.Peer, lead record.Lead) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if lead.Epoch < r.epoch {
+		return fault.New(fault.Stale, "epoch %d is earlier than %d", lead.Epoch, r.epoch)
+	}
+	if lead.Epoch > r.epoch && r.life != nil {
+		r.life.drop()
+	}
+	r.epoch, r.session = lead.Epoch, session
+	return nil
+}
+
+// drop forgets the orders of an earlier lead; the worker refuses them once it has seen the new epoch.
+func (l *life) drop() {
+	for run, o := range l.orders {
+		o.cancel()
+		delete(l.orders, run)
+	}
+}
+
+// tell sends one report and takes the answer.
+func (r *Runner) tell(ctx context.Context, session *rpc.Peer) (bool, error) {
+	sent := time.Now()
+	report, l := r.compose()
+	bounded, cancel := context.WithTimeout(ctx, reportPatience)
+	defer cancel()
+	answer, err := rpc.Call[link.Report, link.ReportAnswer](bounded, session, link.MethodReport, report)
+	if err != nil {
+		return false, err
+	}
+	r.config.Pool.Learn(answer.Entries)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answer.Epoch != r.epoch {
+		return false, fault.New(fault.Stale, "the lead has epoch %d, not %d", answer.Epoch, r.epoch)
+	}
+	if until := sent.Add(time.Duration(answer.PermissionMillis) * time.Millisecond); until.After(r.permitted) {
+		r.permitted = until
+	}
+	if l != nil && l == r.life {
+		l.told(report, answer)
+		signal(r.settled)
+	}
+	return answer.Doubtful, nil
+}
+
+// told takes note of what the lead has taken note of.
+func (l *life) told(report link.Report, answer link.ReportAnswer) {
+	if report.Fenced {
+		l.seen = max(l.seen, answer.Seen)
+	}
+	l.profile(answer.Profiles)
+	for _, rejected := range report.Rejected {
+		if run, ok := parseRun(rejected.Run); ok && l.orders[run] != nil && l.orders[run].final {
+			delete(l.orders, run)
+		}
+	}
+}
+
+// compose returns the report of what the worker has now.
+func (r *Runner) compose() (link.Report, *life) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report := link.Report{VM: r.config.VM, Hall: r.config.Hall, Epoch: r.epoch}
+	l := r.life
+	if l == nil {
+		return report, nil
+	}
+	w := l.report
+	report.Instance, report.Service, report.Labels = w.Instance, w.Service, w.Labels
+	report.CPU, report.Memory, report.GPU = w.Capacity.CPU, w.Capacity.Memory, w.Capacity.GPU
+	report.Draining, report.RemainingMillis = w.Draining, w.Remaining.Milliseconds()
+	report.Silent = l.silent
+	report.Lapsed = l.silent && time.Now().After(l.until)
+	report.Fenced = l.views > 0 && l.fenced == r.epoch
+	l.describe(&report)
+	return report, l
+}
+
+// describe adds the runs of the latest view and the orders that are not settled.
+func (l *life) describe(report *link.Report) {
+	ended := make(map[host.Run]bool, len(l.view.Ended))
+	for _, e := range l.view.Ended {
+		ended[e.Run] = true
+		report.Ended = append(report.Ended, link.Ended{
+			Run: wireRun(e.Run), Sequence: e.Number, End: int(e.End), Checkpoint: e.Checkpoint,
+		})
+	}
+	for _, running := range l.view.Running {
+		ended[running.Run] = true
+		if _, known := l.profiles[running.Run]; !known {
+			report.Unknown = append(report.Unknown, wireRun(running.Run))
+		}
+		report.Running = append(report.Running, link.Running{
+			Run: wireRun(running.Run), Percent: running.Percent, Figure: running.Figure,
+			Pace: paceOf(l, running.Run), Checkpoint: running.Checkpoint,
+		})
+	}
+	for run, o := range l.orders {
+		switch {
+		case !o.final:
+			report.Pending = append(report.Pending, wireRun(run))
+		case l.views < o.views+2:
+			// A view asked for before the refusal may not show how the run ended.
+			report.Pending = append(report.Pending, wireRun(run))
+		case !ended[run]:
+			report.Rejected = append(report.Rejected, link.Rejected{Run: wireRun(run), Refusal: int(o.refused)})
+		}
+	}
+}
+
+func wireRun(run host.Run) link.Run { return link.Run{Task: run.Task.String(), Number: run.Number} }
