--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -11,6 +11,8 @@
 type hosted struct {
 	worker plan.Worker
 	runs   map[job.TaskID]*placed
+	// sampled is when the figures were last taken into account.
+	sampled time.Time
 	// failures counts runs that ended as failed since the last that was done.
 	failures int
 }
@@ -26,6 +28,9 @@
 	stopSent  time.Time
 	percent   int
 	moved     time.Time
+	// base is the level of a serving task without what fills beside it, as it was lately.
+	base  float64
+	known bool
 }
 
 func (t *term) host(h job.Host) *hosted {
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -64,10 +64,11 @@
 	workers := make([]*plan.Worker, 0, len(t.hosts))
 	for _, h := range t.hosts {
 		h.worker.Trials = h.trials()
+		h.worker.Served = h.serving()
 		workers = append(workers, &h.worker)
 	}
 	sortWorkers(workers)
-	for _, p := range plan.Make(workers, groups) {
+	for _, p := range plan.Make(workers, groups, t.pressure) {
 		known := t.jobs[p.Task.Job]
 		run := known.job.Place(p.Task, p.Host, p.Run)
 		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now()}
@@ -105,6 +106,7 @@
 		if known.job.State().Final() {
 			continue
 		}
+		known.noteIdle(now)
 		for k := range known.job.Times() {
 			if known.job.Spec().Times > 0 && now.Before(known.job.Due(k)) {
 				break
@@ -132,12 +134,28 @@
 		groups = append(groups, &plan.Group{
 			Job: known.job, Time: k, Number: n, Step: &known.job.Spec().Steps[n], Service: queue.Service,
 			Indexes: waiting, Held: held, Avoid: known.failed, Priority: queue.Priority,
-			Slack: objective - need, Late: lateFactor*objective - need,
+			Starved: !known.idle.IsZero() && now.Sub(known.idle) > starvedAfter,
+			Slack:   objective - need, Late: lateFactor*objective - need,
 		})
 	}
 	return groups
 }
 
+// starvedAfter is how long nothing of a job may run before one of its tasks is placed at any cost.
+const starvedAfter = time.Second
+
+// noteIdle takes note of since when nothing of the job runs.
+func (k *tracked) noteIdle(now time.Time) {
+	placed := false
+	k.job.Each(func(_ job.TaskID, task *job.Task) { placed = placed || task.Phase() == job.Placed })
+	switch {
+	case placed:
+		k.idle = time.Time{}
+	case k.idle.IsZero():
+		k.idle = now
+	}
+}
+
 // lateFactor times the objective is when a job earns nothing any more.
 const lateFactor = 3
 
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -36,11 +36,12 @@
 	t.mu.Lock()
 	answer := link.ReportAnswer{Epoch: t.epoch}
 	a := t.hear(p, r)
-	needed := t.reconcile(a, r)
+	needed, taken := t.reconcile(a, r)
 	answer.Profiles = t.profiles(r.Unknown)
+	answer.Presses = t.presses(a.host)
 	t.mu.Unlock()
 	t.wakeUp()
-	saved := t.awaitSaved(needed)
+	saved := taken && t.awaitSaved(needed)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if saved {
@@ -84,18 +85,12 @@
 	return a
 }
 
-// reconcile compares what the worker has with what is placed there, and returns which jobs must be saved
-// before the reported ends may go.
-func (t *term) reconcile(a *agent, r link.Report) map[*tracked]uint64 {
+// reconcile compares what the worker has with what is placed there. It returns which jobs must be saved before the
+// reported ends may go, and whether the ends were looked at.
+func (t *term) reconcile(a *agent, r link.Report) (map[*tracked]uint64, bool) {
 	h := t.hosts[job.Host{VM: r.VM, Instance: r.Instance}]
 	if h == nil || !r.Fenced || r.Epoch != t.epoch {
-		return nil
-	}
-	if r.Silent {
-		if r.Lapsed {
-			t.lose(h, "the worker is silent and its time is over")
-		}
-		return nil
+		return nil, false
 	}
 	needed := make(map[*tracked]uint64)
 	for _, e := range r.Ended {
@@ -109,8 +104,14 @@
 	for _, rejected := range r.Rejected {
 		t.rejected(h, rejected)
 	}
-	t.compare(h, r)
-	return needed
+	switch {
+	case !r.Silent:
+		t.compare(h, r)
+		t.sample(h, r)
+	case r.Lapsed:
+		t.lose(h, "the worker is silent and its time is over")
+	}
+	return needed, true
 }
 
 // rejected takes back a run that never started.
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -11,6 +11,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/pressure"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
@@ -56,6 +57,7 @@
 	agents    map[string]*agent
 	entries   map[string]time.Time
 	dirty     map[job.ID]struct{}
+	pressure  *pressure.Model
 	relock    bool
 	committed chan struct{}
 }
@@ -66,6 +68,8 @@
 	// since is when the job was accepted, by the lead's own clock.
 	since time.Time
 	ended time.Time
+	// idle is since when nothing of the job runs, zero while something does.
+	idle time.Time
 	// version counts the changes, saved is the version that the store has.
 	version uint64
 	saved   uint64
@@ -78,6 +82,7 @@
 		wake: make(chan struct{}, 1), done: make(chan struct{}), committed: make(chan struct{}),
 		jobs: make(map[job.ID]*tracked), hosts: make(map[job.Host]*hosted), agents: make(map[string]*agent),
 		entries: make(map[string]time.Time), dirty: make(map[job.ID]struct{}),
+		pressure: pressure.NewModel(),
 	}
 }
 
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -81,6 +81,8 @@
 	Doubtful bool      `json:"doubtful,omitempty"`
 	Entries  []string  `json:"entries,omitempty"`
 	Profiles []Profile `json:"profiles,omitempty"`
+	// Presses names, by each image that fills the worker, the serving images there that it slows.
+	Presses map[string][]string `json:"presses,omitempty"`
 }
 
 // Profile is what an agent has to know of a run beside its name.
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -20,6 +20,8 @@
 	Held    map[job.Host]int
 	// Avoid names workers on which a task of the group failed or was rejected a moment ago.
 	Avoid map[job.Host]bool
+	// Starved says that nothing of the job runs; then one task is placed even where it presses on what serves.
+	Starved bool
 	// Priority 0 goes first. Slack is the time left before the objective is missed if all goes well from now on,
 	// Late the same before nothing is earned at all.
 	Priority int
@@ -36,15 +38,16 @@
 }
 
 // Make places what waits, most urgent first, and returns the placements in that order.
-func Make(workers []*Worker, groups []*Group) []Placement {
+func Make(workers []*Worker, groups []*Group, pressure Pressure) []Placement {
+	p := planner{workers: workers, pressure: pressure}
 	slices.SortStableFunc(groups, before)
 	var placed []Placement
 	for _, g := range groups {
 		if g.Step.Gang {
-			placed = append(placed, placeGang(workers, g)...)
+			placed = append(placed, p.placeGang(g)...)
 			continue
 		}
-		placed = append(placed, placeEach(workers, g)...)
+		placed = append(placed, p.placeEach(g)...)
 	}
 	return placed
 }
@@ -75,14 +78,21 @@
 	)
 }
 
-func placeEach(workers []*Worker, g *Group) []Placement {
+// planner is one plan under way.
+type planner struct {
+	workers  []*Worker
+	pressure Pressure
+}
+
+func (p planner) placeEach(g *Group) []Placement {
 	var placed []Placement
 	for _, i := range g.Indexes {
-		w := best(workers, g)
+		w := p.best(p.workers, g)
 		if w == nil {
 			break
 		}
 		placed = append(placed, g.take(w, i, 0))
+		g.Starved = false
 	}
 	return placed
 }
@@ -98,12 +108,12 @@
 }
 
 // placeGang places all tasks of a gang or none.
-func placeGang(workers []*Worker, g *Group) []Placement {
+func (p planner) placeGang(g *Group) []Placement {
 	if len(g.Indexes) < g.Step.Count {
 		return nil
 	}
-	for _, candidates := range racks(workers, g.Step) {
-		if placed := gangOn(candidates, g); placed != nil {
+	for _, candidates := range racks(p.workers, g.Step) {
+		if placed := p.gangOn(candidates, g); placed != nil {
 			return placed
 		}
 	}
@@ -139,12 +149,12 @@
 	return w.Labels[1]
 }
 
-func gangOn(workers []*Worker, g *Group) []Placement {
+func (p planner) gangOn(workers []*Worker, g *Group) []Placement {
 	run := g.Job.NextGangRun(g.Time, g.Number)
 	var placed []Placement
 	var taken []*Worker
 	for _, i := range g.Indexes {
-		w := best(workers, g)
+		w := p.best(workers, g)
 		if w == nil {
 			for _, t := range taken {
 				t.Give(g.Step)
@@ -159,14 +169,14 @@
 }
 
 // best returns the worker that suits a task of the group best, nil where none may take it.
-func best(workers []*Worker, g *Group) *Worker {
+func (p planner) best(workers []*Worker, g *Group) *Worker {
 	var chosen *Worker
 	var lowest float64
 	for _, w := range workers {
 		if !w.admits(g) {
 			continue
 		}
-		cost, ok := costOf(w, g)
+		cost, ok := p.costOf(w, g)
 		if ok && (chosen == nil || cost < lowest) {
 			chosen, lowest = w, cost
 		}
@@ -175,31 +185,36 @@
 }
 
 // Weights of a placement's cost, in shares of a worker's processors: what is avoided goes last of all, data that
-// lies elsewhere costs more than any crowding, and a worker that is pressed is a third of a worker more crowded.
+// lies elsewhere costs more than any crowding, and a level raised by one counts like two workers' worth of crowding.
+// Serving tasks of one image suffer from the same neighbors, so they are kept together while the crowding is alike.
 const (
 	avoidedCost = 10.0
 	farCost     = 2.0
-	pressedCost = 0.35
+	pressedCost = 2.0
+	strangeCost = 0.3
 )
 
 // costOf returns how crowded the worker would be, and whether the task would get anything at all there.
-func costOf(w *Worker, g *Group) (float64, bool) {
+func (p planner) costOf(w *Worker, g *Group) (float64, bool) {
 	if w.Capacity.CPU == 0 {
 		return 0, false
 	}
-	share := func(cpu int) float64 { return float64(cpu) / float64(w.Capacity.CPU) }
 	var cost float64
 	switch {
 	case g.Step.Fills:
-		if w.Spare() < g.Step.Size.CPU && w.Filling > 0 {
+		pressed, ok := w.press(g.Step, p.pressure)
+		crowded := w.Spare() < g.Step.Size.CPU && w.Filling > 0
+		if !g.Starved && (!ok || crowded) {
 			return 0, false
 		}
-		cost = 1 - share(w.Spare())
+		cost = 1 - w.share(w.Spare()) + pressedCost*pressed
+	case g.Step.Serves():
+		cost = w.share(w.Used.CPU)
+		if w.strange(g.Step.Image) {
+			cost += strangeCost
+		}
 	default:
-		cost = share(w.Used.CPU) + share(w.Filling)/4
-	}
-	if w.Pressed {
-		cost += pressedCost
+		cost = w.share(w.Used.CPU) + w.share(w.Filling)/4
 	}
 	if g.Avoid[w.Host] {
 		cost += avoidedCost
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
 
 // servingShare is the part of a serving task's declared processors that it uses on average, as the users' sites draw it;
@@ -26,8 +27,26 @@
 	Trials int
 	// Speed is how fast tasks run here beside the other workers, 1 for the usual.
 	Speed float64
-	// Pressed says that a serving task here is near or over its target.
-	Pressed bool
+	// Served are the tasks that serve here, Fills what is asked by those that fill, in shares of the worker by image.
+	Served []Served
+	Fills  map[string]float64
+	// Images counts the serving tasks by image.
+	Images map[string]int
+}
+
+// strange reports whether the worker has serving tasks, but none of an image.
+func (w *Worker) strange(image string) bool { return w.Serving > 0 && w.Images[image] == 0 }
+
+// Served is a task that serves users under a latency target.
+type Served struct {
+	Image string
+	// Base is its level, as package pressure has it, without what fills beside it.
+	Base float64
+}
+
+// Pressure tells how much a filling image raises the level of a serving one where it uses a whole worker.
+type Pressure interface {
+	Weight(serving, filling string) (weight, deviation float64)
 }
 
 // Take counts a task as placed here.
@@ -46,11 +65,22 @@
 	switch {
 	case s.Fills:
 		w.Filling += sign * s.Size.CPU
+		if w.Fills == nil {
+			w.Fills = make(map[string]float64)
+		}
+		w.Fills[s.Image] += float64(sign) * w.share(s.Size.CPU)
 	case s.Serves():
 		w.Serving += sign * s.Size.CPU
+		if w.Images == nil {
+			w.Images = make(map[string]int)
+		}
+		w.Images[s.Image] += sign
 	}
 }
 
+// share returns thousandths of a core as a share of the worker.
+func (w *Worker) share(cpu int) float64 { return float64(cpu) / float64(max(w.Capacity.CPU, 1)) }
+
 // Free returns the room that is left.
 func (w *Worker) Free() job.Size { return w.Capacity.Minus(w.Used) }
 
@@ -73,3 +103,32 @@
 	}
 	return step.Room().Fits(w.Free())
 }
+
+// highestLevel is the level up to which serving tasks are pressed by a plan: two thirds of the target, which leaves room for
+// the swing of their load.
+const highestLevel = -0.4
+
+// leastRise is the rise of a level below which a pair counts as harmless.
+const leastRise = 0.02
+
+// press returns how much a task of a step would raise the levels of the tasks that serve here, and whether all of them
+// stay under highestLevel as far as it raises them.
+func (w *Worker) press(step *job.Step, weights Pressure) (float64, bool) {
+	total, within := 0.0, true
+	for _, s := range w.Served {
+		weight, _ := weights.Weight(s.Image, step.Image)
+		present := w.Fills[step.Image]
+		rise := weight * (pressure.Felt(present+w.share(step.Size.CPU)) - pressure.Felt(present))
+		if rise < leastRise {
+			continue
+		}
+		level := s.Base + rise
+		for image, share := range w.Fills {
+			other, _ := weights.Weight(s.Image, image)
+			level += other * pressure.Felt(share)
+		}
+		within = within && level <= highestLevel
+		total += rise
+	}
+	return total, within
+}
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
@@ -19,7 +20,9 @@
 	// clockRate is how fast the worker's clock runs at the least beside this one, by the platform's page.
 	clockRate = 0.98
 	// silentAfter is how long a worker may not answer before it is told to be silent.
-	silentAfter = 700 * time.Millisecond
+	silentAfter = 1500 * time.Millisecond
+	// adjustEvery is the shortest time between two changes of the pace, whose effect the next figures show.
+	adjustEvery = 400 * time.Millisecond
 	// holdPause lies between two holds that found nothing new, or failed.
 	holdPause = 100 * time.Millisecond
 )
@@ -72,9 +75,13 @@
 	return l.report.Instance, hold, true
 }
 
-// until returns up to when the worker's runs may go on, on its clock, and notes the same on this one.
+// until returns up to when the worker's runs may go on, on its clock, and notes the same on this one. A worker that does
+// not answer is not renewed, so that the end of its runs comes into sight.
 func (r *Runner) until(l *life) host.Clock {
 	now := time.Now()
+	if l.silent {
+		return 0
+	}
 	end := now.Add(holdTime)
 	if r.permitted.Before(end) {
 		end = r.permitted
@@ -145,22 +152,24 @@
 	}
 }
 
-// adjust sets the pace of what fills by what the serving tasks show.
+// adjust sets the pace of what fills, by image, from what the serving tasks that the image slows show.
 func (r *Runner) adjust(ctx context.Context, l *life) {
-	var served []pacing.Served
-	for _, running := range l.view.Running {
-		p := l.profiles[running.Run]
-		if p.TargetMillis > 0 {
-			served = append(served, pacing.Served{
-				Tail:   time.Duration(running.Figure) * time.Millisecond,
-				Target: time.Duration(p.TargetMillis) * time.Millisecond,
-			})
+	if now := time.Now(); now.Sub(l.adjusted) >= adjustEvery {
+		l.adjusted = now
+		for _, image := range l.filling() {
+			if l.controllers[image] == nil {
+				l.controllers[image] = pacing.New()
+			}
+			l.controllers[image].Observe(l.served(image))
 		}
 	}
-	pace := r.pace.Observe(served)
 	for _, running := range l.view.Running {
 		p, known := l.profiles[running.Run]
-		if !known || !p.Fills || paceOf(l, running.Run) == pace {
+		if !known || !p.Fills || l.controllers[p.Image] == nil {
+			continue
+		}
+		pace := l.controllers[p.Image].Pace()
+		if paceOf(l, running.Run) == pace {
 			continue
 		}
 		l.paces[running.Run] = pace
@@ -168,6 +177,34 @@
 	}
 }
 
+// filling returns the images of what fills the worker.
+func (l *life) filling() []string {
+	var images []string
+	for _, running := range l.view.Running {
+		if p := l.profiles[running.Run]; p.Fills && !slices.Contains(images, p.Image) {
+			images = append(images, p.Image)
+		}
+	}
+	return images
+}
+
+// served returns what the serving tasks show that an image slows; of an image that the lead has told nothing, all.
+func (l *life) served(image string) []pacing.Served {
+	slowed, told := l.presses[image]
+	var served []pacing.Served
+	for _, running := range l.view.Running {
+		p := l.profiles[running.Run]
+		if p.TargetMillis == 0 || (told && !slices.Contains(slowed, p.Image)) {
+			continue
+		}
+		served = append(served, pacing.Served{
+			Tail:   time.Duration(running.Figure) * time.Millisecond,
+			Target: time.Duration(p.TargetMillis) * time.Millisecond,
+		})
+	}
+	return served
+}
+
 func paceOf(l *life, run host.Run) int {
 	if pace, known := l.paces[run]; known {
 		return pace
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -68,6 +68,11 @@
 	orders   map[host.Run]*order
 	profiles map[host.Run]link.Profile
 	paces    map[host.Run]int
+	// controllers hold the pace by image, presses what the lead told of the images that fill, adjusted when the paces
+	// were last reckoned.
+	controllers map[string]*pacing.Controller
+	presses     map[string][]string
+	adjusted    time.Time
 }
 
 // order is a start or a stop that is under way, or whose end is still to be told.
@@ -86,7 +91,7 @@
 func New(config Config) *Runner {
 	r := &Runner{
 		config: config, logger: config.Logger, done: make(chan struct{}), changed: make(chan struct{}, 1),
-		settled: make(chan struct{}, 1), heard: make(chan struct{}, 1), pace: pacing.New(),
+		settled: make(chan struct{}, 1), heard: make(chan struct{}, 1),
 	}
 	r.mux = rpc.NewMux(config.Clock)
 	rpc.Handle(r.mux, link.MethodOrders, r.takeOrders)
@@ -115,7 +120,6 @@
 		r.logger.Info("worker heard; instance=%s service=%s cpu=%d memory=%d labels=%v draining=%t",
 			report.Instance, report.Service, report.Capacity.CPU, report.Capacity.Memory, report.Labels, report.Draining)
 		r.life = newLife(report, now)
-		r.pace = pacing.New()
 		signal(r.heard)
 	case report.Sequence < r.life.report.Sequence:
 		return true
@@ -134,6 +138,7 @@
 	return &life{
 		report: report, clock: report.Clock, read: now, answered: now, orders: make(map[host.Run]*order),
 		profiles: make(map[host.Run]link.Profile), paces: make(map[host.Run]int),
+		controllers: make(map[string]*pacing.Controller),
 	}
 }
 
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -142,6 +142,7 @@
 		l.seen = max(l.seen, answer.Seen)
 	}
 	l.profile(answer.Profiles)
+	l.presses = answer.Presses
 	for _, rejected := range report.Rejected {
 		if run, ok := parseRun(rejected.Run); ok && l.orders[run] != nil && l.orders[run].final {
 			delete(l.orders, run)
