What fills runs where it does least harm, and moves when it is paced down

Now a task waits for a worker where the harm eats at most a fifth of its worth, moves by checkpoint when it is paced down, and jobs with the least work left go first.

--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -15,7 +16,7 @@
 	// newest is the weight of the newest sample in a serving task's base level: its load swings within seconds.
 	newest = 0.3
 	// slows is the rise of a level by a whole worker's worth of an image from which on a pair counts as harmful.
-	slows = 0.5
+	slows = 0.4
 )
 
 // sample teaches the model from the figures of a worker.
@@ -74,8 +75,8 @@
 	return served
 }
 
-// presses returns which serving images of a worker each image that fills there slows.
-func (t *term) presses(host job.Host) map[string][]string {
+// presses returns by how much each image that fills a worker slows each serving image there.
+func (t *term) presses(host job.Host) map[string]map[string]float64 {
 	h := t.hosts[host]
 	if h == nil {
 		return nil
@@ -89,12 +90,12 @@
 			serving[p.step.Image] = true
 		}
 	}
-	found := make(map[string][]string, len(filling))
+	found := make(map[string]map[string]float64, len(filling))
 	for f := range filling {
-		found[f] = []string{}
+		found[f] = make(map[string]float64)
 		for s := range serving {
 			if weight, _ := t.pressure.Weight(s, f); weight >= slows {
-				found[f] = append(found[f], s)
+				found[f][s] = math.Round(weight*100) / 100
 			}
 		}
 	}
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -28,6 +28,9 @@
 	stopSent  time.Time
 	percent   int
 	moved     time.Time
+	// pace is the pace in percent of a task that fills, slow since when it has been below slowPace.
+	pace int
+	slow time.Time
 	// base is the level of a serving task without what fills beside it, as it was lately.
 	base  float64
 	known bool
@@ -44,7 +47,7 @@
 
 // add counts a run that the store has.
 func (h *hosted) add(id job.TaskID, step *job.Step, run int) {
-	h.runs[id] = &placed{step: step, run: run, committed: true, moved: time.Now()}
+	h.runs[id] = &placed{step: step, run: run, committed: true, moved: time.Now(), pace: fullPace}
 	h.worker.Take(step)
 }
 
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -58,20 +58,19 @@
 // plan places what waits; the placements count once they are committed.
 func (t *term) plan() {
 	groups := t.groups()
-	if len(groups) == 0 {
-		return
-	}
 	workers := make([]*plan.Worker, 0, len(t.hosts))
 	for _, h := range t.hosts {
 		h.worker.Trials = h.trials()
 		h.worker.Served = h.serving()
+		h.weigh()
 		workers = append(workers, &h.worker)
 	}
 	sortWorkers(workers)
+	t.relocate(workers)
 	for _, p := range plan.Make(workers, groups, t.pressure) {
 		known := t.jobs[p.Task.Job]
 		run := known.job.Place(p.Task, p.Host, p.Run)
-		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now()}
+		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now(), pace: fullPace}
 		t.logger.Info("task placed; task=%s run=%d vm=%s waited_ms=%d", p.Task, run, p.Host.VM, time.Since(known.since).Milliseconds())
 		t.touch(known)
 	}
@@ -135,7 +134,7 @@
 			Job: known.job, Time: k, Number: n, Step: &known.job.Spec().Steps[n], Service: queue.Service,
 			Indexes: waiting, Held: held, Avoid: known.failed, Priority: queue.Priority,
 			Starved: !known.idle.IsZero() && now.Sub(known.idle) > starvedAfter,
-			Slack:   objective - need, Late: lateFactor*objective - need,
+			Slack:   objective - need, Late: lateFactor*objective - need, Work: known.job.Work(k),
 		})
 	}
 	return groups
--- /dev/null
+++ b/internal/dispatch/relocate.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/plan"
+)
+
+const (
+	fullPace = 100
+	// slowPace is the pace in percent up to which a task that fills hardly gets on.
+	slowPace = 15
+	// slowFor is how long it may be that slow before it is moved to a worker that it suits.
+	slowFor = 1200 * time.Millisecond
+	// mostMoves bounds the moves of one plan; the next plan sees their effect.
+	mostMoves = 2
+)
+
+// paced takes note of the pace of a task.
+func (p *placed) paced(pace int) {
+	p.pace = pace
+	switch {
+	case pace > slowPace:
+		p.slow = time.Time{}
+	case p.slow.IsZero():
+		p.slow = time.Now()
+	}
+}
+
+// weigh reckons what serves and what fills on a worker anew, by the paces of the latest report.
+func (h *hosted) weigh() {
+	w := &h.worker
+	w.Serving, w.Filling, w.Fills, w.Images = 0, 0, make(map[string]float64), make(map[string]int)
+	for _, p := range h.runs {
+		switch {
+		case p.step.Fills:
+			use := p.step.Size.CPU * p.pace / fullPace
+			w.Filling += use
+			w.Fills[p.step.Image] += float64(use) / float64(max(w.Capacity.CPU, 1))
+		case p.step.Serves():
+			w.Serving += p.step.Size.CPU
+			w.Images[p.step.Image]++
+		}
+	}
+}
+
+// relocate stops some tasks that are paced down and save their progress, where another worker would suit them.
+func (t *term) relocate(workers []*plan.Worker) {
+	moves := 0
+	for host, h := range t.hosts {
+		for id, p := range h.runs {
+			if moves == mostMoves {
+				return
+			}
+			if !t.stuckSlow(id, p) {
+				continue
+			}
+			known := t.jobs[id.Job]
+			group := &plan.Group{
+				Job: known.job, Time: id.Time, Number: id.Step, Step: p.step, Service: t.queueOf(known).Service,
+				Held: map[job.Host]int{}, Avoid: map[job.Host]bool{host: true},
+			}
+			if !plan.Suits(workers, group, t.pressure) {
+				continue
+			}
+			moves++
+			t.logger.Info("task is moved from where it is paced down; task=%s run=%d vm=%s pace=%d", id, p.run, host.VM, p.pace)
+			p.stopping, p.stopSent = true, time.Now()
+			known.failed[host] = true
+			t.orderStop(host, id, p.run)
+		}
+	}
+}
+
+// stuckSlow reports whether a task has been paced down for long and loses little by a move.
+func (t *term) stuckSlow(id job.TaskID, p *placed) bool {
+	known := t.jobs[id.Job]
+	return known != nil && p.step.Fills && p.step.Checkpoints && !p.step.Gang && p.committed && !p.stopping &&
+		!p.slow.IsZero() && time.Since(p.slow) > slowFor && !known.job.State().Final()
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -134,3 +134,17 @@
 	}
 	return longest
 }
+
+// Work returns what is not done of time k, in core seconds by its estimates.
+func (j *Job) Work(k int) float64 {
+	const thousandths = 1000
+	total := 0.0
+	for n, step := range j.spec.Steps {
+		for i := range j.tasks[k][n] {
+			if j.tasks[k][n][i].phase != Done {
+				total += step.Estimate.Seconds() * float64(step.Size.CPU) / thousandths
+			}
+		}
+	}
+	return total
+}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -81,8 +81,8 @@
 	Doubtful bool      `json:"doubtful,omitempty"`
 	Entries  []string  `json:"entries,omitempty"`
 	Profiles []Profile `json:"profiles,omitempty"`
-	// Presses names, by each image that fills the worker, the serving images there that it slows.
-	Presses map[string][]string `json:"presses,omitempty"`
+	// Presses tells, by each image that fills the worker, by how much it slows each serving image there.
+	Presses map[string]map[string]float64 `json:"presses,omitempty"`
 }
 
 // Profile is what an agent has to know of a run beside its name.
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -1,63 +1,155 @@
 package pacing
 
-import "time"
+import (
+	"slices"
+
+	"github.com/saffronpulley/saffronpulley/internal/pressure"
+)
 
-// Limits of the pace, in percent of a task's full speed, and shares of the target at which it changes.
 const (
-	// Full and Least bound the pace; at Least a task hardly disturbs and still keeps its memory.
+	// Full and Least bound the pace in percent; at Least a task does not disturb and still keeps its memory.
 	Full  = 100
 	Least = 0
-	// cutFrom is the share of the target from which the pace is cut, raiseTo that below which it rises again; between
-	// them lies the noise of a half-second figure.
-	cutFrom = 0.85
-	raiseTo = 0.65
-	// cut is what is left of the pace over the target, ease what is left near it, raise the step up.
-	cut   = 0.4
-	ease  = 0.75
-	raise = 15
+	// rounds bounds the search; it ends earlier where no pace changes.
+	rounds = 4
+	// mustNot is what it is worth that a task which was over for long is not over any more: more than all that fills.
+	mustNot = 50.0
+	// leastWeight is the weight below which a pair is taken as harmless.
+	leastWeight = 0.2
 )
 
-// Served is what a serving task showed over the last half second.
+// choices are the paces that are weighed; the harm grows faster than the work, so that many tasks at a low pace may be better than one.
+var choices = []int{Full, 75, 50, 30, 15, Least}
+
+// Served is a task that serves: its level, and by how much each filling image raises it where it uses a whole worker.
 type Served struct {
-	Tail   time.Duration
-	Target time.Duration
+	Level   float64
+	Weights map[string]float64
+	// Long says that it has been over its target for so long that what is known to slow it must give way, Longer that all
+	// must.
+	Long   bool
+	Longer bool
 }
 
-// Controller holds the pace of all that fills one worker.
-type Controller struct{ pace float64 }
+// Filling is an image that fills: the share of the worker that it uses now, and would use at full pace.
+type Filling struct {
+	Image string
+	Use   float64
+	Whole float64
+}
 
-// New returns a controller at full pace.
-func New() *Controller { return &Controller{pace: Full} }
+// usualLevel is the level of a serving task at a usual load without neighbors: a little over half of its target.
+const usualLevel = -0.6
 
-// Pace returns the pace in percent.
-func (c *Controller) Pace() int { return int(c.pace) }
+// Explain raises the weights of a task that is near or over its target until they explain by how much it is above the
+// usual level, since what is learned lags behind what happens.
+func Explain(s Served, filling []Filling) Served {
+	caused := 0.0
+	for _, f := range filling {
+		if s.Weights[f.Image] >= leastWeight {
+			caused += s.Weights[f.Image] * f.Use
+		}
+	}
+	excess := s.Level - usualLevel
+	if s.Level < nearTarget || caused <= 0 || caused >= excess {
+		return s
+	}
+	raised := make(map[string]float64, len(s.Weights))
+	for image, weight := range s.Weights {
+		raised[image] = weight * min(excess/caused, mostRaise)
+	}
+	return Served{Level: s.Level, Weights: raised, Long: s.Long, Longer: s.Longer}
+}
 
-// Worst returns the highest share that a serving task has of its target.
-func Worst(served []Served) float64 {
-	var worst float64
-	for _, s := range served {
-		if s.Target > 0 {
-			worst = max(worst, float64(s.Tail)/float64(s.Target))
+const (
+	// nearTarget is the level from which a task counts as near its target.
+	nearTarget = -0.1
+	// mostRaise bounds by how much the weights are raised.
+	mostRaise = 5
+)
+
+// Reckon returns the pace of each filling image in percent, such that the work done outweighs the harm to what serves by
+// as much as possible.
+func Reckon(served []Served, filling []Filling) map[string]int {
+	if slices.ContainsFunc(served, func(s Served) bool { return s.Longer }) {
+		return stopAll(filling)
+	}
+	best := climb(served, filling, Full)
+	other := climb(served, filling, Least)
+	if value(served, filling, other) > value(served, filling, best) {
+		best = other
+	}
+	paces := make(map[string]int, len(filling))
+	for i, f := range filling {
+		paces[f.Image] = best[i]
+	}
+	return paces
+}
+
+func stopAll(filling []Filling) map[string]int {
+	paces := make(map[string]int, len(filling))
+	for _, f := range filling {
+		paces[f.Image] = Least
+	}
+	return paces
+}
+
+// climb changes one pace at a time, from all at one pace, for as long as it helps.
+func climb(served []Served, filling []Filling, from int) []int {
+	paces := make([]int, len(filling))
+	for i := range paces {
+		paces[i] = from
+	}
+	highest := value(served, filling, paces)
+	for range rounds {
+		changed := false
+		for i := range paces {
+			kept := paces[i]
+			for _, choice := range choices {
+				paces[i] = choice
+				if v := value(served, filling, paces); v > highest {
+					highest, kept, changed = v, choice, true
+				}
+			}
+			paces[i] = kept
+		}
+		if !changed {
+			break
 		}
 	}
-	return worst
+	return paces
 }
 
-// Observe takes the newest figures into account and returns the pace in percent.
-func (c *Controller) Observe(served []Served) int {
-	worst := Worst(served)
-	switch {
-	case worst >= 1:
-		c.pace *= cut
-	case worst >= cutFrom:
-		c.pace *= ease
-	case worst < raiseTo:
-		c.pace += raise
-	}
-	const noPoint = 5
-	if c.pace < noPoint && worst >= cutFrom {
-		c.pace = Least
-	}
-	c.pace = min(c.pace, Full)
-	return c.Pace()
+// value weighs the work done at some paces against the tasks that are likely over their targets.
+func value(served []Served, filling []Filling, paces []int) float64 {
+	total := 0.0
+	for i, f := range filling {
+		total += f.at(paces[i]) / pressure.WorthOfOver
+	}
+	for _, s := range served {
+		rise, caused := 0.0, 0.0
+		for i, f := range filling {
+			weight := s.Weights[f.Image]
+			if weight < leastWeight {
+				continue
+			}
+			felt := weight * f.at(paces[i])
+			rise += felt - weight*f.Use
+			caused += felt
+		}
+		if caused == 0 {
+			continue
+		}
+		// Only what fills is held against it: what would be over without it as well costs nothing more.
+		level := s.Level + rise
+		harm := pressure.ChanceOver(level) - pressure.ChanceOver(level-caused)
+		if s.Long {
+			harm *= mustNot
+		}
+		total -= harm
+	}
+	return total
 }
+
+// at returns the share of the worker that the image uses at a pace.
+func (f Filling) at(pace int) float64 { return f.Whole * float64(pace) / Full }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
 
 // Group is the waiting tasks of one step of one time of a job.
@@ -27,6 +28,8 @@
 	Priority int
 	Slack    time.Duration
 	Late     time.Duration
+	// Work is what is left of the job's time, in core seconds by its estimates.
+	Work float64
 }
 
 // Placement gives a task to a worker; Run is 0 for the task's next run, and the shared run of a gang.
@@ -67,10 +70,20 @@
 	return 0
 }
 
+// order puts the batch jobs with the least work left first: under more work than can be done in time, that is what most
+// of them come in time by.
+func (g *Group) order() float64 {
+	if !g.Step.Fills {
+		return 0
+	}
+	return g.Work
+}
+
 func before(a, b *Group) int {
 	return cmp.Or(
 		cmp.Compare(a.urgency(), b.urgency()),
 		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.order(), b.order()),
 		cmp.Compare(a.Slack, b.Slack),
 		cmp.Compare(a.Job.ID(), b.Job.ID()),
 		cmp.Compare(a.Time, b.Time),
@@ -184,14 +197,40 @@
 	return chosen
 }
 
+// mostHarm is the part of the worth of a task's work that the harm to serving tasks may eat up where it is placed: what
+// does more harm is paced down before long, and keeps its memory from others meanwhile.
+const mostHarm = 0.2
+
+// gain returns what a filling task is worth on a worker beyond the harm that it does there, and whether it suits.
+func (p planner) gain(w *Worker, g *Group) (float64, bool) {
+	worth := w.share(g.Step.Size.CPU) / pressure.WorthOfOver
+	harm := w.press(g.Step, p.pressure)
+	crowded := w.Spare() < g.Step.Size.CPU && w.Filling > 0
+	return worth - harm, harm <= mostHarm*worth && !crowded
+}
+
+// Suits reports whether some worker that the group does not avoid would suit a task of it.
+func Suits(workers []*Worker, g *Group, pressure Pressure) bool {
+	p := planner{workers: workers, pressure: pressure}
+	for _, w := range workers {
+		if g.Avoid[w.Host] || !w.admits(g) {
+			continue
+		}
+		if _, ok := p.gain(w, g); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Weights of a placement's cost, in shares of a worker's processors: what is avoided goes last of all, data that
-// lies elsewhere costs more than any crowding, and a level raised by one counts like two workers' worth of crowding.
+// lies elsewhere costs more than any crowding, and the gain of a task that fills over the harm that it does goes before that.
 // Serving tasks of one image suffer from the same neighbors, so they are kept together while the crowding is alike.
 const (
 	avoidedCost = 10.0
 	farCost     = 2.0
-	pressedCost = 2.0
-	strangeCost = 0.3
+	gainWeight  = 2.0
+	strangeCost = 1.0
 )
 
 // costOf returns how crowded the worker would be, and whether the task would get anything at all there.
@@ -202,16 +241,15 @@
 	var cost float64
 	switch {
 	case g.Step.Fills:
-		pressed, ok := w.press(g.Step, p.pressure)
-		crowded := w.Spare() < g.Step.Size.CPU && w.Filling > 0
-		if !g.Starved && (!ok || crowded) {
+		gain, suits := p.gain(w, g)
+		if !g.Starved && !suits {
 			return 0, false
 		}
-		cost = 1 - w.share(w.Spare()) + pressedCost*pressed
+		cost = 1 - w.share(w.Spare()) - gainWeight*gain
 	case g.Step.Serves():
 		cost = w.share(w.Used.CPU)
 		if w.strange(g.Step.Image) {
-			cost += strangeCost
+			cost += strangeCost * float64(len(w.Images))
 		}
 	default:
 		cost = w.share(w.Used.CPU) + w.share(w.Filling)/4
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -104,31 +104,24 @@
 	return step.Room().Fits(w.Free())
 }
 
-// highestLevel is the level up to which serving tasks are pressed by a plan: two thirds of the target, which leaves room for
-// the swing of their load.
-const highestLevel = -0.4
-
 // leastRise is the rise of a level below which a pair counts as harmless.
 const leastRise = 0.02
 
-// press returns how much a task of a step would raise the levels of the tasks that serve here, and whether all of them
-// stay under highestLevel as far as it raises them.
-func (w *Worker) press(step *job.Step, weights Pressure) (float64, bool) {
-	total, within := 0.0, true
+// press returns how many more of the tasks that serve here are likely over their targets by a task of a step beside them.
+func (w *Worker) press(step *job.Step, weights Pressure) float64 {
+	total := 0.0
 	for _, s := range w.Served {
 		weight, _ := weights.Weight(s.Image, step.Image)
-		present := w.Fills[step.Image]
-		rise := weight * (pressure.Felt(present+w.share(step.Size.CPU)) - pressure.Felt(present))
+		rise := weight * w.share(step.Size.CPU)
 		if rise < leastRise {
 			continue
 		}
-		level := s.Base + rise
+		level := s.Base
 		for image, share := range w.Fills {
 			other, _ := weights.Weight(s.Image, image)
-			level += other * pressure.Felt(share)
+			level += other * share
 		}
-		within = within && level <= highestLevel
-		total += rise
+		total += pressure.ChanceOver(level+rise) - pressure.ChanceOver(level)
 	}
-	return total, within
+	return total
 }
--- a/internal/pressure/model.go
+++ b/internal/pressure/model.go
@@ -6,32 +6,31 @@
 )
 
 // The level of a serving task is the natural logarithm of its tail over its target: 0 at the target, -0.7 at half of it.
-// A filter estimates for each serving image a level without neighbors and, for each filling image, by how much the level
-// rises where the image uses a whole worker. The rise goes with the square root of the use: on a recorded quiet day that
-// explained 0.54 of the variance of the levels of the most sensitive image, against 0.48 for the use itself.
+// A filter estimates for each serving image the level without neighbors and, for each filling image, by how much the level
+// rises where that image uses a whole worker.
 //
-// The variances are in squares of levels, from the same day: the load of serving tasks moves their level by some 0.4, and
-// the strongest pairs raise it by about 2.7.
+// Weighed on a recorded quiet day: levels against use (explains 0.25 to 0.54 of their variance, by image), the square root
+// of use (less), and changes of levels within half a second (0.33 to 0.40, but weights that are a third too low, since
+// figures lag behind).
+//
+// The variances are in squares of levels, from the same day.
 const (
-	noiseVariance  = 0.16
-	baseVariance   = 1.0
-	weightVariance = 1.5
+	noiseVariance  = 0.25
+	baseVariance   = 0.5
+	weightVariance = 9.0
 	// drift is added to each variance with each sample, since what images do to each other changes within seconds.
-	drift = 0.0005
+	drift = 0.002
 	// priorWeight is what is believed of a pair that was never seen: enough to be careful, not to keep it apart.
-	priorWeight = 0.4
+	priorWeight = 1.0
 	// priorBase is the level of a serving task at a usual load.
-	priorBase = -0.8
-	// lowest and highest bound the levels that are believed.
+	priorBase = -0.7
+	// lowest and highest bound the levels that are believed; beyond three times the target a tail no longer rises evenly.
 	lowest  = -2.5
-	highest = 2.5
+	highest = 1.1
 	// mostImages bounds the filling images that are told apart; later ones share the last column.
 	mostImages = 64
 )
 
-// Felt returns how much of an image's whole pressure is felt where it uses a share of the worker.
-func Felt(share float64) float64 { return math.Sqrt(max(share, 0)) }
-
 // Level returns the level of a tail beside its target, both in the same unit.
 func Level(tail, target float64) float64 {
 	if target <= 0 {
@@ -132,7 +131,7 @@
 	x := make([]float64, len(f.mean))
 	x[0] = 1
 	for c, share := range columns {
-		x[c] = Felt(share)
+		x[c] = share
 	}
 	f.update(x, level)
 }
@@ -152,7 +151,7 @@
 	rise := 0.0
 	for image, share := range use {
 		weight, _ := m.Weight(serving, image)
-		rise += weight * Felt(share)
+		rise += weight * share
 	}
 	return rise
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -11,7 +11,6 @@
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
 	"github.com/saffronpulley/saffronpulley/internal/metric"
-	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/relay"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
 	"github.com/saffronpulley/saffronpulley/internal/timeline"
@@ -47,7 +46,6 @@
 	session   *rpc.Peer
 	permitted time.Time
 	life      *life
-	pace      *pacing.Controller
 }
 
 // life is what the agent knows of one life of the worker.
@@ -68,11 +66,15 @@
 	orders   map[host.Run]*order
 	profiles map[host.Run]link.Profile
 	paces    map[host.Run]int
-	// controllers hold the pace by image, presses what the lead told of the images that fill, adjusted when the paces
-	// were last reckoned.
-	controllers map[string]*pacing.Controller
-	presses     map[string][]string
-	adjusted    time.Time
+	// wanted is the pace by image, presses what the lead told of the images that fill, adjusted when the paces were last
+	// reckoned.
+	wanted   map[string]int
+	presses  map[string]map[string]float64
+	adjusted time.Time
+	// over is since when serving tasks have been over their targets.
+	over map[host.Run]time.Time
+	// felt is by how much each image was last taken to slow a serving task.
+	felt map[host.Run]map[string]float64
 }
 
 // order is a start or a stop that is under way, or whose end is still to be told.
@@ -138,7 +140,7 @@
 	return &life{
 		report: report, clock: report.Clock, read: now, answered: now, orders: make(map[host.Run]*order),
 		profiles: make(map[host.Run]link.Profile), paces: make(map[host.Run]int),
-		controllers: make(map[string]*pacing.Controller),
+		over: make(map[host.Run]time.Time), felt: make(map[host.Run]map[string]float64),
 	}
 }
 
