An entry that stops ends within the platform's grace

Ruled out: the connection stayed open by itself; fasthttp's shutdown takes less than its two seconds.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
+	"github.com/valyala/fasthttp"
 
 	"github.com/saffronpulley/saffronpulley/internal/admin"
 	"github.com/saffronpulley/saffronpulley/internal/dispatch"
@@ -18,9 +18,9 @@
 	"github.com/saffronpulley/saffronpulley/platform"
 )
 
-// stopWait is how long a stopping entry still serves callers: the platform sends new connections elsewhere within two
-// seconds, requests take up to three, and six seconds after its signal the process is killed.
-const stopWait = 4500 * time.Millisecond
+// stopShare is the part of the grace for which a stopping entry still serves callers. The platform sends new connections
+// elsewhere within two seconds and requests take up to three; closing what is left takes at most two more seconds.
+const stopShare = 0.6
 
 // entry is the process that serves callers and may lead.
 type entry struct {
@@ -50,8 +50,9 @@
 	if err != nil {
 		return err
 	}
-	defer admin.CloseAll(servers...)
-	return e.run(ctx)
+	e.run(ctx)
+	admin.CloseAll(servers...)
+	return nil
 }
 
 // listen opens all that others reach.
@@ -68,7 +69,7 @@
 		start            func() (*admin.Server, error)
 	}{
 		{start: func() (*admin.Server, error) {
-			return serve(s.Callers(), "listen.callers", platform.HandleCallers(e.desk))
+			return serve(s.Callers(), "listen.callers", e.callers())
 		}},
 		{start: func() (*admin.Server, error) { return serve(s.Ready(), "listen.ready", platform.HandleReady(e.ready)) }},
 		{start: func() (*admin.Server, error) {
@@ -88,20 +89,32 @@
 // ready reports whether new connections should come here.
 func (e *entry) ready() bool { return e.policies.Newest() != nil && !e.stopping.Load() }
 
-// run runs the parts; at the signal the lead goes at once, and callers are served for a while longer.
-func (e *entry) run(ctx context.Context) error {
+// run runs the parts until the signal; then the lead is given up at once, and callers are served for a while longer.
+//
+// It does not wait for the parts that only read: their calls may take longer than the platform grants.
+func (e *entry) run(ctx context.Context) {
 	lasting, end := context.WithCancel(context.Background())
-	var group errgroup.Group
-	group.Go(func() error { e.policies.Run(lasting); return nil })
-	group.Go(func() error { e.lead.Run(lasting); return nil })
-	group.Go(func() error { e.desk.Ping(lasting, e.settings.ID(), e.settings.PeerAddress()); return nil })
-	group.Go(func() error { e.dispatcher.Run(ctx); return nil })
+	defer end()
+	go e.policies.Run(lasting)
+	go e.lead.Run(lasting)
+	go e.desk.Ping(lasting, e.settings.ID(), e.settings.PeerAddress())
+	go e.dispatcher.Run(ctx)
 	<-ctx.Done()
-	e.logger.Info("process: stopping; callers are served for %s", stopWait)
 	e.stopping.Store(true)
-	time.Sleep(stopWait)
-	end()
-	return group.Wait()
+	wait := time.Duration(stopShare * float64(e.settings.Grace()))
+	e.logger.Info("process: stopping; callers are served for %s", wait)
+	time.Sleep(wait)
+}
+
+// callers serves callers; while the process stops they are asked to connect anew, to another entry.
+func (e *entry) callers() fasthttp.RequestHandler {
+	handle := platform.HandleCallers(e.desk)
+	return func(ctx *fasthttp.RequestCtx) {
+		handle(ctx)
+		if e.stopping.Load() {
+			ctx.SetConnectionClose()
+		}
+	}
 }
 
 // noReports refuses workers' reports, which belong to the agent beside the worker.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -5,6 +5,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/goccy/go-yaml"
 
@@ -40,7 +41,9 @@
 	Neighbors string `yaml:"neighbors"`
 	Worker    string `yaml:"worker"`
 	Store     string `yaml:"store"`
-	Log       string `yaml:"log"`
+	// GraceSeconds is how long after SIGTERM the process is killed.
+	GraceSeconds float64 `yaml:"grace_s"`
+	Log          string  `yaml:"log"`
 }
 
 // Settings are the checked settings of a process.
@@ -76,6 +79,8 @@
 		return fault.New(fault.BadInput, "role is %q; use %s or %s", f.Role, RoleEntry, RoleAgent)
 	case f.Strength <= 0:
 		return fault.New(fault.BadInput, "strength is %v; give the VM's share of a core, above 0", f.Strength)
+	case f.GraceSeconds <= 0:
+		return fault.New(fault.BadInput, "grace_s is %v; give the seconds from SIGTERM to the kill, above 0", f.GraceSeconds)
 	case f.MemoryMB < leastMemoryMB:
 		return fault.New(fault.BadInput, "memory_mb is %d; at least %d are needed", f.MemoryMB, leastMemoryMB)
 	}
@@ -158,5 +163,10 @@
 // Store returns the address of the store.
 func (s *Settings) Store() string { return s.file.Store }
 
+// Grace returns how long after SIGTERM the process is killed.
+func (s *Settings) Grace() time.Duration {
+	return time.Duration(s.file.GraceSeconds * float64(time.Second))
+}
+
 // LogLevel returns the lowest level that is logged.
 func (s *Settings) LogLevel() string { return s.file.Log }
