--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -38,6 +38,7 @@
 	t.mu.Lock()
 	t.expire()
 	t.unstick()
+	t.evacuate()
 	t.plan()
 	t.mu.Unlock()
 	for {
@@ -69,7 +70,7 @@
 		b.change.Conditions = lead.Conditions[:1]
 		b.change.Puts = lead.Puts[:1]
 	}
-	for id := range t.dirty {
+	for _, id := range t.dirtyInOrder() {
 		if len(b.versions) == mostRecords {
 			break
 		}
@@ -107,10 +108,11 @@
 
 // collect notes the runs that the batch commits for the first time.
 func (b *batch) collect(t *term) {
-	for h, hosted := range t.hosts {
-		for id, p := range hosted.runs {
+	for _, h := range t.hostsInOrder() {
+		for _, id := range h.runsInOrder() {
+			p := h.runs[id]
 			if known := t.jobs[id.Job]; !p.committed && b.has(known) {
-				b.runs = append(b.runs, batchedRun{id: id, host: h, run: p.run})
+				b.runs = append(b.runs, batchedRun{id: id, host: h.worker.Host, run: p.run})
 			}
 		}
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return link.ReportAnswer{}, err
 	}
-	return t.report(p, r)
+	return t.report(connection{p}, r)
 }
 
 func (d *Dispatcher) ping(_ context.Context, _ *rpc.Peer, p link.Ping) (link.PingAnswer, error) {
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -11,6 +11,8 @@
 type hosted struct {
 	worker plan.Worker
 	runs   map[job.TaskID]*placed
+	// draining says that the worker leaves, and all that runs there with it.
+	draining bool
 	// sampled is when the figures were last taken into account.
 	sampled time.Time
 	// failures counts runs that ended as failed since the last that was done.
@@ -82,8 +84,8 @@
 		t.logger.Warn("a worker's runs are lost; vm=%s instance=%s runs=%d reason=%s",
 			h.worker.Host.VM, h.worker.Host.Instance, len(h.runs), reason)
 	}
-	for id, p := range h.runs {
-		t.apply(id, p.run, job.EndLapsed, "", h.worker.Host)
+	for _, id := range h.runsInOrder() {
+		t.apply(id, h.runs[id].run, job.EndLapsed, "", h.worker.Host)
 	}
 	delete(t.hosts, h.worker.Host)
 	t.wakeUp()
@@ -98,9 +100,13 @@
 	if known == nil || !known.job.Ended(id, run, end, checkpoint) {
 		return
 	}
-	if h := t.hosts[host]; h != nil {
+	step := &known.job.Spec().Steps[id.Step]
+	if h := t.hosts[host]; h != nil && !step.Lasting {
 		h.judge(end)
 	}
+	if step.Gang && end == job.EndDone {
+		t.endGang(known, id)
+	}
 	if end == job.EndFailed {
 		known.failed[host] = true
 	}
@@ -111,6 +117,14 @@
 	t.touch(known)
 }
 
+// endGang stops what is left of a gang that one end has ended for all: an order that is still on its way, at the most.
+func (t *term) endGang(known *tracked, ended job.TaskID) {
+	member := ended
+	for member.Index = range known.job.Tasks(ended.Time, ended.Step) {
+		t.stop(member, known.job.Task(member))
+	}
+}
+
 func (h *hosted) judge(end job.End) {
 	switch end {
 	case job.EndDone:
--- /dev/null
+++ b/internal/dispatch/inorder.go
@@ -0,0 +1,31 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+)
+
+// hostsInOrder returns the lives of workers, always in the same order, so that a plan does not hang on chance.
+func (t *term) hostsInOrder() []*hosted {
+	return slices.SortedFunc(maps.Values(t.hosts), func(a, b *hosted) int { return compareHosts(a.worker.Host, b.worker.Host) })
+}
+
+func compareHosts(a, b job.Host) int {
+	return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Instance, b.Instance))
+}
+
+// runsInOrder returns the tasks that are placed on a worker.
+func (h *hosted) runsInOrder() []job.TaskID {
+	return slices.SortedFunc(maps.Keys(h.runs), compareTasks)
+}
+
+func compareTasks(a, b job.TaskID) int {
+	return cmp.Or(
+		cmp.Compare(a.Job, b.Job), cmp.Compare(a.Time, b.Time), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
+// dirtyInOrder returns the jobs that have to be committed.
+func (t *term) dirtyInOrder() []job.ID { return slices.Sorted(maps.Keys(t.dirty)) }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -12,6 +12,25 @@
 // orderPatience bounds how long an agent may take to acknowledge orders; it does so before it carries them out.
 const orderPatience = 800 * time.Millisecond
 
+// session is the connection of an agent.
+type session interface {
+	// send hands the agent orders and waits until it has them.
+	send(orders link.Orders) error
+	close()
+}
+
+// connection is the session of an agent that reports over RPC.
+type connection struct{ peer *rpc.Peer }
+
+func (c connection) send(orders link.Orders) error {
+	ctx, cancel := context.WithTimeout(context.Background(), orderPatience)
+	defer cancel()
+	_, err := rpc.Call[link.Orders, link.Empty](ctx, c.peer, link.MethodOrders, orders)
+	return err
+}
+
+func (c connection) close() { c.peer.Close() }
+
 // orderStart orders a committed run; a run without a reachable agent is ordered once its agent reports.
 func (t *term) orderStart(h job.Host, id job.TaskID, p *placed) {
 	known := t.jobs[id.Job]
@@ -45,11 +64,11 @@
 // ordersFor returns the orders that are gathered for a worker's agent, nil where that cannot be reached.
 func (t *term) ordersFor(h job.Host) *link.Orders {
 	a := t.agents[h.VM]
-	if a == nil || a.peer == nil || a.host != h {
+	if a == nil || a.session == nil || a.host != h {
 		return nil
 	}
 	if a.orders == nil {
-		a.orders = &link.Orders{Epoch: t.epoch, Texts: make(map[string]string)}
+		a.orders = &link.Orders{Epoch: t.epoch, Instance: h.Instance, Texts: make(map[string]string)}
 	}
 	return a.orders
 }
@@ -59,20 +78,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, a := range t.agents {
-		if a.orders == nil || a.peer == nil {
+		if a.orders == nil || a.session == nil {
 			continue
 		}
-		go t.send(a.vm, a.peer, *a.orders)
+		go t.send(a.vm, a.session, *a.orders)
 		a.orders = nil
 	}
 }
 
-func (t *term) send(vm string, p *rpc.Peer, orders link.Orders) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderPatience)
-	defer cancel()
-	if _, err := rpc.Call[link.Orders, link.Empty](ctx, p, link.MethodOrders, orders); err != nil {
+func (t *term) send(vm string, s session, orders link.Orders) {
+	if err := s.send(orders); err != nil {
 		t.logger.Warn("orders were not acknowledged and the agent is dropped; vm=%s starts=%d stops=%d reason=%v",
 			vm, len(orders.Starts), len(orders.Stops), err)
-		p.Close()
+		s.close()
 	}
 }
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -21,7 +19,8 @@
 // expire gives up the workers whose permission is over.
 func (t *term) expire() {
 	now := time.Now()
-	for h, known := range t.hosts {
+	for _, known := range t.hostsInOrder() {
+		h := known.worker.Host
 		a := t.agents[h.VM]
 		switch {
 		case a != nil && a.host == h:
@@ -37,8 +36,10 @@
 
 // unstick stops tasks that stand still, so that they start again elsewhere.
 func (t *term) unstick() {
-	for h, known := range t.hosts {
-		for id, p := range known.runs {
+	for _, known := range t.hostsInOrder() {
+		h := known.worker.Host
+		for _, id := range known.runsInOrder() {
+			p := known.runs[id]
 			if p.step.Lasting || !p.committed || p.stopping || p.sent.IsZero() || time.Since(p.moved) < stuckAfter {
 				continue
 			}
@@ -59,13 +60,12 @@
 func (t *term) plan() {
 	groups := t.groups()
 	workers := make([]*plan.Worker, 0, len(t.hosts))
-	for _, h := range t.hosts {
+	for _, h := range t.hostsInOrder() {
 		h.worker.Trials = h.trials()
 		h.worker.Served = h.serving()
 		h.weigh()
 		workers = append(workers, &h.worker)
 	}
-	sortWorkers(workers)
 	t.relocate(workers)
 	for _, p := range plan.Make(workers, groups, t.pressure) {
 		known := t.jobs[p.Task.Job]
@@ -184,9 +184,3 @@
 	}
 	return accepted
 }
-
-func sortWorkers(workers []*plan.Worker) {
-	slices.SortFunc(workers, func(a, b *plan.Worker) int {
-		return cmp.Or(cmp.Compare(a.Host.VM, b.Host.VM), cmp.Compare(a.Host.Instance, b.Host.Instance))
-	})
-}
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -48,8 +48,10 @@
 // relocate stops some tasks that are paced down and save their progress, where another worker would suit them.
 func (t *term) relocate(workers []*plan.Worker) {
 	moves := 0
-	for host, h := range t.hosts {
-		for id, p := range h.runs {
+	for _, h := range t.hostsInOrder() {
+		host := h.worker.Host
+		for _, id := range h.runsInOrder() {
+			p := h.runs[id]
 			if moves == mostMoves {
 				return
 			}
@@ -79,3 +81,23 @@
 	return known != nil && p.step.Fills && p.step.Checkpoints && !p.step.Gang && p.committed && !p.stopping &&
 		!p.slow.IsZero() && time.Since(p.slow) > slowFor && !known.job.State().Final()
 }
+
+// evacuate stops what loses nothing by it on workers that leave, so that it starts elsewhere before they are gone.
+func (t *term) evacuate() {
+	for _, h := range t.hostsInOrder() {
+		if !h.draining {
+			continue
+		}
+		host := h.worker.Host
+		for _, id := range h.runsInOrder() {
+			p := h.runs[id]
+			losesNothing := p.step.Lasting || p.step.Checkpoints
+			if !p.committed || p.stopping || !losesNothing || p.step.Gang {
+				continue
+			}
+			t.logger.Info("task is moved from a worker that leaves; task=%s run=%d vm=%s", id, p.run, host.VM)
+			p.stopping, p.stopSent = true, time.Now()
+			t.orderStop(host, id, p.run)
+		}
+	}
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -7,7 +7,6 @@
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
-	"github.com/saffronpulley/saffronpulley/internal/rpc"
 )
 
 const (
@@ -19,23 +18,23 @@
 
 // agent is an agent as its latest report tells.
 type agent struct {
-	vm    string
-	peer  *rpc.Peer
-	heard time.Time
-	host  job.Host
-	seen  uint64
+	vm      string
+	session session
+	heard   time.Time
+	host    job.Host
+	seen    uint64
 	// orders are gathered until they are sent.
 	orders *link.Orders
 }
 
 // report takes what an agent and its worker have, and answers with the permission to go on.
-func (t *term) report(p *rpc.Peer, r link.Report) (link.ReportAnswer, error) {
+func (t *term) report(s session, r link.Report) (link.ReportAnswer, error) {
 	if r.Epoch > t.epoch {
 		return link.ReportAnswer{}, fault.New(fault.Stale, "epoch %d is newer than this lead's %d", r.Epoch, t.epoch)
 	}
 	t.mu.Lock()
 	answer := link.ReportAnswer{Epoch: t.epoch}
-	a := t.hear(p, r)
+	a := t.hear(s, r)
 	needed, taken := t.reconcile(a, r)
 	answer.Profiles = t.profiles(r.Unknown)
 	answer.Presses = t.presses(a.host)
@@ -58,23 +57,23 @@
 }
 
 // hear takes note of the agent and of the life of its worker; an earlier life has lost all that it ran.
-func (t *term) hear(p *rpc.Peer, r link.Report) *agent {
+func (t *term) hear(s session, r link.Report) *agent {
 	a := t.agents[r.VM]
 	if a == nil {
 		a = &agent{vm: r.VM}
 		t.agents[r.VM] = a
 	}
-	a.peer, a.heard = p, time.Now()
+	a.session, a.heard = s, time.Now()
 	if r.Instance == "" || !r.Fenced {
 		return a
 	}
 	current := job.Host{VM: r.VM, Instance: r.Instance}
 	if a.host != current {
 		t.logger.Info("worker heard; vm=%s instance=%s labels=%v cpu=%d memory=%d", r.VM, r.Instance, r.Labels, r.CPU, r.Memory)
-		a.host, a.seen = current, 0
-		for other, h := range t.hosts {
-			if other.VM == r.VM && other != current {
-				t.lose(h, "the worker has a new life")
+		a.host, a.seen, a.orders = current, 0, nil
+		for _, earlier := range t.hostsInOrder() {
+			if other := earlier.worker.Host; other.VM == r.VM && other != current {
+				t.lose(earlier, "the worker has a new life")
 			}
 		}
 	}
@@ -82,6 +81,7 @@
 	w.Service, w.Labels = r.Service, r.Labels
 	w.Capacity = job.Size{CPU: r.CPU, Memory: r.Memory, GPU: r.GPU}
 	w.Open = !r.Draining && !r.Silent
+	t.hosts[current].draining = r.Draining
 	return a
 }
 
@@ -149,7 +149,8 @@
 			present[id] = pending.Number
 		}
 	}
-	for id, p := range h.runs {
+	for _, id := range h.runsInOrder() {
+		p := h.runs[id]
 		if present[id] != p.run && p.committed && !p.stopping && time.Since(p.sent) > resendAfter {
 			t.orderStart(h.worker.Host, id, p)
 		}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -150,8 +150,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, a := range t.agents {
-		if a.peer != nil {
-			a.peer.Close()
+		if a.session != nil {
+			a.session.close()
 		}
 	}
 }
--- /dev/null
+++ b/internal/job/script_test.go
@@ -0,0 +1,141 @@
+package job
+
+import (
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/tools/txtar"
+	"gotest.tools/v3/assert"
+)
+
+// TestScripts plays what happens to jobs: each archive has the steps of one job, one a line, and what is done and expected.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			archive, err := txtar.ParseFile(file)
+			assert.NilError(t, err)
+			parts := make(map[string]string)
+			for _, f := range archive.Files {
+				parts[f.Name] = string(f.Data)
+			}
+			j := New("00000000000000aa", parseSpec(t, parts["job"]), Queue{Attempts: 2, Stretch: 2}, time.Unix(1000, 0))
+			for n, line := range strings.Split(strings.TrimSpace(parts["script"]), "\n") {
+				play(t, j, strings.Fields(line), fmt.Sprintf("line %d: %s", n+1, line))
+				j = restored(t, j)
+			}
+		})
+	}
+}
+
+// restored brings the job through the store, which must change nothing.
+func restored(t *testing.T, j *Job) *Job {
+	t.Helper()
+	accepted, err := Encode(j.spec, j.queue, j.accepted)
+	assert.NilError(t, err)
+	progress, err := j.EncodeProgress()
+	assert.NilError(t, err)
+	again, err := Decode(j.id, accepted)
+	assert.NilError(t, err)
+	assert.NilError(t, again.ApplyProgress(progress))
+	assert.Equal(t, again.State(), j.State())
+	return again
+}
+
+// parseSpec reads lines like "times 2" and "step 3 after=0,1 gang lasting saves".
+func parseSpec(t *testing.T, text string) Spec {
+	t.Helper()
+	var spec Spec
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		words := strings.Fields(line)
+		count, err := strconv.Atoi(words[1])
+		assert.NilError(t, err, line)
+		if words[0] == "times" {
+			spec.Times, spec.Start, spec.Interval = count, time.Unix(2000, 0), time.Minute
+			continue
+		}
+		step := Step{Count: count, Estimate: time.Second, Size: Size{CPU: 1000}}
+		for _, word := range words[2:] {
+			name, value, _ := strings.Cut(word, "=")
+			switch name {
+			case "after":
+				for _, d := range strings.Split(value, ",") {
+					n, err := strconv.Atoi(d)
+					assert.NilError(t, err, line)
+					step.DependsOn = append(step.DependsOn, n)
+				}
+			case "gang":
+				step.Gang = true
+			case "lasting":
+				step.Lasting = true
+			case "saves":
+				step.Checkpoints = true
+			default:
+				t.Fatalf("%s: what is %s?", line, name)
+			}
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	assert.NilError(t, spec.Check())
+	return spec
+}
+
+func play(t *testing.T, j *Job, words []string, where string) {
+	t.Helper()
+	task := func() TaskID {
+		id, ok := ParseTaskID(string(j.id) + "." + words[1])
+		assert.Assert(t, ok, where)
+		return id
+	}
+	number := func(n int) int {
+		value, err := strconv.Atoi(words[n])
+		assert.NilError(t, err, where)
+		return value
+	}
+	yes := func(n int) bool { return words[n] == "yes" }
+	switch words[0] {
+	case "place":
+		assert.Equal(t, j.Place(task(), Host{VM: words[2], Instance: words[2] + "-1"}, 0), number(3), where)
+	case "end":
+		checkpoint := ""
+		if len(words) > 5 {
+			checkpoint = words[5]
+		}
+		assert.Equal(t, j.Ended(task(), number(2), endOf(t, words[3]), checkpoint), yes(4), where)
+	case "unplace":
+		assert.Equal(t, j.Unplace(task(), number(2)), yes(3), where)
+	case "cancel":
+		assert.Equal(t, j.Cancel(), yes(1), where)
+	case "state":
+		assert.Equal(t, j.State().String(), words[1], where)
+	case "open":
+		assert.Equal(t, j.Open(number(1), number(2)), yes(3), where)
+	case "phase":
+		assert.Equal(t, j.Task(task()).Phase().String(), words[2], where)
+	case "checkpoint":
+		assert.Equal(t, j.Task(task()).Checkpoint(), words[2], where)
+	case "remaining":
+		assert.Equal(t, j.Remaining(number(1)), time.Duration(number(2))*time.Second, where)
+	case "due":
+		assert.Equal(t, j.Due(number(1)).Unix(), int64(number(2)), where)
+	default:
+		t.Fatalf("%s: unknown", where)
+	}
+}
+
+func endOf(t *testing.T, name string) End {
+	t.Helper()
+	for e := EndDone; e <= EndAlone; e++ {
+		if e.String() == name {
+			return e
+		}
+	}
+	t.Fatalf("no end is called %s", name)
+	return EndDone
+}
--- /dev/null
+++ b/internal/job/spec_test.go
@@ -0,0 +1,59 @@
+package job
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+)
+
+func TestCheckRefusesWithASentence(t *testing.T) {
+	one := []Step{{Count: 1}}
+	for sentence, spec := range map[string]Spec{
+		"has no steps":       {},
+		"the text has":       {Text: strings.Repeat("x", MaxText+1), Steps: one},
+		"step 0 has 0 tasks": {Steps: []Step{{}}},
+		"negative number":    {Steps: []Step{{Count: 1, Size: Size{CPU: -1}}}},
+		"is not before it":   {Steps: []Step{{Count: 1, DependsOn: []int{0}}}},
+		"repeats -1 times":   {Steps: one, Times: -1},
+		"has 40000 tasks":    {Steps: []Step{{Count: MaxTasks}, {Count: MaxTasks}}},
+	} {
+		err := spec.Check()
+		assert.ErrorContains(t, err, sentence)
+		assert.Assert(t, fault.Is(err, fault.BadInput))
+	}
+	assert.NilError(t, Spec{Steps: one}.Check())
+}
+
+func TestTaskIDReadsWhatItWrites(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		number := rapid.IntRange(0, 1000)
+		id := TaskID{
+			Job: ID(rapid.StringMatching("[0-9a-f]{16}").Draw(t, "job")), Time: number.Draw(t, "time"),
+			Step: number.Draw(t, "step"), Index: number.Draw(t, "index"),
+		}
+		read, ok := ParseTaskID(id.String())
+		assert.Assert(t, ok)
+		assert.Equal(t, read, id)
+	})
+	for _, wrong := range []string{"", "a.b", "a.0.0.-1", "a.0.0.0.0", "a.0.0.x"} {
+		_, ok := ParseTaskID(wrong)
+		assert.Assert(t, !ok, wrong)
+	}
+}
+
+func TestChainAndWork(t *testing.T) {
+	spec := Spec{Steps: []Step{
+		{Count: 2, Estimate: time.Second, Size: Size{CPU: 500}},
+		{Count: 1, Estimate: 3 * time.Second, Size: Size{CPU: 2000}},
+		{Count: 1, Estimate: time.Second, DependsOn: []int{0, 1}, Size: Size{CPU: 1000}},
+	}}
+	assert.Equal(t, spec.Chain(), 4*time.Second)
+	j := New("00000000000000aa", spec, Queue{Stretch: 1.5, Target: 250 * time.Millisecond}, time.Unix(1, 0))
+	assert.Equal(t, j.Objective(), 6250*time.Millisecond)
+	assert.Equal(t, j.Work(0), 8.0)
+}
--- /dev/null
+++ b/internal/kvtest/kvtest.go
@@ -0,0 +1,274 @@
+package kvtest
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+)
+
+// Trouble is what happens to a call.
+type Trouble int
+
+// The kinds of trouble.
+const (
+	None Trouble = iota
+	// Refused calls are not done, and it is said so.
+	Refused
+	// Lost calls are done, and their answer is lost.
+	Lost
+	// Late calls are done when Catch is called, if their conditions still hold then, and their answer is lost.
+	Late
+	// Unsent calls are not done, and their answer is lost.
+	Unsent
+)
+
+// Store is a store in memory.
+type Store struct {
+	mu       sync.Mutex
+	revision kv.Revision
+	items    map[string]kv.Item
+	history  []kv.Event
+	forgot   kv.Revision
+	leases   map[kv.LeaseID][]string
+	nextID   kv.LeaseID
+	late     []kv.Txn
+	commits  int
+	changed  chan struct{}
+	// trouble is asked before each commit.
+	trouble func() Trouble
+}
+
+var _ kv.Store = (*Store)(nil)
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{items: make(map[string]kv.Item), leases: make(map[kv.LeaseID][]string), changed: make(chan struct{})}
+}
+
+// SetTrouble makes the store ask what happens to each commit from now on.
+func (s *Store) SetTrouble(trouble func() Trouble) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trouble = trouble
+}
+
+// Catch does the late commits, in their order.
+func (s *Store) Catch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, change := range s.late {
+		_, _ = s.apply(change)
+	}
+	s.late = nil
+}
+
+// Forget drops the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgot = nil, s.revision
+	s.wake()
+}
+
+// Commits returns how many commits were asked for.
+func (s *Store) Commits() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.commits
+}
+
+// Keys returns all keys under a prefix in order.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Get implements kv.Store.
+func (s *Store) Get(_ context.Context, key string) (kv.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i, ok := s.items[key]; ok {
+		return i, nil
+	}
+	return kv.NewItem(key, nil, 0), nil
+}
+
+// Range implements kv.Store.
+func (s *Store) Range(_ context.Context, prefix string) ([]kv.Item, kv.Revision, error) {
+	var items []kv.Item
+	for _, key := range s.Keys(prefix) {
+		s.mu.Lock()
+		items = append(items, s.items[key])
+		s.mu.Unlock()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return items, s.revision, nil
+}
+
+// Watch implements kv.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Event, kv.Revision, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		events, at, changed, err := s.since(prefix, after)
+		if err != nil || len(events) > 0 {
+			return events, at, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		case <-timer.C:
+			return nil, at, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after kv.Revision) ([]kv.Event, kv.Revision, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.forgot {
+		return nil, after, nil, fault.New(fault.Stale, "the history is gone")
+	}
+	var events []kv.Event
+	for _, e := range s.history {
+		if e.Item().Revision() > after && strings.HasPrefix(e.Item().Key(), prefix) {
+			events = append(events, e)
+		}
+	}
+	return events, s.revision, s.changed, nil
+}
+
+// Commit implements kv.Store.
+func (s *Store) Commit(_ context.Context, change kv.Txn) (kv.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	if len(change.Conditions)+len(change.Puts)+len(change.Removes) > 2*kv.MaxEntries ||
+		max(len(change.Conditions), len(change.Puts), len(change.Removes)) > kv.MaxEntries {
+		return 0, fault.New(fault.BadInput, "more than %d entries", kv.MaxEntries)
+	}
+	trouble := None
+	if s.trouble != nil {
+		trouble = s.trouble()
+	}
+	switch trouble {
+	case Refused:
+		return 0, fault.New(fault.Unavailable, "refused")
+	case Unsent:
+		return 0, fault.New(fault.OutcomeUnknown, "no answer")
+	case Late:
+		s.late = append(s.late, change)
+		return 0, fault.New(fault.OutcomeUnknown, "no answer")
+	case Lost:
+		_, _ = s.apply(change)
+		return 0, fault.New(fault.OutcomeUnknown, "no answer")
+	case None:
+	}
+	return s.apply(change)
+}
+
+func (s *Store) apply(change kv.Txn) (kv.Revision, error) {
+	for _, c := range change.Conditions {
+		if s.items[c.Key].Revision() != c.Revision {
+			return 0, fault.New(fault.Conflict, "%s is at %d, not %d", c.Key, s.items[c.Key].Revision(), c.Revision)
+		}
+	}
+	for _, p := range change.Puts {
+		if _, known := s.leases[p.Lease]; p.Lease != 0 && !known {
+			return 0, fault.New(fault.NotFound, "there is no lease %d", p.Lease)
+		}
+	}
+	s.revision++
+	for _, p := range change.Puts {
+		item := kv.NewItem(p.Key, p.Value, s.revision)
+		s.items[p.Key] = item
+		s.history = append(s.history, kv.NewEvent(item, false))
+		if p.Lease != 0 {
+			s.leases[p.Lease] = append(s.leases[p.Lease], p.Key)
+		}
+	}
+	for _, key := range change.Removes {
+		s.remove(key)
+	}
+	s.wake()
+	return s.revision, nil
+}
+
+func (s *Store) remove(key string) {
+	if _, known := s.items[key]; !known {
+		return
+	}
+	delete(s.items, key)
+	s.history = append(s.history, kv.NewEvent(kv.NewItem(key, nil, s.revision), true))
+}
+
+// Grant implements kv.Store; leases last until Expire or End.
+func (s *Store) Grant(context.Context, time.Duration) (kv.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	s.leases[s.nextID] = nil
+	return s.nextID, nil
+}
+
+// Renew implements kv.Store.
+func (s *Store) Renew(_ context.Context, lease kv.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.leases[lease]; !known {
+		return fault.New(fault.NotFound, "there is no lease %d", lease)
+	}
+	return nil
+}
+
+// End implements kv.Store.
+func (s *Store) End(_ context.Context, lease kv.LeaseID) error {
+	s.Expire(lease)
+	return nil
+}
+
+// Expire lets a lease run out.
+func (s *Store) Expire(lease kv.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	for _, key := range s.leases[lease] {
+		s.remove(key)
+	}
+	delete(s.leases, lease)
+	s.wake()
+}
+
+// Revoke takes the keys of all leases away and leaves the leases, which no request shows.
+func (s *Store) Revoke() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	for lease, keys := range s.leases {
+		for _, key := range keys {
+			s.remove(key)
+		}
+		s.leases[lease] = nil
+	}
+	s.wake()
+}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -104,9 +104,11 @@
 
 // Orders are the lead's orders to an agent.
 type Orders struct {
-	Epoch  uint64  `json:"epoch"`
-	Starts []Start `json:"starts,omitempty"`
-	Stops  []Run   `json:"stops,omitempty"`
+	Epoch uint64 `json:"epoch"`
+	// Instance is the life of the worker that the orders are for.
+	Instance string  `json:"instance"`
+	Starts   []Start `json:"starts,omitempty"`
+	Stops    []Run   `json:"stops,omitempty"`
 	// Texts holds the text of each job that Starts name, by the job's name.
 	Texts map[string]string `json:"texts,omitempty"`
 }
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// Full and Least bound the pace in percent; at Least a task does not disturb and still keeps its memory.
-	Full  = 100
+	// Full is the highest pace in percent.
+	Full = 100
+	// Least is the lowest pace; a task does not disturb at it and still keeps its memory.
 	Least = 0
 	// rounds bounds the search; it ends earlier where no pace changes.
 	rounds = 4
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -55,19 +55,22 @@
 	return placed
 }
 
-// urgency orders groups: short work of serving queues, then lasting tasks, then batch that can still earn, then the rest.
+// urgency orders groups: short work, then lasting tasks and short work that is far too late, then batch that can still be
+// in time, then batch that is late, and far too late.
 func (g *Group) urgency() int {
 	switch {
 	case g.Step.Lasting:
 		return 1
+	case !g.Step.Fills && g.Late > 0:
+		return 0
+	case !g.Step.Fills:
+		return 1
 	case g.Late <= 0:
 		return 4
-	case g.Step.Fills && g.Slack <= 0:
+	case g.Slack <= 0:
 		return 3
-	case g.Step.Fills:
-		return 2
 	}
-	return 0
+	return 2
 }
 
 // order puts the batch jobs with the least work left first: under more work than can be done in time, that is what most
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,224 @@
+package plan
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/tools/txtar"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+)
+
+// pairs is a pressure by "serving/filling".
+type pairs map[string]float64
+
+// Weight implements Pressure.
+func (p pairs) Weight(serving, filling string) (float64, float64) { return p[serving+"/"+filling], 0 }
+
+// TestScripts plans what the archives describe and compares the placements.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			archive, err := txtar.ParseFile(file)
+			assert.NilError(t, err)
+			var workers []*Worker
+			var groups []*Group
+			weights := make(pairs)
+			want := ""
+			for _, f := range archive.Files {
+				lines := strings.Split(strings.TrimSpace(string(f.Data)), "\n")
+				switch f.Name {
+				case "workers":
+					workers = parseWorkers(t, lines)
+				case "groups":
+					groups = parseGroups(t, lines)
+				case "pressure":
+					for _, line := range lines {
+						words := strings.Fields(line)
+						weights[words[0]] = decimal(t, words[1])
+					}
+				case "placed":
+					want = strings.TrimSpace(string(f.Data))
+				}
+			}
+			assert.Equal(t, describe(Make(workers, groups, weights)), want)
+		})
+	}
+}
+
+func describe(placed []Placement) string {
+	var lines []string
+	for _, p := range placed {
+		line := fmt.Sprintf("%s.%d %s", strings.TrimLeft(string(p.Task.Job), "0"), p.Task.Index, p.Host.VM)
+		if p.Run > 0 {
+			line += fmt.Sprintf(" run=%d", p.Run)
+		}
+		lines = append(lines, line)
+	}
+	return strings.Join(lines, "\n")
+}
+
+func decimal(t *testing.T, text string) float64 {
+	t.Helper()
+	value, err := strconv.ParseFloat(text, 64)
+	assert.NilError(t, err)
+	return value
+}
+
+// parseWorkers reads lines like "a cpu=4000 memory=1000 labels=x,r1 serves=web:-0.8 closed trials=1".
+func parseWorkers(t *testing.T, lines []string) []*Worker {
+	t.Helper()
+	var workers []*Worker
+	for _, line := range lines {
+		words := strings.Fields(line)
+		w := &Worker{Host: job.Host{VM: words[0], Instance: words[0]}, Service: "s", Open: true, Trials: -1, Fills: map[string]float64{}}
+		for _, word := range words[1:] {
+			name, value, _ := strings.Cut(word, "=")
+			switch name {
+			case "cpu":
+				w.Capacity.CPU = int(decimal(t, value))
+			case "memory":
+				w.Capacity.Memory = int(decimal(t, value))
+			case "labels":
+				w.Labels = strings.Split(value, ",")
+			case "used":
+				w.Used.CPU = int(decimal(t, value))
+			case "serves":
+				image, base, _ := strings.Cut(value, ":")
+				w.Served = append(w.Served, Served{Image: image, Base: decimal(t, base)})
+			case "closed":
+				w.Open = false
+			case "trials":
+				w.Trials = int(decimal(t, value))
+			default:
+				t.Fatalf("%s: what is %s?", line, name)
+			}
+		}
+		workers = append(workers, w)
+	}
+	return workers
+}
+
+// parseGroups reads lines like "1 count=3 cpu=1000 memory=100 fills image=x slack=2 late=9".
+func parseGroups(t *testing.T, lines []string) []*Group {
+	t.Helper()
+	var groups []*Group
+	for _, line := range lines {
+		words := strings.Fields(line)
+		step := job.Step{Count: 1}
+		g := &Group{Service: "s", Held: map[job.Host]int{}, Slack: time.Second, Late: time.Minute}
+		for _, word := range words[1:] {
+			name, value, _ := strings.Cut(word, "=")
+			switch name {
+			case "count":
+				step.Count = int(decimal(t, value))
+			case "cpu":
+				step.Size.CPU = int(decimal(t, value))
+			case "memory":
+				step.Size.Memory = int(decimal(t, value))
+			case "fills":
+				step.Fills = true
+			case "gang":
+				step.Gang = true
+			case "samerack":
+				step.SameRack = true
+			case "lasting":
+				step.Lasting = true
+			case "image":
+				step.Image = value
+			case "requires":
+				step.Requires = value
+			case "affinity":
+				step.Affinity = value
+			case "apart":
+				step.AntiAffinity = int(decimal(t, value))
+			case "slack":
+				g.Slack = time.Duration(decimal(t, value) * float64(time.Second))
+			case "late":
+				g.Late = time.Duration(decimal(t, value) * float64(time.Second))
+			case "work":
+				g.Work = decimal(t, value)
+			case "priority":
+				g.Priority = int(decimal(t, value))
+			case "starved":
+				g.Starved = true
+			default:
+				t.Fatalf("%s: what is %s?", line, name)
+			}
+		}
+		id := job.ID(strings.Repeat("0", 16-len(words[0])) + words[0])
+		g.Job = job.New(id, job.Spec{Steps: []job.Step{step}}, job.Queue{Service: "s"}, time.Unix(1, 0))
+		g.Step = &g.Job.Spec().Steps[0]
+		for i := range step.Count {
+			g.Indexes = append(g.Indexes, i)
+		}
+		groups = append(groups, g)
+	}
+	return groups
+}
+
+// TestNeverBeyondRoom draws plans and checks that no worker is given more than it has, and gangs whole or not at all.
+func TestNeverBeyondRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var workers []*Worker
+		for i := range rapid.IntRange(1, 5).Draw(t, "workers") {
+			workers = append(workers, &Worker{
+				Host: job.Host{VM: strconv.Itoa(i)}, Service: "s", Open: true, Trials: -1, Labels: []string{"k", "r" + strconv.Itoa(i%2)},
+				Capacity: job.Size{CPU: rapid.IntRange(0, 8).Draw(t, "cpu") * 1000, Memory: rapid.IntRange(0, 8).Draw(t, "memory") * 1000},
+			})
+		}
+		var groups []*Group
+		for i := range rapid.IntRange(1, 6).Draw(t, "groups") {
+			step := job.Step{
+				Count: rapid.IntRange(1, 6).Draw(t, "count"), Gang: rapid.Bool().Draw(t, "gang"), Fills: rapid.Bool().Draw(t, "fills"),
+				Size:         job.Size{CPU: rapid.IntRange(0, 4).Draw(t, "asked cpu") * 1000, Memory: rapid.IntRange(0, 4).Draw(t, "asked memory") * 1000},
+				AntiAffinity: rapid.IntRange(0, 2).Draw(t, "apart"), SameRack: rapid.Bool().Draw(t, "same rack"),
+			}
+			j := job.New(job.ID(fmt.Sprintf("%016x", i)), job.Spec{Steps: []job.Step{step}}, job.Queue{}, time.Unix(1, 0))
+			g := &Group{Job: j, Step: &j.Spec().Steps[0], Service: "s", Held: map[job.Host]int{}}
+			for n := range step.Count {
+				g.Indexes = append(g.Indexes, n)
+			}
+			groups = append(groups, g)
+		}
+		placed := Make(workers, groups, pairs{})
+		used, held, members := make(map[job.Host]job.Size), make(map[string]int), make(map[job.ID]int)
+		for _, p := range placed {
+			used[p.Host] = used[p.Host].Plus(p.Step.Room())
+			held[p.Host.VM+string(p.Task.Job)]++
+			members[p.Task.Job]++
+			if p.Step.AntiAffinity > 0 && held[p.Host.VM+string(p.Task.Job)] > p.Step.AntiAffinity {
+				t.Fatalf("%v goes beyond its anti-affinity", p.Task)
+			}
+		}
+		for _, w := range workers {
+			if !used[w.Host].Fits(w.Capacity) {
+				t.Fatalf("%v of %v is given", used[w.Host], w.Capacity)
+			}
+		}
+		for _, g := range groups {
+			if n := members[g.Job.ID()]; g.Step.Gang && n != 0 && n != g.Step.Count {
+				t.Fatalf("%d of a gang of %d are placed", n, g.Step.Count)
+			}
+		}
+	})
+}
+
+func TestOrderDoesNotHangOnTheOrderOfInput(t *testing.T) {
+	lines := []string{"1 cpu=1 slack=2", "2 fills cpu=1 image=x", "3 lasting cpu=1", "4 cpu=1 slack=1", "5 fills cpu=1 slack=-1", "6 fills cpu=1 late=-1"}
+	workers := func() []*Worker { return parseWorkers(t, []string{"a cpu=1000 memory=10"}) }
+	want := describe(Make(workers(), parseGroups(t, lines), pairs{}))
+	slices.Reverse(lines)
+	assert.Equal(t, describe(Make(workers(), parseGroups(t, lines), pairs{})), want)
+	assert.Equal(t, want, "4.0 a\n1.0 a\n3.0 a\n2.0 a\n5.0 a\n6.0 a")
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/kvtest"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
+)
+
+const secret = "a secret of tests"
+
+// entry serves a store to other processes and returns its address.
+func entry(t *testing.T, store kv.Store) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	mux := rpc.NewMux(timeline.NewClock(time.Now))
+	rpc.Handle(mux, link.MethodGet, func(ctx context.Context, _ *rpc.Peer, g link.Get) (link.Item, error) {
+		item, err := store.Get(ctx, g.Key)
+		return link.Item{Value: item.Value(), Revision: uint64(item.Revision())}, err
+	})
+	rpc.Handle(mux, link.MethodCommit, func(ctx context.Context, _ *rpc.Peer, c link.Commit) (link.CommitAnswer, error) {
+		change := kv.Txn{}
+		for key, revision := range c.Conditions {
+			change.Conditions = append(change.Conditions, kv.Condition{Key: key, Revision: kv.Revision(revision)})
+		}
+		for key, value := range c.Puts {
+			change.Puts = append(change.Puts, kv.Put{Key: key, Value: value})
+		}
+		revision, err := store.Commit(ctx, change)
+		return link.CommitAnswer{Revision: uint64(revision)}, err
+	})
+	server := rpc.Serve(listener, secret, mux)
+	t.Cleanup(server.Close)
+	return listener.Addr().String()
+}
+
+func pool(addresses ...string) *Pool {
+	return NewPool("self", secret, rpc.NewMux(timeline.NewClock(time.Now)), addresses)
+}
+
+func once() kv.Txn {
+	const key = "key"
+	return kv.Txn{Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: []byte("v")}}}
+}
+
+func always(trouble kvtest.Trouble) func() kvtest.Trouble {
+	return func() kvtest.Trouble { return trouble }
+}
+
+func TestStoreThatRefusesIsReachedThroughAnEntry(t *testing.T) {
+	refusing, serving := kvtest.New(), kvtest.New()
+	refusing.SetTrouble(always(kvtest.Refused))
+	s := New(refusing, pool(entry(t, serving)))
+	assert.NilError(t, s.Commit(context.Background(), once()))
+	assert.DeepEqual(t, serving.Keys(""), []string{"key"})
+}
+
+func TestRefusedEverywhereIsSurelyNotDone(t *testing.T) {
+	store := kvtest.New()
+	store.SetTrouble(always(kvtest.Refused))
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	err := New(store, pool(entry(t, store))).Commit(ctx, once())
+	assert.Assert(t, fault.Is(err, fault.Unavailable), "%v", err)
+}
+
+func TestLostAnswerIsNeverToldAsNotDone(t *testing.T) {
+	store := kvtest.New()
+	lost := true
+	store.SetTrouble(func() kvtest.Trouble {
+		if lost {
+			lost = false
+			return kvtest.Unsent
+		}
+		return kvtest.Refused
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	err := New(store, pool()).Commit(ctx, once())
+	assert.Assert(t, fault.Is(err, fault.OutcomeUnknown), "%v", err)
+}
+
+func TestLostAnswerIsFoundOutByTheSecondAttempt(t *testing.T) {
+	store := kvtest.New()
+	lost := true
+	store.SetTrouble(func() kvtest.Trouble {
+		if lost {
+			lost = false
+			return kvtest.Lost
+		}
+		return kvtest.None
+	})
+	err := New(store, pool()).Commit(context.Background(), once())
+	assert.Assert(t, fault.Is(err, fault.Conflict), "%v", err)
+	assert.Equal(t, store.Commits(), 2)
+}
+
+func TestPoolLeavesItselfOutAndForgetsTheOldest(t *testing.T) {
+	p := pool("a", "self", "a", "b")
+	assert.DeepEqual(t, p.addresses, []string{"a", "b"})
+	for i := range mostAddresses {
+		p.Learn([]string{string(rune('A' + i))})
+	}
+	assert.Equal(t, len(p.addresses), mostAddresses)
+}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -26,8 +26,8 @@
 		return link.Empty{}, fault.New(fault.Stale, "the agent follows epoch %d", r.epoch)
 	}
 	l := r.life
-	if l == nil {
-		return link.Empty{}, fault.New(fault.Unavailable, "the agent knows no worker")
+	if l == nil || l.report.Instance != orders.Instance {
+		return link.Empty{}, fault.New(fault.Stale, "instance %s of the worker is not there", orders.Instance)
 	}
 	for i := range orders.Starts {
 		start := orders.Starts[i]
@@ -49,7 +49,7 @@
 
 // begin carries out a start unless it is under way already.
 func (r *Runner) begin(l *life, run host.Run, start *link.Start, text string) {
-	if l.orders[run] != nil {
+	if l.orders[run] != nil || run.Number <= l.refused[run.Task] {
 		return
 	}
 	l.profiles[run] = start.Profile
@@ -57,7 +57,7 @@
 	o := &order{start: start, text: text, cancel: cancel}
 	l.orders[run] = o
 	if l.report.Draining {
-		o.refuse(l, host.RefusedBusy)
+		o.refuse(l, run, host.RefusedBusy)
 		signal(r.changed)
 		return
 	}
@@ -78,7 +78,8 @@
 	go r.stop(ctx, l, run, o)
 }
 
-func (o *order) refuse(l *life, why host.Refusal) {
+func (o *order) refuse(l *life, run host.Run, why host.Refusal) {
+	l.refused[run.Task] = max(l.refused[run.Task], run.Number)
 	o.refused, o.final, o.views = why, true, l.views
 }
 
@@ -120,7 +121,7 @@
 		return
 	}
 	if !doubtful {
-		o.refuse(l, host.RefusedBusy)
+		o.refuse(l, run, host.RefusedBusy)
 		signal(r.changed)
 		return
 	}
@@ -146,7 +147,7 @@
 		return false
 	}
 	r.logger.Info("start refused; task=%s run=%d refusal=%s", run.Task, run.Number, refusal)
-	o.refuse(l, refusal)
+	o.refuse(l, run, refusal)
 	signal(r.changed)
 	return true
 }
@@ -164,7 +165,7 @@
 		refusal, err := r.config.Worker.Stop(ctx, l.report.Instance, run, epoch)
 		if err == nil && (refusal == host.Accepted || refusal == host.RefusedOld) {
 			r.mu.Lock()
-			o.refuse(l, host.RefusedOld)
+			o.refuse(l, run, host.RefusedOld)
 			r.mu.Unlock()
 			signal(r.changed)
 			return
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
 	"github.com/saffronpulley/saffronpulley/internal/metric"
@@ -64,6 +65,8 @@
 	seen     uint64
 	silent   bool
 	orders   map[host.Run]*order
+	// refused is the highest run of each task that was refused; an order for it that comes again is not carried out.
+	refused  map[job.TaskID]int
 	profiles map[host.Run]link.Profile
 	paces    map[host.Run]int
 	// wanted is the pace by image, presses what the lead told of the images that fill, adjusted when the paces were last
@@ -138,7 +141,7 @@
 
 func newLife(report host.Report, now time.Time) *life {
 	return &life{
-		report: report, clock: report.Clock, read: now, answered: now, orders: make(map[host.Run]*order),
+		report: report, clock: report.Clock, read: now, answered: now, orders: make(map[host.Run]*order), refused: make(map[job.TaskID]int),
 		profiles: make(map[host.Run]link.Profile), paces: make(map[host.Run]int),
 		over: make(map[host.Run]time.Time), felt: make(map[host.Run]map[string]float64),
 	}
--- /dev/null
+++ b/internal/runner/runner_test.go
@@ -0,0 +1,223 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+	"github.com/saffronpulley/saffronpulley/internal/timeline"
+)
+
+// fakeWorker answers orders as told and notes them.
+type fakeWorker struct {
+	mu     sync.Mutex
+	starts []host.Start
+	stops  []host.Run
+	start  func() (host.Refusal, error)
+}
+
+func (f *fakeWorker) Start(_ context.Context, _ string, order host.Start) (host.Refusal, error) {
+	f.mu.Lock()
+	f.starts = append(f.starts, order)
+	f.mu.Unlock()
+	return f.start()
+}
+
+func (f *fakeWorker) Stop(_ context.Context, _ string, run host.Run, _ uint64) (host.Refusal, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, run)
+	return host.Accepted, nil
+}
+
+func (f *fakeWorker) Pace(context.Context, string, host.Run, int, uint64) (host.Refusal, error) {
+	return host.Accepted, nil
+}
+
+func (f *fakeWorker) Hold(context.Context, string, host.Hold) (host.View, host.Refusal, error) {
+	return host.View{}, host.Accepted, nil
+}
+
+var testTask = job.TaskID{Job: "00000000000000aa"}
+
+func testRun(number int) host.Run { return host.Run{Task: testTask, Number: number} }
+
+// newTest returns an agent that follows epoch 3 and has a worker's life, permitted for 5 seconds.
+func newTest(worker *fakeWorker) *Runner {
+	r := New(Config{VM: "vm", Worker: worker, Logger: logging.Discard(), Clock: timeline.NewClock(time.Now)})
+	r.Heard(host.Report{Instance: "i-1", Service: "s", Capacity: job.Size{CPU: 4000, Memory: 1000}, Sequence: 1})
+	r.epoch = 3
+	r.permitted = time.Now().Add(5 * time.Second)
+	return r
+}
+
+func startOrders() link.Orders {
+	return link.Orders{Epoch: 3, Instance: "i-1", Texts: map[string]string{"00000000000000aa": "text"}, Starts: []link.Start{
+		{Profile: link.Profile{Run: link.Run{Task: testTask.String(), Number: 1}, CPU: 1000}},
+	}}
+}
+
+func accept() (host.Refusal, error) { return host.Accepted, nil }
+
+func noAnswer() (host.Refusal, error) {
+	return host.RefusedWrong, fault.New(fault.OutcomeUnknown, "no answer")
+}
+
+func TestStartIsCarriedOutOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{start: accept}
+		r := newTest(worker)
+		_, err := r.takeOrders(context.Background(), nil, startOrders())
+		assert.NilError(t, err)
+		_, err = r.takeOrders(context.Background(), nil, startOrders())
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, len(worker.starts), 1)
+		assert.Equal(t, worker.starts[0].Fence, uint64(3))
+		assert.Equal(t, worker.starts[0].Text, "text")
+	})
+}
+
+func TestStartWithoutAnswerIsTakenBackByAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{start: noAnswer}
+		r := newTest(worker)
+		_, err := r.takeOrders(context.Background(), nil, startOrders())
+		assert.NilError(t, err)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(worker.starts), orderAttempts)
+		assert.DeepEqual(t, worker.stops, []host.Run{testRun(1)})
+		// It is told as never started only after two views that do not show how it ended.
+		report, _ := r.compose()
+		assert.Equal(t, len(report.Rejected), 0)
+		assert.Equal(t, len(report.Pending), 1)
+		r.held(context.Background(), "i-1", host.Hold{}, host.View{})
+		r.held(context.Background(), "i-1", host.Hold{}, host.View{})
+		report, _ = r.compose()
+		assert.Equal(t, len(report.Rejected), 1)
+	})
+}
+
+func TestOrdersForAnotherLifeEpochOrConnectionAreRefused(t *testing.T) {
+	worker := &fakeWorker{start: accept}
+	r := newTest(worker)
+	other := startOrders()
+	other.Instance = "i-0"
+	_, err := r.takeOrders(context.Background(), nil, other)
+	assert.Assert(t, fault.Is(err, fault.Stale))
+	old := startOrders()
+	old.Epoch = 2
+	_, err = r.takeOrders(context.Background(), nil, old)
+	assert.Assert(t, fault.Is(err, fault.Stale))
+	assert.Equal(t, len(worker.starts), 0)
+}
+
+func TestNothingStartsOnAWorkerThatDrains(t *testing.T) {
+	worker := &fakeWorker{start: accept}
+	r := newTest(worker)
+	r.Heard(host.Report{Instance: "i-1", Draining: true, Sequence: 2})
+	_, err := r.takeOrders(context.Background(), nil, startOrders())
+	assert.NilError(t, err)
+	assert.Equal(t, len(worker.starts), 0)
+	// A late report of before does not open it again.
+	r.Heard(host.Report{Instance: "i-1", Sequence: 1})
+	assert.Assert(t, r.life.report.Draining)
+}
+
+func TestStartsAreTakenBackWhenThePermissionWasOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{start: func() (host.Refusal, error) {
+			time.Sleep(10 * time.Second)
+			return noAnswer()
+		}}
+		r := newTest(worker)
+		_, err := r.takeOrders(context.Background(), nil, startOrders())
+		assert.NilError(t, err)
+		time.Sleep(6 * time.Second)
+		r.mu.Lock()
+		r.forsake(r.life)
+		r.mu.Unlock()
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, len(worker.starts), 1)
+		assert.DeepEqual(t, worker.stops, []host.Run{testRun(1)})
+		_, err = r.takeOrders(context.Background(), nil, startOrders())
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, len(worker.starts), 1)
+	})
+}
+
+func TestTimeOfRunsEndsWithThePermission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTest(&fakeWorker{start: accept})
+		l := r.life
+		l.clock, l.read = host.Clock(100*time.Second), time.Now()
+		r.permitted = time.Now().Add(2 * time.Second)
+		// A worker's clock that is 2 % slow shows this after two seconds.
+		assert.Equal(t, time.Duration(r.until(l)), 100*time.Second+1960*time.Millisecond)
+		r.permitted = time.Now().Add(time.Minute)
+		assert.Equal(t, time.Duration(r.until(l)), 100*time.Second+time.Duration(clockRate*float64(holdTime)))
+		r.permitted = time.Now()
+		assert.Equal(t, r.until(l), host.Clock(0))
+	})
+}
+
+func TestSilentWorkerIsNotRenewedAndLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTest(&fakeWorker{start: accept})
+		_, _, ok := r.nextHold()
+		assert.Assert(t, ok)
+		time.Sleep(silentAfter + time.Millisecond)
+		r.unheld("i-1", fault.New(fault.OutcomeUnknown, "no answer"))
+		report, _ := r.compose()
+		assert.Assert(t, report.Silent && !report.Lapsed)
+		_, hold, _ := r.nextHold()
+		assert.Equal(t, hold.Until, host.Clock(0))
+		time.Sleep(holdTime)
+		report, _ = r.compose()
+		assert.Assert(t, report.Lapsed)
+		r.held(context.Background(), "i-1", host.Hold{}, host.View{})
+		report, _ = r.compose()
+		assert.Assert(t, !report.Silent)
+	})
+}
+
+func TestNewEpochForgetsTheOrdersOfTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{start: noAnswer}
+		r := newTest(worker)
+		_, err := r.takeOrders(context.Background(), nil, startOrders())
+		assert.NilError(t, err)
+		assert.NilError(t, r.adopt(nil, record.Lead{Epoch: 4}))
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, len(worker.starts) <= 1)
+		report, _ := r.compose()
+		assert.Equal(t, len(report.Pending), 0)
+		assert.Assert(t, !report.Fenced)
+		assert.Assert(t, fault.Is(r.adopt(nil, record.Lead{Epoch: 3}), fault.Stale))
+	})
+}
+
+func TestEndsAreReportedUntilTheyAreTakenNoteOf(t *testing.T) {
+	r := newTest(&fakeWorker{start: accept})
+	ended := host.View{Ended: []host.Ended{{Number: 7, Run: testRun(1), End: job.EndDone}}}
+	assert.Assert(t, r.held(context.Background(), "i-1", host.Hold{Fence: 3}, ended))
+	report, l := r.compose()
+	assert.Assert(t, report.Fenced)
+	assert.Equal(t, len(report.Ended), 1)
+	l.told(report, link.ReportAnswer{Epoch: 3})
+	assert.Equal(t, l.seen, uint64(0))
+	l.told(report, link.ReportAnswer{Epoch: 3, Seen: 7})
+	_, hold, _ := r.nextHold()
+	assert.Equal(t, hold.Seen, uint64(7))
+}
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -126,6 +126,9 @@
 	if answer.Epoch != r.epoch {
 		return false, fault.New(fault.Stale, "the lead has epoch %d, not %d", answer.Epoch, r.epoch)
 	}
+	if l != nil && l == r.life && !r.permitted.IsZero() && sent.After(r.permitted) {
+		r.forsake(l)
+	}
 	if until := sent.Add(time.Duration(answer.PermissionMillis) * time.Millisecond); until.After(r.permitted) {
 		r.permitted = until
 	}
@@ -136,6 +139,17 @@
 	return answer.Doubtful, nil
 }
 
+// forsake takes back all starts under way: the permission was over meanwhile, so that the lead may have given their runs
+// up and placed them elsewhere. A start that is on its way to the worker is late by its own time.
+func (r *Runner) forsake(l *life) {
+	for run, o := range l.orders {
+		if o.start != nil && !o.final {
+			r.logger.Warn("start is taken back after the permission was over; task=%s run=%d", run.Task, run.Number)
+			r.end(l, run)
+		}
+	}
+}
+
 // told takes note of what the lead has taken note of.
 func (l *life) told(report link.Report, answer link.ReportAnswer) {
 	if report.Fenced {
