--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -85,6 +85,7 @@
 
 func (d *Dispatcher) lead(ctx context.Context, t *term) {
 	d.logger.Info("lead taken; epoch=%d jobs=%d", t.epoch, len(t.jobs))
+	d.config.Metrics.Counter("lead.terms").Inc(1)
 	d.term.Store(t)
 	err := t.run(ctx)
 	d.term.Store(nil)
@@ -108,7 +109,12 @@
 	if err != nil {
 		return link.ReportAnswer{}, err
 	}
-	return t.report(connection{p}, r)
+	began := time.Now()
+	answer, err := t.report(connection{p}, r)
+	d.config.Metrics.Counter("lead.reports").Inc(1)
+	d.config.Metrics.Counter("lead.ends").Inc(int64(len(r.Ended)))
+	d.config.Metrics.Histogram("lead.report_ms").Update(time.Since(began).Milliseconds())
+	return answer, err
 }
 
 func (d *Dispatcher) ping(_ context.Context, _ *rpc.Peer, p link.Ping) (link.PingAnswer, error) {
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -96,11 +96,18 @@
 		Conditions: []kv.Condition{{Key: record.JobKey(id)}},
 		Puts:       []kv.Put{{Key: record.JobKey(id), Value: value}},
 	})
+	d.count("submit", began, err)
 	d.logger.Info("job handed in; job=%s queue=%s version=%d ms=%d outcome=%v",
 		id, route.Queue.Name, d.config.Policies.Newest().Version(), time.Since(began).Milliseconds(), outcome(err))
 	return err
 }
 
+// count notes how a call ended and how long it took in milliseconds.
+func (d *Desk) count(call string, began time.Time, err error) {
+	d.config.Metrics.Counter("jobs." + call + "." + outcome(err)).Inc(1)
+	d.config.Metrics.Histogram("jobs." + call + "_ms").Update(time.Since(began).Milliseconds())
+}
+
 // write makes a change whose condition fails only if it was made before.
 func (d *Desk) write(ctx context.Context, change kv.Txn) error {
 	err := d.config.Store.Commit(ctx, change)
@@ -131,6 +138,7 @@
 
 // Cancel cancels a job.
 func (d *Desk) Cancel(ctx context.Context, a Address) error {
+	began := time.Now()
 	_, id, err := d.jobAt(ctx, a)
 	if err != nil {
 		return err
@@ -146,6 +154,7 @@
 		Conditions: []kv.Condition{{Key: record.CancelKey(id)}},
 		Puts:       []kv.Put{{Key: record.CancelKey(id), Value: []byte{1}}},
 	})
+	d.count("cancel", began, err)
 	d.logger.Info("job canceled; job=%s outcome=%s", id, outcome(err))
 	return err
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,8 +64,9 @@
 	debug.SetGCPercent(collectAt)
 	p := &process{
 		settings: settings, boot: ulid.Make().String(), logger: logger, clock: timeline.NewClock(time.Now),
-		metrics: metric.New(), store: platform.NewStore(settings.Store()),
+		metrics: metric.New(),
 	}
+	p.store = measuredStore{store: platform.NewStore(settings.Store()), metrics: p.metrics}
 	p.metrics.RegisterProcess()
 	p.mux = rpc.NewMux(p.clock)
 	p.pool = relay.NewPool(settings.PeerAddress(), secret, p.mux, settings.Neighbors())
--- /dev/null
+++ b/internal/node/settings_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+)
+
+const goodSettings = `
+id: side-1
+role: agent
+address: 10.1.0.14
+hall: hall-a
+strength: 0.24
+memory_mb: 152
+ports: { peers: 7720, metrics: 7721 }
+listen: { callers: "", ready: "", reports: "10.1.0.14:8166" }
+neighbors: "10.1.0.13:8166,10.2.0.30:8166"
+worker: "10.1.0.14:8165"
+store: "10.200.1.7:8169"
+grace_s: 6
+log: info
+`
+
+func TestSettings(t *testing.T) {
+	s, err := Parse([]byte(goodSettings))
+	assert.NilError(t, err)
+	assert.Equal(t, s.PeerAddress(), "10.1.0.14:7720")
+	assert.DeepEqual(t, s.Neighbors(), []string{"10.1.0.13:7720", "10.2.0.30:7720"})
+	assert.Equal(t, s.Grace(), 6*time.Second)
+}
+
+func TestWrongSettingsAreRefusedWithASentence(t *testing.T) {
+	for change, sentence := range map[string]string{
+		"id: side-1>id: ''":                             "id is missing",
+		"role: agent>role: cook":                        "role is \"cook\"",
+		"strength: 0.24>strength: 0":                    "strength is 0",
+		"memory_mb: 152>memory_mb: 3":                   "memory_mb is 3",
+		"address: 10.1.0.14>address: here":              "address is \"here\"",
+		"peers: 7720>peers: 70000":                      "ports.peers is 70000",
+		"worker: \"10.1.0.14:8165\">worker: ''":         "worker is \"\"",
+		"store: \"10.200.1.7:8169\">store: somewhere":   "store is \"somewhere\"",
+		"grace_s: 6>grace_s: 0":                         "grace_s is 0",
+		"log: info>log: info\nfuture: 1":                "not in their form",
+		"strength: 0.24>strength: much":                 "not in their form",
+		"reports: \"10.1.0.14:8166\">reports: \"8166\"": "listen.reports is \"8166\"",
+	} {
+		from, to, _ := strings.Cut(change, ">")
+		assert.Assert(t, strings.Contains(goodSettings, from), from)
+		_, err := Parse([]byte(strings.Replace(goodSettings, from, to, 1)))
+		assert.ErrorContains(t, err, sentence)
+		assert.Assert(t, fault.Is(err, fault.BadInput))
+	}
+	_, err := Load("")
+	assert.ErrorContains(t, err, SettingsVariable)
+}
