--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,10 @@
 	avoidFor = 1500 * time.Millisecond
 	// pause lies between two rounds of attempts.
 	pause = 60 * time.Millisecond
+	// patience bounds all attempts at one call: two slow answers of the store, and the caller is told when to return.
+	patience = 1500 * time.Millisecond
+	// downFor is how long calls are refused at once after no way to the store gave an answer; then one call tries.
+	downFor = 400 * time.Millisecond
 )
 
 // Store reaches the store directly or through an entry.
@@ -30,6 +34,9 @@
 
 	mu     sync.Mutex
 	failed time.Time
+	// down is when no way to the store gave an answer last, zero once one did; trying says that a call finds out.
+	down   time.Time
+	trying bool
 }
 
 // New returns a store over the direct one and the entries of a pool.
@@ -82,9 +89,15 @@
 //
 // The error is of kind OutcomeUnknown if any attempt may have been done.
 func (s *Store) try(ctx context.Context, direct attempt, peer func(*rpc.Peer) attempt) error {
+	if !s.enter() {
+		return fault.New(fault.Unavailable, "the store did not answer a moment ago, nothing was sent to it")
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	var doubt error
 	for {
 		err := s.round(ctx, direct, peer, &doubt)
+		s.leave(settled(err))
 		if settled(err) {
 			return err
 		}
@@ -97,6 +110,31 @@
 	}
 }
 
+// enter reports whether a call may be tried: while the store is down, one at a time, and not too often.
+func (s *Store) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down.IsZero() {
+		return true
+	}
+	if s.trying || time.Since(s.down) < downFor {
+		return false
+	}
+	s.trying = true
+	return true
+}
+
+// leave takes note of whether any way to the store gave an answer.
+func (s *Store) leave(answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trying = false
+	s.down = time.Time{}
+	if !answered {
+		s.down = time.Now()
+	}
+}
+
 func (s *Store) round(ctx context.Context, direct attempt, peer func(*rpc.Peer) attempt, doubt *error) error {
 	last := error(fault.New(fault.Unavailable, "no entry can be reached"))
 	note := func(err error) bool {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -113,3 +113,23 @@
 	}
 	assert.Equal(t, len(p.addresses), mostAddresses)
 }
+
+// TestKnownOutageIsRefusedAtOnce: while nothing answers, callers are told at once, truly, that nothing was sent.
+func TestKnownOutageIsRefusedAtOnce(t *testing.T) {
+	store := kvtest.New()
+	store.SetTrouble(always(kvtest.Unsent))
+	s := New(store, pool())
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, fault.Is(s.Commit(ctx, once()), fault.OutcomeUnknown))
+	sent := store.Commits()
+	began := time.Now()
+	err := s.Commit(context.Background(), once())
+	assert.Assert(t, fault.Is(err, fault.Unavailable), "%v", err)
+	assert.Assert(t, time.Since(began) < downFor/2)
+	assert.Equal(t, store.Commits(), sent)
+
+	store.SetTrouble(nil)
+	time.Sleep(downFor + 10*time.Millisecond)
+	assert.NilError(t, s.Commit(context.Background(), once()))
+}
