What is learned of pressures outlasts a lead

Cause: each new lead began with what is believed of pairs never seen, and harmed for some ten seconds what the last one had learned to spare. Now it is stored every three seconds beside a commit that is made anyway. Ruled out: a commit of its own (calls are priced).

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -89,6 +89,7 @@
 	}
 	b.change.Conditions = append(b.change.Conditions, kv.Condition{Key: record.ChainKey, Revision: t.chain})
 	b.change.Puts = append(b.change.Puts, kv.Put{Key: record.ChainKey, Value: chain})
+	t.addLearned(b)
 	b.collect(t)
 	return b, nil
 }
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -48,16 +48,18 @@
 	inputs  kv.Revision
 
 	// mu guards all below; nothing else is locked while it is held.
-	mu        sync.Mutex
-	chain     kv.Revision
-	commits   uint64
-	verified  time.Time
-	jobs      map[job.ID]*tracked
-	hosts     map[job.Host]*hosted
-	agents    map[string]*agent
-	entries   map[string]time.Time
-	dirty     map[job.ID]struct{}
-	pressure  *pressure.Model
+	mu       sync.Mutex
+	chain    kv.Revision
+	commits  uint64
+	verified time.Time
+	jobs     map[job.ID]*tracked
+	hosts    map[job.Host]*hosted
+	agents   map[string]*agent
+	entries  map[string]time.Time
+	dirty    map[job.ID]struct{}
+	pressure *pressure.Model
+	// learned is when what was learned was last stored.
+	learned   time.Time
 	relock    bool
 	committed chan struct{}
 }
@@ -88,6 +90,7 @@
 
 // load reads all jobs and how far they are; nothing of them changes any more but by this term.
 func (t *term) load(ctx context.Context) error {
+	t.loadLearned(ctx)
 	inputs, at, err := t.store.Range(ctx, record.Inputs)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/pressure/codec.go
@@ -0,0 +1,67 @@
+package pressure
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+)
+
+// storedModel is what is believed, for the next lead; what belongs together in the variances is left out.
+type storedModel struct {
+	_       struct{} `cbor:",toarray"`
+	Columns map[string]int
+	Filters map[string]storedFilter
+}
+
+type storedFilter struct {
+	_        struct{} `cbor:",toarray"`
+	Mean     []float32
+	Variance []float32
+}
+
+// Encode returns the model as it is stored.
+func (m *Model) Encode() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	stored := storedModel{Columns: maps.Clone(m.columns), Filters: make(map[string]storedFilter, len(m.filters))}
+	for image, f := range m.filters {
+		var kept storedFilter
+		for i := range f.mean {
+			kept.Mean = append(kept.Mean, float32(f.mean[i]))
+			kept.Variance = append(kept.Variance, float32(f.variance[i][i]))
+		}
+		stored.Filters[image] = kept
+	}
+	return cbor.Marshal(stored)
+}
+
+// Restore takes over a stored model, in place of all that was learned.
+func (m *Model) Restore(data []byte) error {
+	var stored storedModel
+	if err := cbor.Unmarshal(data, &stored); err != nil {
+		return fault.Wrap(err, fault.Internal, "the stored pressures cannot be read")
+	}
+	filters := make(map[string]*filter, len(stored.Filters))
+	for image, kept := range stored.Filters {
+		if len(kept.Mean) != len(kept.Variance) {
+			return fault.New(fault.Internal, "the stored pressures of %s have %d means and %d variances", image, len(kept.Mean), len(kept.Variance))
+		}
+		f := &filter{}
+		f.grow(len(kept.Mean))
+		for i := range kept.Mean {
+			f.mean[i], f.variance[i][i] = float64(kept.Mean[i]), float64(kept.Variance[i])
+		}
+		filters[image] = f
+	}
+	if columns := slices.Collect(maps.Values(stored.Columns)); len(columns) > 0 && (slices.Min(columns) < 1 || slices.Max(columns) > mostImages) {
+		return fault.New(fault.Internal, "the stored pressures name columns from %d to %d", slices.Min(columns), slices.Max(columns))
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.columns, m.filters = make(map[string]int), filters
+	maps.Copy(m.columns, stored.Columns)
+	return nil
+}
--- a/internal/pressure/model_test.go
+++ b/internal/pressure/model_test.go
@@ -39,3 +39,24 @@
 	assert.Equal(t, ChanceOver(0), 0.5)
 	assert.Assert(t, ChanceOver(-1) < 0.01 && ChanceOver(1) > 0.99)
 }
+
+func TestModelIsRestored(t *testing.T) {
+	m := NewModel()
+	for i := range 50 {
+		share := float64(i%5) / 10
+		m.Observe("web", map[string]float64{"mail": share}, -0.7+3*share)
+	}
+	data, err := m.Encode()
+	assert.NilError(t, err)
+	again := NewModel()
+	assert.NilError(t, again.Restore(data))
+	for _, filling := range []string{"mail", "never seen"} {
+		was, _ := m.Weight("web", filling)
+		is, _ := again.Weight("web", filling)
+		assert.Assert(t, math.Abs(was-is) < 1e-5)
+	}
+	assert.Assert(t, again.Restore([]byte("no model")) != nil)
+	was, _ := m.Weight("web", "mail")
+	is, _ := again.Weight("web", "mail")
+	assert.Assert(t, math.Abs(was-is) < 1e-5, "a model that cannot be read changes nothing")
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -13,8 +13,10 @@
 const (
 	LeadKey  = "saffronpulley/lead"
 	ChainKey = "saffronpulley/chain"
-	Inputs   = "saffronpulley/in/"
-	Progress = "saffronpulley/run/"
+	// PressureKey holds what the leads have learned of images that slow each other.
+	PressureKey = "saffronpulley/pressure"
+	Inputs      = "saffronpulley/in/"
+	Progress    = "saffronpulley/run/"
 
 	jobs    = Inputs + "job/"
 	cancels = Inputs + "cancel/"
