Logs that never wait and tell what they left out; a job in doubt is not told as refused; each end of a run is logged

Cause of the second: after a write whose answer was lost, a second attempt at the same entry was told 503 (not taken), while the first may yet be done.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -48,6 +48,7 @@
 	if err != nil {
 		return err
 	}
+	defer logger.Drain()
 	// The collector works harder rather than let the process outgrow its share of the VM.
 	debug.SetMemoryLimit(memoryLimit)
 	httpclient.BindSource(s.Source())
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -100,6 +100,7 @@
 	if known == nil || !known.job.Ended(id, run, end, checkpoint) {
 		return
 	}
+	t.logger.Info("run ended; task=%s run=%d vm=%s end=%s", id, run, host.VM, end)
 	step := &known.job.Spec().Steps[id.Step]
 	if h := t.hosts[host]; h != nil && !step.Lasting {
 		h.judge(end)
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -41,10 +41,13 @@
 type Desk struct {
 	config Config
 	logger logging.Logger
+	doubts *doubts
 }
 
 // New returns a desk.
-func New(config Config) *Desk { return &Desk{config: config, logger: config.Logger} }
+func New(config Config) *Desk {
+	return &Desk{config: config, logger: config.Logger, doubts: newDoubts()}
+}
 
 // route finds the queue that an address names, and the rest of the path.
 func (d *Desk) route(ctx context.Context, a Address) (*policy.Route, string, error) {
@@ -96,6 +99,7 @@
 		Conditions: []kv.Condition{{Key: record.JobKey(id)}},
 		Puts:       []kv.Put{{Key: record.JobKey(id), Value: value}},
 	})
+	err = d.doubts.settle(id, err)
 	d.count("submit", began, err)
 	d.logger.Info("job handed in; job=%s queue=%s version=%d ms=%d outcome=%v",
 		id, route.Queue.Name, d.config.Policies.Newest().Version(), time.Since(began).Milliseconds(), outcome(err))
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,30 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
+	"gotest.tools/v3/assert"
+)
+
+func TestVolumeIsBoundedAndWhatIsLeftOutIsCounted(t *testing.T) {
+	var out bytes.Buffer
+	l := Logger{
+		logger: &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: &out}},
+		gate:   &gate{limiter: rate.NewLimiter(0, 2)},
+	}.Part("part")
+	for range 5 {
+		l.Info("a line")
+		l.Debug("not asked for, and not counted")
+	}
+	assert.Equal(t, strings.Count(out.String(), "part: a line"), 2)
+	assert.Equal(t, l.gate.left.Load(), int64(3))
+	l.gate.limiter.SetBurst(4)
+	l.gate.limiter.SetLimit(rate.Inf)
+	l.Warn("another")
+	assert.Equal(t, strings.Count(out.String(), "3 lines were left out"), 1)
+	assert.Equal(t, strings.Count(out.String(), "part: another"), 1)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 	if err != nil {
 		return err
 	}
+	defer logger.Drain()
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes())))
 	debug.SetGCPercent(collectAt)
 	p := &process{
