--- a/internal/dispatch/campaign.go
+++ b/internal/dispatch/campaign.go
@@ -7,6 +7,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/record"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -27,7 +28,7 @@
 		changed := d.config.Lead.Changed()
 		value, known := d.config.Lead.Value()
 		if known && (value.Revision == 0 || value.Held.Node == d.config.Node) && d.rested() {
-			pause(ctx, time.Duration(float64(standBack)/max(d.config.Strength, 0.05)))
+			wait.For(ctx, time.Duration(float64(standBack)/max(d.config.Strength, 0.05)))
 			return d.stand(ctx)
 		}
 		select {
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -8,6 +8,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/record"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -141,7 +142,7 @@
 
 // commit writes the batch, however often it takes, and then lets its runs start.
 func (t *term) commit(ctx context.Context, b *batch) error {
-	wait := retryFirst
+	pause := retryFirst
 	for {
 		asked := time.Now()
 		revision, err := t.store.Commit(ctx, b.change)
@@ -159,8 +160,8 @@
 		if fault.Is(err, fault.NotFound) {
 			return fault.Wrap(err, fault.Stale, "the lease of the lead is over")
 		}
-		pause(ctx, wait)
-		wait = min(2*wait, retryLast)
+		wait.For(ctx, pause)
+		pause = min(2*pause, retryLast)
 	}
 }
 
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -7,6 +7,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/record"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -24,7 +25,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				t.logger.Warn("accepted jobs are read anew after a failed watch: %v", err)
-				pause(ctx, inputPause)
+				wait.For(ctx, inputPause)
 			}
 			next = 0
 		}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -13,6 +13,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/logging"
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
 	"github.com/saffronpulley/saffronpulley/internal/record"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -159,12 +160,7 @@
 	}
 }
 
-func (t *term) wakeUp() {
-	select {
-	case t.wake <- struct{}{}:
-	default:
-	}
-}
+func (t *term) wakeUp() { wait.Wake(t.wake) }
 
 // work plans and commits whenever something changed.
 func (t *term) work(ctx context.Context) error {
@@ -175,7 +171,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.wake:
-			pause(ctx, gather)
+			wait.For(ctx, gather)
 		case <-ticker.C:
 		}
 		if err := t.cycle(ctx); err != nil {
@@ -187,7 +183,7 @@
 // renew keeps the lease and proves now and then that the term still stands.
 func (t *term) renew(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, renewEvery)
+		wait.For(ctx, renewEvery)
 		err := t.store.Renew(ctx, t.lease)
 		switch {
 		case err == nil:
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -8,6 +8,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -147,7 +148,7 @@
 			f.logger.Warn("the watch of %s ended and the key is read again: %v", f.key, err)
 		}
 		after = 0
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 		pause = min(2*pause, retryLast)
 	}
 }
@@ -192,10 +193,3 @@
 	}
 	return f.take(kv.NewItem(f.key, nil, 0), at, asked)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/intake/neighbors.go
+++ b/internal/intake/neighbors.go
@@ -8,6 +8,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 // Register adds the methods by which other processes reach the store through this entry.
@@ -46,10 +47,7 @@
 			d.logger.Debug("the lead was not reached: %v", err)
 		}
 		sendValue = want
-		select {
-		case <-ctx.Done():
-		case <-time.After(pingEvery):
-		}
+		wait.For(ctx, pingEvery)
 	}
 }
 
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -9,6 +9,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -41,7 +42,7 @@
 		}
 		if err != nil {
 			r.unheld(instance, err)
-			pause(ctx, holdPause)
+			wait.For(ctx, holdPause)
 			continue
 		}
 		if r.held(ctx, instance, hold, view) {
@@ -107,7 +108,7 @@
 	if !l.silent && time.Since(l.answered) > silentAfter {
 		l.silent = true
 		r.logger.Warn("worker does not answer; instance=%s reason=%v", instance, err)
-		signal(r.changed)
+		wait.Wake(r.changed)
 	}
 }
 
@@ -129,7 +130,7 @@
 	l.views++
 	l.prune()
 	r.adjust(ctx, l)
-	signal(r.changed)
+	wait.Wake(r.changed)
 	return len(view.Ended) > 0
 }
 
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -9,6 +9,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -58,7 +59,7 @@
 	l.orders[run] = o
 	if l.report.Draining {
 		o.refuse(l, run, host.RefusedBusy)
-		signal(r.changed)
+		wait.Wake(r.changed)
 		return
 	}
 	go r.start(ctx, l, run, o)
@@ -113,7 +114,7 @@
 		if fault.Is(err, fault.Stale) {
 			return
 		}
-		pause(ctx, orderPause)
+		wait.For(ctx, orderPause)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,7 +123,7 @@
 	}
 	if !doubtful {
 		o.refuse(l, run, host.RefusedBusy)
-		signal(r.changed)
+		wait.Wake(r.changed)
 		return
 	}
 	r.logger.Warn("start without an answer is taken back; task=%s run=%d", run.Task, run.Number)
@@ -148,7 +149,7 @@
 	}
 	r.logger.Info("start refused; task=%s run=%d refusal=%s", run.Task, run.Number, refusal)
 	o.refuse(l, run, refusal)
-	signal(r.changed)
+	wait.Wake(r.changed)
 	return true
 }
 
@@ -167,13 +168,13 @@
 			r.mu.Lock()
 			o.refuse(l, run, host.RefusedOld)
 			r.mu.Unlock()
-			signal(r.changed)
+			wait.Wake(r.changed)
 			return
 		}
 		if fault.Is(err, fault.Stale) {
 			return
 		}
-		pause(ctx, orderPause)
+		wait.For(ctx, orderPause)
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/relay"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
 	"github.com/saffronpulley/saffronpulley/internal/timeline"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 // Config holds what an agent needs.
@@ -125,13 +126,13 @@
 		r.logger.Info("worker heard; instance=%s service=%s cpu=%d memory=%d labels=%v draining=%t",
 			report.Instance, report.Service, report.Capacity.CPU, report.Capacity.Memory, report.Labels, report.Draining)
 		r.life = newLife(report, now)
-		signal(r.heard)
+		wait.Wake(r.heard)
 	case report.Sequence < r.life.report.Sequence:
 		return true
 	}
 	if report.Draining && !r.life.report.Draining {
 		r.logger.Info("worker drains; instance=%s remaining_ms=%d", report.Instance, report.Remaining.Milliseconds())
-		signal(r.changed)
+		wait.Wake(r.changed)
 	}
 	draining := r.life.report.Draining
 	r.life.report = report
@@ -151,17 +152,3 @@
 func (r *Runner) Left(instance string) {
 	r.logger.Info("worker left; instance=%s", instance)
 }
-
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -9,6 +9,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -32,7 +33,7 @@
 		}
 		if ctx.Err() == nil {
 			r.logger.Warn("no lead; reason=%v", err)
-			pause(ctx, lookPause)
+			wait.For(ctx, lookPause)
 		}
 	}
 	return ctx.Err()
@@ -134,7 +135,7 @@
 	}
 	if l != nil && l == r.life {
 		l.told(report, answer)
-		signal(r.settled)
+		wait.Wake(r.settled)
 	}
 	return answer.Doubtful, nil
 }
--- /dev/null
+++ b/internal/wait/doc.go
@@ -0,0 +1,2 @@
+// Package wait holds the waits that several processes share.
+package wait
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,22 @@
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for a time or until ctx ends.
+func For(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Wake sends a signal on a channel with room for one, unless a signal is already there.
+func Wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
