--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -29,7 +29,7 @@
 	use := make(map[string]float64)
 	levels := make(map[*placed]float64)
 	for _, running := range r.Running {
-		id, ok := job.ParseTaskID(running.Task)
+		id, ok := running.TaskID()
 		p := h.runs[id]
 		if !ok || p == nil || p.run != running.Number {
 			continue
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -50,14 +50,14 @@
 		checkpoint = ""
 	}
 	orders.Starts = append(orders.Starts, link.Start{
-		Profile: profileOf(p.step, link.Run{Task: id.String(), Number: p.run}), Checkpoint: checkpoint,
+		Profile: profileOf(p.step, link.NewRun(id, p.run)), Checkpoint: checkpoint,
 	})
 	orders.Texts[string(id.Job)] = known.job.Spec().Text
 }
 
 func (t *term) orderStop(h job.Host, id job.TaskID, run int) {
 	if orders := t.ordersFor(h); orders != nil {
-		orders.Stops = append(orders.Stops, link.Run{Task: id.String(), Number: run})
+		orders.Stops = append(orders.Stops, link.NewRun(id, run))
 	}
 }
 
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -94,7 +94,7 @@
 	}
 	needed := make(map[*tracked]uint64)
 	for _, e := range r.Ended {
-		if id, ok := job.ParseTaskID(e.Task); ok {
+		if id, ok := e.TaskID(); ok {
 			t.apply(id, e.Number, job.End(e.End), e.Checkpoint, a.host)
 			if known := t.jobs[id.Job]; known != nil {
 				needed[known] = known.version
@@ -116,7 +116,7 @@
 
 // rejected takes back a run that never started.
 func (t *term) rejected(h *hosted, r link.Rejected) {
-	id, ok := job.ParseTaskID(r.Task)
+	id, ok := r.TaskID()
 	p := h.runs[id]
 	if !ok || p == nil || p.run != r.Number {
 		return
@@ -137,7 +137,7 @@
 func (t *term) compare(h *hosted, r link.Report) {
 	present := make(map[job.TaskID]int, len(r.Running)+len(r.Pending))
 	for _, running := range r.Running {
-		id, ok := job.ParseTaskID(running.Task)
+		id, ok := running.TaskID()
 		if !ok {
 			continue
 		}
@@ -145,7 +145,7 @@
 		t.running(h, id, running)
 	}
 	for _, pending := range r.Pending {
-		if id, ok := job.ParseTaskID(pending.Task); ok {
+		if id, ok := pending.TaskID(); ok {
 			present[id] = pending.Number
 		}
 	}
@@ -215,7 +215,7 @@
 func (t *term) profiles(runs []link.Run) []link.Profile {
 	var found []link.Profile
 	for _, r := range runs {
-		id, ok := job.ParseTaskID(r.Task)
+		id, ok := r.TaskID()
 		known := t.jobs[id.Job]
 		if ok && known != nil && known.job.Task(id) != nil {
 			found = append(found, profileOf(&known.job.Spec().Steps[id.Step], r))
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -1,5 +1,7 @@
 package link
 
+import "github.com/saffronpulley/saffronpulley/internal/job"
+
 // Methods of the processes.
 const (
 	// MethodReport is an agent's call to the lead, MethodOrders the lead's call back.
@@ -19,6 +21,12 @@
 	Number int    `json:"r"`
 }
 
+// NewRun names a run of a task.
+func NewRun(task job.TaskID, number int) Run { return Run{Task: task.String(), Number: number} }
+
+// TaskID returns the task of the run, false where the name is no task's.
+func (r Run) TaskID() (job.TaskID, bool) { return job.ParseTaskID(r.Task) }
+
 // Running is a run that a worker has.
 type Running struct {
 	Run
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -6,7 +6,6 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
-	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
 	"github.com/saffronpulley/saffronpulley/internal/wait"
@@ -32,11 +31,11 @@
 	}
 	for i := range orders.Starts {
 		start := orders.Starts[i]
-		id, ok := job.ParseTaskID(start.Task)
+		run, ok := parseRun(start.Run)
 		if !ok {
 			return link.Empty{}, fault.New(fault.BadInput, "%q names no task", start.Task)
 		}
-		r.begin(l, host.Run{Task: id, Number: start.Number}, &start, orders.Texts[string(id.Job)])
+		r.begin(l, run, &start, orders.Texts[string(run.Task.Job)])
 	}
 	for _, stop := range orders.Stops {
 		run, ok := parseRun(stop)
@@ -178,7 +177,10 @@
 	}
 }
 
+// parseRun reads the name of a run, false where it names no task.
 func parseRun(r link.Run) (host.Run, bool) {
-	id, ok := job.ParseTaskID(r.Task)
+	id, ok := r.TaskID()
 	return host.Run{Task: id, Number: r.Number}, ok
 }
+
+func wireRun(run host.Run) link.Run { return link.NewRun(run.Task, run.Number) }
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -216,5 +216,3 @@
 		}
 	}
 }
-
-func wireRun(run host.Run) link.Run { return link.Run{Task: run.Task.String(), Number: run.Number} }
