--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/plan"
 )
 
@@ -38,18 +39,19 @@
 	known bool
 }
 
-func (t *term) host(h job.Host) *hosted {
-	known := t.hosts[h]
-	if known == nil {
-		known = &hosted{worker: plan.Worker{Host: h, Trials: -1}, runs: make(map[job.TaskID]*placed)}
-		t.hosts[h] = known
+// host returns what is known of a life of a worker, with an empty record of one that is new.
+func (t *term) host(name job.Host) *hosted {
+	h := t.hosts[name]
+	if h == nil {
+		h = &hosted{worker: plan.Worker{Host: name, Trials: plan.AnyNumber}, runs: make(map[job.TaskID]*placed)}
+		t.hosts[name] = h
 	}
-	return known
+	return h
 }
 
 // add counts a run that the store has.
 func (h *hosted) add(id job.TaskID, step *job.Step, run int) {
-	h.runs[id] = &placed{step: step, run: run, committed: true, moved: time.Now(), pace: fullPace}
+	h.runs[id] = &placed{step: step, run: run, committed: true, moved: time.Now(), pace: pacing.Full}
 	h.worker.Take(step)
 }
 
@@ -71,11 +73,21 @@
 	}
 	p := h.runs[id]
 	p.stopping = true
-	if !p.committed {
-		return
+	if p.committed {
+		t.sendStop(task.Host(), id, p)
 	}
+}
+
+// halt stops a committed run, so that its task starts elsewhere.
+func (t *term) halt(host job.Host, id job.TaskID, p *placed) {
+	p.stopping = true
+	t.sendStop(host, id, p)
+}
+
+// sendStop orders the stop of a run and notes when.
+func (t *term) sendStop(host job.Host, id job.TaskID, p *placed) {
 	p.stopSent = time.Now()
-	t.orderStop(task.Host(), id, p.run)
+	t.orderStop(host, id, p.run)
 }
 
 // lose takes all runs of a worker's life back, which surely are no more.
@@ -125,6 +137,7 @@
 	}
 }
 
+// judge counts failures in a row of the tasks that end by themselves.
 func (h *hosted) judge(end job.End) {
 	switch end {
 	case job.EndDone:
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -32,13 +32,13 @@
 func (c connection) close() { c.peer.Close() }
 
 // orderStart orders a committed run; a run without a reachable agent is ordered once its agent reports.
-func (t *term) orderStart(h job.Host, id job.TaskID, p *placed) {
+func (t *term) orderStart(host job.Host, id job.TaskID, p *placed) {
 	known := t.jobs[id.Job]
 	if known == nil {
 		return
 	}
 	p.sent = time.Now()
-	orders := t.ordersFor(h)
+	orders := t.ordersFor(host)
 	if orders == nil {
 		return
 	}
@@ -55,20 +55,21 @@
 	orders.Texts[string(id.Job)] = known.job.Spec().Text
 }
 
-func (t *term) orderStop(h job.Host, id job.TaskID, run int) {
-	if orders := t.ordersFor(h); orders != nil {
+// orderStop orders the end of a run, also of one that is not placed.
+func (t *term) orderStop(host job.Host, id job.TaskID, run int) {
+	if orders := t.ordersFor(host); orders != nil {
 		orders.Stops = append(orders.Stops, link.NewRun(id, run))
 	}
 }
 
 // ordersFor returns the orders that are gathered for a worker's agent, nil where that cannot be reached.
-func (t *term) ordersFor(h job.Host) *link.Orders {
-	a := t.agents[h.VM]
-	if a == nil || a.session == nil || a.host != h {
+func (t *term) ordersFor(host job.Host) *link.Orders {
+	a := t.agents[host.VM]
+	if a == nil || a.session == nil || a.host != host {
 		return nil
 	}
 	if a.orders == nil {
-		a.orders = &link.Orders{Epoch: t.epoch, Instance: h.Instance, Texts: make(map[string]string)}
+		a.orders = &link.Orders{Epoch: t.epoch, Instance: host.Instance, Texts: make(map[string]string)}
 	}
 	return a.orders
 }
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/plan"
 )
 
@@ -19,43 +20,44 @@
 // expire gives up the workers whose permission is over.
 func (t *term) expire() {
 	now := time.Now()
-	for _, known := range t.hostsInOrder() {
-		h := known.worker.Host
-		a := t.agents[h.VM]
+	for _, h := range t.hostsInOrder() {
+		host := h.worker.Host
+		a := t.agents[host.VM]
 		switch {
-		case a != nil && a.host == h:
-			known.worker.Open = known.worker.Open && now.Sub(a.heard) < openFor
+		case a != nil && a.host == host:
+			h.worker.Open = h.worker.Open && now.Sub(a.heard) < openFor
 			if now.Sub(a.heard) > permission+margin {
-				t.lose(known, "its agent was not heard")
+				t.lose(h, "its agent was not heard")
 			}
 		case now.Sub(t.started) > trust+margin:
-			t.lose(known, "its agent never reported to this lead")
+			t.lose(h, "its agent never reported to this lead")
 		}
 	}
 }
 
 // unstick stops tasks that stand still, so that they start again elsewhere.
 func (t *term) unstick() {
-	for _, known := range t.hostsInOrder() {
-		h := known.worker.Host
-		for _, id := range known.runsInOrder() {
-			p := known.runs[id]
-			if p.step.Lasting || !p.committed || p.stopping || p.sent.IsZero() || time.Since(p.moved) < stuckAfter {
-				continue
-			}
-			owner := t.jobs[id.Job]
-			if owner == nil || !known.worker.Open {
+	for _, h := range t.hostsInOrder() {
+		host := h.worker.Host
+		for _, id := range h.runsInOrder() {
+			p := h.runs[id]
+			known := t.jobs[id.Job]
+			if known == nil || !h.worker.Open || !p.standsStill() {
 				continue
 			}
-			t.logger.Info("task stands still and is stopped; task=%s run=%d vm=%s percent=%d", id, p.run, h.VM, p.percent)
-			owner.failed[h] = true
-			known.failures++
-			p.stopping, p.stopSent = true, time.Now()
-			t.orderStop(h, id, p.run)
+			t.logger.Info("task stands still and is stopped; task=%s run=%d vm=%s percent=%d", id, p.run, host.VM, p.percent)
+			known.failed[host] = true
+			h.failures++
+			t.halt(host, id, p)
 		}
 	}
 }
 
+// standsStill reports whether a run that should get on has not for long.
+func (p *placed) standsStill() bool {
+	return !p.step.Lasting && p.committed && !p.stopping && !p.sent.IsZero() && time.Since(p.moved) >= stuckAfter
+}
+
 // plan places what waits; the placements count once they are committed.
 func (t *term) plan() {
 	groups := t.groups()
@@ -70,17 +72,17 @@
 	for _, p := range plan.Make(workers, groups, t.pressure) {
 		known := t.jobs[p.Task.Job]
 		run := known.job.Place(p.Task, p.Host, p.Run)
-		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now(), pace: fullPace}
+		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now(), pace: pacing.Full}
 		t.logger.Info("task placed; task=%s run=%d vm=%s waited_ms=%d", p.Task, run, p.Host.VM, time.Since(known.since).Milliseconds())
 		t.touch(known)
 	}
 }
 
-// trials returns how many tasks may be placed on a worker that failed several times, below 0 for any number.
+// trials returns how many tasks may be placed on a worker that failed several times.
 func (h *hosted) trials() int {
 	switch {
 	case h.failures < suspectFrom:
-		return -1
+		return plan.AnyNumber
 	case h.busy():
 		return 0
 	}
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -4,11 +4,11 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/plan"
 )
 
 const (
-	fullPace = 100
 	// slowPace is the pace in percent up to which a task that fills hardly gets on.
 	slowPace = 15
 	// slowFor is how long it may be that slow before it is moved to a worker that it suits.
@@ -35,7 +35,7 @@
 	for _, p := range h.runs {
 		switch {
 		case p.step.Fills:
-			use := p.step.Size.CPU * p.pace / fullPace
+			use := p.step.Size.CPU * p.pace / pacing.Full
 			w.Filling += use
 			w.Fills[p.step.Image] += float64(use) / float64(max(w.Capacity.CPU, 1))
 		case p.step.Serves():
@@ -68,9 +68,8 @@
 			}
 			moves++
 			t.logger.Info("task is moved from where it is paced down; task=%s run=%d vm=%s pace=%d", id, p.run, host.VM, p.pace)
-			p.stopping, p.stopSent = true, time.Now()
 			known.failed[host] = true
-			t.orderStop(host, id, p.run)
+			t.halt(host, id, p)
 		}
 	}
 }
@@ -96,8 +95,7 @@
 				continue
 			}
 			t.logger.Info("task is moved from a worker that leaves; task=%s run=%d vm=%s", id, p.run, host.VM)
-			p.stopping, p.stopSent = true, time.Now()
-			t.orderStop(host, id, p.run)
+			t.halt(host, id, p)
 		}
 	}
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -263,8 +263,5 @@
 	if g.Step.Affinity != "" && !slices.Contains(w.Labels, g.Step.Affinity) {
 		cost += farCost
 	}
-	if w.Speed > 0 {
-		cost += 1/w.Speed - 1
-	}
 	return cost, true
 }
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -11,6 +11,9 @@
 // what is left is for the tasks that fill.
 const servingShare = 0.5
 
+// AnyNumber stands for no bound on the tasks that may be placed on a worker.
+const AnyNumber = -1
+
 // Worker is what a plan knows of a worker; a plan takes its choices into account.
 type Worker struct {
 	Host     job.Host
@@ -22,11 +25,9 @@
 	// Serving and Filling are the declared thousandths of a core of the tasks that serve and that fill.
 	Serving int
 	Filling int
-	// Open says that new tasks may be placed here; Trials bounds how many, below 0 for any number.
+	// Open says that new tasks may be placed here; Trials bounds how many, AnyNumber for as many as fit.
 	Open   bool
 	Trials int
-	// Speed is how fast tasks run here beside the other workers, 1 for the usual.
-	Speed float64
 	// Served are the tasks that serve here, Fills what is asked by those that fill, in shares of the worker by image.
 	Served []Served
 	Fills  map[string]float64
