--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -5,35 +5,17 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
-	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
-	// mostRecords leaves room beside the chain and the lead in a transaction of kv.MaxEntries.
-	mostRecords = kv.MaxEntries - 4
 	// retryFirst and retryLast bound the pause before a commit is repeated.
 	retryFirst = 15 * time.Millisecond
 	retryLast  = 250 * time.Millisecond
 )
 
-// batch is what one transaction writes.
-type batch struct {
-	change   kv.Txn
-	versions map[*tracked]uint64
-	runs     []batchedRun
-	removed  []job.ID
-	relock   bool
-}
-
-type batchedRun struct {
-	id   job.TaskID
-	host job.Host
-	run  int
-}
-
 // cycle plans, commits what changed, and sends the orders that the commit allows.
 func (t *term) cycle(ctx context.Context) error {
 	t.mu.Lock()
@@ -60,86 +42,6 @@
 	return t.prove(ctx)
 }
 
-// batch gathers what changed, nil where nothing did.
-func (t *term) batch() (*batch, error) {
-	b := &batch{versions: make(map[*tracked]uint64), relock: t.relock}
-	if b.relock {
-		lead, err := t.entering(0, t.chain)
-		if err != nil {
-			return nil, err
-		}
-		b.change.Conditions = lead.Conditions[:1]
-		b.change.Puts = lead.Puts[:1]
-	}
-	for _, id := range t.dirtyInOrder() {
-		if len(b.versions) == mostRecords {
-			break
-		}
-		delete(t.dirty, id)
-		if err := b.add(t.jobs[id]); err != nil {
-			return nil, err
-		}
-	}
-	t.sweep(b)
-	if len(b.versions) == 0 && len(b.removed) == 0 && !b.relock {
-		return nil, nil
-	}
-	chain, err := record.Encode(record.Chain{Epoch: t.epoch, Boot: t.d.config.Boot, Commit: t.commits + 1})
-	if err != nil {
-		return nil, err
-	}
-	b.change.Conditions = append(b.change.Conditions, kv.Condition{Key: record.ChainKey, Revision: t.chain})
-	b.change.Puts = append(b.change.Puts, kv.Put{Key: record.ChainKey, Value: chain})
-	t.addLearned(b)
-	b.collect(t)
-	return b, nil
-}
-
-func (b *batch) add(known *tracked) error {
-	if known == nil {
-		return nil
-	}
-	value, err := known.job.EncodeProgress()
-	if err != nil {
-		return err
-	}
-	b.change.Puts = append(b.change.Puts, kv.Put{Key: record.ProgressKey(known.job.ID()), Value: value})
-	b.versions[known] = known.version
-	return nil
-}
-
-// collect notes the runs that the batch commits for the first time.
-func (b *batch) collect(t *term) {
-	for _, h := range t.hostsInOrder() {
-		for _, id := range h.runsInOrder() {
-			p := h.runs[id]
-			if known := t.jobs[id.Job]; !p.committed && b.has(known) {
-				b.runs = append(b.runs, batchedRun{id: id, host: h.worker.Host, run: p.run})
-			}
-		}
-	}
-}
-
-func (b *batch) has(known *tracked) bool {
-	_, ok := b.versions[known]
-	return ok
-}
-
-// sweep removes the records of jobs that ended long ago.
-func (t *term) sweep(b *batch) {
-	const keysOfJob = 3
-	for id, known := range t.jobs {
-		if len(b.versions)+keysOfJob*(len(b.removed)+1) > mostRecords {
-			return
-		}
-		if known.ended.IsZero() || time.Since(known.ended) < keepEnded || known.saved < known.version {
-			continue
-		}
-		b.removed = append(b.removed, id)
-		b.change.Removes = append(b.change.Removes, record.ProgressKey(id), record.JobKey(id), record.CancelKey(id))
-	}
-}
-
 // commit writes the batch, however often it takes, and then lets its runs start.
 func (t *term) commit(ctx context.Context, b *batch) error {
 	pause := retryFirst
--- /dev/null
+++ b/internal/dispatch/tracked.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+)
+
+// tracked is a job with what the lead notes of it.
+type tracked struct {
+	job *job.Job
+	// since is when the job was accepted, by the lead's own clock.
+	since time.Time
+	ended time.Time
+	// idle is since when nothing of the job runs, zero while something does.
+	idle time.Time
+	// version counts the changes, saved is the version that the store has.
+	version uint64
+	saved   uint64
+	failed  map[job.Host]bool
+}
+
+// noteIdle takes note of since when nothing of the job runs.
+func (k *tracked) noteIdle(now time.Time) {
+	placed := false
+	k.job.Each(func(_ job.TaskID, task *job.Task) { placed = placed || task.Phase() == job.Placed })
+	switch {
+	case placed:
+		k.idle = time.Time{}
+	case k.idle.IsZero():
+		k.idle = now
+	}
+}
--- /dev/null
+++ b/internal/plan/cost.go
@@ -0,0 +1,59 @@
+package plan
+
+import (
+	"slices"
+
+	"github.com/saffronpulley/saffronpulley/internal/pressure"
+)
+
+// mostHarm is the part of the worth of a task's work that the harm to serving tasks may eat up where it is placed: what
+// does more harm is paced down before long, and keeps its memory from others meanwhile.
+const mostHarm = 0.2
+
+// gain returns what a filling task is worth on a worker beyond the harm that it does there, and whether it suits.
+func (p planner) gain(w *Worker, g *Group) (float64, bool) {
+	worth := w.share(g.Step.Size.CPU) / pressure.WorthOfOver
+	harm := w.press(g.Step, p.pressure)
+	crowded := w.Spare() < g.Step.Size.CPU && w.Filling > 0
+	return worth - harm, harm <= mostHarm*worth && !crowded
+}
+
+// Weights of a placement's cost, in shares of a worker's processors: what is avoided goes last of all, data that
+// lies elsewhere costs more than any crowding, and the gain of a task that fills over the harm that it does goes before that.
+// Serving tasks of one image suffer from the same neighbors, so they are kept together while the crowding is alike.
+const (
+	avoidedCost = 10.0
+	farCost     = 2.0
+	gainWeight  = 2.0
+	strangeCost = 1.0
+)
+
+// costOf returns how crowded the worker would be, and whether the task would get anything at all there.
+func (p planner) costOf(w *Worker, g *Group) (float64, bool) {
+	if w.Capacity.CPU == 0 {
+		return 0, false
+	}
+	var cost float64
+	switch {
+	case g.Step.Fills:
+		gain, suits := p.gain(w, g)
+		if !g.Starved && !suits {
+			return 0, false
+		}
+		cost = 1 - w.share(w.Spare()) - gainWeight*gain
+	case g.Step.Serves():
+		cost = w.share(w.Used.CPU)
+		if w.strange(g.Step.Image) {
+			cost += strangeCost * float64(len(w.Images))
+		}
+	default:
+		cost = w.share(w.Used.CPU) + w.share(w.Filling)/4
+	}
+	if g.Avoid[w.Host] {
+		cost += avoidedCost
+	}
+	if g.Step.Affinity != "" && !slices.Contains(w.Labels, g.Step.Affinity) {
+		cost += farCost
+	}
+	return cost, true
+}
--- /dev/null
+++ b/internal/plan/group.go
@@ -0,0 +1,80 @@
+package plan
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+)
+
+// Group is the waiting tasks of one step of one time of a job.
+type Group struct {
+	Job     *job.Job
+	Time    int
+	Number  int
+	Step    *job.Step
+	Service string
+	// Indexes are the tasks that wait; Held counts the step's tasks on each worker.
+	Indexes []int
+	Held    map[job.Host]int
+	// Avoid names workers on which a task of the group failed or was rejected a moment ago.
+	Avoid map[job.Host]bool
+	// Starved says that nothing of the job runs; then one task is placed even where it presses on what serves.
+	Starved bool
+	// Priority 0 goes first. Slack is the time left before the objective is missed if all goes well from now on,
+	// Late the same before nothing is earned at all.
+	Priority int
+	Slack    time.Duration
+	Late     time.Duration
+	// Work is what is left of the job's time, in core seconds by its estimates.
+	Work float64
+}
+
+// urgency orders groups: short work, then lasting tasks and short work that is far too late, then batch that can still be
+// in time, then batch that is late, and far too late.
+func (g *Group) urgency() int {
+	switch {
+	case g.Step.Lasting:
+		return 1
+	case !g.Step.Fills && g.Late > 0:
+		return 0
+	case !g.Step.Fills:
+		return 1
+	case g.Late <= 0:
+		return 4
+	case g.Slack <= 0:
+		return 3
+	}
+	return 2
+}
+
+// order puts the batch jobs with the least work left first: under more work than can be done in time, that is what most
+// of them come in time by.
+func (g *Group) order() float64 {
+	if !g.Step.Fills {
+		return 0
+	}
+	return g.Work
+}
+
+func before(a, b *Group) int {
+	return cmp.Or(
+		cmp.Compare(a.urgency(), b.urgency()),
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.order(), b.order()),
+		cmp.Compare(a.Slack, b.Slack),
+		cmp.Compare(a.Job.ID(), b.Job.ID()),
+		cmp.Compare(a.Time, b.Time),
+		cmp.Compare(a.Number, b.Number),
+	)
+}
+
+func (g *Group) take(w *Worker, index, run int) Placement {
+	w.Take(g.Step)
+	if w.Trials > 0 {
+		w.Trials--
+	}
+	g.Held[w.Host]++
+	id := job.TaskID{Job: g.Job.ID(), Time: g.Time, Step: g.Number, Index: index}
+	return Placement{Task: id, Step: g.Step, Host: w.Host, Run: run}
+}
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -165,6 +165,15 @@
 	}
 }
 
+// profile keeps what the lead tells of runs.
+func (l *life) profile(profiles []link.Profile) {
+	for _, p := range profiles {
+		if run, ok := parseRun(p.Run); ok {
+			l.profiles[run] = p
+		}
+	}
+}
+
 // compose returns the report of what the worker has now.
 func (r *Runner) compose() (link.Report, *life) {
 	r.mu.Lock()
