--- a/internal/job/advance.go
+++ b/internal/job/advance.go
@@ -110,15 +110,6 @@
 	return true
 }
 
-// Abandon fails a job that can never be done and reports whether it did.
-func (j *Job) Abandon() bool {
-	if j.State().Final() {
-		return false
-	}
-	j.failed = true
-	return true
-}
-
 // Each calls visit with every task of the job.
 func (j *Job) Each(visit func(TaskID, *Task)) {
 	for k := range j.tasks {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -10,9 +10,11 @@
 	accepted time.Time
 	canceled bool
 	failed   bool
-	begun    bool
-	open     int
-	tasks    [][][]Task
+	// begun says that a task was ever placed; open counts the tasks that are not done.
+	begun bool
+	open  int
+	// tasks holds the tasks by time, step and number in the step.
+	tasks [][][]Task
 }
 
 // Queue is what the configuration says of the queue that a job was handed in to.
@@ -59,9 +61,6 @@
 // Times returns how many times the steps run.
 func (j *Job) Times() int { return len(j.tasks) }
 
-// Begun reports whether a task was ever placed.
-func (j *Job) Begun() bool { return j.begun }
-
 // Task returns a task of the job, nil if it has no such task.
 func (j *Job) Task(t TaskID) *Task {
 	if t.Job != j.id || t.Time < 0 || t.Time >= len(j.tasks) || t.Step < 0 || t.Step >= len(j.tasks[t.Time]) ||
@@ -100,10 +99,18 @@
 // Open reports whether the steps before a step are done, so that its tasks may start once its time is due.
 func (j *Job) Open(k, step int) bool {
 	for _, d := range j.spec.Steps[step].DependsOn {
-		for i := range j.tasks[k][d] {
-			if j.tasks[k][d][i].phase != Done {
-				return false
-			}
+		if !j.stepDone(k, d) {
+			return false
+		}
+	}
+	return true
+}
+
+// stepDone reports whether all tasks of a step are done.
+func (j *Job) stepDone(k, step int) bool {
+	for i := range j.tasks[k][step] {
+		if j.tasks[k][step][i].phase != Done {
+			return false
 		}
 	}
 	return true
@@ -116,23 +123,12 @@
 
 // Remaining returns the longest time that what is not done of time k needs in order, by its estimates.
 func (j *Job) Remaining(k int) time.Duration {
-	ends := make([]time.Duration, len(j.spec.Steps))
-	var longest time.Duration
-	for n, step := range j.spec.Steps {
-		var before time.Duration
-		for _, d := range step.DependsOn {
-			before = max(before, ends[d])
-		}
-		ends[n] = before
-		for i := range j.tasks[k][n] {
-			if j.tasks[k][n][i].phase != Done {
-				ends[n] = before + step.Estimate
-				break
-			}
+	return j.spec.longest(func(step int) time.Duration {
+		if j.stepDone(k, step) {
+			return 0
 		}
-		longest = max(longest, ends[n])
-	}
-	return longest
+		return j.spec.Steps[step].Estimate
+	})
 }
 
 // Work returns what is not done of time k, in core seconds by its estimates.
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -14,12 +14,15 @@
 	MaxTimes = 1000
 )
 
+// idDigits is the length of a job's name.
+const idDigits = 16
+
 // ID names a job: 16 hexadecimal digits that the caller chose.
 type ID string
 
 // Valid reports whether the name has the form of a job's.
 func (i ID) Valid() bool {
-	if len(i) != 16 {
+	if len(i) != idDigits {
 		return false
 	}
 	for _, c := range i {
@@ -141,8 +144,13 @@
 	return nil
 }
 
-// Chain returns the longest time that the steps from one on need in order, by their estimates.
+// Chain returns the longest time that steps which depend on each other need in order, by their estimates.
 func (s Spec) Chain() time.Duration {
+	return s.longest(func(step int) time.Duration { return s.Steps[step].Estimate })
+}
+
+// longest returns the longest time that steps which depend on each other need in order, by what each takes.
+func (s Spec) longest(takes func(step int) time.Duration) time.Duration {
 	ends := make([]time.Duration, len(s.Steps))
 	var longest time.Duration
 	for n, step := range s.Steps {
@@ -150,7 +158,7 @@
 		for _, d := range step.DependsOn {
 			before = max(before, ends[d])
 		}
-		ends[n] = before + step.Estimate
+		ends[n] = before + takes(n)
 		longest = max(longest, ends[n])
 	}
 	return longest
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -20,10 +20,10 @@
 // ParseTaskID reads the name of a task.
 func ParseTaskID(text string) (TaskID, bool) {
 	parts := strings.Split(text, ".")
-	if len(parts) != 4 {
+	var numbers [3]int
+	if len(parts) != 1+len(numbers) {
 		return TaskID{}, false
 	}
-	var numbers [3]int
 	for i, p := range parts[1:] {
 		n, err := strconv.Atoi(p)
 		if err != nil || n < 0 {
@@ -80,6 +80,16 @@
 	EndAlone              // alone
 )
 
+// ParseEnd returns the end of a name, false where there is none.
+func ParseEnd(name string) (End, bool) {
+	for e := EndDone; e <= EndAlone; e++ {
+		if e.String() == name {
+			return e, true
+		}
+	}
+	return EndDone, false
+}
+
 // Task is the state of a task.
 type Task struct {
 	phase      Phase
@@ -95,9 +105,6 @@
 // Run returns the number of the latest run, 0 before the first.
 func (t *Task) Run() int { return t.run }
 
-// Failures returns how many runs ended as failed.
-func (t *Task) Failures() int { return t.failures }
-
 // Host returns where the latest run was placed.
 func (t *Task) Host() Host { return t.host }
 
