--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -121,14 +121,13 @@
 
 // clear takes note that the key is absent.
 func (f *Follower[T]) clear(at kv.Revision) {
-	var none T
 	if f.known && f.value.Revision == 0 {
 		return
 	}
 	if f.known && at != 0 && at <= f.value.Revision {
 		return
 	}
-	f.value, f.known = Value[T]{Held: none}, true
+	f.value, f.known = Value[T]{}, true
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -108,8 +108,12 @@
 // Errors are of kind Stale when another life of the worker answers, Unavailable when nothing was sent, and
 // OutcomeUnknown when the order may have been done or may still be.
 type Worker interface {
+	// Start starts a run; it ends at its time unless a hold renews it.
 	Start(ctx context.Context, instance string, order Start) (Refusal, error)
+	// Stop ends a run; one that never started never will.
 	Stop(ctx context.Context, instance string, run Run, fence uint64) (Refusal, error)
+	// Pace sets the part of the processors, in percent, that a run may use of what it asks for.
 	Pace(ctx context.Context, instance string, run Run, percent int, fence uint64) (Refusal, error)
+	// Hold renews what runs and returns what the worker has.
 	Hold(ctx context.Context, instance string, hold Hold) (View, Refusal, error)
 }
--- a/internal/intake/policies.go
+++ b/internal/intake/policies.go
@@ -11,15 +11,15 @@
 	"github.com/saffronpulley/saffronpulley/internal/policy"
 )
 
-// Configuration is a configuration with the bytes that the store holds, which entries pass on to each other.
-type Configuration struct {
+// configuration is a configuration with the bytes that the store holds, which entries pass on to each other.
+type configuration struct {
 	policy *policy.Policy
 	raw    []byte
 }
 
 // Policies keeps the newest configuration that the process has heard of.
 type Policies struct {
-	follower *follow.Follower[Configuration]
+	follower *follow.Follower[configuration]
 	decode   func([]byte) (*policy.Policy, error)
 	logger   logging.Logger
 }
@@ -31,14 +31,14 @@
 	return p
 }
 
-func (p *Policies) read(raw []byte) (Configuration, error) {
+func (p *Policies) read(raw []byte) (configuration, error) {
 	decoded, err := p.decode(raw)
 	if err != nil {
 		p.logger.Error("a configuration cannot be read: %v", err)
-		return Configuration{}, err
+		return configuration{}, err
 	}
 	p.logger.Info("configuration read; version=%d routes=%d", decoded.Version(), len(decoded.Routes()))
-	return Configuration{policy: decoded, raw: raw}, nil
+	return configuration{policy: decoded, raw: raw}, nil
 }
 
 // Run follows the configuration until ctx ends.
@@ -66,16 +66,20 @@
 	if err != nil {
 		return
 	}
-	p.follower.Offer(follow.Value[Configuration]{Held: read, Revision: kv.Revision(offer.Revision)})
+	p.follower.Offer(follow.Value[configuration]{Held: read, Revision: kv.Revision(offer.Revision)})
 }
 
-// freshFor is how old the newest confirmation may be before a route is said not to exist.
-const freshFor = 100 * time.Millisecond
+const (
+	// freshFor is how old the newest confirmation may be before a route is said not to exist.
+	freshFor = 100 * time.Millisecond
+	// readPatience bounds a read of the configuration for a request.
+	readPatience = 400 * time.Millisecond
+)
 
 // Fresh returns the configuration, read anew where the last confirmation is older than freshFor and the store answers.
 func (p *Policies) Fresh(ctx context.Context) *policy.Policy {
 	if time.Since(p.follower.Verified()) > freshFor {
-		bounded, cancel := context.WithTimeout(ctx, directPatience)
+		bounded, cancel := context.WithTimeout(ctx, readPatience)
 		defer cancel()
 		if _, err := p.follower.Refresh(bounded); err != nil {
 			p.logger.Warn("the configuration could not be confirmed: %v", err)
@@ -83,6 +87,3 @@
 	}
 	return p.Newest()
 }
-
-// directPatience bounds a read of the configuration for a request.
-const directPatience = 400 * time.Millisecond
