--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -128,22 +128,3 @@
 	wait.Wake(r.changed)
 	return len(view.Ended) > 0
 }
-
-// prune forgets orders whose runs the view shows, or that were told, and profiles of runs that are no more.
-func (l *life) prune() {
-	for _, e := range l.view.Ended {
-		if o := l.orders[e.Run]; o != nil && o.final {
-			delete(l.orders, e.Run)
-		}
-	}
-	present := make(map[host.Run]bool, len(l.view.Running))
-	for _, running := range l.view.Running {
-		present[running.Run] = true
-	}
-	for run := range l.profiles {
-		if !present[run] && l.orders[run] == nil {
-			delete(l.profiles, run)
-			delete(l.paces, run)
-		}
-	}
-}
--- /dev/null
+++ b/internal/runner/life.go
@@ -0,0 +1,106 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// life is what the agent knows of one life of the worker.
+type life struct {
+	report host.Report
+	// clock is the worker's clock as of read, a time at which it surely had reached that.
+	clock host.Clock
+	read  time.Time
+	// fenced is the highest epoch that the worker has seen from this agent.
+	fenced uint64
+	// answered is when the worker answered last, until when its runs may go on at the latest by this clock.
+	answered time.Time
+	until    time.Time
+	// view is what the worker showed last, views counts what it showed, seen is up to which number the lead has its ends.
+	view   host.View
+	views  uint64
+	seen   uint64
+	silent bool
+	orders map[host.Run]*order
+	// refused is the highest run of each task that was refused; an order for it that comes again is not carried out.
+	refused  map[job.TaskID]int
+	profiles map[host.Run]link.Profile
+	paces    map[host.Run]int
+	// wanted is the pace by image, presses what the lead told of the images that fill, adjusted when the paces were last
+	// reckoned.
+	wanted   map[string]int
+	presses  map[string]map[string]float64
+	adjusted time.Time
+	// over is since when serving tasks have been over their targets.
+	over map[host.Run]time.Time
+	// felt is by how much each image was last taken to slow a serving task.
+	felt map[host.Run]map[string]float64
+}
+
+// order is a start or a stop that is under way, or whose end is still to be told.
+type order struct {
+	start  *link.Start
+	text   string
+	stop   bool
+	cancel context.CancelFunc
+	// refused is why the worker will never run it, with the number of views taken by then.
+	refused host.Refusal
+	final   bool
+	views   uint64
+}
+
+// newLife returns a life of which no more is known than its first report.
+func newLife(report host.Report, now time.Time) *life {
+	return &life{
+		report: report, clock: report.Clock, read: now, answered: now,
+		orders: make(map[host.Run]*order), refused: make(map[job.TaskID]int),
+		profiles: make(map[host.Run]link.Profile), paces: make(map[host.Run]int),
+		over: make(map[host.Run]time.Time), felt: make(map[host.Run]map[string]float64),
+	}
+}
+
+// prune forgets refused orders of which the view shows how their runs ended, and profiles of runs that are no more.
+func (l *life) prune() {
+	for _, e := range l.view.Ended {
+		if o := l.orders[e.Run]; o != nil && o.final {
+			delete(l.orders, e.Run)
+		}
+	}
+	present := make(map[host.Run]bool, len(l.view.Running))
+	for _, running := range l.view.Running {
+		present[running.Run] = true
+	}
+	for run := range l.profiles {
+		if !present[run] && l.orders[run] == nil {
+			delete(l.profiles, run)
+			delete(l.paces, run)
+		}
+	}
+}
+
+// drop forgets the orders of an earlier lead; the worker refuses them once it has seen the new epoch.
+func (l *life) drop() {
+	for run, o := range l.orders {
+		o.cancel()
+		delete(l.orders, run)
+	}
+}
+
+// profile keeps what the lead tells of runs.
+func (l *life) profile(profiles []link.Profile) {
+	for _, p := range profiles {
+		if run, ok := parseRun(p.Run); ok {
+			l.profiles[run] = p
+		}
+	}
+}
+
+// refuse takes note that the worker will never run what the order starts.
+func (o *order) refuse(l *life, run host.Run, why host.Refusal) {
+	l.refused[run.Task] = max(l.refused[run.Task], run.Number)
+	o.refused, o.final, o.views = why, true, l.views
+}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -78,11 +78,6 @@
 	go r.stop(ctx, l, run, o)
 }
 
-func (o *order) refuse(l *life, run host.Run, why host.Refusal) {
-	l.refused[run.Task] = max(l.refused[run.Task], run.Number)
-	o.refused, o.final, o.views = why, true, l.views
-}
-
 // current reports whether the order still counts: the same life of the worker, the same epoch, and no newer order.
 func (r *Runner) current(l *life, run host.Run, o *order) bool {
 	return r.life == l && l.orders[run] == o
@@ -93,14 +88,11 @@
 	defer o.cancel()
 	doubtful := false
 	for range orderAttempts {
-		r.mu.Lock()
-		until, epoch, valid := r.until(l), r.epoch, r.current(l, run, o)
-		draining := l.report.Draining
-		r.mu.Unlock()
-		if !valid || ctx.Err() != nil {
+		until, epoch, counts := r.allowed(l, run, o)
+		if !counts || ctx.Err() != nil {
 			return
 		}
-		if draining || until == 0 {
+		if until == 0 {
 			break
 		}
 		refusal, err := r.config.Worker.Start(ctx, l.report.Instance, host.Start{
@@ -109,12 +101,29 @@
 		if err == nil && r.started(l, run, o, refusal, doubtful) {
 			return
 		}
-		doubtful = doubtful || (err != nil && !fault.Is(err, fault.Unavailable)) || err == nil
+		doubtful = doubtful || !fault.Is(err, fault.Unavailable)
 		if fault.Is(err, fault.Stale) {
 			return
 		}
 		wait.For(ctx, orderPause)
 	}
+	r.takeBack(l, run, o, doubtful)
+}
+
+// allowed returns up to when a start may run, 0 where nothing may start, the epoch to order it under, and whether the
+// order still counts.
+func (r *Runner) allowed(l *life, run host.Run, o *order) (host.Clock, uint64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until := r.until(l)
+	if l.report.Draining {
+		until = 0
+	}
+	return until, r.epoch, r.current(l, run, o)
+}
+
+// takeBack gives up a start that was not accepted: by a stop, where the worker may have done it.
+func (r *Runner) takeBack(l *life, run host.Run, o *order, doubtful bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.current(l, run, o) {
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -103,14 +103,6 @@
 	return nil
 }
 
-// drop forgets the orders of an earlier lead; the worker refuses them once it has seen the new epoch.
-func (l *life) drop() {
-	for run, o := range l.orders {
-		o.cancel()
-		delete(l.orders, run)
-	}
-}
-
 // tell sends one report and takes the answer.
 func (r *Runner) tell(ctx context.Context, session *rpc.Peer) (bool, error) {
 	sent := time.Now()
@@ -165,15 +157,6 @@
 	}
 }
 
-// profile keeps what the lead tells of runs.
-func (l *life) profile(profiles []link.Profile) {
-	for _, p := range profiles {
-		if run, ok := parseRun(p.Run); ok {
-			l.profiles[run] = p
-		}
-	}
-}
-
 // compose returns the report of what the worker has now.
 func (r *Runner) compose() (link.Report, *life) {
 	r.mu.Lock()
@@ -196,15 +179,15 @@
 
 // describe adds the runs of the latest view and the orders that are not settled.
 func (l *life) describe(report *link.Report) {
-	ended := make(map[host.Run]bool, len(l.view.Ended))
+	shown := make(map[host.Run]bool, len(l.view.Ended)+len(l.view.Running))
 	for _, e := range l.view.Ended {
-		ended[e.Run] = true
+		shown[e.Run] = true
 		report.Ended = append(report.Ended, link.Ended{
 			Run: wireRun(e.Run), Sequence: e.Number, End: int(e.End), Checkpoint: e.Checkpoint,
 		})
 	}
 	for _, running := range l.view.Running {
-		ended[running.Run] = true
+		shown[running.Run] = true
 		if _, known := l.profiles[running.Run]; !known {
 			report.Unknown = append(report.Unknown, wireRun(running.Run))
 		}
@@ -220,7 +203,7 @@
 		case l.views < o.views+2:
 			// A view asked for before the refusal may not show how the run ended.
 			report.Pending = append(report.Pending, wireRun(run))
-		case !ended[run]:
+		case !shown[run]:
 			report.Rejected = append(report.Rejected, link.Rejected{Run: wireRun(run), Refusal: int(o.refused)})
 		}
 	}
