--- a/internal/dispatch/campaign.go
+++ b/internal/dispatch/campaign.go
@@ -20,6 +20,8 @@
 	campaignPause = 150 * time.Millisecond
 	// standBack is how long an entry with a whole core waits before it stands for the lead; weaker ones wait longer.
 	standBack = 15 * time.Millisecond
+	// leastStrength is the share of a core below which an entry waits no longer.
+	leastStrength = 0.05
 )
 
 // campaign waits until nobody leads, or an earlier life of this process does, and returns the new term.
@@ -28,7 +30,7 @@
 		changed := d.config.Lead.Changed()
 		value, known := d.config.Lead.Value()
 		if known && (value.Revision == 0 || value.Held.Node == d.config.Node) && d.rested() {
-			wait.For(ctx, time.Duration(float64(standBack)/max(d.config.Strength, 0.05)))
+			wait.For(ctx, time.Duration(float64(standBack)/max(d.config.Strength, leastStrength)))
 			return d.stand(ctx)
 		}
 		select {
--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -17,6 +17,10 @@
 	newest = 0.3
 	// slows is the rise of a level by a whole worker's worth of an image from which on a pair counts as harmful.
 	slows = 0.4
+	// weightSteps divides 1 into the steps in which weights are told to agents.
+	weightSteps = 100
+	// unknownBase is the level that a serving task is taken to have before its first figure.
+	unknownBase = -0.8
 )
 
 // sample teaches the model from the figures of a worker.
@@ -56,9 +60,6 @@
 	p.base += newest * (base - p.base)
 }
 
-// unknownBase is the level that a serving task is taken to have before its first figure.
-const unknownBase = -0.8
-
 // serving returns the tasks that serve on a worker with their levels.
 func (h *hosted) serving() []plan.Served {
 	var served []plan.Served
@@ -95,7 +96,7 @@
 		found[f] = make(map[string]float64)
 		for s := range serving {
 			if weight, _ := t.pressure.Weight(s, f); weight >= slows {
-				found[f][s] = math.Round(weight*100) / 100
+				found[f][s] = math.Round(weight*weightSteps) / weightSteps
 			}
 		}
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -47,7 +47,7 @@
 	done    chan struct{}
 	inputs  kv.Revision
 
-	// mu guards all below; nothing else is locked while it is held.
+	// mu guards the lease and all below; no answer is waited for while it is held.
 	mu       sync.Mutex
 	chain    kv.Revision
 	commits  uint64
--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -26,6 +26,8 @@
 	farCost     = 2.0
 	gainWeight  = 2.0
 	strangeCost = 1.0
+	// fillingWeight is what a share in use by what fills counts beside one that is taken, for tasks that do not serve.
+	fillingWeight = 0.25
 )
 
 // costOf returns how crowded the worker would be, and whether the task would get anything at all there.
@@ -47,7 +49,7 @@
 			cost += strangeCost * float64(len(w.Images))
 		}
 	default:
-		cost = w.share(w.Used.CPU) + w.share(w.Filling)/4
+		cost = w.share(w.Used.CPU) + fillingWeight*w.share(w.Filling)
 	}
 	if g.Avoid[w.Host] {
 		cost += avoidedCost
--- a/internal/plan/group.go
+++ b/internal/plan/group.go
@@ -30,22 +30,36 @@
 	Work float64
 }
 
-// urgency orders groups: short work, then lasting tasks and short work that is far too late, then batch that can still be
-// in time, then batch that is late, and far too late.
-func (g *Group) urgency() int {
+// urgency orders groups, the most urgent first.
+type urgency int
+
+const (
+	// shortWork neither lasts nor fills, and can still earn something.
+	shortWork urgency = iota
+	// lastingWork is what lasts, and short work that is far too late.
+	lastingWork
+	// batchInTime, batchLate and batchTooLate are work that fills: it can still meet its objective, still earn something,
+	// or neither.
+	batchInTime
+	batchLate
+	batchTooLate
+)
+
+// urgency returns how urgent the group is.
+func (g *Group) urgency() urgency {
 	switch {
 	case g.Step.Lasting:
-		return 1
+		return lastingWork
 	case !g.Step.Fills && g.Late > 0:
-		return 0
+		return shortWork
 	case !g.Step.Fills:
-		return 1
+		return lastingWork
 	case g.Late <= 0:
-		return 4
+		return batchTooLate
 	case g.Slack <= 0:
-		return 3
+		return batchLate
 	}
-	return 2
+	return batchInTime
 }
 
 // order puts the batch jobs with the least work left first: under more work than can be done in time, that is what most
