--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -24,22 +24,26 @@
 	t.evacuate()
 	t.plan()
 	t.mu.Unlock()
+	if err := t.commitAll(ctx); err != nil {
+		return err
+	}
+	t.flush()
+	return t.prove(ctx)
+}
+
+// commitAll commits what changed, in as many transactions as it takes.
+func (t *term) commitAll(ctx context.Context) error {
 	for {
 		t.mu.Lock()
 		b, err := t.batch()
 		t.mu.Unlock()
-		if err != nil {
+		if err != nil || b == nil {
 			return err
 		}
-		if b == nil {
-			break
-		}
 		if err := t.commit(ctx, b); err != nil {
 			return err
 		}
 	}
-	t.flush()
-	return t.prove(ctx)
 }
 
 // commit writes the batch, however often it takes, and then lets its runs start.
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -51,29 +51,31 @@
 	for _, h := range t.hostsInOrder() {
 		host := h.worker.Host
 		for _, id := range h.runsInOrder() {
-			p := h.runs[id]
 			if moves == mostMoves {
 				return
 			}
-			if !t.stuckSlow(id, p) {
-				continue
-			}
-			known := t.jobs[id.Job]
-			group := &plan.Group{
-				Job: known.job, Time: id.Time, Number: id.Step, Step: p.step, Service: t.queueOf(known).Service,
-				Held: map[job.Host]int{}, Avoid: map[job.Host]bool{host: true},
-			}
-			if !plan.Suits(workers, group, t.pressure) {
+			p := h.runs[id]
+			if !t.stuckSlow(id, p) || !t.suitsElsewhere(workers, host, id, p) {
 				continue
 			}
 			moves++
 			t.logger.Info("task is moved from where it is paced down; task=%s run=%d vm=%s pace=%d", id, p.run, host.VM, p.pace)
-			known.failed[host] = true
+			t.jobs[id.Job].failed[host] = true
 			t.halt(host, id, p)
 		}
 	}
 }
 
+// suitsElsewhere reports whether another worker than its own would suit a task.
+func (t *term) suitsElsewhere(workers []*plan.Worker, host job.Host, id job.TaskID, p *placed) bool {
+	known := t.jobs[id.Job]
+	group := &plan.Group{
+		Job: known.job, Time: id.Time, Number: id.Step, Step: p.step, Service: t.queueOf(known).Service,
+		Held: map[job.Host]int{}, Avoid: map[job.Host]bool{host: true},
+	}
+	return plan.Suits(workers, group, t.pressure)
+}
+
 // stuckSlow reports whether a task has been paced down for long and loses little by a move.
 func (t *term) stuckSlow(id job.TaskID, p *placed) bool {
 	known := t.jobs[id.Job]
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -9,7 +9,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/job"
 )
 
-// Keys of the store. Entries write under Inputs, only the lead under progress; both hold a key for each job.
+// Keys of the store. Entries write under Inputs, only the lead under Progress; both hold a key for each job.
 const (
 	LeadKey  = "saffronpulley/lead"
 	ChainKey = "saffronpulley/chain"
