--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/plan"
 )
 
@@ -19,43 +19,44 @@
 // expire gives up the workers whose permission is over.
 func (t *term) expire() {
 	now := time.Now()
-	for _, known := range t.hostsInOrder() {
-		h := known.worker.Host
-		a := t.agents[h.VM]
+	for _, h := range t.hostsInOrder() {
+		host := h.worker.Host
+		a := t.agents[host.VM]
 		switch {
-		case a != nil && a.host == h:
-			known.worker.Open = known.worker.Open && now.Sub(a.heard) < openFor
+		case a != nil && a.host == host:
+			h.worker.Open = h.worker.Open && now.Sub(a.heard) < openFor
 			if now.Sub(a.heard) > permission+margin {
-				t.lose(known, "its agent was not heard")
+				t.lose(h, "its agent was not heard")
 			}
 		case now.Sub(t.started) > trust+margin:
-			t.lose(known, "its agent never reported to this lead")
+			t.lose(h, "its agent never reported to this lead")
 		}
 	}
 }
 
 // unstick stops tasks that stand still, so that they start again elsewhere.
 func (t *term) unstick() {
-	for _, known := range t.hostsInOrder() {
-		h := known.worker.Host
-		for _, id := range known.runsInOrder() {
-			p := known.runs[id]
-			if p.step.Lasting || !p.committed || p.stopping || p.sent.IsZero() || time.Since(p.moved) < stuckAfter {
-				continue
-			}
-			owner := t.jobs[id.Job]
-			if owner == nil || !known.worker.Open {
+	for _, h := range t.hostsInOrder() {
+		host := h.worker.Host
+		for _, id := range h.runsInOrder() {
+			p := h.runs[id]
+			known := t.jobs[id.Job]
+			if known == nil || !h.worker.Open || !p.standsStill() {
 				continue
 			}
-			t.logger.Info("task stands still and is stopped; task=%s run=%d vm=%s percent=%d", id, p.run, h.VM, p.percent)
-			owner.failed[h] = true
-			known.failures++
-			p.stopping, p.stopSent = true, time.Now()
-			t.orderStop(h, id, p.run)
+			t.logger.Info("task stands still and is stopped; task=%s run=%d vm=%s percent=%d", id, p.run, host.VM, p.percent)
+			known.failed[host] = true
+			h.failures++
+			t.halt(host, id, p)
 		}
 	}
 }
 
+// standsStill reports whether a run that should get on has not for long.
+func (p *placed) standsStill() bool {
+	return !p.step.Lasting && p.committed && !p.stopping && !p.sent.IsZero() && time.Since(p.moved) >= stuckAfter
+}
+
 // plan places what waits; the placements count once they are committed.
 func (t *term) plan() {
 	groups := t.groups()
@@ -70,17 +71,17 @@
 	for _, p := range plan.Make(workers, groups, t.pressure) {
 		known := t.jobs[p.Task.Job]
 		run := known.job.Place(p.Task, p.Host, p.Run)
-		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now(), pace: fullPace}
+		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now(), pace: pacing.Full}
 		t.logger.Info("task placed; task=%s run=%d vm=%s waited_ms=%d", p.Task, run, p.Host.VM, time.Since(known.since).Milliseconds())
 		t.touch(known)
 	}
 }
 
-// trials returns how many tasks may be placed on a worker that failed several times, below 0 for any number.
+// trials returns how many tasks may be placed on a worker that failed several times.
 func (h *hosted) trials() int {
 	switch {
 	case h.failures < suspectFrom:
-		return -1
+		return plan.AnyNumber
 	case h.busy():
 		return 0
 	}
@@ -96,91 +97,3 @@
 	}
 	return false
 }
-
-// groups returns the waiting tasks that may start now.
-func (t *term) groups() []*plan.Group {
-	var groups []*plan.Group
-	now := time.Now()
-	for _, known := range t.jobs {
-		if known.job.State().Final() {
-			continue
-		}
-		known.noteIdle(now)
-		for k := range known.job.Times() {
-			if known.job.Spec().Times > 0 && now.Before(known.job.Due(k)) {
-				break
-			}
-			groups = append(groups, t.groupsOf(known, k, now)...)
-		}
-	}
-	return groups
-}
-
-func (t *term) groupsOf(known *tracked, k int, now time.Time) []*plan.Group {
-	var groups []*plan.Group
-	queue := t.queueOf(known)
-	since := known.since
-	if known.job.Spec().Times > 0 {
-		since = known.job.Due(k)
-	}
-	for n := range known.job.Spec().Steps {
-		waiting, held := waitingOf(known.job, k, n)
-		if len(waiting) == 0 || !known.job.Open(k, n) {
-			continue
-		}
-		need := now.Sub(since) + known.job.Remaining(k)
-		objective := known.job.Objective()
-		groups = append(groups, &plan.Group{
-			Job: known.job, Time: k, Number: n, Step: &known.job.Spec().Steps[n], Service: queue.Service,
-			Indexes: waiting, Held: held, Avoid: known.failed, Priority: queue.Priority,
-			Starved: !known.idle.IsZero() && now.Sub(known.idle) > starvedAfter,
-			Slack:   objective - need, Late: lateFactor*objective - need, Work: known.job.Work(k),
-		})
-	}
-	return groups
-}
-
-// starvedAfter is how long nothing of a job may run before one of its tasks is placed at any cost.
-const starvedAfter = time.Second
-
-// noteIdle takes note of since when nothing of the job runs.
-func (k *tracked) noteIdle(now time.Time) {
-	placed := false
-	k.job.Each(func(_ job.TaskID, task *job.Task) { placed = placed || task.Phase() == job.Placed })
-	switch {
-	case placed:
-		k.idle = time.Time{}
-	case k.idle.IsZero():
-		k.idle = now
-	}
-}
-
-// lateFactor times the objective is when a job earns nothing any more.
-const lateFactor = 3
-
-func waitingOf(j *job.Job, k, n int) ([]int, map[job.Host]int) {
-	var waiting []int
-	held := make(map[job.Host]int)
-	tasks := j.Tasks(k, n)
-	for i := range tasks {
-		switch tasks[i].Phase() {
-		case job.Waiting:
-			waiting = append(waiting, i)
-		case job.Placed:
-			held[tasks[i].Host()]++
-		case job.Done:
-		}
-	}
-	return waiting, held
-}
-
-// queueOf returns the queue as the newest configuration has it.
-func (t *term) queueOf(known *tracked) job.Queue {
-	accepted := known.job.Queue()
-	if newest := t.d.config.Policies.Newest(); newest != nil {
-		if q, ok := newest.Queue(accepted.Name); ok {
-			return q
-		}
-	}
-	return accepted
-}
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -4,11 +4,11 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/plan"
 )
 
 const (
-	fullPace = 100
 	// slowPace is the pace in percent up to which a task that fills hardly gets on.
 	slowPace = 15
 	// slowFor is how long it may be that slow before it is moved to a worker that it suits.
@@ -35,7 +35,7 @@
 	for _, p := range h.runs {
 		switch {
 		case p.step.Fills:
-			use := p.step.Size.CPU * p.pace / fullPace
+			use := p.step.Size.CPU * p.pace / pacing.Full
 			w.Filling += use
 			w.Fills[p.step.Image] += float64(use) / float64(max(w.Capacity.CPU, 1))
 		case p.step.Serves():
@@ -51,30 +51,31 @@
 	for _, h := range t.hostsInOrder() {
 		host := h.worker.Host
 		for _, id := range h.runsInOrder() {
-			p := h.runs[id]
 			if moves == mostMoves {
 				return
 			}
-			if !t.stuckSlow(id, p) {
-				continue
-			}
-			known := t.jobs[id.Job]
-			group := &plan.Group{
-				Job: known.job, Time: id.Time, Number: id.Step, Step: p.step, Service: t.queueOf(known).Service,
-				Held: map[job.Host]int{}, Avoid: map[job.Host]bool{host: true},
-			}
-			if !plan.Suits(workers, group, t.pressure) {
+			p := h.runs[id]
+			if !t.stuckSlow(id, p) || !t.suitsElsewhere(workers, host, id, p) {
 				continue
 			}
 			moves++
 			t.logger.Info("task is moved from where it is paced down; task=%s run=%d vm=%s pace=%d", id, p.run, host.VM, p.pace)
-			p.stopping, p.stopSent = true, time.Now()
-			known.failed[host] = true
-			t.orderStop(host, id, p.run)
+			t.jobs[id.Job].failed[host] = true
+			t.halt(host, id, p)
 		}
 	}
 }
 
+// suitsElsewhere reports whether another worker than its own would suit a task.
+func (t *term) suitsElsewhere(workers []*plan.Worker, host job.Host, id job.TaskID, p *placed) bool {
+	known := t.jobs[id.Job]
+	group := &plan.Group{
+		Job: known.job, Time: id.Time, Number: id.Step, Step: p.step, Service: t.queueOf(known).Service,
+		Held: map[job.Host]int{}, Avoid: map[job.Host]bool{host: true},
+	}
+	return plan.Suits(workers, group, t.pressure)
+}
+
 // stuckSlow reports whether a task has been paced down for long and loses little by a move.
 func (t *term) stuckSlow(id job.TaskID, p *placed) bool {
 	known := t.jobs[id.Job]
@@ -96,8 +97,7 @@
 				continue
 			}
 			t.logger.Info("task is moved from a worker that leaves; task=%s run=%d vm=%s", id, p.run, host.VM)
-			p.stopping, p.stopSent = true, time.Now()
-			t.orderStop(host, id, p.run)
+			t.halt(host, id, p)
 		}
 	}
 }
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -7,12 +7,12 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
 	"github.com/saffronpulley/saffronpulley/internal/record"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -47,7 +47,7 @@
 	done    chan struct{}
 	inputs  kv.Revision
 
-	// mu guards all below; nothing else is locked while it is held.
+	// mu guards the lease and all below; no answer is waited for while it is held.
 	mu       sync.Mutex
 	chain    kv.Revision
 	commits  uint64
@@ -64,20 +64,6 @@
 	committed chan struct{}
 }
 
-// tracked is a job with what the lead notes of it.
-type tracked struct {
-	job *job.Job
-	// since is when the job was accepted, by the lead's own clock.
-	since time.Time
-	ended time.Time
-	// idle is since when nothing of the job runs, zero while something does.
-	idle time.Time
-	// version counts the changes, saved is the version that the store has.
-	version uint64
-	saved   uint64
-	failed  map[job.Host]bool
-}
-
 func newTerm(d *Dispatcher, epoch uint64, lease kv.LeaseID) *term {
 	return &term{
 		d: d, epoch: epoch, lease: lease, store: d.config.Store, logger: d.logger, started: time.Now(),
@@ -159,12 +145,7 @@
 	}
 }
 
-func (t *term) wakeUp() {
-	select {
-	case t.wake <- struct{}{}:
-	default:
-	}
-}
+func (t *term) wakeUp() { wait.Wake(t.wake) }
 
 // work plans and commits whenever something changed.
 func (t *term) work(ctx context.Context) error {
@@ -175,7 +156,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.wake:
-			pause(ctx, gather)
+			wait.For(ctx, gather)
 		case <-ticker.C:
 		}
 		if err := t.cycle(ctx); err != nil {
@@ -184,68 +165,6 @@
 	}
 }
 
-// renew keeps the lease and proves now and then that the term still stands.
-func (t *term) renew(ctx context.Context) error {
-	for ctx.Err() == nil {
-		pause(ctx, renewEvery)
-		err := t.store.Renew(ctx, t.lease)
-		switch {
-		case err == nil:
-		case fault.Is(err, fault.NotFound):
-			t.loseLease(ctx)
-		default:
-			t.logger.Warn("the lease was not renewed: %v", err)
-		}
-		if t.lonely() {
-			t.d.rest.Store(time.Now().Add(lonelyRest).UnixMilli())
-			return fault.New(fault.Leaving, "no agent reports to this lead")
-		}
-	}
-	return ctx.Err()
-}
-
-const (
-	// lonelyAfter is how long a lead goes on without reports before it leaves the lead to another entry.
-	lonelyAfter = 2500 * time.Millisecond
-	// lonelyRest is how long it does not stand again.
-	lonelyRest = 4 * time.Second
-)
-
-// lonely reports whether the lead has lost all its agents, as one that is cut off has.
-func (t *term) lonely() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.entries) == 0 {
-		return false
-	}
-	latest := t.started
-	for _, a := range t.agents {
-		latest = later(latest, a.heard)
-	}
-	return time.Since(latest) > lonelyAfter
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// loseLease asks for a new lease; the next commit puts the lead's key under it.
-func (t *term) loseLease(ctx context.Context) {
-	lease, err := t.store.Grant(ctx, leaseTime)
-	if err != nil {
-		t.logger.Warn("the lease ran out and there is no new one yet: %v", err)
-		return
-	}
-	t.mu.Lock()
-	t.lease, t.relock = lease, true
-	t.mu.Unlock()
-	t.logger.Info("the lease ran out; the lead is entered again under a new one")
-	t.wakeUp()
-}
-
 // entry takes note of an entry and returns all that were heard of.
 func (t *term) entry(address string) []string {
 	t.mu.Lock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -8,6 +8,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -120,14 +121,13 @@
 
 // clear takes note that the key is absent.
 func (f *Follower[T]) clear(at kv.Revision) {
-	var none T
 	if f.known && f.value.Revision == 0 {
 		return
 	}
 	if f.known && at != 0 && at <= f.value.Revision {
 		return
 	}
-	f.value, f.known = Value[T]{Held: none}, true
+	f.value, f.known = Value[T]{}, true
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
@@ -147,7 +147,7 @@
 			f.logger.Warn("the watch of %s ended and the key is read again: %v", f.key, err)
 		}
 		after = 0
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 		pause = min(2*pause, retryLast)
 	}
 }
@@ -192,10 +192,3 @@
 	}
 	return f.take(kv.NewItem(f.key, nil, 0), at, asked)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- /dev/null
+++ b/internal/plan/group.go
@@ -0,0 +1,94 @@
+package plan
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+)
+
+// Group is the waiting tasks of one step of one time of a job.
+type Group struct {
+	Job     *job.Job
+	Time    int
+	Number  int
+	Step    *job.Step
+	Service string
+	// Indexes are the tasks that wait; Held counts the step's tasks on each worker.
+	Indexes []int
+	Held    map[job.Host]int
+	// Avoid names workers on which a task of the group failed or was rejected a moment ago.
+	Avoid map[job.Host]bool
+	// Starved says that nothing of the job runs; then one task is placed even where it presses on what serves.
+	Starved bool
+	// Priority 0 goes first. Slack is the time left before the objective is missed if all goes well from now on,
+	// Late the same before nothing is earned at all.
+	Priority int
+	Slack    time.Duration
+	Late     time.Duration
+	// Work is what is left of the job's time, in core seconds by its estimates.
+	Work float64
+}
+
+// urgency orders groups, the most urgent first.
+type urgency int
+
+const (
+	// shortWork neither lasts nor fills, and can still earn something.
+	shortWork urgency = iota
+	// lastingWork is what lasts, and short work that is far too late.
+	lastingWork
+	// batchInTime, batchLate and batchTooLate are work that fills: it can still meet its objective, still earn something,
+	// or neither.
+	batchInTime
+	batchLate
+	batchTooLate
+)
+
+// urgency returns how urgent the group is.
+func (g *Group) urgency() urgency {
+	switch {
+	case g.Step.Lasting:
+		return lastingWork
+	case !g.Step.Fills && g.Late > 0:
+		return shortWork
+	case !g.Step.Fills:
+		return lastingWork
+	case g.Late <= 0:
+		return batchTooLate
+	case g.Slack <= 0:
+		return batchLate
+	}
+	return batchInTime
+}
+
+// order puts the batch jobs with the least work left first: under more work than can be done in time, that is what most
+// of them come in time by.
+func (g *Group) order() float64 {
+	if !g.Step.Fills {
+		return 0
+	}
+	return g.Work
+}
+
+func before(a, b *Group) int {
+	return cmp.Or(
+		cmp.Compare(a.urgency(), b.urgency()),
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.order(), b.order()),
+		cmp.Compare(a.Slack, b.Slack),
+		cmp.Compare(a.Job.ID(), b.Job.ID()),
+		cmp.Compare(a.Time, b.Time),
+		cmp.Compare(a.Number, b.Number),
+	)
+}
+
+func (g *Group) take(w *Worker, index, run int) Placement {
+	w.Take(g.Step)
+	if w.Trials > 0 {
+		w.Trials--
+	}
+	g.Held[w.Host]++
+	id := job.TaskID{Job: g.Job.ID(), Time: g.Time, Step: g.Number, Index: index}
+	return Placement{Task: id, Step: g.Step, Host: w.Host, Run: run}
+}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -6,9 +6,9 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
-	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -31,11 +31,11 @@
 	}
 	for i := range orders.Starts {
 		start := orders.Starts[i]
-		id, ok := job.ParseTaskID(start.Task)
+		run, ok := parseRun(start.Run)
 		if !ok {
 			return link.Empty{}, fault.New(fault.BadInput, "%q names no task", start.Task)
 		}
-		r.begin(l, host.Run{Task: id, Number: start.Number}, &start, orders.Texts[string(id.Job)])
+		r.begin(l, run, &start, orders.Texts[string(run.Task.Job)])
 	}
 	for _, stop := range orders.Stops {
 		run, ok := parseRun(stop)
@@ -58,7 +58,7 @@
 	l.orders[run] = o
 	if l.report.Draining {
 		o.refuse(l, run, host.RefusedBusy)
-		signal(r.changed)
+		wait.Wake(r.changed)
 		return
 	}
 	go r.start(ctx, l, run, o)
@@ -78,11 +78,6 @@
 	go r.stop(ctx, l, run, o)
 }
 
-func (o *order) refuse(l *life, run host.Run, why host.Refusal) {
-	l.refused[run.Task] = max(l.refused[run.Task], run.Number)
-	o.refused, o.final, o.views = why, true, l.views
-}
-
 // current reports whether the order still counts: the same life of the worker, the same epoch, and no newer order.
 func (r *Runner) current(l *life, run host.Run, o *order) bool {
 	return r.life == l && l.orders[run] == o
@@ -93,14 +88,11 @@
 	defer o.cancel()
 	doubtful := false
 	for range orderAttempts {
-		r.mu.Lock()
-		until, epoch, valid := r.until(l), r.epoch, r.current(l, run, o)
-		draining := l.report.Draining
-		r.mu.Unlock()
-		if !valid || ctx.Err() != nil {
+		until, epoch, counts := r.allowed(l, run, o)
+		if !counts || ctx.Err() != nil {
 			return
 		}
-		if draining || until == 0 {
+		if until == 0 {
 			break
 		}
 		refusal, err := r.config.Worker.Start(ctx, l.report.Instance, host.Start{
@@ -109,12 +101,29 @@
 		if err == nil && r.started(l, run, o, refusal, doubtful) {
 			return
 		}
-		doubtful = doubtful || (err != nil && !fault.Is(err, fault.Unavailable)) || err == nil
+		doubtful = doubtful || !fault.Is(err, fault.Unavailable)
 		if fault.Is(err, fault.Stale) {
 			return
 		}
-		pause(ctx, orderPause)
+		wait.For(ctx, orderPause)
 	}
+	r.takeBack(l, run, o, doubtful)
+}
+
+// allowed returns up to when a start may run, 0 where nothing may start, the epoch to order it under, and whether the
+// order still counts.
+func (r *Runner) allowed(l *life, run host.Run, o *order) (host.Clock, uint64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until := r.until(l)
+	if l.report.Draining {
+		until = 0
+	}
+	return until, r.epoch, r.current(l, run, o)
+}
+
+// takeBack gives up a start that was not accepted: by a stop, where the worker may have done it.
+func (r *Runner) takeBack(l *life, run host.Run, o *order, doubtful bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.current(l, run, o) {
@@ -122,7 +131,7 @@
 	}
 	if !doubtful {
 		o.refuse(l, run, host.RefusedBusy)
-		signal(r.changed)
+		wait.Wake(r.changed)
 		return
 	}
 	r.logger.Warn("start without an answer is taken back; task=%s run=%d", run.Task, run.Number)
@@ -148,7 +157,7 @@
 	}
 	r.logger.Info("start refused; task=%s run=%d refusal=%s", run.Task, run.Number, refusal)
 	o.refuse(l, run, refusal)
-	signal(r.changed)
+	wait.Wake(r.changed)
 	return true
 }
 
@@ -167,17 +176,20 @@
 			r.mu.Lock()
 			o.refuse(l, run, host.RefusedOld)
 			r.mu.Unlock()
-			signal(r.changed)
+			wait.Wake(r.changed)
 			return
 		}
 		if fault.Is(err, fault.Stale) {
 			return
 		}
-		pause(ctx, orderPause)
+		wait.For(ctx, orderPause)
 	}
 }
 
+// parseRun reads the name of a run, false where it names no task.
 func parseRun(r link.Run) (host.Run, bool) {
-	id, ok := job.ParseTaskID(r.Task)
+	id, ok := r.TaskID()
 	return host.Run{Task: id, Number: r.Number}, ok
 }
+
+func wireRun(run host.Run) link.Run { return link.NewRun(run.Task, run.Number) }
