Lost answers of commits are given up sooner

An attempt now waits eight times the usual time, from 120 ms, and doubles. Ruled out: the lead changed no more often than before.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -8,8 +8,9 @@
 	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
-// mostRecords leaves room beside the chain and the lead in a transaction of kv.MaxEntries.
-const mostRecords = kv.MaxEntries - 4
+// mostRecords leaves room in a transaction of kv.MaxEntries for two puts and two conditions of the chain and the lead, and
+// for what was learned.
+const mostRecords = kv.MaxEntries - 6
 
 // batch is what one transaction writes.
 type batch struct {
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -49,13 +49,16 @@
 // commit writes the batch, however often it takes, and then lets its runs start.
 func (t *term) commit(ctx context.Context, b *batch) error {
 	pause := retryFirst
+	patience := min(max(patienceFactor*t.usual, patienceFirst), patienceLast)
 	for {
 		asked := time.Now()
-		revision, err := t.store.Commit(ctx, b.change)
+		revision, err := t.commitOnce(ctx, b.change, patience)
 		if fault.Is(err, fault.Conflict) {
 			revision, err = t.landed(ctx)
 		}
+		patience = min(2*patience, patienceLast)
 		if err == nil {
+			t.usual += (time.Since(asked) - t.usual) / usualShare
 			t.committedBatch(b, revision, asked)
 			return nil
 		}
@@ -71,6 +74,24 @@
 	}
 }
 
+const (
+	// patienceFactor times the usual time of a commit is how long an attempt waits for its answer; a commit is safe to
+	// repeat, and one whose answer is lost holds all placements up.
+	patienceFactor = 8
+	// patienceFirst and patienceLast bound it; it doubles with each attempt, for a store that has become slow.
+	patienceFirst = 120 * time.Millisecond
+	patienceLast  = 900 * time.Millisecond
+	// usualShare is the divisor by which the newest time goes into the usual one.
+	usualShare = 8
+)
+
+// commitOnce attempts a commit with bounded patience.
+func (t *term) commitOnce(ctx context.Context, change kv.Txn, patience time.Duration) (kv.Revision, error) {
+	bounded, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	return t.store.Commit(bounded, change)
+}
+
 // landed finds out whether the commit that failed by its condition was done earlier; Stale says that another leads.
 func (t *term) landed(ctx context.Context) (kv.Revision, error) {
 	item, err := t.store.Get(ctx, record.ChainKey)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -46,6 +46,8 @@
 	wake    chan struct{}
 	done    chan struct{}
 	inputs  kv.Revision
+	// usual is how long a commit usually takes; only the committing goroutine uses it.
+	usual time.Duration
 
 	// mu guards the lease and all below; no answer is waited for while it is held.
 	mu       sync.Mutex
