--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -8,7 +8,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
-// mostRecords leaves room beside the chain and the lead in a transaction of kv.MaxEntries.
+// mostRecords leaves room beside the chain, the lead and what was learned in a transaction of kv.MaxEntries.
 const mostRecords = kv.MaxEntries - 4
 
 // batch is what one transaction writes.
