--- /dev/null
+++ b/internal/dispatch/advice.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/plan"
+)
+
+// Tickets are the workers that may run a step, each with what the start has to bring.
+type Tickets struct {
+	// ByInstance holds the tickets by the worker's life.
+	ByInstance map[string]string
+	// Valid is how long they hold from the answer on.
+	Valid time.Duration
+}
+
+// Advisor is the service that knows which workers may run the steps of an advised queue.
+type Advisor interface {
+	// Advise asks about one step, named as the job, the time and the step joined by dots, and at most 100 workers; errors are
+	// of kind Overloaded where too many ask.
+	Advise(ctx context.Context, step string, instances []string) (Tickets, error)
+}
+
+const (
+	// mostAsked is how many workers one call names at the most, by the platform's page.
+	mostAsked = 100
+	// advicePatience bounds one call, which takes a few milliseconds for each worker named.
+	advicePatience = 2 * time.Second
+	// adviceReserve is the part of a ticket's time that is left for the order to reach its worker: one over this.
+	adviceReserve = 3
+	// adviceRetry is how long a step is not asked about after a call that failed.
+	adviceRetry = 300 * time.Millisecond
+)
+
+// advice is what is known of one step.
+type advice struct {
+	tickets map[string]string
+	until   time.Time
+	asking  bool
+}
+
+type stepID struct {
+	job  job.ID
+	time int
+	step int
+}
+
+func (s stepID) String() string {
+	return string(s.job) + "." + strconv.Itoa(s.time) + "." + strconv.Itoa(s.step)
+}
+
+// ticketsFor returns the tickets of a group by the workers that may run it, and asks for them where they are not known.
+func (t *term) ticketsFor(id stepID, service string) map[job.Host]string {
+	known := t.advised[id]
+	if known == nil {
+		known = &advice{}
+		t.advised[id] = known
+	}
+	if !known.asking && time.Now().After(known.until) {
+		known.asking, known.tickets = true, nil
+		go t.askAdvice(id, t.instancesOf(service))
+	}
+	tickets := make(map[job.Host]string)
+	for host := range t.hosts {
+		if ticket, ok := known.tickets[host.Instance]; ok {
+			tickets[host] = ticket
+		}
+	}
+	return tickets
+}
+
+func (t *term) instancesOf(service string) []string {
+	var instances []string
+	for _, h := range t.hostsInOrder() {
+		if h.worker.Open && h.worker.Service == service {
+			instances = append(instances, h.worker.Host.Instance)
+		}
+	}
+	return instances
+}
+
+// askAdvice asks about all workers, in as many calls as it takes; the service takes one at a time.
+func (t *term) askAdvice(id stepID, instances []string) {
+	t.asks.Lock()
+	defer t.asks.Unlock()
+	tickets := make(map[string]string)
+	valid := adviceRetry
+	for chunk := range slices.Chunk(instances, mostAsked) {
+		ctx, cancel := context.WithTimeout(context.Background(), advicePatience)
+		answer, err := t.d.config.Advisor.Advise(ctx, id.String(), chunk)
+		cancel()
+		if err != nil {
+			t.logger.Warn("no advice; step=%s workers=%d reason=%v", id, len(chunk), err)
+			break
+		}
+		for instance, ticket := range answer.ByInstance {
+			tickets[instance] = ticket
+		}
+		valid = max(adviceRetry, answer.Valid-answer.Valid/adviceReserve)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.advised[id] = &advice{tickets: tickets, until: time.Now().Add(valid)}
+	t.wakeUp()
+}
+
+// forgetAdvice drops what is known of a step, after a worker refused its ticket.
+func (t *term) forgetAdvice(id job.TaskID) { delete(t.advised, stepID{id.Job, id.Time, id.Step}) }
+
+// advise adds the tickets of an advised queue to a group.
+func (t *term) advise(g *plan.Group, queue job.Queue) {
+	if queue.Advised && t.d.config.Advisor != nil {
+		g.Tickets = t.ticketsFor(stepID{g.Job.ID(), g.Time, g.Number}, g.Service)
+	}
+}
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
@@ -121,6 +122,7 @@
 		known.saved = max(known.saved, version)
 	}
 	for _, id := range b.removed {
+		maps.DeleteFunc(t.advised, func(s stepID, _ *advice) bool { return s.job == id })
 		delete(t.jobs, id)
 	}
 	for _, r := range b.runs {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -38,6 +38,8 @@
 	Policies Policies
 	Logger   logging.Logger
 	Metrics  *metric.Registry
+	// Advisor knows the workers of advised queues; nil where the platform has none.
+	Advisor Advisor
 }
 
 // Dispatcher leads whenever its process holds the lead.
--- a/internal/dispatch/groups.go
+++ b/internal/dispatch/groups.go
@@ -47,12 +47,14 @@
 		}
 		need := now.Sub(since) + known.job.Remaining(k)
 		objective := known.job.Objective()
-		groups = append(groups, &plan.Group{
+		group := &plan.Group{
 			Job: known.job, Time: k, Number: n, Step: &known.job.Spec().Steps[n], Service: queue.Service,
 			Indexes: waiting, Held: held, Avoid: known.failed, Priority: queue.Priority,
 			Starved: !known.idle.IsZero() && now.Sub(known.idle) > starvedAfter,
 			Slack:   objective - need, Late: lateFactor*objective - need, Work: known.job.Work(k),
-		})
+		}
+		t.advise(group, queue)
+		groups = append(groups, group)
 	}
 	return groups
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -50,7 +50,7 @@
 		checkpoint = ""
 	}
 	orders.Starts = append(orders.Starts, link.Start{
-		Profile: profileOf(p.step, link.NewRun(id, p.run)), Checkpoint: checkpoint,
+		Profile: profileOf(p.step, link.NewRun(id, p.run)), Checkpoint: checkpoint, Ticket: t.ticket(host, id),
 	})
 	orders.Texts[string(id.Job)] = known.job.Spec().Text
 }
@@ -94,3 +94,12 @@
 		s.close()
 	}
 }
+
+// ticket returns what a start on a worker brings for an advised queue, empty where none is known.
+func (t *term) ticket(h job.Host, id job.TaskID) string {
+	known := t.advised[stepID{id.Job, id.Time, id.Step}]
+	if known == nil {
+		return ""
+	}
+	return known.tickets[h.Instance]
+}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -57,7 +57,11 @@
 	if known == nil {
 		return
 	}
-	known.failed[h.worker.Host] = true
+	if host.Refusal(r.Refusal) == host.RefusedAdvice {
+		t.forgetAdvice(id)
+	} else {
+		known.failed[h.worker.Host] = true
+	}
 	if known.job.Unplace(id, r.Number) {
 		t.touch(known)
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -46,6 +46,8 @@
 	wake    chan struct{}
 	done    chan struct{}
 	inputs  kv.Revision
+	// asks keeps calls for advice one after the other; it is taken before mu.
+	asks sync.Mutex
 	// usual is how long a commit usually takes; only the committing goroutine uses it.
 	usual time.Duration
 
@@ -59,6 +61,7 @@
 	agents   map[string]*agent
 	entries  map[string]time.Time
 	dirty    map[job.ID]struct{}
+	advised  map[stepID]*advice
 	pressure *pressure.Model
 	// learned is when what was learned was last stored.
 	learned   time.Time
@@ -71,7 +74,7 @@
 		d: d, epoch: epoch, lease: lease, store: d.config.Store, logger: d.logger, started: time.Now(),
 		wake: make(chan struct{}, 1), done: make(chan struct{}), committed: make(chan struct{}),
 		jobs: make(map[job.ID]*tracked), hosts: make(map[job.Host]*hosted), agents: make(map[string]*agent),
-		entries: make(map[string]time.Time), dirty: make(map[job.ID]struct{}),
+		entries: make(map[string]time.Time), dirty: make(map[job.ID]struct{}), advised: make(map[stepID]*advice),
 		pressure: pressure.NewModel(),
 	}
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -40,8 +40,13 @@
 		Store: relay.New(p.store, p.pool), Pool: p.pool, Policies: e.policies, Lead: e.lead,
 		Logger: p.logger.Part("intake"), Metrics: p.metrics,
 	})
+	var advisor dispatch.Advisor
+	if address := p.settings.Advice(); address != "" {
+		advisor = platform.NewAdvice(address)
+	}
 	e.dispatcher = dispatch.New(dispatch.Config{
-		Node: p.settings.ID(), Boot: p.boot, Address: p.settings.PeerAddress(), Strength: p.settings.Strength(),
+		Advisor: advisor,
+		Node:    p.settings.ID(), Boot: p.boot, Address: p.settings.PeerAddress(), Strength: p.settings.Strength(),
 		Store: p.store, Lead: e.lead, Policies: e.policies, Logger: p.logger.Part("dispatch"), Metrics: p.metrics,
 	})
 	e.dispatcher.Register(p.mux)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -41,6 +41,7 @@
 	Neighbors string `yaml:"neighbors"`
 	Worker    string `yaml:"worker"`
 	Store     string `yaml:"store"`
+	Advice    string `yaml:"advice"`
 	// GraceSeconds is how long after SIGTERM the process is killed.
 	GraceSeconds float64 `yaml:"grace_s"`
 	Log          string  `yaml:"log"`
@@ -106,6 +107,9 @@
 	} else {
 		needed["worker"] = f.Worker
 	}
+	if f.Advice != "" {
+		needed["advice"] = f.Advice
+	}
 	for name, address := range needed {
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			return fault.New(fault.BadInput, "%s is %q; give an IP number and a port", name, address)
@@ -168,5 +172,8 @@
 	return time.Duration(s.file.GraceSeconds * float64(time.Second))
 }
 
+// Advice returns the address of the service that advises queues, empty where there is none.
+func (s *Settings) Advice() string { return s.file.Advice }
+
 // LogLevel returns the lowest level that is logged.
 func (s *Settings) LogLevel() string { return s.file.Log }
--- a/internal/plan/group.go
+++ b/internal/plan/group.go
@@ -19,6 +19,8 @@
 	Held    map[job.Host]int
 	// Avoid names workers on which a task of the group failed or was rejected a moment ago.
 	Avoid map[job.Host]bool
+	// Tickets are the workers that may run the step at all, with what a start there brings; nil where all may.
+	Tickets map[job.Host]string
 	// Starved says that nothing of the job runs; then one task is placed even where it presses on what serves.
 	Starved bool
 	// Priority 0 goes first. Slack is the time left before the objective is missed if all goes well from now on,
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -94,7 +94,10 @@
 // admits reports whether a task of the step may run here by its labels and room.
 func (w *Worker) admits(g *Group) bool {
 	step := g.Step
+	_, advised := g.Tickets[w.Host]
 	switch {
+	case g.Tickets != nil && !advised:
+		return false
 	case !w.Open || w.Trials == 0 || w.Service != g.Service:
 		return false
 	case step.Requires != "" && !slices.Contains(w.Labels, step.Requires):
