--- /dev/null
+++ b/internal/dispatch/fakes_test.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/policy"
+)
+
+type noPolicies struct{}
+
+func (noPolicies) Newest() *policy.Policy { return nil }
+func (noPolicies) Offer() link.Offer      { return link.Offer{} }
+func (noPolicies) Take(link.Offer)        {}
+
+// fakeWorker judges what it is told like the platform's worker, and notes what must never happen.
+type fakeWorker struct {
+	instance string
+	fence    uint64
+	running  map[string]fakeRun
+	// latest is the highest run of each task that was here, alive or not.
+	latest   map[string]int
+	ended    []link.Ended
+	sequence uint64
+}
+
+type fakeRun struct {
+	number int
+	until  time.Time
+	size   job.Size
+}
+
+// fakeAgent follows one lead and passes its orders on when told to.
+type fakeAgent struct {
+	vm        string
+	epoch     uint64
+	permitted time.Time
+	seen      uint64
+	mail      []link.Orders
+	worker    *fakeWorker
+	lives     int
+	rejected  []link.Rejected
+	// dead is the highest run of each task that the agent refused.
+	dead map[string]int
+}
+
+// mailbox is the session between a lead and an agent.
+type mailbox struct{ agent *fakeAgent }
+
+func (m mailbox) send(orders link.Orders) error {
+	m.agent.mail = append(m.agent.mail, orders)
+	return nil
+}
+
+func (m mailbox) close() {}
+
+func (a *fakeAgent) revive() {
+	a.lives++
+	a.seen = 0
+	a.rejected = nil
+	a.dead = make(map[string]int)
+	a.worker = &fakeWorker{
+		instance: fmt.Sprintf("%s-%d", a.vm, a.lives), running: make(map[string]fakeRun), latest: make(map[string]int),
+	}
+}
+
+// forsake drops all orders, since the lead may have given their runs up when the permission was over.
+func (a *fakeAgent) forsake() {
+	for _, orders := range a.mail {
+		for _, s := range orders.Starts {
+			a.dead[s.Task] = max(a.dead[s.Task], s.Number)
+		}
+	}
+	a.mail = nil
+}
+
+func (f *fakeWorker) room(t *rapid.T) {
+	var used job.Size
+	for _, run := range f.running {
+		used = used.Plus(run.size)
+	}
+	if !used.Fits(testCapacity) {
+		t.Fatalf("%s holds %v of %v", f.instance, used, testCapacity)
+	}
+}
+
+func (f *fakeWorker) expire() {
+	for _, name := range sortedKeys(f.running) {
+		if time.Now().After(f.running[name].until) {
+			f.end(name, job.EndLapsed)
+		}
+	}
+}
+
+func (f *fakeWorker) end(name string, end job.End) {
+	f.sequence++
+	f.ended = append(f.ended, link.Ended{Run: link.Run{Task: name, Number: f.running[name].number}, Sequence: f.sequence, End: int(end)})
+	delete(f.running, name)
+}
+
+func (a *fakeAgent) stop(r link.Run) {
+	a.worker.expire()
+	run, runs := a.worker.running[r.Task]
+	switch {
+	case runs && run.number == r.Number:
+		a.worker.end(r.Task, job.EndStopped)
+	case !slices.ContainsFunc(a.worker.ended, func(e link.Ended) bool { return e.Run == r }):
+		a.worker.latest[r.Task] = max(a.worker.latest[r.Task], r.Number)
+		a.rejected = append(a.rejected, link.Rejected{Run: r, Refusal: 2})
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
