A VM that died with the lead is shown as silent by the next one

Cause, by reading: the status lists only agents that this lead has heard, so a VM that dies together with the lead is missing although tasks are placed there. A unit test failed first. Ruled out: the list of VMs (goneInstances counts such a VM already).

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -154,3 +154,21 @@
 		assert.Equal(t, sum, total)
 	}
 }
+
+// TestWorkerThatDiedWithTheLastLeadIsShownAsSilent failed without a line for vm-2.
+func TestWorkerThatDiedWithTheLastLeadIsShownAsSilent(t *testing.T) {
+	l := begin(t, memory{}, "vm-1")
+	change(t, l, func(d *cell.Document) error {
+		d.Submit(cell.NewJob("job", "mailing", "", 1, time.Now()))
+		_, err := d.Assign(task.NewID("job", 0), "vm-2", resource.New(500, 10, 0))
+		return err
+	})
+	d, _, _ := l.document.Current()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	statuses := l.workerStatuses(d, time.Now())
+	assert.Equal(t, len(statuses), 1)
+	assert.Equal(t, statuses[0].Instance, "vm-2")
+	assert.Equal(t, statuses[0].State, "silent")
+	assert.Equal(t, statuses[0].Tasks, 1)
+}
--- a/internal/lead/status.go
+++ b/internal/lead/status.go
@@ -33,7 +33,8 @@
 	}, nil
 }
 
-// workerStatuses describes the workers; l.mu is held.
+// workerStatuses describes the workers, and those that this lead never heard of but that have tasks, as a VM has that
+// died with the lead before; l.mu is held.
 func (l *Lead) workerStatuses(d *cell.Document, now time.Time) []control.WorkerStatus {
 	committed := make(map[string]resource.Vector)
 	tasks := make(map[string]int)
@@ -50,6 +51,15 @@
 			Accelerators: a.capacity.Accelerators(),
 		})
 	}
+	for instance, count := range tasks {
+		if _, heard := l.agents[instance]; instance == "" || heard {
+			continue
+		}
+		statuses = append(statuses, control.WorkerStatus{
+			Instance: instance, State: l.state(instance, &agentView{}, now), Tasks: count, Committed: committed[instance].String(),
+			HeardMillis: now.Sub(l.began).Milliseconds(),
+		})
+	}
 	slices.SortFunc(statuses, func(a, b control.WorkerStatus) int { return strings.Compare(a.Instance, b.Instance) })
 	return statuses
 }
