A lead that is cut from the store, but not from its agents, loses its cell

Now answers to beats and subscriptions say that the lease has lapsed; agents and entries then ask the store, and leave the lead if it says that it no longer holds the cell. Without the store's answer they stay.

--- a/internal/agent/uplink.go
+++ b/internal/agent/uplink.go
@@ -34,7 +34,7 @@
 func (a *Agent) uplinkLoop(ctx context.Context) error {
 	wait := searchFirst
 	for ctx.Err() == nil {
-		peer, err := a.findLead(ctx)
+		peer, address, err := a.findLead(ctx)
 		if err != nil {
 			a.Logger.Debug("no lead yet: %v", err)
 			store.Pause(ctx, wait/2+time.Duration(rand.Int64N(int64(wait))))
@@ -42,29 +42,32 @@
 			continue
 		}
 		wait = searchFirst
-		a.beatLoop(ctx, peer)
+		a.beatLoop(ctx, peer, address)
 		peer.Close()
 	}
 	return ctx.Err()
 }
 
-// findLead connects to the holder of the cell's lease; where nobody holds it, the agent tries to.
-func (a *Agent) findLead(ctx context.Context) (*rpc.Peer, error) {
+// findLead connects to the holder of the cell's lease and returns its address too; where nobody holds it, the agent
+// tries to.
+func (a *Agent) findLead(ctx context.Context) (*rpc.Peer, string, error) {
 	name := lead.LeaseName(a.cell())
 	held, err := a.Store.Holder(ctx, name)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
-	if held.Holder() == "" {
+	address := held.Holder()
+	if address == "" {
 		if err := a.campaign(ctx); err != nil {
-			return nil, err
+			return nil, "", err
 		}
-		return a.dial(ctx, a.Address)
+		address = a.Address
 	}
-	if held.Holder() == a.Address && !a.leads() {
-		return nil, fault.New(fault.Unavailable, "the lease is this address's, from before")
+	if address == a.Address && !a.leads() {
+		return nil, "", fault.New(fault.Unavailable, "the lease is this address's, from before")
 	}
-	return a.dial(ctx, held.Holder())
+	peer, err := a.dial(ctx, address)
+	return peer, address, err
 }
 
 func (a *Agent) cell() string { return vmlist.Cell(a.Hall, a.Rack) }
@@ -119,15 +122,15 @@
 	}
 }
 
-// beatLoop beats until the lead no longer answers.
-func (a *Agent) beatLoop(ctx context.Context, peer *rpc.Peer) {
+// beatLoop beats until the lead no longer answers, or has lost its lease.
+func (a *Agent) beatLoop(ctx context.Context, peer *rpc.Peer, address string) {
 	a.mu.Lock()
 	a.sent = sentState{}
 	a.mu.Unlock()
 	introduce := true
 	failures := 0
 	for ctx.Err() == nil {
-		known, err := a.beat(ctx, peer, introduce)
+		known, err := a.beat(ctx, peer, address, introduce)
 		switch {
 		case err == nil:
 			introduce, failures = !known, 0
@@ -158,7 +161,7 @@
 	}
 }
 
-func (a *Agent) beat(ctx context.Context, peer *rpc.Peer, introduce bool) (bool, error) {
+func (a *Agent) beat(ctx context.Context, peer *rpc.Peer, address string, introduce bool) (bool, error) {
 	message, sent := a.compose(introduce)
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
@@ -169,7 +172,10 @@
 	if !answer.Known {
 		return false, nil
 	}
-	return true, a.takeAnswer(ctx, peer, answer, sent)
+	if err := a.takeAnswer(ctx, peer, answer, sent); err != nil || !answer.Lapsed {
+		return true, err
+	}
+	return true, lead.Superseded(ctx, a.Store, a.cell(), address)
 }
 
 // takeAnswer acts on the answer to a beat, unless it is of a lead of the past, which may know less than the next.
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -124,7 +124,7 @@
 	}
 	defer peer.Close()
 	for ctx.Err() == nil {
-		if err := f.ask(ctx, cell, peer); err != nil {
+		if err := f.ask(ctx, cell, peer, held.Holder()); err != nil {
 			return err
 		}
 		select {
@@ -137,7 +137,8 @@
 	return ctx.Err()
 }
 
-func (f *Follower) ask(ctx context.Context, cell string, peer *rpc.Peer) error {
+// ask renews the subscription; a lead that has lost its lease is left.
+func (f *Follower) ask(ctx context.Context, cell string, peer *rpc.Peer, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, subscribeTimeout)
 	defer cancel()
 	answer, err := rpc.Call[control.Subscribe, control.SubscribeAnswer](ctx, peer, control.MethodSubscribe,
@@ -150,5 +151,8 @@
 	}
 	f.Catalog.TakeLoad(cell, answer.Load)
 	f.Catalog.SetPeer(cell, peer)
+	if answer.Lapsed {
+		return lead.Superseded(ctx, f.Store, cell, address)
+	}
 	return nil
 }
--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -108,6 +108,8 @@
 	Epoch   uint64   `json:"e,omitempty"`
 	Desired *Desired `json:"d,omitempty"`
 	Acked   []Run    `json:"a,omitempty"`
+	// Lapsed says that the lead's lease has lapsed, so that another may lead by now.
+	Lapsed bool `json:"x,omitempty"`
 }
 
 // Desired is what an agent is to run: all of it, or what changed since a position that the agent has.
--- a/internal/control/cell.go
+++ b/internal/control/cell.go
@@ -11,6 +11,8 @@
 type SubscribeAnswer struct {
 	Load    Load     `json:"load"`
 	Summary *Summary `json:"summary,omitempty"`
+	// Lapsed says that the lead's lease has lapsed, so that another may lead by now.
+	Lapsed bool `json:"lapsed,omitempty"`
 }
 
 // Load is what entries need to choose the cell of a job.
--- a/internal/lead/beat.go
+++ b/internal/lead/beat.go
@@ -25,7 +25,7 @@
 		l.mu.Unlock()
 		return control.BeatAnswer{Known: false}, nil
 	}
-	answer, ended := control.BeatAnswer{Known: true, Epoch: l.epoch}, []*operation(nil)
+	answer, ended := control.BeatAnswer{Known: true, Epoch: l.epoch, Lapsed: !l.holds(now)}, []*operation(nil)
 	// A lead whose lease has lapsed may know less than the next, so it decides nothing.
 	if l.holds(now) {
 		answer.Acked, ended = l.readReports(d, a, &beat)
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -172,3 +172,51 @@
 	assert.Equal(t, statuses[0].State, "silent")
 	assert.Equal(t, statuses[0].Tasks, 1)
 }
+
+// holderStore is a store that names a holder of each lease, or fails.
+type holderStore struct {
+	memory
+	holder string
+	err    error
+}
+
+func (h holderStore) Holder(context.Context, string) (store.Lease, error) {
+	return store.NewLease(h.holder, time.Second), h.err
+}
+
+// TestLeadWithoutItsLeaseSaysSo: a lead that was cut from the store, but not from its agents, held its cell for good.
+func TestLeadWithoutItsLeaseSaysSo(t *testing.T) {
+	l := begin(t, memory{}, "vm-1")
+	profile := &control.Profile{Agent: "vm-2", Hall: "h", Rack: 0}
+	entry := &rpc.Peer{}
+	l.subscribers[entry] = struct{}{}
+	for _, lapsed := range []bool{false, true} {
+		if lapsed {
+			l.prolonged(time.Now().Add(-2*time.Hour), store.NewLease("vm-1", time.Hour))
+		}
+		answer, err := l.Beat(t.Context(), nil, control.Beat{Instance: "vm-2", Boot: "b", Profile: profile})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Lapsed, lapsed)
+		subscribed, err := l.Subscribe(t.Context(), entry, control.Subscribe{})
+		assert.NilError(t, err)
+		assert.Equal(t, subscribed.Lapsed, lapsed)
+	}
+}
+
+func TestSupersededOnlyWhereTheStoreSaysSo(t *testing.T) {
+	cases := []struct {
+		name       string
+		store      holderStore
+		superseded bool
+	}{
+		{"another holds the lease", holderStore{holder: "b"}, true},
+		{"nobody holds the lease", holderStore{}, true},
+		{"the lead holds it again", holderStore{holder: "a"}, false},
+		{"the store does not answer", holderStore{err: fault.New(fault.Unavailable, "down")}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, fault.Is(Superseded(t.Context(), c.store, "h-0", "a"), fault.Stale), c.superseded)
+		})
+	}
+}
--- a/internal/lead/lease.go
+++ b/internal/lead/lease.go
@@ -88,4 +88,14 @@
 	}
 }
 
+// Superseded returns an error of kind Stale where the store says that a lead at an address, whose lease has lapsed, no
+// longer holds the lease of its cell; a store that does not answer says nothing.
+func Superseded(ctx context.Context, s store.Store, cellName, address string) error {
+	held, err := s.Holder(ctx, LeaseName(cellName))
+	if err != nil || held.Holder() == address {
+		return nil //nolint:nilerr // without the store's answer the lead stays the best that is known
+	}
+	return fault.New(fault.Stale, "the lease of %s is no longer %s's", cellName, address)
+}
+
 func versionText(version uint64) string { return "table version " + strconv.FormatUint(version, 10) }
--- a/internal/lead/summary.go
+++ b/internal/lead/summary.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/control"
 	"github.com/saffronpulley/saffronpulley/internal/resource"
@@ -21,9 +22,9 @@
 		l.subscribers[p] = struct{}{}
 		go l.unsubscribe(p)
 	}
-	summary, load := l.summary, l.load()
+	summary := l.summary
+	answer := control.SubscribeAnswer{Load: l.load(), Lapsed: !l.holds(time.Now())}
 	l.mu.Unlock()
-	answer := control.SubscribeAnswer{Load: load}
 	if s.Seen != summary.Position {
 		answer.Summary = &summary
 	}
