Headrooms in place of levels; serving tasks of one image are packed together

What binds the grown sites, seen by a load line that the lead now logs every two seconds: hundreds of filling tasks wait while 900 of 2,304 cores are idle, since each seems to harm somebody everywhere. Cause 1: the model. It took the logarithm of tails as a sum over what fills. Now a Kalman filter over headrooms, with the swing of each serving task followed and its speed learned. Cause 2: nearly all workers hold two or three serving images, and what harms one of them is kept away. Serving tasks now go to the fuller worker of their image.

--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -13,16 +13,17 @@
 const (
 	// sampleEvery is the shortest time between two samples of a worker, whose figures are over half a second.
 	sampleEvery = 450 * time.Millisecond
-	// newest is the weight of the newest sample in a serving task's base level: its load swings within seconds.
-	newest = 0.3
-	// slows is the rise of a level by a whole worker's worth of an image from which on a pair counts as harmful.
-	slows = 0.4
+	// aheadOf is how far ahead a placement looks at what serves: about half of the time that a task that fills takes.
+	aheadOf = time.Second
 	// weightSteps divides 1 into the steps in which weights are told to agents.
-	weightSteps = 100
-	// unknownBase is the level that a serving task is taken to have before its first figure.
-	unknownBase = -0.8
+	weightSteps = 10
+	// swingSteps does the same for the speed of swings.
+	swingSteps = 100
 )
 
+// round returns a number with so many steps to 1, which keeps messages short.
+func round(number, steps float64) float64 { return math.Round(number*steps) / steps }
+
 // sample teaches the model from the figures of a worker.
 func (t *term) sample(h *hosted, r link.Report) {
 	now := time.Now()
@@ -31,7 +32,7 @@
 	}
 	h.sampled = now
 	use := make(map[string]float64)
-	levels := make(map[*placed]float64)
+	var serving []*placed
 	for _, running := range r.Running {
 		id, ok := running.TaskID()
 		p := h.runs[id]
@@ -41,42 +42,41 @@
 		switch {
 		case p.step.Fills:
 			use[p.step.Image] += float64(running.Figure) / float64(h.worker.Capacity.CPU)
-		case p.step.Serves() && running.Figure > 0:
-			levels[p] = pressure.Level(float64(running.Figure), float64(p.step.Target.Milliseconds()))
+		case p.step.Serves() && running.Figure > 0 && !p.stopping:
+			serving = append(serving, p)
 		}
 	}
-	for p, level := range levels {
-		t.pressure.Observe(p.step.Image, use, level)
-		p.settle(level - t.pressure.Rise(p.step.Image, use))
+	felt := pressure.Mean(h.used, use)
+	h.used = use
+	alike := make(map[string]int)
+	for _, p := range serving {
+		alike[p.step.Image]++
 	}
-}
-
-// settle takes a sample of the base level.
-func (p *placed) settle(base float64) {
-	if !p.known {
-		p.base, p.known = base, true
-		return
+	for _, p := range serving {
+		target := float64(p.step.Target.Milliseconds())
+		headroom := pressure.Headroom(float64(p.figure), target)
+		t.pressure.Observe(now, pressure.Sample{
+			Image: p.step.Image, Task: &p.track, Headroom: headroom, Variance: pressure.Blur(headroom, target), Alike: alike[p.step.Image],
+		}, felt)
 	}
-	p.base += newest * (base - p.base)
 }
 
-// serving returns the tasks that serve on a worker with their levels.
+// serving returns the tasks that serve on a worker with their headrooms.
 func (h *hosted) serving() []plan.Served {
+	at := time.Now().Add(aheadOf)
 	var served []plan.Served
-	for _, p := range h.runs {
+	for _, id := range h.runsInOrder() {
+		p := h.runs[id]
 		if !p.step.Serves() {
 			continue
 		}
-		base := unknownBase
-		if p.known {
-			base = p.base
-		}
-		served = append(served, plan.Served{Image: p.step.Image, Base: base})
+		headroom, deviation := p.track.Ahead(at)
+		served = append(served, plan.Served{Image: p.step.Image, Headroom: headroom, Deviation: deviation})
 	}
 	return served
 }
 
-// presses returns by how much each image that fills a worker slows each serving image there.
+// presses returns by how much each image that fills a worker lowers the headroom of each serving image there.
 func (t *term) presses(host job.Host) map[string]map[string]float64 {
 	h := t.hosts[host]
 	if h == nil {
@@ -95,9 +95,8 @@
 	for f := range filling {
 		found[f] = make(map[string]float64)
 		for s := range serving {
-			if weight, _ := t.pressure.Weight(s, f); weight >= slows {
-				found[f][s] = math.Round(weight*weightSteps) / weightSteps
-			}
+			weight, _ := t.pressure.Weight(s, f)
+			found[f][s] = round(weight, weightSteps)
 		}
 	}
 	return found
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -6,6 +6,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/plan"
+	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
 
 // hosted is one life of a worker and what is placed there.
@@ -14,8 +15,10 @@
 	runs   map[job.TaskID]*placed
 	// draining says that the worker leaves, and all that runs there with it.
 	draining bool
-	// sampled is when the figures were last taken into account.
+	// sampled is when the figures were last taken into account, used what each image that fills used by them, in shares of
+	// the worker.
 	sampled time.Time
+	used    map[string]float64
 	// failures counts runs that ended as failed since the last that was done.
 	failures int
 }
@@ -30,13 +33,14 @@
 	stopping  bool
 	stopSent  time.Time
 	percent   int
-	moved     time.Time
+	// figure is the latest: the tail in milliseconds of a task that serves, else the thousandths of a core in use.
+	figure int
+	moved  time.Time
 	// pace is the pace in percent of a task that fills, slow since when it has been below slowPace.
 	pace int
 	slow time.Time
-	// base is the level of a serving task without what fills beside it, as it was lately.
-	base  float64
-	known bool
+	// track follows the headroom of a task that serves.
+	track pressure.Track
 }
 
 // host returns what is known of a life of a worker, with an empty record of one that is new.
--- /dev/null
+++ b/internal/dispatch/load.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/pacing"
+	"github.com/saffronpulley/saffronpulley/internal/plan"
+)
+
+// loadEvery is how often the lead logs its load: often enough to see a wave of work, and one line in two seconds costs nothing.
+const loadEvery = 2 * time.Second
+
+// load sums up what waits, what runs and what the workers have left.
+type load struct {
+	waitingShort, waitingLasting, waitingBatch int
+	// cores are thousandths of a core: of the workers, declared by what serves, asked for and in use by what fills.
+	capacity, serving, asked, used int
+	// filling counts the tasks that fill, slowed those of them that are paced down, over the serving tasks over their targets.
+	filling, slowed, served, over int
+	batchJobs                     int
+}
+
+// logLoad logs the load now and then.
+func (t *term) logLoad(groups []*plan.Group) {
+	if time.Since(t.loadLogged) < loadEvery {
+		return
+	}
+	t.loadLogged = time.Now()
+	var l load
+	batch := make(map[job.ID]bool)
+	for _, g := range groups {
+		switch {
+		case g.Step.Lasting:
+			l.waitingLasting += len(g.Indexes)
+		case g.Step.Fills:
+			l.waitingBatch += len(g.Indexes)
+			batch[g.Job.ID()] = true
+		default:
+			l.waitingShort += len(g.Indexes)
+		}
+	}
+	l.batchJobs = len(batch)
+	for _, h := range t.hosts {
+		l.add(h)
+	}
+	t.logger.Info("load; workers=%d waiting_short=%d waiting_lasting=%d waiting_batch=%d of_jobs=%d cores=%d serving=%d "+
+		"filling_tasks=%d slowed=%d asked=%d used=%d served=%d over=%d",
+		len(t.hosts), l.waitingShort, l.waitingLasting, l.waitingBatch, l.batchJobs, l.capacity/thousandths, l.serving/thousandths,
+		l.filling, l.slowed, l.asked/thousandths, l.used/thousandths, l.served, l.over)
+}
+
+// thousandths is how many parts of a core a size counts.
+const thousandths = 1000
+
+func (l *load) add(h *hosted) {
+	l.capacity += h.worker.Capacity.CPU
+	l.serving += h.worker.Serving
+	for _, p := range h.runs {
+		switch {
+		case p.step.Fills:
+			l.filling++
+			l.asked += p.step.Size.CPU
+			l.used += p.figure
+			if p.pace < pacing.Full {
+				l.slowed++
+			}
+		case p.step.Serves():
+			l.served++
+			if p.figure > int(p.step.Target.Milliseconds()) {
+				l.over++
+			}
+		}
+	}
+}
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -67,8 +67,10 @@
 		h.weigh()
 		workers = append(workers, &h.worker)
 	}
-	t.relocate(workers)
-	for _, p := range plan.Make(workers, groups, t.pressure) {
+	t.logLoad(groups)
+	planner := plan.New(workers, t.pressure)
+	t.relocate(planner)
+	for _, p := range planner.Make(groups) {
 		known := t.jobs[p.Task.Job]
 		run := known.job.Place(p.Task, p.Host, p.Run)
 		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now(), pace: pacing.Full}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -112,6 +112,7 @@
 	if known := t.jobs[id.Job]; known != nil {
 		known.job.Save(id, r.Number, r.Checkpoint)
 	}
+	p.figure = r.Figure
 	p.paced(r.Pace)
 	if r.Percent != p.percent || r.Pace < steadyPace {
 		p.percent, p.moved = r.Percent, time.Now()
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -46,7 +46,7 @@
 }
 
 // relocate stops some tasks that are paced down and save their progress, where another worker would suit them.
-func (t *term) relocate(workers []*plan.Worker) {
+func (t *term) relocate(planner *plan.Planner) {
 	moves := 0
 	for _, h := range t.hostsInOrder() {
 		host := h.worker.Host
@@ -55,7 +55,7 @@
 				return
 			}
 			p := h.runs[id]
-			if !t.stuckSlow(id, p) || !t.suitsElsewhere(workers, host, id, p) {
+			if !t.stuckSlow(id, p) || !t.suitsElsewhere(planner, host, id, p) {
 				continue
 			}
 			moves++
@@ -67,13 +67,13 @@
 }
 
 // suitsElsewhere reports whether another worker than its own would suit a task.
-func (t *term) suitsElsewhere(workers []*plan.Worker, host job.Host, id job.TaskID, p *placed) bool {
+func (t *term) suitsElsewhere(planner *plan.Planner, host job.Host, id job.TaskID, p *placed) bool {
 	known := t.jobs[id.Job]
 	group := &plan.Group{
 		Job: known.job, Time: id.Time, Number: id.Step, Step: p.step, Service: t.queueOf(known).Service,
 		Held: map[job.Host]int{}, Avoid: map[job.Host]bool{host: true},
 	}
-	return plan.Suits(workers, group, t.pressure)
+	return planner.Suits(group)
 }
 
 // stuckSlow reports whether a task has been paced down for long and loses little by a move.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -32,7 +32,7 @@
 	a := t.hear(s, r)
 	needed, taken := t.reconcile(a, r)
 	answer.Profiles = t.profiles(r.Unknown)
-	answer.Presses = t.presses(a.host)
+	answer.Presses, answer.Swing = t.presses(a.host), round(t.pressure.Swing(), swingSteps)
 	t.mu.Unlock()
 	t.wakeUp()
 	saved := taken && t.awaitSaved(needed)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -63,10 +63,11 @@
 	dirty    map[job.ID]struct{}
 	advised  map[stepID]*advice
 	pressure *pressure.Model
-	// learned is when what was learned was last stored.
-	learned   time.Time
-	relock    bool
-	committed chan struct{}
+	// learned is when what was learned was last stored, loadLogged when the load was last logged.
+	learned    time.Time
+	loadLogged time.Time
+	relock     bool
+	committed  chan struct{}
 }
 
 func newTerm(d *Dispatcher, epoch uint64, lease kv.LeaseID) *term {
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -89,8 +89,10 @@
 	Doubtful bool      `json:"doubtful,omitempty"`
 	Entries  []string  `json:"entries,omitempty"`
 	Profiles []Profile `json:"profiles,omitempty"`
-	// Presses tells, by each image that fills the worker, by how much it slows each serving image there.
+	// Presses tells, by each image that fills the worker, by how much it lowers the headroom of each serving image there;
+	// Swing is how fast the loads of serving tasks swing, in radians a second.
 	Presses map[string]map[string]float64 `json:"presses,omitempty"`
+	Swing   float64                       `json:"swing,omitempty"`
 }
 
 // Profile is what an agent has to know of a run beside its name.
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -15,60 +15,29 @@
 	rounds = 4
 	// mustNot is what it is worth that a task which was over for long is not over any more: more than all that fills.
 	mustNot = 50.0
-	// leastWeight is the weight below which a pair is taken as harmless.
-	leastWeight = 0.2
 )
 
 // choices are the paces that are weighed; the harm grows faster than the work, so that many tasks at a low pace may be better than one.
 var choices = []int{Full, 75, 50, 30, 15, Least}
 
-// Served is a task that serves: its level, and by how much each filling image raises it where it uses a whole worker.
+// Served is a task that serves: the headroom that it likely has soon without neighbors, its standard deviation, and by how
+// much each filling image lowers it where it uses a whole worker.
 type Served struct {
-	Level   float64
-	Weights map[string]float64
+	Headroom  float64
+	Deviation float64
+	Weights   map[string]float64
 	// Long says that it has been over its target for so long that what is known to slow it must give way, Longer that all
 	// must.
 	Long   bool
 	Longer bool
 }
 
-// Filling is an image that fills: the share of the worker that it uses now, and would use at full pace.
+// Filling is an image that fills: the share of the worker that it would use at full pace.
 type Filling struct {
 	Image string
-	Use   float64
 	Whole float64
 }
 
-// usualLevel is the level of a serving task at a usual load without neighbors: a little over half of its target.
-const usualLevel = -0.6
-
-// Explain raises the weights of a task that is near or over its target until they explain by how much it is above the
-// usual level, since what is learned lags behind what happens.
-func Explain(s Served, filling []Filling) Served {
-	caused := 0.0
-	for _, f := range filling {
-		if s.Weights[f.Image] >= leastWeight {
-			caused += s.Weights[f.Image] * f.Use
-		}
-	}
-	excess := s.Level - usualLevel
-	if s.Level < nearTarget || caused <= 0 || caused >= excess {
-		return s
-	}
-	raised := make(map[string]float64, len(s.Weights))
-	for image, weight := range s.Weights {
-		raised[image] = weight * min(excess/caused, mostRaise)
-	}
-	return Served{Level: s.Level, Weights: raised, Long: s.Long, Longer: s.Longer}
-}
-
-const (
-	// nearTarget is the level from which a task counts as near its target.
-	nearTarget = -0.1
-	// mostRaise bounds by how much the weights are raised.
-	mostRaise = 5
-)
-
 // Reckon returns the pace of each filling image in percent, such that the work done outweighs the harm to what serves by
 // as much as possible.
 func Reckon(served []Served, filling []Filling) map[string]int {
@@ -128,22 +97,12 @@
 		total += f.at(paces[i]) / pressure.WorthOfOver
 	}
 	for _, s := range served {
-		rise, caused := 0.0, 0.0
+		pressed := 0.0
 		for i, f := range filling {
-			weight := s.Weights[f.Image]
-			if weight < leastWeight {
-				continue
-			}
-			felt := weight * f.at(paces[i])
-			rise += felt - weight*f.Use
-			caused += felt
-		}
-		if caused == 0 {
-			continue
+			pressed += s.Weights[f.Image] * f.at(paces[i])
 		}
 		// Only what fills is held against it: what would be over without it as well costs nothing more.
-		level := s.Level + rise
-		harm := pressure.ChanceOver(level) - pressure.ChanceOver(level-caused)
+		harm := pressure.ChanceOver(s.Headroom-pressed, s.Deviation) - pressure.ChanceOver(s.Headroom, s.Deviation)
 		if s.Long {
 			harm *= mustNot
 		}
--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -11,7 +11,7 @@
 const mostHarm = 0.2
 
 // gain returns what a filling task is worth on a worker beyond the harm that it does there, and whether it suits.
-func (p planner) gain(w *Worker, g *Group) (float64, bool) {
+func (p *Planner) gain(w *Worker, g *Group) (float64, bool) {
 	worth := w.share(g.Step.Size.CPU) / pressure.WorthOfOver
 	harm := w.press(g.Step, p.pressure)
 	crowded := w.Spare() < g.Step.Size.CPU && w.Filling > 0
@@ -20,18 +20,20 @@
 
 // Weights of a placement's cost, in shares of a worker's processors: what is avoided goes last of all, data that
 // lies elsewhere costs more than any crowding, and the gain of a task that fills over the harm that it does goes before that.
-// Serving tasks of one image suffer from the same neighbors, so they are kept together while the crowding is alike.
+// Serving tasks of one image suffer from the same neighbors, so they are packed onto the same workers: what fills harms few
+// of them then, and finds workers that it does not harm.
 const (
 	avoidedCost = 10.0
 	farCost     = 2.0
 	gainWeight  = 2.0
-	strangeCost = 1.0
+	strangeCost = 2.0
+	emptyCost   = 1.0
 	// fillingWeight is what a share in use by what fills counts beside one that is taken, for tasks that do not serve.
 	fillingWeight = 0.25
 )
 
 // costOf returns how crowded the worker would be, and whether the task would get anything at all there.
-func (p planner) costOf(w *Worker, g *Group) (float64, bool) {
+func (p *Planner) costOf(w *Worker, g *Group) (float64, bool) {
 	if w.Capacity.CPU == 0 {
 		return 0, false
 	}
@@ -44,9 +46,11 @@
 		}
 		cost = 1 - w.share(w.Spare()) - gainWeight*gain
 	case g.Step.Serves():
-		cost = w.share(w.Used.CPU)
+		cost = 1 - w.share(w.Used.CPU)
 		if w.strange(g.Step.Image) {
 			cost += strangeCost * float64(len(w.Images))
+		} else if w.Serving == 0 {
+			cost += emptyCost
 		}
 	default:
 		cost = w.share(w.Used.CPU) + fillingWeight*w.share(w.Filling)
--- a/internal/plan/gang.go
+++ b/internal/plan/gang.go
@@ -7,7 +7,7 @@
 )
 
 // placeGang places all tasks of a gang or none.
-func (p planner) placeGang(g *Group) []Placement {
+func (p *Planner) placeGang(g *Group) []Placement {
 	if len(g.Indexes) < g.Step.Count {
 		return nil
 	}
@@ -19,7 +19,7 @@
 	return nil
 }
 
-func (p planner) gangOn(workers []*Worker, g *Group) []Placement {
+func (p *Planner) gangOn(workers []*Worker, g *Group) []Placement {
 	run := g.Job.NextGangRun(g.Time, g.Number)
 	var placed []Placement
 	var taken []*Worker
@@ -27,12 +27,12 @@
 		w := p.best(workers, g)
 		if w == nil {
 			for _, t := range taken {
-				g.giveBack(t)
+				p.giveBack(t, g)
 			}
 			return nil
 		}
 		taken = append(taken, w)
-		placed = append(placed, g.take(w, i, run))
+		placed = append(placed, p.take(w, g, i, run))
 	}
 	return placed
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -14,9 +15,25 @@
 	Run  int
 }
 
+// Planner is one plan under way; it takes its choices into account.
+type Planner struct {
+	workers  []*Worker
+	pressure Pressure
+}
+
+// New returns a planner for workers of which nothing is placed yet.
+func New(workers []*Worker, weights Pressure) *Planner {
+	p := &Planner{workers: workers, pressure: weights}
+	for _, w := range workers {
+		for _, image := range slices.Sorted(maps.Keys(w.Fills)) {
+			w.burden(image, w.Fills[image], weights)
+		}
+	}
+	return p
+}
+
 // Make places what waits, most urgent first, and returns the placements in that order.
-func Make(workers []*Worker, groups []*Group, pressure Pressure) []Placement {
-	p := planner{workers: workers, pressure: pressure}
+func (p *Planner) Make(groups []*Group) []Placement {
 	slices.SortStableFunc(groups, before)
 	var placed []Placement
 	for _, g := range groups {
@@ -29,27 +46,39 @@
 	return placed
 }
 
-// planner is one plan under way.
-type planner struct {
-	workers  []*Worker
-	pressure Pressure
-}
-
-func (p planner) placeEach(g *Group) []Placement {
+func (p *Planner) placeEach(g *Group) []Placement {
 	var placed []Placement
 	for _, i := range g.Indexes {
 		w := p.best(p.workers, g)
 		if w == nil {
 			break
 		}
-		placed = append(placed, g.take(w, i, 0))
+		placed = append(placed, p.take(w, g, i, 0))
 		g.Starved = false
 	}
 	return placed
 }
 
+// take places a task of the group on a worker.
+func (p *Planner) take(w *Worker, g *Group, index, run int) Placement {
+	p.burden(w, g, 1)
+	return g.take(w, index, run)
+}
+
+// giveBack undoes take.
+func (p *Planner) giveBack(w *Worker, g *Group) {
+	p.burden(w, g, -1)
+	g.giveBack(w)
+}
+
+func (p *Planner) burden(w *Worker, g *Group, sign float64) {
+	if g.Step.Fills {
+		w.burden(g.Step.Image, sign*w.share(g.Step.Size.CPU), p.pressure)
+	}
+}
+
 // best returns the worker that suits a task of the group best, nil where none may take it.
-func (p planner) best(workers []*Worker, g *Group) *Worker {
+func (p *Planner) best(workers []*Worker, g *Group) *Worker {
 	var chosen *Worker
 	var lowest float64
 	for _, w := range workers {
@@ -65,9 +94,8 @@
 }
 
 // Suits reports whether some worker that the group does not avoid would suit a task of it.
-func Suits(workers []*Worker, g *Group, pressure Pressure) bool {
-	p := planner{workers: workers, pressure: pressure}
-	for _, w := range workers {
+func (p *Planner) Suits(g *Group) bool {
+	for _, w := range p.workers {
 		if g.Avoid[w.Host] || !w.admits(g) {
 			continue
 		}
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"math"
 	"slices"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -41,11 +42,28 @@
 // Served is a task that serves users under a latency target.
 type Served struct {
 	Image string
-	// Base is its level, as package pressure has it, without what fills beside it.
-	Base float64
+	// Headroom is its target over its tail, as package pressure has it, that is likely soon without what fills beside it,
+	// and Deviation the standard deviation of that.
+	Headroom  float64
+	Deviation float64
+	// pressed is by how much what fills lowers the headroom, doubt the variance of that.
+	pressed float64
+	doubt   float64
 }
 
-// Pressure tells how much a filling image raises the level of a serving one where it uses a whole worker.
+// press counts a share of the worker that a filling image of some weight gains, or loses where the share is negative.
+func (s *Served) press(weight, deviation, share float64) {
+	s.pressed += weight * share
+	s.doubt = max(s.doubt+deviation*deviation*share*math.Abs(share), 0)
+}
+
+// chance returns how likely the task is over its target with some more pressure and doubt.
+func (s *Served) chance(pressed, doubt float64) float64 {
+	deviation := math.Sqrt(s.Deviation*s.Deviation + s.doubt + doubt)
+	return pressure.ChanceOver(s.Headroom-s.pressed-pressed, deviation)
+}
+
+// Pressure tells by how much a filling image lowers the headroom of a serving one where it uses a whole worker.
 type Pressure interface {
 	Weight(serving, filling string) (weight, deviation float64)
 }
@@ -108,24 +126,29 @@
 	return step.Room().Fits(w.Free())
 }
 
-// leastRise is the rise of a level below which a pair counts as harmless.
-const leastRise = 0.02
+// leastPress is the loss of headroom below which a pair counts as harmless.
+const leastPress = 0.01
 
 // press returns how many more of the tasks that serve here are likely over their targets by a task of a step beside them.
 func (w *Worker) press(step *job.Step, weights Pressure) float64 {
 	total := 0.0
-	for _, s := range w.Served {
-		weight, _ := weights.Weight(s.Image, step.Image)
-		rise := weight * w.share(step.Size.CPU)
-		if rise < leastRise {
+	share := w.share(step.Size.CPU)
+	for i := range w.Served {
+		s := &w.Served[i]
+		weight, deviation := weights.Weight(s.Image, step.Image)
+		if weight*share < leastPress && deviation*share < leastPress {
 			continue
 		}
-		level := s.Base
-		for image, share := range w.Fills {
-			other, _ := weights.Weight(s.Image, image)
-			level += other * share
-		}
-		total += pressure.ChanceOver(level+rise) - pressure.ChanceOver(level)
+		more := deviation * share
+		total += max(s.chance(weight*share, more*more)-s.chance(0, 0), 0)
 	}
 	return total
 }
+
+// burden counts a share of the worker that a filling image gains or loses.
+func (w *Worker) burden(image string, share float64, weights Pressure) {
+	for i := range w.Served {
+		weight, deviation := weights.Weight(w.Served[i].Image, image)
+		w.Served[i].press(weight, deviation, share)
+	}
+}
--- a/internal/pressure/codec.go
+++ b/internal/pressure/codec.go
@@ -14,6 +14,9 @@
 	_       struct{} `cbor:",toarray"`
 	Columns map[string]int
 	Filters map[string]storedFilter
+	// Product and Square are the sums from which the speed of the swing comes.
+	Product float64
+	Square  float64
 }
 
 type storedFilter struct {
@@ -26,7 +29,10 @@
 func (m *Model) Encode() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	stored := storedModel{Columns: maps.Clone(m.columns), Filters: make(map[string]storedFilter, len(m.filters))}
+	stored := storedModel{
+		Columns: maps.Clone(m.columns), Filters: make(map[string]storedFilter, len(m.filters)),
+		Product: m.swing.product, Square: m.swing.square,
+	}
 	for image, f := range m.filters {
 		var kept storedFilter
 		for i := range f.mean {
@@ -56,12 +62,13 @@
 		}
 		filters[image] = f
 	}
-	if columns := slices.Collect(maps.Values(stored.Columns)); len(columns) > 0 && (slices.Min(columns) < 1 || slices.Max(columns) > mostImages) {
+	if columns := slices.Collect(maps.Values(stored.Columns)); len(columns) > 0 && (slices.Min(columns) < 0 || slices.Max(columns) >= mostImages) {
 		return fault.New(fault.Internal, "the stored pressures name columns from %d to %d", slices.Min(columns), slices.Max(columns))
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.columns, m.filters = make(map[string]int), filters
+	m.swing.product, m.swing.square = stored.Product, stored.Square
 	maps.Copy(m.columns, stored.Columns)
 	return nil
 }
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -7,6 +7,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
 
 // life is what the agent knows of one life of the worker.
@@ -39,8 +40,11 @@
 	adjusted time.Time
 	// over is since when serving tasks have been over their targets.
 	over map[host.Run]time.Time
-	// felt is by how much each image was last taken to slow a serving task.
-	felt map[host.Run]map[string]float64
+	// tracks follow the headrooms of serving tasks; used is the share of the worker that each image that fills used last.
+	tracks map[host.Run]*pressure.Track
+	used   map[string]float64
+	// swing is how fast the loads of serving tasks swing, as the lead tells, 0 before that.
+	swing float64
 }
 
 // order is a start or a stop that is under way, or whose end is still to be told.
@@ -62,7 +66,7 @@
 		report:   report, clock: report.Clock, read: now, answered: now,
 		orders: make(map[host.Run]*order), refused: make(map[job.TaskID]int),
 		profiles: make(map[host.Run]link.Profile), paces: make(map[host.Run]int),
-		over: make(map[host.Run]time.Time), felt: make(map[host.Run]map[string]float64),
+		over: make(map[host.Run]time.Time), tracks: make(map[host.Run]*pressure.Track),
 	}
 }
 
@@ -81,7 +85,7 @@
 		if !present[run] && l.orders[run] == nil {
 			delete(l.profiles, run)
 			delete(l.over, run)
-			delete(l.felt, run)
+			delete(l.tracks, run)
 			delete(l.paces, run)
 		}
 	}
--- a/internal/runner/paces.go
+++ b/internal/runner/paces.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
@@ -16,18 +18,20 @@
 	// way, and before all that fills must. The platform's owners allow some four seconds, and a figure is half a second old.
 	longOver   = 1200 * time.Millisecond
 	longerOver = 2200 * time.Millisecond
-	// fading is what is left of a weight that was felt here from one reckoning to the next: half after some four seconds.
-	fading = 0.93
-	// unknownWeight is what an image is taken to do to serving tasks before the lead has told of it.
-	unknownWeight = 1.0
+	// aheadOf is how far ahead a pace looks: until the next figures show its effect.
+	aheadOf = 500 * time.Millisecond
+	// sureOf is the headroom below which a figure tells nothing of the task's own load.
+	sureOf = 0.3
 )
 
 // adjust sets the pace of what fills, by image, from what the tasks that serve show.
 func (r *Runner) adjust(ctx context.Context, l *life) {
 	if now := time.Now(); now.Sub(l.adjusted) >= adjustEvery && l.report.Capacity.CPU > 0 {
 		l.adjusted = now
-		filling := l.filling()
-		l.wanted = pacing.Reckon(l.served(filling), filling)
+		filling, use := l.filling()
+		felt := pressure.Mean(l.used, use)
+		l.used = use
+		l.wanted = pacing.Reckon(l.served(now, felt, filling), filling)
 	}
 	for _, running := range l.view.Running {
 		p, known := l.profiles[running.Run]
@@ -40,33 +44,26 @@
 	}
 }
 
-// filling returns the images of what fills the worker.
-func (l *life) filling() []pacing.Filling {
-	images := make(map[string]*pacing.Filling)
-	var order []string
+// filling returns the images of what fills the worker, and the share of the worker that each uses.
+func (l *life) filling() ([]pacing.Filling, map[string]float64) {
+	whole, use := make(map[string]float64), make(map[string]float64)
 	for _, running := range l.view.Running {
 		p := l.profiles[running.Run]
 		if !p.Fills {
 			continue
 		}
-		f := images[p.Image]
-		if f == nil {
-			f = &pacing.Filling{Image: p.Image}
-			images[p.Image] = f
-			order = append(order, p.Image)
-		}
-		f.Use += float64(running.Figure) / float64(l.report.Capacity.CPU)
-		f.Whole += float64(p.CPU) / float64(l.report.Capacity.CPU)
+		use[p.Image] += float64(running.Figure) / float64(l.report.Capacity.CPU)
+		whole[p.Image] += float64(p.CPU) / float64(l.report.Capacity.CPU)
 	}
-	filling := make([]pacing.Filling, 0, len(order))
-	for _, image := range order {
-		filling = append(filling, *images[image])
+	filling := make([]pacing.Filling, 0, len(whole))
+	for _, image := range slices.Sorted(maps.Keys(whole)) {
+		filling = append(filling, pacing.Filling{Image: image, Whole: whole[image]})
 	}
-	return filling
+	return filling, use
 }
 
-// served returns what the tasks that serve show.
-func (l *life) served(filling []pacing.Filling) []pacing.Served {
+// served returns what the tasks that serve will likely show, after what they show beside what was used.
+func (l *life) served(now time.Time, felt map[string]float64, filling []pacing.Filling) []pacing.Served {
 	var served []pacing.Served
 	for _, running := range l.view.Running {
 		p := l.profiles[running.Run]
@@ -74,20 +71,41 @@
 			continue
 		}
 		over := l.overFor(running)
-		s := pacing.Served{
-			Level: pressure.Level(float64(running.Figure), float64(p.TargetMillis)), Weights: make(map[string]float64),
-			Long: over > longOver, Longer: over > longerOver,
+		track := l.trackOf(running.Run)
+		track.Follow(l.swing)
+		target := float64(p.TargetMillis)
+		headroom := pressure.Headroom(float64(running.Figure), target)
+		if headroom >= sureOf || !track.Seen() {
+			track.Observe(now, headroom+l.pressed(p.Image, felt), pressure.Blur(headroom, target))
 		}
+		s := pacing.Served{Weights: make(map[string]float64), Long: over > longOver, Longer: over > longerOver}
+		s.Headroom, s.Deviation = track.Ahead(now.Add(aheadOf))
 		for _, f := range filling {
-			s.Weights[f.Image] = l.weight(running.Run, p.Image, f.Image)
+			s.Weights[f.Image] = l.weight(p.Image, f.Image)
 		}
-		s = pacing.Explain(s, filling)
-		l.felt[running.Run] = s.Weights
 		served = append(served, s)
 	}
 	return served
 }
 
+func (l *life) trackOf(run host.Run) *pressure.Track {
+	track := l.tracks[run]
+	if track == nil {
+		track = &pressure.Track{}
+		l.tracks[run] = track
+	}
+	return track
+}
+
+// pressed returns by how much what was used lowers the headroom of a serving image.
+func (l *life) pressed(serving string, use map[string]float64) float64 {
+	sum := 0.0
+	for image, share := range use {
+		sum += l.weight(serving, image) * share
+	}
+	return sum
+}
+
 // overFor returns for how long a serving task has been over its target.
 func (l *life) overFor(running host.Running) time.Duration {
 	if int64(running.Figure) <= l.profiles[running.Run].TargetMillis {
@@ -102,14 +120,12 @@
 	return l.read.Sub(since)
 }
 
-// weight returns by how much an image slows a serving task: what the lead tells, or what was felt here lately.
-func (l *life) weight(run host.Run, serving, filling string) float64 {
-	told, known := l.presses[filling]
-	weight := unknownWeight
-	if known {
-		weight = told[serving]
+// weight returns by how much an image lowers the headroom of a serving one, as the lead tells.
+func (l *life) weight(serving, filling string) float64 {
+	if told, known := l.presses[filling][serving]; known {
+		return told
 	}
-	return max(weight, l.felt[run][filling]*fading)
+	return pressure.PriorWeight
 }
 
 // paceOf returns the pace in percent that was set last.
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -149,7 +149,7 @@
 		l.seen = max(l.seen, answer.Seen)
 	}
 	l.profile(answer.Profiles)
-	l.presses = answer.Presses
+	l.presses, l.swing = answer.Presses, answer.Swing
 	for _, rejected := range report.Rejected {
 		if run, ok := parseRun(rejected.Run); ok && l.orders[run] != nil && l.orders[run].final {
 			delete(l.orders, run)
