Serving images are placed by what slows them, not by name alone

Cause: an image that is new to all workers went to an empty one or anywhere; two images that the same neighbors slow may share a worker at no cost, two others spoil it for all that fills. Clash compares the learned weights of two images.

--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -26,8 +26,8 @@
 	avoidedCost = 10.0
 	farCost     = 2.0
 	gainWeight  = 2.0
-	strangeCost = 2.0
-	emptyCost   = 1.0
+	clashCost   = 2.0
+	emptyCost   = 0.5
 	// fillingWeight is what a share in use by what fills counts beside one that is taken, for tasks that do not serve.
 	fillingWeight = 0.25
 )
@@ -47,11 +47,10 @@
 		cost = 1 - w.share(w.Spare()) - gainWeight*gain
 	case g.Step.Serves():
 		cost = 1 - w.share(w.Used.CPU)
-		if w.strange(g.Step.Image) {
-			cost += strangeCost * float64(len(w.Images))
-		} else if w.Serving == 0 {
+		if w.Serving == 0 {
 			cost += emptyCost
 		}
+		cost += clashCost * w.clash(g.Step.Image, p.pressure)
 	default:
 		cost = w.share(w.Used.CPU) + fillingWeight*w.share(w.Filling)
 	}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -22,6 +22,17 @@
 // Weight implements Pressure.
 func (p pairs) Weight(serving, filling string) (float64, float64) { return p[serving+"/"+filling], 0 }
 
+// Clash implements Pressure: images are alike, or not known to be.
+func (p pairs) Clash(a, b string) float64 {
+	if a == b {
+		return 0
+	}
+	if clash, known := p[a+"|"+b]; known {
+		return clash
+	}
+	return 0.5
+}
+
 // TestScripts plans what the archives describe and compares the placements.
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txtar")
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -36,8 +36,20 @@
 	Images map[string]int
 }
 
-// strange reports whether the worker has serving tasks, but none of an image.
-func (w *Worker) strange(image string) bool { return w.Serving > 0 && w.Images[image] == 0 }
+// clash returns how much a serving image differs from the nearest image that serves here in what slows it, 0 where none
+// does. The nearest counts, since a worker of images that clash is spoiled for what fills already.
+func (w *Worker) clash(image string, weights Pressure) float64 {
+	nearest := math.Inf(1)
+	for other, count := range w.Images {
+		if count > 0 {
+			nearest = min(nearest, weights.Clash(image, other))
+		}
+	}
+	if math.IsInf(nearest, 1) {
+		return 0
+	}
+	return nearest
+}
 
 // Served is a task that serves users under a latency target.
 type Served struct {
@@ -63,9 +75,12 @@
 	return pressure.ChanceOver(s.Headroom-s.pressed-pressed, deviation)
 }
 
-// Pressure tells by how much a filling image lowers the headroom of a serving one where it uses a whole worker.
+// Pressure tells what was learned of the images.
 type Pressure interface {
+	// Weight tells by how much a filling image lowers the headroom of a serving one where it uses a whole worker.
 	Weight(serving, filling string) (weight, deviation float64)
+	// Clash tells how differently two serving images suffer from what fills, from 0 to 1.
+	Clash(a, b string) float64
 }
 
 // Take counts a task as placed here.
--- a/internal/pressure/model_test.go
+++ b/internal/pressure/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -157,3 +158,26 @@
 	is, _ := again.Weight("web", "mail")
 	assert.Assert(t, math.Abs(was-is) < 1e-5, "a model that cannot be read changes nothing")
 }
+
+func TestImagesClashWhereOthersSlowThem(t *testing.T) {
+	m := NewModel()
+	assert.Equal(t, m.Clash("web", "chat"), unknownClash)
+	fills := []string{"a", "b", "c", "d", "e", "f"}
+	slowedBy := map[string]string{"web": "abc", "chat": "abc", "shop": "def"}
+	for serving, slows := range slowedBy {
+		f := m.filter(serving)
+		for _, fill := range fills {
+			c := m.column(fill)
+			f.grow(c + 1)
+			f.variance[c][c] = 1
+			f.mean[c] = 1
+			if strings.Contains(slows, fill) {
+				f.mean[c] = 9
+			}
+		}
+	}
+	assert.Equal(t, m.Clash("web", "web"), 0.0)
+	assert.Equal(t, m.Clash("web", "chat"), 0.0)
+	assert.Assert(t, m.Clash("web", "shop") > 0.7)
+	assert.Equal(t, m.Clash("web", "shop"), m.Clash("shop", "web"))
+}
