--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -8,7 +8,7 @@
 
 // mostHarm is the part of the worth of a task's work that the harm to serving tasks may eat up where it is placed: what
 // does more harm is paced down before long, and keeps its memory from others meanwhile.
-const mostHarm = 0.2
+const mostHarm = 0.3
 
 // gain returns what a filling task is worth on a worker beyond the harm that it does there, and whether it suits.
 func (p *Planner) gain(w *Worker, g *Group) (float64, bool) {
