The lead plans on news only, at most a third of its time, and not twice for what fits nowhere

Now a report without news asks for none, the pause between two plans is at least twice the time of the last, and groups of an image that just found no worker are passed over.

--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -46,11 +46,11 @@
 			_, err := term.report(mailbox{agents[vm]}, r)
 			assert.NilError(t, err)
 		}
-		assert.NilError(t, term.cycle(ctx))
+		assert.NilError(t, cycle(ctx, term))
 		assert.Equal(t, len(agents["a"].mail)+len(agents["b"].mail), 0, "nothing is placed before the advice is there")
 		time.Sleep(10 * time.Millisecond)
 		assert.DeepEqual(t, advisor.calls, [][]string{{"a1", "b1"}})
-		assert.NilError(t, term.cycle(ctx))
+		assert.NilError(t, cycle(ctx, term))
 		synctest.Wait()
 		assert.Equal(t, len(agents["a"].mail), 0)
 		start := agents["b"].mail[0].Starts[0]
@@ -62,10 +62,10 @@
 		r.Rejected = []link.Rejected{{Run: start.Run, Refusal: int(host.RefusedAdvice)}}
 		_, err := term.report(mailbox{agents["b"]}, r)
 		assert.NilError(t, err)
-		assert.NilError(t, term.cycle(ctx))
+		assert.NilError(t, cycle(ctx, term))
 		time.Sleep(10 * time.Millisecond)
 		assert.Equal(t, len(advisor.calls), 2)
-		assert.NilError(t, term.cycle(ctx))
+		assert.NilError(t, cycle(ctx, term))
 		synctest.Wait()
 		assert.Equal(t, len(agents["b"].mail), 2)
 	})
--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/follow"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/kvtest"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+)
+
+// Sizes of the benchmark: a grown deployment of the users.
+const (
+	benchWorkers = 62
+	benchServing = 5
+	benchFilling = 5
+	benchImages  = 16
+	benchWaiting = 30
+	benchEnded   = 500
+	benchTasks   = 20
+)
+
+// crowdedTerm returns a term whose workers are busy and for which jobs wait that fit nowhere well.
+func crowdedTerm() *term {
+	store := kvtest.New()
+	d := New(Config{
+		Node: "e", Boot: "b", Address: "a", Strength: 1, Store: store, Policies: noPolicies{}, Logger: logging.Discard(),
+		Lead: follow.New(store, record.LeadKey, record.DecodeLead, logging.Discard()),
+	})
+	t := newTerm(d, 1, 1)
+	serving := t.benchJob(0, job.Step{
+		Count: benchWorkers * benchServing, Size: job.Size{CPU: 6000, Memory: 9000}, Lasting: true, Image: "serve", Target: 18 * time.Millisecond,
+	})
+	filling := t.benchJob(1, job.Step{
+		Count: benchWorkers * benchFilling, Size: job.Size{CPU: 3000, Memory: 6000}, Fills: true, Image: "fill-0", Estimate: time.Second,
+	})
+	for n := range benchWaiting {
+		t.benchJob(2+n, job.Step{
+			Count: benchTasks, Size: job.Size{CPU: 3000, Memory: 6000}, Fills: true, Image: fmt.Sprintf("fill-%d", n%benchImages), Estimate: time.Second,
+		})
+	}
+	for n := range benchEnded {
+		t.benchJob(100+n, job.Step{Count: benchTasks, Size: job.Size{CPU: 500}}).job.Cancel()
+	}
+	for v := range benchWorkers {
+		vm := fmt.Sprintf("vm-%02d", v)
+		host := job.Host{VM: vm, Instance: vm}
+		a := &agent{vm: vm, heard: time.Now(), host: host}
+		t.agents[vm] = a
+		w := &t.host(host).worker
+		w.Service, w.Capacity, w.Open = testService, job.Size{CPU: 32000, Memory: 128000}, true
+		for i := range benchServing {
+			t.benchPlace(serving, v*benchServing+i, host)
+		}
+		for i := range benchFilling {
+			t.benchPlace(filling, v*benchFilling+i, host)
+		}
+	}
+	return t
+}
+
+func (t *term) benchJob(n int, step job.Step) *tracked {
+	id := job.ID(fmt.Sprintf("%016x", n))
+	queue := job.Queue{Service: testService, Attempts: 1, Stretch: 2, Target: time.Second}
+	known := &tracked{job: job.New(id, job.Spec{Steps: []job.Step{step}}, queue, time.Now()), since: time.Now(), failed: map[job.Host]bool{}}
+	t.jobs[id] = known
+	return known
+}
+
+func (t *term) benchPlace(known *tracked, index int, host job.Host) {
+	id := job.TaskID{Job: known.job.ID(), Index: index}
+	run := known.job.Place(id, host, 0)
+	t.host(host).add(id, &known.job.Spec().Steps[0], run)
+}
+
+// BenchmarkDecide measures what the lead reckons between two commits.
+func BenchmarkDecide(b *testing.B) {
+	t := crowdedTerm()
+	for b.Loop() {
+		for _, a := range t.agents {
+			a.heard = time.Now()
+		}
+		t.decide()
+	}
+}
+
+// BenchmarkReport measures what the lead does with one report of an agent.
+func BenchmarkReport(b *testing.B) {
+	t := crowdedTerm()
+	vm := "vm-07"
+	h := t.hosts[job.Host{VM: vm, Instance: vm}]
+	report := link.Report{VM: vm, Epoch: 1, Instance: vm, Service: testService, CPU: 32000, Memory: 128000, Fenced: true}
+	for _, id := range h.runsInOrder() {
+		report.Running = append(report.Running, link.Running{Run: link.NewRun(id, h.runs[id].run), Figure: 7, Pace: 100})
+	}
+	for b.Loop() {
+		h.sampled = time.Time{}
+		if _, err := t.report(mailbox{}, report); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -17,14 +17,18 @@
 	retryLast  = 250 * time.Millisecond
 )
 
-// cycle plans, commits what changed, and sends the orders that the commit allows.
-func (t *term) cycle(ctx context.Context) error {
+// decide gives up what is lost and places what waits.
+func (t *term) decide() {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.expire()
 	t.unstick()
 	t.evacuate()
 	t.plan()
-	t.mu.Unlock()
+}
+
+// settle commits what changed, and sends the orders that the commit allows.
+func (t *term) settle(ctx context.Context) error {
 	if err := t.commitAll(ctx); err != nil {
 		return err
 	}
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -12,6 +13,12 @@
 	"github.com/saffronpulley/saffronpulley/internal/policy"
 )
 
+// cycle is one turn of the work of a lead.
+func cycle(ctx context.Context, t *term) error {
+	t.decide()
+	return t.settle(ctx)
+}
+
 type noPolicies struct{}
 
 func (noPolicies) Newest() *policy.Policy { return nil }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -33,8 +33,11 @@
 	needed, taken := t.reconcile(a, r)
 	answer.Profiles = t.profiles(r.Unknown)
 	answer.Presses, answer.Swing = t.presses(a.host), round(t.pressure.Swing(), swingSteps)
+	changed := len(t.dirty) > 0
 	t.mu.Unlock()
-	t.wakeUp()
+	if changed {
+		t.wakeUp()
+	}
 	saved := taken && t.awaitSaved(needed)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -73,6 +76,9 @@
 		}
 	}
 	w := &t.host(current).worker
+	if open := !r.Draining && !r.Silent; open != w.Open {
+		t.wakeUp()
+	}
 	w.Service, w.Labels = r.Service, r.Labels
 	w.Capacity = job.Size{CPU: r.CPU, Memory: r.Memory, GPU: r.GPU}
 	w.Open = !r.Draining && !r.Silent
--- a/internal/dispatch/report_test.go
+++ b/internal/dispatch/report_test.go
@@ -47,7 +47,7 @@
 		a := &fakeAgent{vm: "vm"}
 		_, err := term.report(mailbox{a}, reportOf("i1"))
 		assert.NilError(t, err)
-		assert.NilError(t, term.cycle(context.Background()))
+		assert.NilError(t, cycle(context.Background(), term))
 		first := reportOf("i1")
 		first.Ended = []link.Ended{{Run: link.Run{Task: "00000000000000aa.0.0.0", Number: 1}, Sequence: 7}}
 		go func() { _, _ = term.report(mailbox{a}, first) }()
@@ -55,7 +55,7 @@
 		answer, err := term.report(mailbox{a}, reportOf("i2"))
 		assert.NilError(t, err)
 		assert.Equal(t, answer.Seen, uint64(0))
-		assert.NilError(t, term.cycle(context.Background()))
+		assert.NilError(t, cycle(context.Background(), term))
 		synctest.Wait()
 		answer, err = term.report(mailbox{a}, reportOf("i2"))
 		assert.NilError(t, err)
@@ -70,17 +70,51 @@
 		a := &fakeAgent{vm: "vm"}
 		_, err := term.report(mailbox{a}, reportOf("i1"))
 		assert.NilError(t, err)
-		assert.NilError(t, term.cycle(context.Background()))
+		assert.NilError(t, cycle(context.Background(), term))
 		silent := reportOf("i1")
 		silent.Silent = true
 		silent.Ended = []link.Ended{{Run: link.Run{Task: "00000000000000aa.0.0.0", Number: 1}, Sequence: 7}}
 		answer, err := term.report(mailbox{a}, silent)
 		assert.NilError(t, err)
 		assert.Equal(t, answer.Seen, uint64(0))
-		assert.NilError(t, term.cycle(context.Background()))
+		assert.NilError(t, cycle(context.Background(), term))
 		answer, err = term.report(mailbox{a}, silent)
 		assert.NilError(t, err)
 		assert.Equal(t, answer.Seen, uint64(7))
 		assert.Equal(t, term.jobs["00000000000000aa"].job.State(), job.Completed)
 	})
 }
+
+// TestReportWithoutNewsAsksForNoPlan: two hundred reports a second once made as many plans.
+func TestReportWithoutNewsAsksForNoPlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		term := testTerm(t, kvtest.New())
+		woken := func() bool {
+			select {
+			case <-term.wake:
+				return true
+			default:
+				return false
+			}
+		}
+		first := reportOf("i1")
+		_, err := term.report(mailbox{&fakeAgent{vm: "vm"}}, first)
+		assert.NilError(t, err)
+		assert.Assert(t, woken(), "a new worker is news")
+		assert.NilError(t, cycle(t.Context(), term))
+		_, err = term.report(mailbox{&fakeAgent{vm: "vm"}}, first)
+		assert.NilError(t, err)
+		assert.Assert(t, !woken(), "the same again is none")
+		first.Draining = true
+		_, err = term.report(mailbox{&fakeAgent{vm: "vm"}}, first)
+		assert.NilError(t, err)
+		assert.Assert(t, woken(), "a worker that leaves is news")
+		ended := reportOf("i1")
+		ended.Ended = []link.Ended{{Run: link.Run{Task: "00000000000000aa.0.0.0", Number: 1}, Sequence: 1}}
+		go func() { _, _ = term.report(mailbox{&fakeAgent{vm: "vm"}}, ended) }()
+		synctest.Wait()
+		assert.Assert(t, woken(), "an end is news")
+		assert.NilError(t, cycle(t.Context(), term))
+		synctest.Wait()
+	})
+}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -29,6 +29,9 @@
 	proveEvery = 500 * time.Millisecond
 	// gather is how long changes are gathered for one commit: little beside the quarter second that a lookup has.
 	gather = 5 * time.Millisecond
+	// restFactor times the time that a plan took is the least time before the next: on a VM that is slow or short of
+	// processor time the lead has to answer reports too.
+	restFactor = 2
 	// tick is the longest time between two plans, for what falls due by time alone.
 	tick = 100 * time.Millisecond
 	// keepEnded is how long jobs that ended are known; the platform asks for two minutes.
@@ -157,15 +160,19 @@
 func (t *term) work(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	pause := gather
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.wake:
-			wait.For(ctx, gather)
+			wait.For(ctx, pause)
 		case <-ticker.C:
 		}
-		if err := t.cycle(ctx); err != nil {
+		began := time.Now()
+		t.decide()
+		pause = min(max(gather, restFactor*time.Since(began)), tick)
+		if err := t.settle(ctx); err != nil {
 			return err
 		}
 	}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -134,7 +134,7 @@
 	if _, err := t.nextInputs(w.ctx, 0); err != nil {
 		w.t.Fatal(err)
 	}
-	if err := t.cycle(w.ctx); err != nil && t == w.newest() {
+	if err := cycle(w.ctx, t); err != nil && t == w.newest() {
 		// An election that seemed to fail was done late; its winner does not know and stands again.
 		for latest := t; latest == w.newest(); {
 			w.elect()
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -19,11 +19,16 @@
 type Planner struct {
 	workers  []*Worker
 	pressure Pressure
+	// full holds, by service and image, the least size of a plain filling task that no worker suits any more.
+	full map[kind]job.Size
 }
 
+// kind names filling tasks that differ by their size only.
+type kind struct{ service, image string }
+
 // New returns a planner for workers of which nothing is placed yet.
 func New(workers []*Worker, weights Pressure) *Planner {
-	p := &Planner{workers: workers, pressure: weights}
+	p := &Planner{workers: workers, pressure: weights, full: make(map[kind]job.Size)}
 	for _, w := range workers {
 		for _, image := range slices.Sorted(maps.Keys(w.Fills)) {
 			w.burden(image, w.Fills[image], weights)
@@ -47,10 +52,14 @@
 }
 
 func (p *Planner) placeEach(g *Group) []Placement {
+	if p.hopeless(g) {
+		return nil
+	}
 	var placed []Placement
 	for _, i := range g.Indexes {
 		w := p.best(p.workers, g)
 		if w == nil {
+			p.noteFull(g)
 			break
 		}
 		placed = append(placed, p.take(w, g, i, 0))
@@ -59,6 +68,25 @@
 	return placed
 }
 
+// hopeless reports whether a task that asks for no more of the same kind has found no worker in this plan, which only
+// fills workers further.
+func (p *Planner) hopeless(g *Group) bool {
+	least, known := p.full[kind{g.Service, g.Step.Image}]
+	return known && g.plainFill() && least.Fits(g.Step.Size)
+}
+
+func (p *Planner) noteFull(g *Group) {
+	if g.plainFill() {
+		p.full[kind{g.Service, g.Step.Image}] = g.Step.Size
+	}
+}
+
+// plainFill reports whether only the size and the image of the group's tasks decide where they may go.
+func (g *Group) plainFill() bool {
+	s := g.Step
+	return s.Fills && !g.Starved && g.Tickets == nil && s.Requires == "" && s.AntiAffinity == 0
+}
+
 // take places a task of the group on a worker.
 func (p *Planner) take(w *Worker, g *Group, index, run int) Placement {
 	p.burden(w, g, 1)
