A fault soak on the users' platform's path: real programs, stand-ins of store and workers, books

Faults come in series and overlap: kills, stops, freezes, all killed at once, workers that crash, fall silent or do orders late, a store that is down or slow, forgets, loses answers or does commits late. The books judge each start and what callers see. Not covered yet: connections cut or delayed between processes, clocks that jump, gangs, checkpoints, what fills and serves.

--- a/proving/cmd/soak/main.go
+++ b/proving/cmd/soak/main.go
@@ -27,11 +27,23 @@
 )
 
 func main() {
-	app := kingpin.New("soak", "Runs today's sizes under failures.")
-	length := app.Flag("for", "How long.").Default("5m").Duration()
-	seed := app.Flag("seed", "Seed of the failures.").Default("1").Uint64()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := soak(*length, *seed); err != nil {
+	app := kingpin.New("soak", "Runs real processes under failures.")
+	own := app.Command("own", "The product's own interface, at today's sizes.")
+	length := own.Flag("for", "How long.").Default("5m").Duration()
+	seed := own.Flag("seed", "Seed of the failures.").Default("1").Uint64()
+	onPlatform := app.Command("platform", "The users' platform, seed after seed.").Default()
+	var p platformSoak
+	onPlatform.Flag("first", "First seed.").Default("1").Uint64Var(&p.first)
+	onPlatform.Flag("seeds", "How many seeds.").Default("5").Uint64Var(&p.seeds)
+	onPlatform.Flag("for", "How long failures come for each seed.").Default("20s").DurationVar(&p.length)
+	onPlatform.Flag("entries", "How many entries.").Default("3").IntVar(&p.entries)
+	onPlatform.Flag("agents", "How many agents with their workers.").Default("6").IntVar(&p.agents)
+	onPlatform.Flag("keep", "Where the logs of seeds that fail are kept.").Default("out/soak").StringVar(&p.keep)
+	run := p.run
+	if kingpin.MustParse(app.Parse(os.Args[1:])) == own.FullCommand() {
+		run = func() error { return soak(*length, *seed) }
+	}
+	if err := run(); err != nil {
 		fmt.Fprintf(os.Stderr, "soak: %v\n", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/proving/fleet/process.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// restartAfter is how long a process is gone before it is started again.
+const restartAfter = 250 * time.Millisecond
+
+// Process is a real program that is started again whenever it ends.
+type Process struct {
+	name     string
+	callers  string
+	binaries string
+	dir      string
+	log      *os.File
+	done     chan struct{}
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	closing bool
+}
+
+func newProcess(name, callers, binaries, dir string) *Process {
+	return &Process{name: name, callers: callers, binaries: binaries, dir: dir, done: make(chan struct{})}
+}
+
+// start writes the settings and starts the program.
+func (p *Process) start(settings string) error {
+	path := settingsPath(p.dir, p.name)
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	p.log = log
+	if err := p.launch(); err != nil {
+		return err
+	}
+	go p.keep()
+	return nil
+}
+
+func (p *Process) launch() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closing {
+		return os.ErrProcessDone
+	}
+	command := exec.Command(filepath.Join(p.binaries, "saffronpulleyd"), "node")
+	command.Env = append(os.Environ(), "SAFFRONPULLEY_CONFIG="+settingsPath(p.dir, p.name))
+	command.Stdout, command.Stderr = p.log, p.log
+	// A soak that is killed leaves nothing behind.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.command = command
+	return command.Start()
+}
+
+// keep starts the program again whenever it has ended.
+func (p *Process) keep() {
+	defer close(p.done)
+	for {
+		p.mu.Lock()
+		command := p.command
+		p.mu.Unlock()
+		// How it ended does not matter: it is killed most of the time.
+		_ = command.Wait()
+		<-time.After(restartAfter)
+		if p.launch() != nil {
+			return
+		}
+	}
+}
+
+// Signal sends a signal to the program as it runs now.
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// A program that has just ended needs no signal.
+	_ = p.command.Process.Signal(s)
+}
+
+func (p *Process) close() {
+	p.mu.Lock()
+	p.closing = true
+	started := p.command != nil && p.command.Process != nil
+	if started {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Kill()
+	}
+	p.mu.Unlock()
+	if started && p.log != nil {
+		<-p.done
+		_ = p.log.Close()
+	}
+}
--- /dev/null
+++ b/proving/fleet/soak.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/kvtest"
+)
+
+// Soak says what a soak plays.
+type Soak struct {
+	Seed uint64
+	// Length is how long faults come, JobEvery how often a job is handed in.
+	Length   time.Duration
+	JobEvery time.Duration
+	// Say tells of each fault as it begins.
+	Say func(format string, args ...any)
+}
+
+// settleWithin is how long after the last fault all accepted jobs have to be completed.
+const settleWithin = 45 * time.Second
+
+// Play plays faults in series, which overlap, and returns what was broken.
+func (f *Fleet) Play(s Soak) error {
+	caller, stop := NewCaller(f, s.Seed), make(chan struct{})
+	var calls sync.WaitGroup
+	calls.Go(func() { caller.Play(s.JobEvery, stop) })
+	f.disturb(s)
+	close(stop)
+	calls.Wait()
+	if err := f.await(settleWithin, func() bool { caller.AskAll(); return len(f.Books.Unfinished()) == 0 }); err != nil {
+		return fmt.Errorf("%w\n%s", err, f.Books)
+	}
+	if broken := f.Books.Broken(); len(broken) > 0 {
+		return fmt.Errorf("%d promises broken:\n%s", len(broken), f.Books)
+	}
+	return nil
+}
+
+// disturb begins a fault every so often; each ends by itself some time later.
+func (f *Fleet) disturb(s Soak) {
+	random := rand.New(rand.NewPCG(s.Seed, 11))
+	var ends sync.WaitGroup
+	for began := time.Now(); time.Since(began) < s.Length; {
+		fault := faults[random.IntN(len(faults))]
+		lasts := time.Duration(300+random.IntN(6000)) * time.Millisecond
+		target := random.IntN(1 << 16)
+		s.Say("%v %s for %v on %d", time.Since(began).Round(time.Millisecond), fault.name, lasts, target)
+		ends.Go(func() { fault.play(f, target, lasts) })
+		<-time.After(time.Duration(200+random.IntN(2500)) * time.Millisecond)
+	}
+	ends.Wait()
+}
+
+// disturbance is a kind of fault; target picks what it strikes.
+type disturbance struct {
+	name string
+	play func(f *Fleet, target int, lasts time.Duration)
+}
+
+var faults = []disturbance{
+	{"entry killed", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGKILL) }},
+	{"agent killed", func(f *Fleet, n int, _ time.Duration) { f.agent(n).Signal(syscall.SIGKILL) }},
+	{"entry stopped", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGTERM) }},
+	{"agent stopped", func(f *Fleet, n int, _ time.Duration) { f.agent(n).Signal(syscall.SIGTERM) }},
+	{"entry frozen", func(f *Fleet, n int, d time.Duration) { freeze(f.entry(n), d) }},
+	{"agent frozen", func(f *Fleet, n int, d time.Duration) { freeze(f.agent(n), d) }},
+	{"all killed", func(f *Fleet, _ int, _ time.Duration) { f.killAll() }},
+	{"settings read again", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGHUP) }},
+	{"worker crashed", func(f *Fleet, n int, _ time.Duration) { f.worker(n).Crash() }},
+	{"worker silent", func(f *Fleet, n int, d time.Duration) {
+		f.worker(n).SetSilent(true)
+		<-time.After(d)
+		f.worker(n).SetSilent(false)
+	}},
+	{"orders late", func(f *Fleet, n int, d time.Duration) {
+		f.worker(n).SetLate(d / 2)
+		<-time.After(d)
+		f.worker(n).SetLate(0)
+	}},
+	{"store down", func(f *Fleet, _ int, d time.Duration) {
+		f.Store.SetDown(true)
+		<-time.After(d)
+		f.Store.SetDown(false)
+	}},
+	{"store slow", func(f *Fleet, _ int, d time.Duration) {
+		f.Store.SetDelay(250 * time.Millisecond)
+		<-time.After(d)
+		f.Store.SetDelay(0)
+	}},
+	{"answers of commits lost", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Lost) }},
+	{"commits late", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Late) }},
+	{"commits not done", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Unsent) }},
+	{"history forgotten", func(f *Fleet, _ int, _ time.Duration) { f.Store.Forget() }},
+}
+
+func (f *Fleet) entry(n int) *Process { return f.Entries[n%len(f.Entries)] }
+func (f *Fleet) agent(n int) *Process { return f.Agents[n%len(f.Agents)] }
+func (f *Fleet) worker(n int) *Worker { return f.Workers[n%len(f.Workers)] }
+
+func freeze(p *Process, d time.Duration) {
+	p.Signal(syscall.SIGSTOP)
+	<-time.After(d)
+	p.Signal(syscall.SIGCONT)
+}
+
+func (f *Fleet) killAll() {
+	for _, p := range f.Entries {
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range f.Agents {
+		p.Signal(syscall.SIGKILL)
+	}
+}
+
+// lose lets a part of the commits come to grief for a while.
+func (f *Fleet) lose(n int, d time.Duration, trouble kvtest.Trouble) {
+	random := rand.New(rand.NewPCG(uint64(n), 3))
+	f.Store.SetTrouble(func() kvtest.Trouble {
+		if random.IntN(3) == 0 {
+			return trouble
+		}
+		return kvtest.None
+	})
+	<-time.After(d)
+	f.Store.SetTrouble(nil)
+}
--- /dev/null
+++ b/proving/fleet/store.go
@@ -0,0 +1,270 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/kvtest"
+)
+
+// Store stands in for the platform's key-value store: kvtest.Store behind its protocol, with leases that run out.
+type Store struct {
+	data *kvtest.Store
+
+	mu     sync.Mutex
+	leases map[kv.LeaseID]*lease
+	down   bool
+	delay  time.Duration
+}
+
+// lease is a lease and the timer by which it runs out.
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{data: kvtest.New(), leases: make(map[kv.LeaseID]*lease)}
+}
+
+// SetDown makes the store refuse all calls, or serve them again; leases run out meanwhile.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// SetDelay sets how long each answer takes.
+func (s *Store) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+// SetTrouble makes the store ask what happens to each commit; nil ends that and does what is late.
+func (s *Store) SetTrouble(trouble func() kvtest.Trouble) {
+	s.data.SetTrouble(trouble)
+	if trouble == nil {
+		s.data.Catch()
+	}
+}
+
+// Forget drops the history, so that watches have to begin anew.
+func (s *Store) Forget() { s.data.Forget() }
+
+// Put writes a key as the operators do.
+func (s *Store) Put(key string, value []byte) error {
+	_, err := s.data.Commit(context.Background(), kv.Txn{Puts: []kv.Put{{Key: key, Value: value}}})
+	return err
+}
+
+// wireItem is an item as the platform writes it.
+type wireItem struct {
+	Key      string `json:"tls-key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+	Gone     bool   `json:"gone,omitempty"`
+}
+
+func wireOf(i kv.Item, gone bool) wireItem {
+	return wireItem{Key: i.Key(), Value: i.Value(), Revision: uint64(i.Revision()), Gone: gone}
+}
+
+// Handle serves the store's protocol.
+func (s *Store) Handle(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	down, delay := s.down, s.delay
+	s.mu.Unlock()
+	if down {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if delay > 0 {
+		<-time.After(delay)
+	}
+	path := string(ctx.Path())
+	switch {
+	case path == "/kv-key":
+		s.get(ctx)
+	case path == "/kv-range":
+		s.page(ctx)
+	case path == "/kv-watch":
+		s.watch(ctx)
+	case path == "/kv-txn":
+		s.commit(ctx)
+	case path == "/kv-lease":
+		s.grant(ctx)
+	case strings.HasPrefix(path, "/kv-keep/"):
+		s.keep(ctx, path)
+	case strings.HasPrefix(path, "/kv-lease-end/"):
+		s.end(ctx, path)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func query(ctx *fasthttp.RequestCtx, name string) string { return string(ctx.QueryArgs().Peek(name)) }
+
+func (s *Store) get(ctx *fasthttp.RequestCtx) {
+	item, err := s.data.Get(ctx, query(ctx, "tls-key"))
+	switch {
+	case err != nil:
+		refuse(ctx, err)
+	case item.Revision() == 0:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	default:
+		write(ctx, wireOf(item, false))
+	}
+}
+
+func (s *Store) page(ctx *fasthttp.RequestCtx) {
+	items, at, err := s.data.Range(ctx, query(ctx, "path-prefix"))
+	if err != nil {
+		refuse(ctx, err)
+		return
+	}
+	const mostItems = 500
+	after := query(ctx, "depends-on")
+	page, more := []wireItem{}, false
+	for _, i := range items {
+		switch {
+		case after != "" && i.Key() <= after:
+		case len(page) == mostItems:
+			more = true
+		default:
+			page = append(page, wireOf(i, false))
+		}
+	}
+	write(ctx, map[string]any{"items": page, "more": more, "at": uint64(at)})
+}
+
+func (s *Store) watch(ctx *fasthttp.RequestCtx) {
+	after, _ := strconv.ParseUint(query(ctx, "depends-on"), 10, 64)
+	wait, _ := strconv.ParseInt(query(ctx, "wait-ms"), 10, 64)
+	events, at, err := s.data.Watch(context.Background(), query(ctx, "path-prefix"), kv.Revision(after), time.Duration(wait)*time.Millisecond)
+	if err != nil {
+		refuse(ctx, err)
+		return
+	}
+	found := make([]wireItem, 0, len(events))
+	for _, e := range events {
+		found = append(found, wireOf(e.Item(), e.Gone()))
+	}
+	write(ctx, map[string]any{"events": found, "at": uint64(at)})
+}
+
+func (s *Store) commit(ctx *fasthttp.RequestCtx) {
+	var body struct {
+		Conditions []struct {
+			Key      string `json:"tls-key"`
+			Revision uint64 `json:"revision"`
+		} `json:"if-revision"`
+		Puts []struct {
+			Key   string `json:"tls-key"`
+			Value []byte `json:"value"`
+			Lease uint64 `json:"lease"`
+		} `json:"put"`
+		Removes []string `json:"remove"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	change := kv.Txn{Removes: body.Removes}
+	for _, c := range body.Conditions {
+		change.Conditions = append(change.Conditions, kv.Condition{Key: c.Key, Revision: kv.Revision(c.Revision)})
+	}
+	for _, p := range body.Puts {
+		change.Puts = append(change.Puts, kv.Put{Key: p.Key, Value: p.Value, Lease: kv.LeaseID(p.Lease)})
+	}
+	revision, err := s.data.Commit(ctx, change)
+	if err != nil {
+		refuse(ctx, err)
+		return
+	}
+	write(ctx, map[string]any{"revision": uint64(revision)})
+}
+
+func (s *Store) grant(ctx *fasthttp.RequestCtx) {
+	var body struct {
+		TTL int64 `json:"ttl_ms"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	ttl := time.Duration(body.TTL) * time.Millisecond
+	id, _ := s.data.Grant(ctx, ttl)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.expire(id) })}
+	write(ctx, map[string]any{"lease": uint64(id), "ttl_ms": body.TTL})
+}
+
+func (s *Store) expire(id kv.LeaseID) {
+	s.mu.Lock()
+	delete(s.leases, id)
+	s.mu.Unlock()
+	s.data.Expire(id)
+}
+
+func leaseOf(path string) kv.LeaseID {
+	id, _ := strconv.ParseUint(path[strings.LastIndexByte(path, '/')+1:], 10, 64)
+	return kv.LeaseID(id)
+}
+
+func (s *Store) keep(ctx *fasthttp.RequestCtx, path string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[leaseOf(path)]
+	if l == nil || !l.timer.Reset(l.ttl) {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	write(ctx, map[string]any{"ttl_ms": l.ttl.Milliseconds()})
+}
+
+func (s *Store) end(ctx *fasthttp.RequestCtx, path string) {
+	s.expire(leaseOf(path))
+	write(ctx, struct{}{})
+}
+
+// refuse answers an error as the platform does; an answer that is lost breaks the connection.
+func refuse(ctx *fasthttp.RequestCtx, err error) {
+	switch fault.KindOf(err) {
+	case fault.OutcomeUnknown:
+		lose(ctx)
+	case fault.Conflict:
+		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+	case fault.NotFound:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	case fault.Stale:
+		ctx.SetStatusCode(fasthttp.StatusGone)
+	case fault.BadInput:
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+func closeConn(c net.Conn) { _ = c.Close() }
+
+func write(ctx *fasthttp.RequestCtx, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(encoded)
+}
