The store of the tests takes a key away with its latest lease only

Cause: kvtest.Store kept each key with every lease that it had ever been put under, so that the lease of the lead before took the next one's key with it. The fault was the stand-in's, not the product's. Subtests of the soak run side by side, each fleet on a block of loopback numbers.

--- a/internal/kvtest/kvtest.go
+++ b/internal/kvtest/kvtest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -34,11 +35,13 @@
 	items    map[string]kv.Item
 	history  []kv.Event
 	forgot   kv.Revision
-	leases   map[kv.LeaseID][]string
-	nextID   kv.LeaseID
-	late     []kv.Txn
-	commits  int
-	changed  chan struct{}
+	// leases are those that stand, owners the lease of each key that is under one.
+	leases  map[kv.LeaseID]struct{}
+	owners  map[string]kv.LeaseID
+	nextID  kv.LeaseID
+	late    []kv.Txn
+	commits int
+	changed chan struct{}
 	// trouble is asked before each commit.
 	trouble func() Trouble
 }
@@ -47,7 +50,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{items: make(map[string]kv.Item), leases: make(map[kv.LeaseID][]string), changed: make(chan struct{})}
+	return &Store{items: make(map[string]kv.Item), leases: make(map[kv.LeaseID]struct{}), owners: make(map[string]kv.LeaseID), changed: make(chan struct{})}
 }
 
 // SetTrouble makes the store ask what happens to each commit from now on.
@@ -203,8 +206,9 @@
 		item := kv.NewItem(p.Key, p.Value, s.revision)
 		s.items[p.Key] = item
 		s.history = append(s.history, kv.NewEvent(item, false))
+		delete(s.owners, p.Key)
 		if p.Lease != 0 {
-			s.leases[p.Lease] = append(s.leases[p.Lease], p.Key)
+			s.owners[p.Key] = p.Lease
 		}
 	}
 	for _, key := range change.Removes {
@@ -219,6 +223,7 @@
 		return
 	}
 	delete(s.items, key)
+	delete(s.owners, key)
 	s.history = append(s.history, kv.NewEvent(kv.NewItem(key, nil, s.revision), true))
 }
 
@@ -227,7 +232,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextID++
-	s.leases[s.nextID] = nil
+	s.leases[s.nextID] = struct{}{}
 	return s.nextID, nil
 }
 
@@ -252,23 +257,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	for _, key := range s.leases[lease] {
-		s.remove(key)
-	}
+	s.removeOwned(func(owner kv.LeaseID) bool { return owner == lease })
 	delete(s.leases, lease)
 	s.wake()
 }
 
+// removeOwned removes the keys of some leases.
+func (s *Store) removeOwned(by func(kv.LeaseID) bool) {
+	for _, key := range slices.Sorted(maps.Keys(s.owners)) {
+		if by(s.owners[key]) {
+			s.remove(key)
+		}
+	}
+}
+
 // Revoke takes the keys of all leases away and leaves the leases, which no request shows.
 func (s *Store) Revoke() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	for lease, keys := range s.leases {
-		for _, key := range keys {
-			s.remove(key)
-		}
-		s.leases[lease] = nil
-	}
+	s.removeOwned(func(kv.LeaseID) bool { return true })
 	s.wake()
 }
--- a/proving/fleet/fleet.go
+++ b/proving/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -60,14 +61,20 @@
 	store                                  string
 }
 
-func (p plan) entry(i int) string { return fmt.Sprintf("%s.1.%d", p.block, i+1) }
-func (p plan) agent(i int) string { return fmt.Sprintf("%s.2.%d", p.block, i+1) }
+func (p plan) entry(i int) string { return fmt.Sprintf("%s.%d", p.block, i+1) }
+func (p plan) agent(i int) string { return fmt.Sprintf("%s.%d", p.block, mostEntries+i+1) }
+
+// mostEntries bounds the entries of a fleet, whose IP numbers come before those of the agents.
+const mostEntries = 50
+
+// fleets counts the fleets of this process.
+var fleets atomic.Int32
 
 func at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
 func (f *Fleet) begin(size Size, binaries, dir string) error {
-	// A block of its own keeps fleets apart that run at the same time.
-	p := plan{block: fmt.Sprintf("127.%d", 16+os.Getpid()%200)}
+	// A block of its own keeps fleets apart that run at the same time, of this process and of others.
+	p := plan{block: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, fleets.Add(1)%250)}
 	ports, err := freePorts(5)
 	if err != nil {
 		return err
--- a/proving/fleet/fleet_test.go
+++ b/proving/fleet/fleet_test.go
@@ -46,6 +46,7 @@
 		seed, err := strconv.ParseUint(number, 10, 64)
 		assert.NilError(t, err)
 		t.Run(number, func(t *testing.T) {
+			t.Parallel()
 			t.Log(why)
 			f, err := New(Size{Entries: 3, Agents: 4}, binaries, t.TempDir())
 			assert.NilError(t, err)
