A plan reckons each worker once for a group, and sorts only what it will touch

Cause: the profile of BenchmarkDecide showed each task of a group weighed against all workers anew, and the runs of all workers sorted four times a plan. No decision is meant to change.

--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -65,11 +65,8 @@
 func (h *hosted) serving() []plan.Served {
 	at := time.Now().Add(aheadOf)
 	var served []plan.Served
-	for _, id := range h.runsInOrder() {
+	for _, id := range h.runsWhich((*placed).serves) {
 		p := h.runs[id]
-		if !p.step.Serves() {
-			continue
-		}
 		headroom, deviation := p.track.Ahead(at)
 		served = append(served, plan.Served{Image: p.step.Image, Headroom: headroom, Deviation: deviation})
 	}
@@ -101,3 +98,5 @@
 	}
 	return found
 }
+
+func (p *placed) serves() bool { return p.step.Serves() }
--- a/internal/dispatch/inorder.go
+++ b/internal/dispatch/inorder.go
@@ -22,6 +22,18 @@
 	return slices.SortedFunc(maps.Keys(h.runs), compareTasks)
 }
 
+// runsWhich returns the tasks placed on a worker of which something holds, in order; mostly of none.
+func (h *hosted) runsWhich(holds func(*placed) bool) []job.TaskID {
+	var found []job.TaskID
+	for id, p := range h.runs {
+		if holds(p) {
+			found = append(found, id)
+		}
+	}
+	slices.SortFunc(found, compareTasks)
+	return found
+}
+
 func compareTasks(a, b job.TaskID) int {
 	return cmp.Or(
 		cmp.Compare(a.Job, b.Job), cmp.Compare(a.Time, b.Time), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -38,10 +38,10 @@
 func (t *term) unstick() {
 	for _, h := range t.hostsInOrder() {
 		host := h.worker.Host
-		for _, id := range h.runsInOrder() {
+		for _, id := range h.runsWhich((*placed).standsStill) {
 			p := h.runs[id]
 			known := t.jobs[id.Job]
-			if known == nil || !h.worker.Open || !p.standsStill() {
+			if known == nil || !h.worker.Open {
 				continue
 			}
 			t.logger.Info("task stands still and is stopped; task=%s run=%d vm=%s percent=%d", id, p.run, host.VM, p.percent)
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -50,12 +50,12 @@
 	moves := 0
 	for _, h := range t.hostsInOrder() {
 		host := h.worker.Host
-		for _, id := range h.runsInOrder() {
+		for _, id := range h.runsWhich((*placed).stuckSlow) {
 			if moves == mostMoves {
 				return
 			}
 			p := h.runs[id]
-			if !t.stuckSlow(id, p) || !t.suitsElsewhere(planner, host, id, p) {
+			if known := t.jobs[id.Job]; known == nil || known.job.State().Final() || !t.suitsElsewhere(planner, host, id, p) {
 				continue
 			}
 			moves++
@@ -77,10 +77,9 @@
 }
 
 // stuckSlow reports whether a task has been paced down for long and loses little by a move.
-func (t *term) stuckSlow(id job.TaskID, p *placed) bool {
-	known := t.jobs[id.Job]
-	return known != nil && p.step.Fills && p.step.Checkpoints && !p.step.Gang && p.committed && !p.stopping &&
-		!p.slow.IsZero() && time.Since(p.slow) > slowFor && !known.job.State().Final()
+func (p *placed) stuckSlow() bool {
+	return p.step.Fills && p.step.Checkpoints && !p.step.Gang && p.committed && !p.stopping &&
+		!p.slow.IsZero() && time.Since(p.slow) > slowFor
 }
 
 // evacuate stops what loses nothing by it on workers that leave, so that it starts elsewhere before they are gone.
--- a/internal/plan/gang.go
+++ b/internal/plan/gang.go
@@ -23,8 +23,9 @@
 	run := g.Job.NextGangRun(g.Time, g.Number)
 	var placed []Placement
 	var taken []*Worker
+	offers := p.offers(workers, g)
 	for _, i := range g.Indexes {
-		w := p.best(workers, g)
+		w := offers.best()
 		if w == nil {
 			for _, t := range taken {
 				p.giveBack(t, g)
@@ -33,6 +34,7 @@
 		}
 		taken = append(taken, w)
 		placed = append(placed, p.take(w, g, i, run))
+		offers.renew(w)
 	}
 	return placed
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -56,14 +56,21 @@
 		return nil
 	}
 	var placed []Placement
+	offers := p.offers(p.workers, g)
 	for _, i := range g.Indexes {
-		w := p.best(p.workers, g)
+		w := offers.best()
 		if w == nil {
 			p.noteFull(g)
 			break
 		}
 		placed = append(placed, p.take(w, g, i, 0))
-		g.Starved = false
+		if g.Starved {
+			// The first task goes where it presses; what follows is weighed anew.
+			g.Starved = false
+			offers = p.offers(p.workers, g)
+			continue
+		}
+		offers.renew(w)
 	}
 	return placed
 }
@@ -105,22 +112,6 @@
 	}
 }
 
-// best returns the worker that suits a task of the group best, nil where none may take it.
-func (p *Planner) best(workers []*Worker, g *Group) *Worker {
-	var chosen *Worker
-	var lowest float64
-	for _, w := range workers {
-		if !w.admits(g) {
-			continue
-		}
-		cost, ok := p.costOf(w, g)
-		if ok && (chosen == nil || cost < lowest) {
-			chosen, lowest = w, cost
-		}
-	}
-	return chosen
-}
-
 // Suits reports whether some worker that the group does not avoid would suit a task of it.
 func (p *Planner) Suits(g *Group) bool {
 	for _, w := range p.workers {
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -61,14 +61,26 @@
 	// pressed is by how much what fills lowers the headroom, doubt the variance of that.
 	pressed float64
 	doubt   float64
+	// over is how likely it is over its target as the plan stands; known says that this is up to date.
+	over  float64
+	known bool
 }
 
 // press counts a share of the worker that a filling image of some weight gains, or loses where the share is negative.
 func (s *Served) press(weight, deviation, share float64) {
+	s.known = false
 	s.pressed += weight * share
 	s.doubt = max(s.doubt+deviation*deviation*share*math.Abs(share), 0)
 }
 
+// now returns how likely the task is over its target as the plan stands.
+func (s *Served) now() float64 {
+	if !s.known {
+		s.over, s.known = s.chance(0, 0), true
+	}
+	return s.over
+}
+
 // chance returns how likely the task is over its target with some more pressure and doubt.
 func (s *Served) chance(pressed, doubt float64) float64 {
 	deviation := math.Sqrt(s.Deviation*s.Deviation + s.doubt + doubt)
@@ -155,7 +167,7 @@
 			continue
 		}
 		more := deviation * share
-		total += max(s.chance(weight*share, more*more)-s.chance(0, 0), 0)
+		total += max(s.chance(weight*share, more*more)-s.now(), 0)
 	}
 	return total
 }
