--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 build:
 	go build -o $(BIN)/ ./cmd/... ./proving/cmd/...
 
-# The main job on separate processes: a lookup, and a mailing run that is evicted, resumed and finished.
+# The main job on separate processes: on the product's own interface, then on the stand-in of the users' platform.
 demo: build
 	$(BIN)/demo
 
--- a/proving/cmd/demo/main.go
+++ b/proving/cmd/demo/main.go
@@ -45,6 +45,9 @@
 	if p.failed {
 		return fmt.Errorf("a step failed")
 	}
+	if err := onPlatform(filepath.Dir(program)); err != nil {
+		return err
+	}
 	fmt.Println("demo: all steps went well")
 	return nil
 }
--- /dev/null
+++ b/proving/cmd/demo/platform.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/saffronpulley/saffronpulley/proving/fleet"
+)
+
+// onPlatform shows jobs on the users' platform: entries and agents as processes, beside stand-ins of store and workers.
+func onPlatform(binaries string) error {
+	dir, err := os.MkdirTemp("", "demo-platform")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	fmt.Println("on the platform: 3 entries, 3 agents with their workers, a store")
+	f, err := fleet.New(fleet.Size{Entries: 3, Agents: 3}, binaries, dir)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Demo(func(format string, args ...any) { fmt.Printf(format+"\n", args...) })
+}
