The soak cuts, mutes, slows and resets connections by loopback relays

The relay of the scenarios stands in a package of its own now, and knows ways of bytes, delays and resets beside cuts by source. In the soak one stands before each entry's peer port, and one between each process and the store. For that an entry may listen elsewhere than where others reach it (listen.peers), as the product's own interface allows too.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -62,7 +62,7 @@
 
 // listen opens all that others reach.
 func (e *entry) listen() ([]*admin.Server, error) {
-	peers, err := admin.Listen(e.settings.PeerAddress(), "ports.peers")
+	peers, err := admin.Listen(e.settings.ListenPeers(), "listen.peers")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -37,6 +37,9 @@
 		Callers string `yaml:"callers"`
 		Ready   string `yaml:"ready"`
 		Reports string `yaml:"reports"`
+		// Peers is where other processes are listened for, where that is not the address and ports.peers, at which they
+		// come in.
+		Peers string `yaml:"peers"`
 	} `yaml:"listen"`
 	Neighbors string `yaml:"neighbors"`
 	Worker    string `yaml:"worker"`
@@ -107,8 +110,10 @@
 	} else {
 		needed["worker"] = f.Worker
 	}
-	if f.Advice != "" {
-		needed["advice"] = f.Advice
+	for name, address := range map[string]string{"advice": f.Advice, "listen.peers": f.Listen.Peers} {
+		if address != "" {
+			needed[name] = address
+		}
 	}
 	for name, address := range needed {
 		if _, err := netip.ParseAddrPort(address); err != nil {
@@ -136,6 +141,14 @@
 // PeerAddress returns where other processes reach this one.
 func (s *Settings) PeerAddress() string { return s.at(s.file.Address, s.file.Ports.Peers) }
 
+// ListenPeers returns where an entry listens for other processes.
+func (s *Settings) ListenPeers() string {
+	if s.file.Listen.Peers != "" {
+		return s.file.Listen.Peers
+	}
+	return s.PeerAddress()
+}
+
 // MetricsAddress returns where the metrics are served.
 func (s *Settings) MetricsAddress() string { return s.at(s.file.Address, s.file.Ports.Metrics) }
 
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -32,6 +32,11 @@
 	assert.Equal(t, s.PeerAddress(), "10.1.0.14:7720")
 	assert.DeepEqual(t, s.Neighbors(), []string{"10.1.0.13:7720", "10.2.0.30:7720"})
 	assert.Equal(t, s.Grace(), 6*time.Second)
+	assert.Equal(t, s.ListenPeers(), s.PeerAddress())
+	s, err = Parse([]byte(strings.Replace(goodSettings, "listen: {", "listen: { peers: \"10.1.0.14:7730\",", 1)))
+	assert.NilError(t, err)
+	assert.Equal(t, s.ListenPeers(), "10.1.0.14:7730")
+	assert.Equal(t, s.PeerAddress(), "10.1.0.14:7720")
 }
 
 func TestWrongSettingsAreRefusedWithASentence(t *testing.T) {
@@ -45,6 +50,7 @@
 		"worker: \"10.1.0.14:8165\">worker: ''":         "worker is \"\"",
 		"store: \"10.200.1.7:8169\">store: somewhere":   "store is \"somewhere\"",
 		"grace_s: 6>grace_s: 0":                         "grace_s is 0",
+		"listen: {>listen: { peers: there,":             "listen.peers is \"there\"",
 		"log: info>log: info\nfuture: 1":                "not in their form",
 		"strength: 0.24>strength: much":                 "not in their form",
 		"reports: \"10.1.0.14:8166\">reports: \"8166\"": "listen.reports is \"8166\"",
--- a/proving/fleet/fleet.go
+++ b/proving/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/proving/relay"
 )
 
 // Size says how many processes a fleet has.
@@ -39,6 +41,10 @@
 	Entries []*Process
 	Agents  []*Process
 
+	// stores stand between each process and the store, by its name; peers before the entries, in their order.
+	stores map[string]*relay.Relay
+	peers  []*relay.Relay
+
 	stop    chan struct{}
 	servers []*fasthttp.Server
 	serving sync.WaitGroup
@@ -46,7 +52,7 @@
 
 // New starts a fleet with the programs of a directory; its logs and settings go to another.
 func New(size Size, binaries, dir string) (*Fleet, error) {
-	f := &Fleet{Store: NewStore(), Books: NewBooks(), stop: make(chan struct{})}
+	f := &Fleet{Store: NewStore(), Books: NewBooks(), stores: make(map[string]*relay.Relay), stop: make(chan struct{})}
 	if err := f.begin(size, binaries, dir); err != nil {
 		f.Close()
 		return nil, err
@@ -58,7 +64,9 @@
 type plan struct {
 	block                                  string
 	callers, ready, reports, peers, metric int
-	store                                  string
+	// listen is where entries listen for what comes through the relays at peers.
+	listen int
+	store  string
 }
 
 func (p plan) entry(i int) string { return fmt.Sprintf("%s.%d", p.block, i+1) }
@@ -75,11 +83,11 @@
 func (f *Fleet) begin(size Size, binaries, dir string) error {
 	// A block of its own keeps fleets apart that run at the same time, of this process and of others.
 	p := plan{block: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, fleets.Add(1)%250)}
-	ports, err := freePorts(5)
+	ports, err := freePorts(6)
 	if err != nil {
 		return err
 	}
-	p.callers, p.ready, p.reports, p.peers, p.metric = ports[0], ports[1], ports[2], ports[3], ports[4]
+	p.callers, p.ready, p.reports, p.peers, p.metric, p.listen = ports[0], ports[1], ports[2], ports[3], ports[4], ports[5]
 	if p.store, err = f.serve("127.0.0.1:0", f.Store.Handle); err != nil {
 		return err
 	}
@@ -91,8 +99,7 @@
 		neighbors += at(p.entry(i), p.reports) + ","
 	}
 	for i := range size.Entries {
-		f.Entries = append(f.Entries, newProcess(fmt.Sprintf("entry-%d", i+1), at(p.entry(i), p.callers), binaries, dir))
-		if err := f.Entries[i].start(settings(p, f.Entries[i].name, "entry", p.entry(i), neighbors, "")); err != nil {
+		if err := f.addEntry(i, p, neighbors, binaries, dir); err != nil {
 			return err
 		}
 	}
@@ -104,6 +111,31 @@
 	return f.awaitReady()
 }
 
+// addEntry starts an entry behind its relays.
+func (f *Fleet) addEntry(i int, p plan, neighbors, binaries, dir string) error {
+	entry := newProcess(fmt.Sprintf("entry-%d", i+1), at(p.entry(i), p.callers), binaries, dir)
+	f.Entries = append(f.Entries, entry)
+	peers, err := relay.New(at(p.entry(i), p.peers), at(p.entry(i), p.listen))
+	if err != nil {
+		return err
+	}
+	f.peers = append(f.peers, peers)
+	if p.store, err = f.storeFor(entry.name, p.store); err != nil {
+		return err
+	}
+	return entry.start(settings(p, entry.name, "entry", p.entry(i), neighbors, ""))
+}
+
+// storeFor returns where a process finds the store: a relay of its own.
+func (f *Fleet) storeFor(name, store string) (string, error) {
+	r, err := relay.New("127.0.0.1:0", store)
+	if err != nil {
+		return "", err
+	}
+	f.stores[name] = r
+	return r.Address(), nil
+}
+
 // addAgent starts a worker and the agent beside it.
 func (f *Fleet) addAgent(i int, p plan, neighbors, binaries, dir string) error {
 	name := fmt.Sprintf("side-%d", i+1)
@@ -116,6 +148,9 @@
 	f.serving.Go(func() { w.Run(f.stop) })
 	agent := newProcess(name, "", binaries, dir)
 	f.Agents = append(f.Agents, agent)
+	if p.store, err = f.storeFor(name, p.store); err != nil {
+		return err
+	}
 	return agent.start(settings(p, name, "agent", p.agent(i), neighbors, address))
 }
 
@@ -123,7 +158,8 @@
 func settings(p plan, name, role, ip, neighbors, worker string) string {
 	text := fmt.Sprintf("id: %s\nrole: %s\naddress: %s\nhall: h1\nstrength: 0.4\nmemory_mb: 256\nports:\n  peers: %d\n  metrics: %d\n",
 		name, role, ip, p.peers, p.metric)
-	text += fmt.Sprintf("listen:\n  callers: %q\n  ready: %q\n  reports: %q\n", at(ip, p.callers), at(ip, p.ready), at(ip, p.reports))
+	text += fmt.Sprintf("listen:\n  callers: %q\n  ready: %q\n  reports: %q\n  peers: %q\n",
+		at(ip, p.callers), at(ip, p.ready), at(ip, p.reports), at(ip, p.listen))
 	return text + fmt.Sprintf("neighbors: %q\nworker: %q\nstore: %q\nadvice: \"\"\ngrace_s: 6\nlog: info\n", neighbors, worker, p.store)
 }
 
@@ -195,12 +231,24 @@
 	return fmt.Errorf("not within %v; unfinished: %v", within, f.Books.Unfinished())
 }
 
+func (f *Fleet) relays() []*relay.Relay {
+	all := slices.Clone(f.peers)
+	for _, r := range f.stores {
+		all = append(all, r)
+	}
+	return all
+}
+
 // Close ends all processes and servers of the fleet.
 func (f *Fleet) Close() {
 	for _, p := range append(append([]*Process(nil), f.Entries...), f.Agents...) {
 		p.close()
 	}
 	close(f.stop)
+	for _, r := range f.relays() {
+		_ = r.Close()
+		r.Reset()
+	}
 	for _, s := range f.servers {
 		_ = s.Shutdown()
 	}
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
+	"github.com/saffronpulley/saffronpulley/proving/relay"
 )
 
 // Soak says what a soak plays.
@@ -94,6 +95,23 @@
 	{"answers of commits lost", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Lost) }},
 	{"commits late", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Late) }},
 	{"commits not done", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Unsent) }},
+	{"entry cut from the store", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.entry(n).name], relay.Towards|relay.Back, d) }},
+	{"answers of the store do not reach an entry", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.entry(n).name], relay.Back, d) }},
+	{"agent cut from the store", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.agent(n).name], relay.Towards|relay.Back, d) }},
+	{"nothing reaches an entry", func(f *Fleet, n int, d time.Duration) { mute(f.peer(n), relay.Towards, d) }},
+	{"nobody hears an entry", func(f *Fleet, n int, d time.Duration) { mute(f.peer(n), relay.Back, d) }},
+	{"entry cut off", func(f *Fleet, n int, d time.Duration) {
+		var both sync.WaitGroup
+		both.Go(func() { mute(f.peer(n), relay.Towards|relay.Back, d) })
+		mute(f.stores[f.entry(n).name], relay.Towards|relay.Back, d)
+		both.Wait()
+	}},
+	{"entry far away", func(f *Fleet, n int, d time.Duration) {
+		f.peer(n).SetDelay(150 * time.Millisecond)
+		<-time.After(d)
+		f.peer(n).SetDelay(0)
+	}},
+	{"connections reset", func(f *Fleet, n int, _ time.Duration) { f.peer(n).Reset(); f.stores[f.agent(n).name].Reset() }},
 	{"history forgotten", func(f *Fleet, _ int, _ time.Duration) { f.Store.Forget() }},
 }
 
@@ -101,6 +119,14 @@
 func (f *Fleet) agent(n int) *Process { return f.Agents[n%len(f.Agents)] }
 func (f *Fleet) worker(n int) *Worker { return f.Workers[n%len(f.Workers)] }
 
+func (f *Fleet) peer(n int) *relay.Relay { return f.peers[n%len(f.peers)] }
+
+func mute(r *relay.Relay, ways relay.Direction, d time.Duration) {
+	r.Mute(ways)
+	<-time.After(d)
+	r.Mute(0)
+}
+
 func freeze(p *Process, d time.Duration) {
 	p.Signal(syscall.SIGSTOP)
 	<-time.After(d)
--- /dev/null
+++ b/proving/relay/relay.go
@@ -0,0 +1,157 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Relay stands before the address of a process.
+type Relay struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	cut   map[string]bool
+	muted Direction
+	delay time.Duration
+	links map[net.Conn]string
+}
+
+// Direction is a way of bytes through a relay; several may be joined.
+type Direction int
+
+// The ways of bytes.
+const (
+	// Towards is from those that connect to the process, Back the other way.
+	Towards Direction = 1 << iota
+	Back
+)
+
+// New returns a relay that listens on an address and passes on to a target, which may be set later.
+func New(address, target string) (*Relay, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{listener: listener, target: target, cut: make(map[string]bool), links: make(map[net.Conn]string)}
+	go r.accept()
+	return r, nil
+}
+
+// Address returns where the relay listens.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Close ends the relay; connections that stand go on.
+func (r *Relay) Close() error { return r.listener.Close() }
+
+// SetTarget sets where new connections lead.
+func (r *Relay) SetTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
+// SetCut makes the relay swallow, or pass again, all that comes from an IP number.
+func (r *Relay) SetCut(source string, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut[source] = cut
+	if !cut {
+		r.reset(func(from string) bool { return from == source })
+	}
+}
+
+// Mute makes the relay swallow all bytes of some ways, whoever sends them; 0 passes all again.
+func (r *Relay) Mute(ways Direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.muted = ways
+	if ways == 0 {
+		r.reset(func(string) bool { return true })
+	}
+}
+
+// SetDelay sets how long bytes are held up on each way.
+func (r *Relay) SetDelay(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = delay
+}
+
+// Reset breaks all connections.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reset(func(string) bool { return true })
+}
+
+// reset breaks the connections of some sources, as a healed network does with what hung; r.mu is held.
+func (r *Relay) reset(of func(source string) bool) {
+	for link, source := range r.links {
+		if of(source) {
+			_ = link.Close()
+		}
+	}
+}
+
+// swallows reports whether bytes from a source are lost on a way, and how long they take else.
+func (r *Relay) swallows(source string, way Direction) (bool, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut[source] || r.muted&way != 0, r.delay
+}
+
+func (r *Relay) accept() {
+	for {
+		link, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(link)
+	}
+}
+
+func (r *Relay) serve(link net.Conn) {
+	source, _, _ := net.SplitHostPort(link.RemoteAddr().String())
+	r.mu.Lock()
+	target := r.target
+	r.links[link] = source
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		delete(r.links, link)
+		r.mu.Unlock()
+	}()
+	far, err := net.Dial("tcp", target)
+	if err != nil {
+		_ = link.Close()
+		return
+	}
+	done := make(chan struct{}, 2)
+	go func() { r.copy(far, link, source, Towards); done <- struct{}{} }()
+	go func() { r.copy(link, far, source, Back); done <- struct{}{} }()
+	<-done
+	_ = link.Close()
+	_ = far.Close()
+	<-done
+}
+
+// copy passes bytes on, late where the relay is slow; while they are to be lost it swallows them.
+func (r *Relay) copy(to io.Writer, from io.Reader, source string, way Direction) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		lost, delay := r.swallows(source, way)
+		if n > 0 && !lost {
+			<-time.After(delay)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/proving/stage/stage.go
+++ b/proving/stage/stage.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/saffronpulley/saffronpulley/proving/relay"
 )
 
 // Stage is the processes of one scenario.
@@ -23,7 +25,7 @@
 
 	mu        sync.Mutex
 	processes map[string]*Process
-	relays    map[string]*Relay
+	relays    map[string]*relay.Relay
 	sources   map[string]string
 	jobs      map[string]string
 	loads     map[string]*load
@@ -40,7 +42,7 @@
 	return &Stage{
 		binaries: binaries, dir: dir,
 		client:    &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
-		processes: make(map[string]*Process), relays: make(map[string]*Relay), sources: make(map[string]string),
+		processes: make(map[string]*Process), relays: make(map[string]*relay.Relay), sources: make(map[string]string),
 		jobs: make(map[string]string), loads: make(map[string]*load), extra: make(map[string]string),
 	}
 }
@@ -83,7 +85,7 @@
 		}
 	}
 	for _, r := range s.relays {
-		_ = r.listener.Close()
+		_ = r.Close()
 	}
 }
 
@@ -132,16 +134,16 @@
 	key := name + "/" + listener
 	if r, ok := s.relays[key]; ok {
 		if target != "" {
-			r.setTarget(target)
+			r.SetTarget(target)
 		}
-		return r.address(), nil
+		return r.Address(), nil
 	}
-	r, err := newRelay(target)
+	r, err := relay.New("127.0.0.1:0", target)
 	if err != nil {
 		return "", err
 	}
 	s.relays[key] = r
-	return r.address(), nil
+	return r.Address(), nil
 }
 
 // startStandin starts a stand-in and the relay before it.
@@ -251,7 +253,7 @@
 	defer s.mu.Unlock()
 	for key, r := range s.relays {
 		if strings.HasPrefix(key, to+"/") {
-			r.setCut(source, cut)
+			r.SetCut(source, cut)
 			found = true
 		}
 	}
