--- a/internal/pressure/model.go
+++ b/internal/pressure/model.go
@@ -25,6 +25,8 @@
 	drift = 0.02
 	// mostImages bounds the filling images that are told apart; later ones share the last column.
 	mostImages = 64
+	// mostServing bounds the serving images that are told apart, some 32 KB each at the most; later ones share one filter.
+	mostServing = 128
 )
 
 // Model holds what is believed of all pairs; it is safe for concurrent use.
@@ -100,15 +102,26 @@
 // column returns the column of a filling image.
 func (m *Model) column(image string) int {
 	c, known := m.columns[image]
-	if !known {
-		c = min(len(m.columns), mostImages-1)
-		m.columns[image] = c
+	switch {
+	case known:
+		return c
+	case len(m.columns) >= mostImages:
+		return mostImages - 1
 	}
+	c = len(m.columns)
+	m.columns[image] = c
 	return c
 }
 
+// sharedImage names the filter of all serving images beyond those that are told apart.
+const sharedImage = ""
+
 func (m *Model) filter(serving string) *filter {
 	f := m.filters[serving]
+	if f == nil && len(m.filters) >= mostServing {
+		serving = sharedImage
+		f = m.filters[serving]
+	}
 	if f == nil {
 		f = &filter{}
 		m.filters[serving] = f
--- a/internal/pressure/model_test.go
+++ b/internal/pressure/model_test.go
@@ -1,6 +1,7 @@
 package pressure
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -181,3 +182,19 @@
 	assert.Assert(t, m.Clash("web", "shop") > 0.7)
 	assert.Equal(t, m.Clash("web", "shop"), m.Clash("shop", "web"))
 }
+
+// TestManyImagesTakeNoMoreRoom: callers choose the names of images.
+func TestManyImagesTakeNoMoreRoom(t *testing.T) {
+	m, d := NewModel(), newDay(0)
+	for n := range 3 * mostServing {
+		d.now = d.now.Add(time.Millisecond)
+		m.Observe(d.now, Sample{Image: fmt.Sprint("web", n), Task: &d.track, Headroom: 2, Variance: 1, Alike: 1}, nil)
+		m.Weight("web", fmt.Sprint("mail", n))
+	}
+	assert.Assert(t, len(m.filters) <= mostServing+1, "%d filters", len(m.filters))
+	assert.Assert(t, len(m.swing.means) <= mostServing+1, "%d means", len(m.swing.means))
+	assert.Equal(t, len(m.columns), mostImages)
+	for _, f := range m.filters {
+		assert.Assert(t, len(f.mean) <= mostImages)
+	}
+}
--- a/internal/pressure/swing.go
+++ b/internal/pressure/swing.go
@@ -50,6 +50,10 @@
 // observe takes a headroom of a task that nothing fills beside.
 func (s *swing) observe(serving string, task *Track, now time.Time, headroom float64) {
 	m := s.means[serving]
+	if m == nil && len(s.means) >= mostServing {
+		serving = sharedImage
+		m = s.means[serving]
+	}
 	if m == nil {
 		m = &mean{}
 		s.means[serving] = m
