--- a/internal/dispatch/campaign.go
+++ b/internal/dispatch/campaign.go
@@ -44,7 +44,7 @@
 
 func (d *Dispatcher) rested() bool { return time.Now().UnixMilli() >= d.rest.Load() }
 
-// stand tries to win the lead once.
+// stand tries to win the lead once; the term knows no jobs yet.
 func (d *Dispatcher) stand(ctx context.Context) (*term, error) {
 	store := d.config.Store
 	held, err := store.Get(ctx, record.LeadKey)
@@ -73,7 +73,7 @@
 	if err := t.enter(ctx, held.Revision(), chainRevision); err != nil {
 		return nil, err
 	}
-	return t, t.load(ctx)
+	return t, nil
 }
 
 // enter writes the lead and the beginning of its chain in one transaction.
--- /dev/null
+++ b/internal/dispatch/campaign_test.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/follow"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/kvtest"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/metric"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+)
+
+// thinLink is a store whose ranges take long and whose leases run out.
+type thinLink struct {
+	*kvtest.Store
+	takes time.Duration
+	fails bool
+
+	mu     sync.Mutex
+	leases map[kv.LeaseID]*time.Timer
+}
+
+func (s *thinLink) Range(ctx context.Context, prefix string) ([]kv.Item, kv.Revision, error) {
+	<-time.After(s.takes)
+	if s.fails {
+		return nil, 0, fault.New(fault.OutcomeUnknown, "no answer came in time")
+	}
+	return s.Store.Range(ctx, prefix)
+}
+
+func (s *thinLink) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	id, err := s.Store.Grant(ctx, ttl)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases[id] = time.AfterFunc(ttl, func() { s.Expire(id) })
+	return id, err
+}
+
+func (s *thinLink) Renew(ctx context.Context, id kv.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.Store.Renew(ctx, id); err != nil {
+		return err
+	}
+	s.leases[id].Reset(leaseTime)
+	return nil
+}
+
+// standing runs dispatchers beside each other for a while, each with its own view of a store.
+func standing(t *testing.T, length time.Duration, stores ...*thinLink) []*Dispatcher {
+	t.Helper()
+	_, err := stores[0].Commit(t.Context(), kv.Txn{Puts: []kv.Put{{Key: "op/config"}}})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	var all []*Dispatcher
+	for i, s := range stores {
+		lead := follow.New(s, record.LeadKey, record.DecodeLead, logging.Discard())
+		name := string(rune('a' + i))
+		d := New(Config{
+			Node: name, Boot: name, Address: name, Strength: 1, Store: s, Policies: noPolicies{}, Logger: logging.Discard(),
+			Lead: lead, Metrics: metric.New(),
+		})
+		all = append(all, d)
+		running.Go(func() { lead.Run(ctx) })
+		running.Go(func() { d.Run(ctx) })
+	}
+	<-time.After(length)
+	synctest.Wait()
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return all
+}
+
+// TestLeaseIsKeptWhileJobsAreRead failed with a new lead every two seconds, none of which ever placed anything.
+func TestLeaseIsKeptWhileJobsAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.New()
+		leases := make(map[kv.LeaseID]*time.Timer)
+		thin := &thinLink{Store: store, takes: 2 * time.Second, leases: leases}
+		standing(t, 20*time.Second, thin, thin)
+		chain, _, err := readChain(t.Context(), store)
+		assert.NilError(t, err)
+		assert.Equal(t, chain.Epoch, uint64(1))
+	})
+}
+
+// TestEntryThatCannotReadTheJobsLeavesTheLead to one that can.
+func TestEntryThatCannotReadTheJobsLeavesTheLead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.New()
+		leases := make(map[kv.LeaseID]*time.Timer)
+		broken := &thinLink{Store: store, takes: time.Second, fails: true, leases: leases}
+		sound := &thinLink{Store: store, leases: leases}
+		all := standing(t, 10*time.Second, broken, sound)
+		assert.Assert(t, all[0].term.Load() == nil)
+		assert.Assert(t, all[1].term.Load() != nil)
+	})
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -84,10 +84,11 @@
 }
 
 func (d *Dispatcher) lead(ctx context.Context, t *term) {
-	d.logger.Info("lead taken; epoch=%d jobs=%d", t.epoch, len(t.jobs))
 	d.config.Metrics.Counter("lead.terms").Inc(1)
-	d.term.Store(t)
-	err := t.run(ctx)
+	err := t.run(ctx, func() {
+		d.logger.Info("lead taken; epoch=%d jobs=%d load_ms=%d", t.epoch, len(t.jobs), time.Since(t.started).Milliseconds())
+		d.term.Store(t)
+	})
 	d.term.Store(nil)
 	t.close()
 	d.logger.Info("lead ended; epoch=%d reason=%v", t.epoch, err)
--- a/internal/dispatch/report_test.go
+++ b/internal/dispatch/report_test.go
@@ -33,6 +33,7 @@
 	})
 	term, err := d.stand(ctx)
 	assert.NilError(t, err)
+	assert.NilError(t, term.load(ctx))
 	return term
 }
 
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
@@ -133,12 +134,20 @@
 	return nil
 }
 
-// run leads until ctx ends or another leads.
-func (t *term) run(ctx context.Context) error {
+// run reads all jobs, says that it has, and leads until ctx ends or another leads. The lease is renewed from the start: on a
+// thin link the jobs of some minutes take longer to read than a lease lasts.
+func (t *term) run(ctx context.Context, loaded func()) error {
 	group, bounded := errgroup.WithContext(ctx)
-	group.Go(func() error { return t.watchInputs(bounded) })
 	group.Go(func() error { return t.renew(bounded) })
-	group.Go(func() error { return t.work(bounded) })
+	group.Go(func() error {
+		if err := t.load(bounded); err != nil {
+			t.d.rest.Store(time.Now().Add(lonelyRest).UnixMilli())
+			return fault.Wrap(err, fault.Leaving, "the jobs cannot be read")
+		}
+		loaded()
+		group.Go(func() error { return t.watchInputs(bounded) })
+		return t.work(bounded)
+	})
 	return group.Wait()
 }
 
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -66,7 +66,7 @@
 		Lead: follow.New(w.store, record.LeadKey, record.DecodeLead, logging.Discard()), Logger: logging.Discard(),
 	})
 	t, err := d.stand(w.ctx)
-	if err != nil {
+	if err != nil || t.load(w.ctx) != nil {
 		return
 	}
 	w.terms = append(w.terms, t)
