--- a/proving/fleet/caller.go
+++ b/proving/fleet/caller.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -184,3 +185,13 @@
 	}
 	return map[string]any{"spec": spec.Text, "steps": steps}
 }
+
+// workOf returns how long a task works, which callers write into its text as "work=800ms".
+func workOf(text string) time.Duration {
+	_, rest, _ := strings.Cut(text, "work=")
+	d, err := time.ParseDuration(strings.Fields(rest + " 0s")[0])
+	if err != nil {
+		return 0
+	}
+	return d
+}
--- a/proving/fleet/store.go
+++ b/proving/fleet/store.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,7 +9,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
 )
@@ -176,8 +173,7 @@
 		} `json:"put"`
 		Removes []string `json:"remove"`
 	}
-	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	if !read(ctx, &body) {
 		return
 	}
 	change := kv.Txn{Removes: body.Removes}
@@ -199,8 +195,7 @@
 	var body struct {
 		TTL int64 `json:"ttl_ms"`
 	}
-	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	if !read(ctx, &body) {
 		return
 	}
 	ttl := time.Duration(body.TTL) * time.Millisecond
@@ -238,33 +233,3 @@
 	s.expire(leaseOf(path))
 	write(ctx, struct{}{})
 }
-
-// refuse answers an error as the platform does; an answer that is lost breaks the connection.
-func refuse(ctx *fasthttp.RequestCtx, err error) {
-	switch fault.KindOf(err) {
-	case fault.OutcomeUnknown:
-		lose(ctx)
-	case fault.Conflict:
-		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
-	case fault.NotFound:
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-	case fault.Stale:
-		ctx.SetStatusCode(fasthttp.StatusGone)
-	case fault.BadInput:
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-	default:
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-	}
-}
-
-func closeConn(c net.Conn) { _ = c.Close() }
-
-func write(ctx *fasthttp.RequestCtx, body any) {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(encoded)
-}
