--- a/proving/cmd/soak/platform.go
+++ b/proving/cmd/soak/platform.go
@@ -55,7 +55,7 @@
 		fmt.Fprintf(story, "%s "+format+"\n", append([]any{time.Now().UTC().Format(time.RFC3339Nano)}, args...)...)
 	}
 	err = f.Play(fleet.Soak{Seed: seed, Length: p.length, JobEvery: 120 * time.Millisecond, Say: say})
-	fmt.Printf("seed %d: %s\n", seed, f.Books.Counts())
+	fmt.Printf("seed %d: %s\n", seed, f.Books().Counts())
 	if err == nil {
 		return os.RemoveAll(dir)
 	}
--- a/proving/fleet/caller.go
+++ b/proving/fleet/caller.go
@@ -106,7 +106,7 @@
 	id := job.ID(fmt.Sprintf("%08x%08x", c.random.Uint32(), c.next))
 	c.jobs[id] = spec
 	c.mu.Unlock()
-	c.fleet.Books.Sent(id, spec)
+	c.fleet.books.Sent(id, spec)
 	return id
 }
 
@@ -116,18 +116,18 @@
 	spec := c.jobs[id]
 	c.mu.Unlock()
 	body, _ := json.Marshal(bodyOf(spec))
-	c.fleet.Books.Sending(id)
+	c.fleet.books.Sending(id)
 	status, _ := c.call(fasthttp.MethodPost, id, body)
 	accepted := status/100 == 2
 	refused := status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
-	c.fleet.Books.Answered(id, accepted, refused)
+	c.fleet.books.Answered(id, accepted, refused)
 	return accepted
 }
 
 func (c *Caller) cancel(id job.ID) bool {
 	status, _ := c.call(fasthttp.MethodDelete, id, nil)
 	if status/100 == 2 {
-		c.fleet.Books.Canceled(id)
+		c.fleet.books.Canceled(id)
 	}
 	return status/100 == 2
 }
@@ -139,28 +139,28 @@
 		State string `json:"state"`
 	}
 	if status == fasthttp.StatusGone {
-		c.fleet.Books.Shown(id, job.Queued, true)
+		c.fleet.books.Shown(id, job.Queued, true)
 	}
 	if status != fasthttp.StatusOK || json.Unmarshal(answer, &body) != nil {
 		return
 	}
 	for s := job.Queued; s <= job.Canceled; s++ {
 		if s.String() == body.State {
-			c.fleet.Books.Shown(id, s, false)
+			c.fleet.books.Shown(id, s, false)
 		}
 	}
 }
 
 // AskAll asks for all jobs that are not known to be finished.
 func (c *Caller) AskAll() {
-	for _, id := range c.fleet.Books.Unfinished() {
+	for _, id := range c.fleet.books.Unfinished() {
 		c.ask(id)
 	}
 }
 
 // call sends a request to any entry and returns its status, 0 where there is no answer.
 func (c *Caller) call(method string, id job.ID, body []byte) (int, []byte) {
-	entry := c.fleet.Entries[c.pick(len(c.fleet.Entries))]
+	entry := c.fleet.entries[c.pick(len(c.fleet.entries))]
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
--- a/proving/fleet/demo.go
+++ b/proving/fleet/demo.go
@@ -24,16 +24,16 @@
 		}
 		say("%s %s is accepted", name, id)
 	}
-	for _, p := range f.Entries[1:] {
+	for _, p := range f.entries[1:] {
 		p.Signal(syscall.SIGKILL)
 		say("%s is killed", p.name)
 	}
-	if err := f.await(demoWithin, func() bool { c.AskAll(); return len(f.Books.Unfinished()) == 0 }); err != nil {
+	if err := f.await(demoWithin, func() bool { c.AskAll(); return len(f.books.Unfinished()) == 0 }); err != nil {
 		return err
 	}
-	say("both are completed: %s", f.Books.Counts())
-	if broken := f.Books.Broken(); len(broken) > 0 {
-		return fmt.Errorf("%d promises broken:\n%s", len(broken), f.Books)
+	say("both are completed: %s", f.books.Counts())
+	if broken := f.books.Broken(); len(broken) > 0 {
+		return fmt.Errorf("%d promises broken:\n%s", len(broken), f.books)
 	}
 	return nil
 }
--- a/proving/fleet/fleet_test.go
+++ b/proving/fleet/fleet_test.go
@@ -52,7 +52,7 @@
 			assert.NilError(t, err)
 			defer f.Close()
 			assert.NilError(t, f.Play(Soak{Seed: seed, Length: 8 * time.Second, JobEvery: 120 * time.Millisecond, Say: t.Logf}))
-			t.Log(f.Books.Counts())
+			t.Log(f.Books().Counts())
 		})
 	}
 }
--- /dev/null
+++ b/proving/fleet/settings.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+)
+
+// Names that the configuration, the workers and the callers agree on.
+const (
+	service   = "desk"
+	queueHost = "jobs.example"
+	prefix    = "/q/"
+	policyKey = "op/config"
+)
+
+// settings returns the settings of a process, by the names of deploy/node.yaml.
+func settings(a addresses, name, role, ip, worker string) string {
+	text := fmt.Sprintf("id: %s\nrole: %s\naddress: %s\nhall: h1\nstrength: 0.4\nmemory_mb: 256\nports:\n  peers: %d\n  metrics: %d\n",
+		name, role, ip, a.peers, a.metric)
+	text += fmt.Sprintf("listen:\n  callers: %q\n  ready: %q\n  reports: %q\n  peers: %q\n",
+		at(ip, a.callers), at(ip, a.ready), at(ip, a.reports), at(ip, a.listen))
+	return text + fmt.Sprintf("neighbors: %q\nworker: %q\nstore: %q\nadvice: \"\"\ngrace_s: 6\nlog: info\n", a.neighbors, worker, a.store)
+}
+
+// settingsPath returns where the settings of a process lie.
+func settingsPath(dir, name string) string { return filepath.Join(dir, name+".yaml") }
+
+// configure writes a version of the configuration as the operators do.
+func (f *Fleet) configure(version int) error {
+	value, err := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "queue", "host": queueHost, "path-prefix": prefix, "timeout-ms": 3000, "target-latency-ms": 1000,
+			"priority": 0, "service": service, "attempts": 3, "stretch": 2.0,
+		}},
+		"services": []map[string]any{{"name": service, "admission-check": false}},
+		"limits":   map[string]any{},
+	})
+	if err != nil {
+		return err
+	}
+	return f.store.Put(policyKey, value)
+}
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -32,11 +32,11 @@
 	f.disturb(s)
 	close(stop)
 	calls.Wait()
-	if err := f.await(settleWithin, func() bool { caller.AskAll(); return len(f.Books.Unfinished()) == 0 }); err != nil {
-		return fmt.Errorf("%w\n%s", err, f.Books)
+	if err := f.await(settleWithin, func() bool { caller.AskAll(); return len(f.books.Unfinished()) == 0 }); err != nil {
+		return fmt.Errorf("%w\n%s", err, f.books)
 	}
-	if broken := f.Books.Broken(); len(broken) > 0 {
-		return fmt.Errorf("%d promises broken:\n%s", len(broken), f.Books)
+	if broken := f.books.Broken(); len(broken) > 0 {
+		return fmt.Errorf("%d promises broken:\n%s", len(broken), f.books)
 	}
 	return nil
 }
@@ -83,14 +83,14 @@
 		f.worker(n).SetLate(0)
 	}},
 	{"store down", func(f *Fleet, _ int, d time.Duration) {
-		f.Store.SetDown(true)
+		f.store.SetDown(true)
 		<-time.After(d)
-		f.Store.SetDown(false)
+		f.store.SetDown(false)
 	}},
 	{"store slow", func(f *Fleet, _ int, d time.Duration) {
-		f.Store.SetDelay(250 * time.Millisecond)
+		f.store.SetDelay(250 * time.Millisecond)
 		<-time.After(d)
-		f.Store.SetDelay(0)
+		f.store.SetDelay(0)
 	}},
 	{"answers of commits lost", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Lost) }},
 	{"commits late", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Late) }},
@@ -112,12 +112,12 @@
 		f.peer(n).SetDelay(0)
 	}},
 	{"connections reset", func(f *Fleet, n int, _ time.Duration) { f.peer(n).Reset(); f.stores[f.agent(n).name].Reset() }},
-	{"history forgotten", func(f *Fleet, _ int, _ time.Duration) { f.Store.Forget() }},
+	{"history forgotten", func(f *Fleet, _ int, _ time.Duration) { f.store.Forget() }},
 }
 
-func (f *Fleet) entry(n int) *Process { return f.Entries[n%len(f.Entries)] }
-func (f *Fleet) agent(n int) *Process { return f.Agents[n%len(f.Agents)] }
-func (f *Fleet) worker(n int) *Worker { return f.Workers[n%len(f.Workers)] }
+func (f *Fleet) entry(n int) *Process { return f.entries[n%len(f.entries)] }
+func (f *Fleet) agent(n int) *Process { return f.agents[n%len(f.agents)] }
+func (f *Fleet) worker(n int) *Worker { return f.workers[n%len(f.workers)] }
 
 func (f *Fleet) peer(n int) *relay.Relay { return f.peers[n%len(f.peers)] }
 
@@ -134,10 +134,10 @@
 }
 
 func (f *Fleet) killAll() {
-	for _, p := range f.Entries {
+	for _, p := range f.entries {
 		p.Signal(syscall.SIGKILL)
 	}
-	for _, p := range f.Agents {
+	for _, p := range f.agents {
 		p.Signal(syscall.SIGKILL)
 	}
 }
@@ -145,12 +145,12 @@
 // lose lets a part of the commits come to grief for a while.
 func (f *Fleet) lose(n int, d time.Duration, trouble kvtest.Trouble) {
 	random := rand.New(rand.NewPCG(uint64(n), 3))
-	f.Store.SetTrouble(func() kvtest.Trouble {
+	f.store.SetTrouble(func() kvtest.Trouble {
 		if random.IntN(3) == 0 {
 			return trouble
 		}
 		return kvtest.None
 	})
 	<-time.After(d)
-	f.Store.SetTrouble(nil)
+	f.store.SetTrouble(nil)
 }
