--- a/proving/fleet/await.go
+++ b/proving/fleet/await.go
@@ -32,3 +32,8 @@
 	}
 	return fmt.Errorf("not within %v; unfinished: %v", within, f.books.Unfinished())
 }
+
+// awaitFinished waits until a caller has seen all accepted jobs finished.
+func (f *Fleet) awaitFinished(c *Caller, within time.Duration) error {
+	return f.await(within, func() bool { c.AskAll(); return len(f.books.Unfinished()) == 0 })
+}
--- a/proving/fleet/books.go
+++ b/proving/fleet/books.go
@@ -49,10 +49,12 @@
 	return &Books{jobs: make(map[job.ID]*entry), tasks: make(map[job.TaskID]*history)}
 }
 
+// fail notes a broken promise; b.mu is held.
 func (b *Books) fail(format string, args ...any) {
 	b.broken = append(b.broken, fmt.Sprintf(format, args...))
 }
 
+// history returns what became of a task; b.mu is held.
 func (b *Books) history(id job.TaskID) *history {
 	h := b.tasks[id]
 	if h == nil {
@@ -113,6 +115,7 @@
 	}
 }
 
+// allDone reports whether each task of a job was done at least once; b.mu is held.
 func (b *Books) allDone(id job.ID, e *entry) bool {
 	for n, step := range e.spec.Steps {
 		for i := range step.Count {
@@ -220,6 +223,15 @@
 	return broken
 }
 
+// judge returns an error that names the broken promises, nil where all were kept.
+func (b *Books) judge() error {
+	broken := b.Broken()
+	if len(broken) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d promises broken:\n%s", len(broken), b)
+}
+
 // Counts tells of the jobs that were accepted and the runs that were started.
 func (b *Books) Counts() string {
 	b.mu.Lock()
--- a/proving/fleet/demo.go
+++ b/proving/fleet/demo.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"fmt"
 	"syscall"
 	"time"
 
@@ -28,16 +27,14 @@
 		p.Signal(syscall.SIGKILL)
 		say("%s is killed", p.name)
 	}
-	if err := f.await(demoWithin, func() bool { c.AskAll(); return len(f.books.Unfinished()) == 0 }); err != nil {
+	if err := f.awaitFinished(c, demoWithin); err != nil {
 		return err
 	}
 	say("both are completed: %s", f.books.Counts())
-	if broken := f.books.Broken(); len(broken) > 0 {
-		return fmt.Errorf("%d promises broken:\n%s", len(broken), f.books)
-	}
-	return nil
+	return f.books.judge()
 }
 
+// demoStep returns a step of small tasks.
 func demoStep(tasks int, work time.Duration) job.Step {
 	return job.Step{Count: tasks, Size: job.Size{CPU: 1000, Memory: 500}, Estimate: work}
 }
--- /dev/null
+++ b/proving/fleet/disturbances.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/kvtest"
+	"github.com/saffronpulley/saffronpulley/proving/relay"
+)
+
+const (
+	// slowStore is how long each answer of a slow store takes.
+	slowStore = 250 * time.Millisecond
+	// farAway is how long bytes take to an entry that is far away, and back.
+	farAway = 150 * time.Millisecond
+)
+
+// disturbance is a kind of fault; target picks what it strikes.
+type disturbance struct {
+	name string
+	play func(f *Fleet, target int, lasts time.Duration)
+}
+
+// disturbances are those that a soak draws from; a seed stands for the same ones only while their order stays.
+var disturbances = []disturbance{
+	{"entry killed", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGKILL) }},
+	{"agent killed", func(f *Fleet, n int, _ time.Duration) { f.agent(n).Signal(syscall.SIGKILL) }},
+	{"entry stopped", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGTERM) }},
+	{"agent stopped", func(f *Fleet, n int, _ time.Duration) { f.agent(n).Signal(syscall.SIGTERM) }},
+	{"entry frozen", func(f *Fleet, n int, d time.Duration) { freeze(f.entry(n), d) }},
+	{"agent frozen", func(f *Fleet, n int, d time.Duration) { freeze(f.agent(n), d) }},
+	{"all killed", func(f *Fleet, _ int, _ time.Duration) { f.killAll() }},
+	{"settings read again", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGHUP) }},
+	{"worker crashed", func(f *Fleet, n int, _ time.Duration) { f.worker(n).Crash() }},
+	{"worker silent", func(f *Fleet, n int, d time.Duration) {
+		f.worker(n).SetSilent(true)
+		<-time.After(d)
+		f.worker(n).SetSilent(false)
+	}},
+	{"orders late", func(f *Fleet, n int, d time.Duration) {
+		f.worker(n).SetLate(d / 2)
+		<-time.After(d)
+		f.worker(n).SetLate(0)
+	}},
+	{"store down", func(f *Fleet, _ int, d time.Duration) {
+		f.store.SetDown(true)
+		<-time.After(d)
+		f.store.SetDown(false)
+	}},
+	{"store slow", func(f *Fleet, _ int, d time.Duration) {
+		f.store.SetDelay(slowStore)
+		<-time.After(d)
+		f.store.SetDelay(0)
+	}},
+	{"answers of commits lost", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Lost) }},
+	{"commits late", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Late) }},
+	{"commits not done", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Unsent) }},
+	{"entry cut from the store", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.entry(n).name], relay.Towards|relay.Back, d) }},
+	{"answers of the store do not reach an entry", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.entry(n).name], relay.Back, d) }},
+	{"agent cut from the store", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.agent(n).name], relay.Towards|relay.Back, d) }},
+	{"nothing reaches an entry", func(f *Fleet, n int, d time.Duration) { mute(f.peer(n), relay.Towards, d) }},
+	{"nobody hears an entry", func(f *Fleet, n int, d time.Duration) { mute(f.peer(n), relay.Back, d) }},
+	{"entry cut off", func(f *Fleet, n int, d time.Duration) {
+		var both sync.WaitGroup
+		both.Go(func() { mute(f.peer(n), relay.Towards|relay.Back, d) })
+		mute(f.stores[f.entry(n).name], relay.Towards|relay.Back, d)
+		both.Wait()
+	}},
+	{"entry far away", func(f *Fleet, n int, d time.Duration) {
+		f.peer(n).SetDelay(farAway)
+		<-time.After(d)
+		f.peer(n).SetDelay(0)
+	}},
+	{"connections reset", func(f *Fleet, n int, _ time.Duration) { f.peer(n).Reset(); f.stores[f.agent(n).name].Reset() }},
+	{"history forgotten", func(f *Fleet, _ int, _ time.Duration) { f.store.Forget() }},
+}
+
+func (f *Fleet) entry(n int) *Process { return f.entries[n%len(f.entries)] }
+
+func (f *Fleet) agent(n int) *Process { return f.agents[n%len(f.agents)] }
+
+func (f *Fleet) worker(n int) *Worker { return f.workers[n%len(f.workers)] }
+
+func (f *Fleet) peer(n int) *relay.Relay { return f.peers[n%len(f.peers)] }
+
+// mute swallows the bytes of some ways for a while.
+func mute(r *relay.Relay, ways relay.Direction, d time.Duration) {
+	r.Mute(ways)
+	<-time.After(d)
+	r.Mute(0)
+}
+
+// freeze stops a process for a while without ending it.
+func freeze(p *Process, d time.Duration) {
+	p.Signal(syscall.SIGSTOP)
+	<-time.After(d)
+	p.Signal(syscall.SIGCONT)
+}
+
+// killAll kills all entries and agents at once.
+func (f *Fleet) killAll() {
+	for _, p := range f.entries {
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range f.agents {
+		p.Signal(syscall.SIGKILL)
+	}
+}
+
+// lose lets a part of the commits come to grief for a while.
+func (f *Fleet) lose(n int, d time.Duration, trouble kvtest.Trouble) {
+	random := rand.New(rand.NewPCG(uint64(n), 3))
+	f.store.SetTrouble(func() kvtest.Trouble {
+		if random.IntN(3) == 0 {
+			return trouble
+		}
+		return kvtest.None
+	})
+	<-time.After(d)
+	f.store.SetTrouble(nil)
+}
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -4,11 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
-
-	"github.com/saffronpulley/saffronpulley/internal/kvtest"
-	"github.com/saffronpulley/saffronpulley/proving/relay"
 )
 
 // Soak says what a soak plays.
@@ -32,13 +28,10 @@
 	f.disturb(s)
 	close(stop)
 	calls.Wait()
-	if err := f.await(settleWithin, func() bool { caller.AskAll(); return len(f.books.Unfinished()) == 0 }); err != nil {
+	if err := f.awaitFinished(caller, settleWithin); err != nil {
 		return fmt.Errorf("%w\n%s", err, f.books)
 	}
-	if broken := f.books.Broken(); len(broken) > 0 {
-		return fmt.Errorf("%d promises broken:\n%s", len(broken), f.books)
-	}
-	return nil
+	return f.books.judge()
 }
 
 // disturb begins a fault every so often; each ends by itself some time later.
@@ -46,111 +39,12 @@
 	random := rand.New(rand.NewPCG(s.Seed, 11))
 	var ends sync.WaitGroup
 	for began := time.Now(); time.Since(began) < s.Length; {
-		fault := faults[random.IntN(len(faults))]
+		next := disturbances[random.IntN(len(disturbances))]
 		lasts := time.Duration(300+random.IntN(6000)) * time.Millisecond
 		target := random.IntN(1 << 16)
-		s.Say("%v %s for %v on %d", time.Since(began).Round(time.Millisecond), fault.name, lasts, target)
-		ends.Go(func() { fault.play(f, target, lasts) })
+		s.Say("%v %s for %v on %d", time.Since(began).Round(time.Millisecond), next.name, lasts, target)
+		ends.Go(func() { next.play(f, target, lasts) })
 		<-time.After(time.Duration(200+random.IntN(2500)) * time.Millisecond)
 	}
 	ends.Wait()
 }
-
-// disturbance is a kind of fault; target picks what it strikes.
-type disturbance struct {
-	name string
-	play func(f *Fleet, target int, lasts time.Duration)
-}
-
-var faults = []disturbance{
-	{"entry killed", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGKILL) }},
-	{"agent killed", func(f *Fleet, n int, _ time.Duration) { f.agent(n).Signal(syscall.SIGKILL) }},
-	{"entry stopped", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGTERM) }},
-	{"agent stopped", func(f *Fleet, n int, _ time.Duration) { f.agent(n).Signal(syscall.SIGTERM) }},
-	{"entry frozen", func(f *Fleet, n int, d time.Duration) { freeze(f.entry(n), d) }},
-	{"agent frozen", func(f *Fleet, n int, d time.Duration) { freeze(f.agent(n), d) }},
-	{"all killed", func(f *Fleet, _ int, _ time.Duration) { f.killAll() }},
-	{"settings read again", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGHUP) }},
-	{"worker crashed", func(f *Fleet, n int, _ time.Duration) { f.worker(n).Crash() }},
-	{"worker silent", func(f *Fleet, n int, d time.Duration) {
-		f.worker(n).SetSilent(true)
-		<-time.After(d)
-		f.worker(n).SetSilent(false)
-	}},
-	{"orders late", func(f *Fleet, n int, d time.Duration) {
-		f.worker(n).SetLate(d / 2)
-		<-time.After(d)
-		f.worker(n).SetLate(0)
-	}},
-	{"store down", func(f *Fleet, _ int, d time.Duration) {
-		f.store.SetDown(true)
-		<-time.After(d)
-		f.store.SetDown(false)
-	}},
-	{"store slow", func(f *Fleet, _ int, d time.Duration) {
-		f.store.SetDelay(250 * time.Millisecond)
-		<-time.After(d)
-		f.store.SetDelay(0)
-	}},
-	{"answers of commits lost", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Lost) }},
-	{"commits late", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Late) }},
-	{"commits not done", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Unsent) }},
-	{"entry cut from the store", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.entry(n).name], relay.Towards|relay.Back, d) }},
-	{"answers of the store do not reach an entry", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.entry(n).name], relay.Back, d) }},
-	{"agent cut from the store", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.agent(n).name], relay.Towards|relay.Back, d) }},
-	{"nothing reaches an entry", func(f *Fleet, n int, d time.Duration) { mute(f.peer(n), relay.Towards, d) }},
-	{"nobody hears an entry", func(f *Fleet, n int, d time.Duration) { mute(f.peer(n), relay.Back, d) }},
-	{"entry cut off", func(f *Fleet, n int, d time.Duration) {
-		var both sync.WaitGroup
-		both.Go(func() { mute(f.peer(n), relay.Towards|relay.Back, d) })
-		mute(f.stores[f.entry(n).name], relay.Towards|relay.Back, d)
-		both.Wait()
-	}},
-	{"entry far away", func(f *Fleet, n int, d time.Duration) {
-		f.peer(n).SetDelay(150 * time.Millisecond)
-		<-time.After(d)
-		f.peer(n).SetDelay(0)
-	}},
-	{"connections reset", func(f *Fleet, n int, _ time.Duration) { f.peer(n).Reset(); f.stores[f.agent(n).name].Reset() }},
-	{"history forgotten", func(f *Fleet, _ int, _ time.Duration) { f.store.Forget() }},
-}
-
-func (f *Fleet) entry(n int) *Process { return f.entries[n%len(f.entries)] }
-func (f *Fleet) agent(n int) *Process { return f.agents[n%len(f.agents)] }
-func (f *Fleet) worker(n int) *Worker { return f.workers[n%len(f.workers)] }
-
-func (f *Fleet) peer(n int) *relay.Relay { return f.peers[n%len(f.peers)] }
-
-func mute(r *relay.Relay, ways relay.Direction, d time.Duration) {
-	r.Mute(ways)
-	<-time.After(d)
-	r.Mute(0)
-}
-
-func freeze(p *Process, d time.Duration) {
-	p.Signal(syscall.SIGSTOP)
-	<-time.After(d)
-	p.Signal(syscall.SIGCONT)
-}
-
-func (f *Fleet) killAll() {
-	for _, p := range f.entries {
-		p.Signal(syscall.SIGKILL)
-	}
-	for _, p := range f.agents {
-		p.Signal(syscall.SIGKILL)
-	}
-}
-
-// lose lets a part of the commits come to grief for a while.
-func (f *Fleet) lose(n int, d time.Duration, trouble kvtest.Trouble) {
-	random := rand.New(rand.NewPCG(uint64(n), 3))
-	f.store.SetTrouble(func() kvtest.Trouble {
-		if random.IntN(3) == 0 {
-			return trouble
-		}
-		return kvtest.None
-	})
-	<-time.After(d)
-	f.store.SetTrouble(nil)
-}
