--- a/internal/pressure/model.go
+++ b/internal/pressure/model.go
@@ -42,63 +42,6 @@
 	return &Model{columns: make(map[string]int), filters: make(map[string]*filter), swing: newSwing()}
 }
 
-// filter holds the weights of all filling images on one serving image.
-type filter struct {
-	mean     []float64
-	variance [][]float64
-}
-
-// grow adds columns up to a number.
-func (f *filter) grow(columns int) {
-	for len(f.mean) < columns {
-		n := len(f.mean)
-		for i := range f.variance {
-			f.variance[i] = append(f.variance[i], 0)
-		}
-		f.mean = append(f.mean, PriorWeight)
-		f.variance = append(f.variance, make([]float64, n+1))
-		f.variance[n][n] = priorVariance
-	}
-}
-
-// pressed returns by how much the shares of the columns lower the headroom, and the variance of that.
-func (f *filter) pressed(x []float64) (float64, float64) {
-	sum, variance := 0.0, 0.0
-	for i, v := range x {
-		if v == 0 {
-			continue
-		}
-		sum += v * max(f.mean[i], 0)
-		for j, w := range x {
-			variance += v * w * f.variance[i][j]
-		}
-	}
-	return sum, max(variance, 0)
-}
-
-// correct takes by how much the headroom was off what was predicted, with the whole variance of that difference.
-func (f *filter) correct(x []float64, off, variance float64) {
-	n := len(f.mean)
-	gain := make([]float64, n)
-	for i := range n {
-		for j, v := range x {
-			gain[i] += f.variance[i][j] * v
-		}
-	}
-	for i := range n {
-		// Less headroom than predicted means more weight.
-		f.mean[i] = max(f.mean[i]-gain[i]/variance*off, 0)
-		for j := range n {
-			f.variance[i][j] -= gain[i] * gain[j] / variance
-		}
-	}
-	for i, v := range x {
-		if v > 0 {
-			f.variance[i][i] += drift
-		}
-	}
-}
-
 // column returns the column of a filling image.
 func (m *Model) column(image string) int {
 	c, known := m.columns[image]
@@ -113,19 +56,9 @@
 	return c
 }
 
-// sharedImage names the filter of all serving images beyond those that are told apart.
-const sharedImage = ""
-
+// filter returns the filter of a serving image, with a column for each filling image.
 func (m *Model) filter(serving string) *filter {
-	f := m.filters[serving]
-	if f == nil && len(m.filters) >= mostServing {
-		serving = sharedImage
-		f = m.filters[serving]
-	}
-	if f == nil {
-		f = &filter{}
-		m.filters[serving] = f
-	}
+	f := entryOf(m.filters, serving)
 	f.grow(min(len(m.columns), mostImages))
 	return f
 }
@@ -192,39 +125,3 @@
 	f := m.filter(serving)
 	return max(f.mean[c], 0), math.Sqrt(max(f.variance[c][c], 0))
 }
-
-const (
-	// heavy bounds the weights that are compared: what is heavier is kept away all the same.
-	heavy = 6.0
-	// knownVariance is the variance up to which a weight counts as known.
-	knownVariance = 4.0
-	// enoughKnown is how many filling images must be known for both, for two serving images to be compared.
-	enoughKnown = 4
-	// unknownClash is taken of two images of which too little is known.
-	unknownClash = 0.5
-)
-
-// Clash returns how differently two serving images suffer from what fills: 0 where the same images slow both, 1 where what
-// slows one spares the other. Images that clash leave no filling image that spares a worker of both.
-func (m *Model) Clash(a, b string) float64 {
-	if a == b {
-		return 0
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	f, g := m.filter(a), m.filter(b)
-	differ, whole, known := 0.0, 0.0, 0
-	for c := range f.mean {
-		if f.variance[c][c] > knownVariance || g.variance[c][c] > knownVariance {
-			continue
-		}
-		known++
-		first, second := min(f.mean[c], heavy), min(g.mean[c], heavy)
-		differ += math.Abs(first - second)
-		whole += max(first, second)
-	}
-	if known < enoughKnown || whole == 0 {
-		return unknownClash
-	}
-	return differ / whole
-}
--- a/internal/pressure/swing.go
+++ b/internal/pressure/swing.go
@@ -19,6 +19,7 @@
 	next int
 }
 
+// mean is the mean headroom of a serving image, of a number of figures.
 type mean struct {
 	sum   float64
 	count float64
@@ -49,15 +50,7 @@
 
 // observe takes a headroom of a task that nothing fills beside.
 func (s *swing) observe(serving string, task *Track, now time.Time, headroom float64) {
-	m := s.means[serving]
-	if m == nil && len(s.means) >= mostServing {
-		serving = sharedImage
-		m = s.means[serving]
-	}
-	if m == nil {
-		m = &mean{}
-		s.means[serving] = m
-	}
+	m := entryOf(s.means, serving)
 	m.sum += headroom
 	m.count++
 	if m.count < enoughOfImage {
