--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -30,19 +30,18 @@
 
 // weigh reckons what serves and what fills on a worker anew, by the paces of the latest report.
 func (h *hosted) weigh() {
-	w := &h.worker
-	w.Serving, w.Filling, w.Fills, w.Images = 0, 0, make(map[string]float64), make(map[string]int)
+	h.worker.Clear()
 	for _, p := range h.runs {
-		switch {
-		case p.step.Fills:
-			use := p.step.Size.CPU * p.pace / pacing.Full
-			w.Filling += use
-			w.Fills[p.step.Image] += float64(use) / float64(max(w.Capacity.CPU, 1))
-		case p.step.Serves():
-			w.Serving += p.step.Size.CPU
-			w.Images[p.step.Image]++
-		}
+		h.worker.Count(p.step, p.cpu(), 1)
+	}
+}
+
+// cpu returns the thousandths of a core that a task may use at its pace.
+func (p *placed) cpu() int {
+	if p.step.Fills {
+		return p.step.Size.CPU * p.pace / pacing.Full
 	}
+	return p.step.Size.CPU
 }
 
 // relocate stops some tasks that are paced down and save their progress, where another worker would suit them.
--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -13,7 +13,7 @@
 // gain returns what a filling task is worth on a worker beyond the harm that it does there, and whether it suits.
 func (p *Planner) gain(w *Worker, g *Group) (float64, bool) {
 	worth := w.share(g.Step.Size.CPU) / pressure.WorthOfOver
-	harm := w.press(g.Step, p.pressure)
+	harm := w.harm(g.Step, p.pressure)
 	crowded := w.Spare() < g.Step.Size.CPU && w.Filling > 0
 	return worth - harm, harm <= mostHarm*worth && !crowded
 }
--- a/internal/plan/offers.go
+++ b/internal/plan/offers.go
@@ -5,8 +5,9 @@
 	planner *Planner
 	group   *Group
 	workers []*Worker
-	costs   []float64
-	may     []bool
+	// costs are those of the workers, in their order; may says which of them may take a task.
+	costs []float64
+	may   []bool
 }
 
 // offers reckons the costs of all workers.
@@ -18,6 +19,7 @@
 	return o
 }
 
+// reckon reckons the cost of one worker.
 func (o *offers) reckon(i int) {
 	o.may[i] = false
 	if w := o.workers[i]; w.admits(o.group) {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -51,6 +51,7 @@
 	return placed
 }
 
+// placeEach places the tasks of a group one by one, for as long as a worker takes them.
 func (p *Planner) placeEach(g *Group) []Placement {
 	if p.hopeless(g) {
 		return nil
@@ -82,6 +83,7 @@
 	return known && g.plainFill() && least.Fits(g.Step.Size)
 }
 
+// noteFull takes note that no worker takes a task of the group any more.
 func (p *Planner) noteFull(g *Group) {
 	if g.plainFill() {
 		p.full[kind{g.Service, g.Step.Image}] = g.Step.Size
@@ -106,6 +108,7 @@
 	g.giveBack(w)
 }
 
+// burden counts a task of the group among what fills a worker, or no longer where the sign is negative.
 func (p *Planner) burden(w *Worker, g *Group, sign float64) {
 	if g.Step.Fills {
 		w.burden(g.Step.Image, sign*w.share(g.Step.Size.CPU), p.pressure)
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
-	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
 
 // servingShare is the part of a serving task's declared processors that it uses on average, as the users' sites draw it;
@@ -51,76 +50,36 @@
 	return nearest
 }
 
-// Served is a task that serves users under a latency target.
-type Served struct {
-	Image string
-	// Headroom is its target over its tail, as package pressure has it, that is likely soon without what fills beside it,
-	// and Deviation the standard deviation of that.
-	Headroom  float64
-	Deviation float64
-	// pressed is by how much what fills lowers the headroom, doubt the variance of that.
-	pressed float64
-	doubt   float64
-	// over is how likely it is over its target as the plan stands; known says that this is up to date.
-	over  float64
-	known bool
-}
-
-// press counts a share of the worker that a filling image of some weight gains, or loses where the share is negative.
-func (s *Served) press(weight, deviation, share float64) {
-	s.known = false
-	s.pressed += weight * share
-	s.doubt = max(s.doubt+deviation*deviation*share*math.Abs(share), 0)
-}
-
-// now returns how likely the task is over its target as the plan stands.
-func (s *Served) now() float64 {
-	if !s.known {
-		s.over, s.known = s.chance(0, 0), true
-	}
-	return s.over
-}
-
-// chance returns how likely the task is over its target with some more pressure and doubt.
-func (s *Served) chance(pressed, doubt float64) float64 {
-	deviation := math.Sqrt(s.Deviation*s.Deviation + s.doubt + doubt)
-	return pressure.ChanceOver(s.Headroom-s.pressed-pressed, deviation)
-}
-
-// Pressure tells what was learned of the images.
-type Pressure interface {
-	// Weight tells by how much a filling image lowers the headroom of a serving one where it uses a whole worker.
-	Weight(serving, filling string) (weight, deviation float64)
-	// Clash tells how differently two serving images suffer from what fills, from 0 to 1.
-	Clash(a, b string) float64
-}
-
 // Take counts a task as placed here.
 func (w *Worker) Take(s *job.Step) {
 	w.Used = w.Used.Plus(s.Room())
-	w.count(s, 1)
+	w.Count(s, s.Size.CPU, 1)
 }
 
 // Give counts a task as gone from here.
 func (w *Worker) Give(s *job.Step) {
 	w.Used = w.Used.Minus(s.Room())
-	w.count(s, -1)
+	w.Count(s, s.Size.CPU, -1)
 }
 
-func (w *Worker) count(s *job.Step, sign int) {
+// Clear forgets what serves and what fills here, so that it can be counted anew.
+func (w *Worker) Clear() { w.Serving, w.Filling, w.Fills, w.Images = 0, 0, nil, nil }
+
+// Count counts tasks of a step, of so many thousandths of a core each, among what serves or fills; the number may be negative.
+func (w *Worker) Count(s *job.Step, cpu, tasks int) {
 	switch {
 	case s.Fills:
-		w.Filling += sign * s.Size.CPU
+		w.Filling += tasks * cpu
 		if w.Fills == nil {
 			w.Fills = make(map[string]float64)
 		}
-		w.Fills[s.Image] += float64(sign) * w.share(s.Size.CPU)
+		w.Fills[s.Image] += w.share(tasks * cpu)
 	case s.Serves():
-		w.Serving += sign * s.Size.CPU
+		w.Serving += tasks * cpu
 		if w.Images == nil {
 			w.Images = make(map[string]int)
 		}
-		w.Images[s.Image] += sign
+		w.Images[s.Image] += tasks
 	}
 }
 
@@ -156,8 +115,8 @@
 // leastPress is the loss of headroom below which a pair counts as harmless.
 const leastPress = 0.01
 
-// press returns how many more of the tasks that serve here are likely over their targets by a task of a step beside them.
-func (w *Worker) press(step *job.Step, weights Pressure) float64 {
+// harm returns how many more of the tasks that serve here are likely over their targets by a task of a step beside them.
+func (w *Worker) harm(step *job.Step, weights Pressure) float64 {
 	total := 0.0
 	share := w.share(step.Size.CPU)
 	for i := range w.Served {
@@ -167,7 +126,7 @@
 			continue
 		}
 		more := deviation * share
-		total += max(s.chance(weight*share, more*more)-s.now(), 0)
+		total += max(s.chance(weight*share, more*more)-s.chanceNow(), 0)
 	}
 	return total
 }
