--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -31,6 +31,15 @@
 		return
 	}
 	h.sampled = now
+	use, serving := h.figures(r)
+	felt := pressure.Mean(h.used, use)
+	h.used = use
+	t.observe(now, serving, felt)
+}
+
+// figures returns the share of the worker that each image that fills uses by a report, and the tasks that serve and show a
+// tail.
+func (h *hosted) figures(r link.Report) (map[string]float64, []*placed) {
 	use := make(map[string]float64)
 	var serving []*placed
 	for _, running := range r.Running {
@@ -46,8 +55,11 @@
 			serving = append(serving, p)
 		}
 	}
-	felt := pressure.Mean(h.used, use)
-	h.used = use
+	return use, serving
+}
+
+// observe teaches the model the headrooms of tasks that serve on one worker, beside what was used there.
+func (t *term) observe(now time.Time, serving []*placed, felt map[string]float64) {
 	alike := make(map[string]int)
 	for _, p := range serving {
 		alike[p.step.Image]++
@@ -99,4 +111,5 @@
 	return found
 }
 
+// serves reports whether the task serves users.
 func (p *placed) serves() bool { return p.step.Serves() }
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -11,14 +11,18 @@
 // loadEvery is how often the lead logs its load: often enough to see a wave of work, and one line in two seconds costs nothing.
 const loadEvery = 2 * time.Second
 
+// thousandths is how many parts of a core a size counts.
+const thousandths = 1000
+
 // load sums up what waits, what runs and what the workers have left.
 type load struct {
+	// waiting tasks are short ones, lasting ones and those that will fill, which are of batchJobs jobs.
 	waitingShort, waitingLasting, waitingBatch int
-	// cores are thousandths of a core: of the workers, declared by what serves, asked for and in use by what fills.
+	batchJobs                                  int
+	// capacity and the next are thousandths of a core: of the workers, declared by what serves, asked for and in use by what fills.
 	capacity, serving, asked, used int
 	// filling counts the tasks that fill, slowed those of them that are paced down, over the serving tasks over their targets.
 	filling, slowed, served, over int
-	batchJobs                     int
 }
 
 // logLoad logs the load now and then.
@@ -28,6 +32,18 @@
 	}
 	t.loadLogged = time.Now()
 	var l load
+	l.addWaiting(groups)
+	for _, h := range t.hosts {
+		l.addWorker(h)
+	}
+	t.logger.Info("load; workers=%d waiting_short=%d waiting_lasting=%d waiting_batch=%d of_jobs=%d cores=%d serving=%d "+
+		"filling_tasks=%d slowed=%d asked=%d used=%d served=%d over=%d",
+		len(t.hosts), l.waitingShort, l.waitingLasting, l.waitingBatch, l.batchJobs, l.capacity/thousandths, l.serving/thousandths,
+		l.filling, l.slowed, l.asked/thousandths, l.used/thousandths, l.served, l.over)
+}
+
+// addWaiting counts the tasks that wait, and the jobs that those of them belong to which will fill.
+func (l *load) addWaiting(groups []*plan.Group) {
 	batch := make(map[job.ID]bool)
 	for _, g := range groups {
 		switch {
@@ -41,19 +57,10 @@
 		}
 	}
 	l.batchJobs = len(batch)
-	for _, h := range t.hosts {
-		l.add(h)
-	}
-	t.logger.Info("load; workers=%d waiting_short=%d waiting_lasting=%d waiting_batch=%d of_jobs=%d cores=%d serving=%d "+
-		"filling_tasks=%d slowed=%d asked=%d used=%d served=%d over=%d",
-		len(t.hosts), l.waitingShort, l.waitingLasting, l.waitingBatch, l.batchJobs, l.capacity/thousandths, l.serving/thousandths,
-		l.filling, l.slowed, l.asked/thousandths, l.used/thousandths, l.served, l.over)
 }
 
-// thousandths is how many parts of a core a size counts.
-const thousandths = 1000
-
-func (l *load) add(h *hosted) {
+// addWorker counts a worker and what is placed there.
+func (l *load) addWorker(h *hosted) {
 	l.capacity += h.worker.Capacity.CPU
 	l.serving += h.worker.Serving
 	for _, p := range h.runs {
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -54,12 +54,13 @@
 				return
 			}
 			p := h.runs[id]
-			if known := t.jobs[id.Job]; known == nil || known.job.State().Final() || !t.suitsElsewhere(planner, host, id, p) {
+			known := t.jobs[id.Job]
+			if known == nil || known.job.State().Final() || !t.suitsElsewhere(planner, host, id, p) {
 				continue
 			}
 			moves++
 			t.logger.Info("task is moved from where it is paced down; task=%s run=%d vm=%s pace=%d", id, p.run, host.VM, p.pace)
-			t.jobs[id.Job].failed[host] = true
+			known.failed[host] = true
 			t.halt(host, id, p)
 		}
 	}
