--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -56,6 +56,7 @@
 	return paces
 }
 
+// stopAll returns the lowest pace for each image.
 func stopAll(filling []Filling) map[string]int {
 	paces := make(map[string]int, len(filling))
 	for _, f := range filling {
--- a/internal/runner/paces.go
+++ b/internal/runner/paces.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
@@ -36,7 +37,7 @@
 	for _, running := range l.view.Running {
 		p, known := l.profiles[running.Run]
 		pace, wanted := l.wanted[p.Image]
-		if !known || !p.Fills || !wanted || paceOf(l, running.Run) == pace {
+		if !known || !p.Fills || !wanted || l.paceOf(running.Run) == pace {
 			continue
 		}
 		l.paces[running.Run] = pace
@@ -52,8 +53,8 @@
 		if !p.Fills {
 			continue
 		}
-		use[p.Image] += float64(running.Figure) / float64(l.report.Capacity.CPU)
-		whole[p.Image] += float64(p.CPU) / float64(l.report.Capacity.CPU)
+		use[p.Image] += l.share(running.Figure)
+		whole[p.Image] += l.share(p.CPU)
 	}
 	filling := make([]pacing.Filling, 0, len(whole))
 	for _, image := range slices.Sorted(maps.Keys(whole)) {
@@ -62,6 +63,9 @@
 	return filling, use
 }
 
+// share returns thousandths of a core as a share of the worker.
+func (l *life) share(cpu int) float64 { return float64(cpu) / float64(l.report.Capacity.CPU) }
+
 // served returns what the tasks that serve will likely show, after what they show beside what was used.
 func (l *life) served(now time.Time, felt map[string]float64, filling []pacing.Filling) []pacing.Served {
 	var served []pacing.Served
@@ -71,13 +75,7 @@
 			continue
 		}
 		over := l.overFor(running)
-		track := l.trackOf(running.Run)
-		track.Follow(l.swing)
-		target := float64(p.TargetMillis)
-		headroom := pressure.Headroom(float64(running.Figure), target)
-		if headroom >= sureOf || !track.Seen() {
-			track.Observe(now, headroom+l.pressed(p.Image, felt), pressure.Blur(headroom, target))
-		}
+		track := l.follow(now, running, p, felt)
 		s := pacing.Served{Weights: make(map[string]float64), Long: over > longOver, Longer: over > longerOver}
 		s.Headroom, s.Deviation = track.Ahead(now.Add(aheadOf))
 		for _, f := range filling {
@@ -88,6 +86,19 @@
 	return served
 }
 
+// follow takes the headroom that a serving task shows into its track, as it would be without what was used beside it.
+func (l *life) follow(now time.Time, running host.Running, p link.Profile, felt map[string]float64) *pressure.Track {
+	track := l.trackOf(running.Run)
+	track.Follow(l.swing)
+	target := float64(p.TargetMillis)
+	headroom := pressure.Headroom(float64(running.Figure), target)
+	if headroom >= sureOf || !track.Seen() {
+		track.Observe(now, headroom+l.pressed(p.Image, felt), pressure.Blur(headroom, target))
+	}
+	return track
+}
+
+// trackOf returns the track of a run, a new one where it has none.
 func (l *life) trackOf(run host.Run) *pressure.Track {
 	track := l.tracks[run]
 	if track == nil {
@@ -129,7 +140,7 @@
 }
 
 // paceOf returns the pace in percent that was set last.
-func paceOf(l *life, run host.Run) int {
+func (l *life) paceOf(run host.Run) int {
 	if pace, known := l.paces[run]; known {
 		return pace
 	}
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -193,7 +193,7 @@
 		}
 		report.Running = append(report.Running, link.Running{
 			Run: wireRun(running.Run), Percent: running.Percent, Figure: running.Figure,
-			Pace: paceOf(l, running.Run), Checkpoint: running.Checkpoint,
+			Pace: l.paceOf(running.Run), Checkpoint: running.Checkpoint,
 		})
 	}
 	for run, o := range l.orders {
