--- a/proving/relay/relay.go
+++ b/proving/relay/relay.go
@@ -10,15 +10,21 @@
 // Relay stands before the address of a process.
 type Relay struct {
 	listener net.Listener
-	target   string
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// target is where new connections lead.
+	target string
+	// cut are the sources, by IP number, of which nothing passes; muted are the ways on which nothing does.
 	cut   map[string]bool
 	muted Direction
 	delay time.Duration
-	links map[net.Conn]string
+	// sources are the connections that stand, with the IP number of each.
+	sources map[net.Conn]string
 }
 
+// bufferSize is how many bytes are read at once.
+const bufferSize = 32 << 10
+
 // Direction is a way of bytes through a relay; several may be joined.
 type Direction int
 
@@ -35,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: listener, target: target, cut: make(map[string]bool), links: make(map[net.Conn]string)}
+	r := &Relay{listener: listener, target: target, cut: make(map[string]bool), sources: make(map[net.Conn]string)}
 	go r.accept()
 	return r, nil
 }
@@ -89,7 +95,7 @@
 
 // reset breaks the connections of some sources, as a healed network does with what hung; r.mu is held.
 func (r *Relay) reset(of func(source string) bool) {
-	for link, source := range r.links {
+	for link, source := range r.sources {
 		if of(source) {
 			_ = link.Close()
 		}
@@ -103,6 +109,7 @@
 	return r.cut[source] || r.muted&way != 0, r.delay
 }
 
+// accept serves each connection until the relay is closed.
 func (r *Relay) accept() {
 	for {
 		link, err := r.listener.Accept()
@@ -113,17 +120,11 @@
 	}
 }
 
+// serve passes the bytes of a connection both ways until either end is closed.
 func (r *Relay) serve(link net.Conn) {
 	source, _, _ := net.SplitHostPort(link.RemoteAddr().String())
-	r.mu.Lock()
-	target := r.target
-	r.links[link] = source
-	r.mu.Unlock()
-	defer func() {
-		r.mu.Lock()
-		delete(r.links, link)
-		r.mu.Unlock()
-	}()
+	target := r.add(link, source)
+	defer r.remove(link)
 	far, err := net.Dial("tcp", target)
 	if err != nil {
 		_ = link.Close()
@@ -138,9 +139,24 @@
 	<-done
 }
 
+// add counts a connection among those that stand, and returns where it leads.
+func (r *Relay) add(link net.Conn, source string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sources[link] = source
+	return r.target
+}
+
+// remove counts a connection as gone.
+func (r *Relay) remove(link net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.sources, link)
+}
+
 // copy passes bytes on, late where the relay is slow; while they are to be lost it swallows them.
 func (r *Relay) copy(to io.Writer, from io.Reader, source string, way Direction) {
-	buffer := make([]byte, 32<<10)
+	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
 		lost, delay := r.swallows(source, way)
