--- a/proving/fleet/heartbeat.go
+++ b/proving/fleet/heartbeat.go
@@ -10,8 +10,11 @@
 // heartbeatEvery is how often a worker reports to the agent beside it.
 const heartbeatEvery = 300 * time.Millisecond
 
-// report sends a heartbeat to the agent.
-func (w *Worker) report() {
+// heartbeatTimeout bounds one heartbeat.
+const heartbeatTimeout = time.Second
+
+// heartbeat reports the worker to the agent once.
+func (w *Worker) heartbeat() {
 	w.mu.Lock()
 	w.life.sequence++
 	l := w.life
@@ -27,6 +30,6 @@
 	request.SetRequestURI("http://" + w.agent + "/instances/" + l.instance + "/heartbeat")
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.SetBodyRaw(body)
-	// An agent that does not answer is asked again with the next report.
-	_ = fasthttp.DoTimeout(request, response, time.Second)
+	// An agent that does not answer is told again with the next report.
+	_ = fasthttp.DoTimeout(request, response, heartbeatTimeout)
 }
--- a/proving/fleet/worker.go
+++ b/proving/fleet/worker.go
@@ -86,7 +86,7 @@
 		w.mu.Unlock()
 		if due {
 			reported = time.Now()
-			go w.report()
+			go w.heartbeat()
 		}
 	}
 }
