--- a/proving/cmd/soak/doc.go
+++ b/proving/cmd/soak/doc.go
@@ -1,4 +1,3 @@
-// Command soak runs today's sizes for some minutes with a failure every few
-// seconds, and tells what became of requests and tasks, and whether the
-// processes stayed small.
+// Command soak runs real processes under faults, on the stand-in of the users' platform seed after seed, or on the product's
+// own interface at today's sizes, and tells what was broken.
 package main
