--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -47,12 +47,7 @@
 		t.benchJob(100+n, job.Step{Count: benchTasks, Size: job.Size{CPU: 500}}).job.Cancel()
 	}
 	for v := range benchWorkers {
-		vm := fmt.Sprintf("vm-%02d", v)
-		host := job.Host{VM: vm, Instance: vm}
-		a := &agent{vm: vm, heard: time.Now(), host: host}
-		t.agents[vm] = a
-		w := &t.host(host).worker
-		w.Service, w.Capacity, w.Open = testService, job.Size{CPU: 32000, Memory: 128000}, true
+		host := t.benchWorker(fmt.Sprintf("vm-%02d", v))
 		for i := range benchServing {
 			t.benchPlace(serving, v*benchServing+i, host)
 		}
@@ -63,6 +58,16 @@
 	return t
 }
 
+// benchWorker adds a worker and its agent.
+func (t *term) benchWorker(vm string) job.Host {
+	host := job.Host{VM: vm, Instance: vm}
+	t.agents[vm] = &agent{vm: vm, heard: time.Now(), host: host}
+	w := &t.host(host).worker
+	w.Service, w.Capacity, w.Open = testService, job.Size{CPU: 32000, Memory: 128000}, true
+	return host
+}
+
+// benchJob adds a job of one step.
 func (t *term) benchJob(n int, step job.Step) *tracked {
 	id := job.ID(fmt.Sprintf("%016x", n))
 	queue := job.Queue{Service: testService, Attempts: 1, Stretch: 2, Target: time.Second}
@@ -71,6 +76,7 @@
 	return known
 }
 
+// benchPlace adds a run of a task on a worker.
 func (t *term) benchPlace(known *tracked, index int, host job.Host) {
 	id := job.TaskID{Job: known.job.ID(), Index: index}
 	run := known.job.Place(id, host, 0)
