--- a/proving/cmd/soak/platform.go
+++ b/proving/cmd/soak/platform.go
@@ -9,6 +9,9 @@
 	"github.com/saffronpulley/saffronpulley/proving/fleet"
 )
 
+// jobEvery is how often a job is handed in.
+const jobEvery = 120 * time.Millisecond
+
 // platformSoak plays seeds on the path of the users' platform, one after the other, and keeps the logs of those that fail.
 type platformSoak struct {
 	first, seeds    uint64
@@ -41,20 +44,20 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	story, err := os.Create(filepath.Join(dir, "faults.log"))
+	faults, err := os.Create(filepath.Join(dir, "faults.log"))
 	if err != nil {
 		return err
 	}
-	defer func() { _ = story.Close() }()
+	defer func() { _ = faults.Close() }()
 	f, err := fleet.New(fleet.Size{Entries: p.entries, Agents: p.agents}, binaries, dir)
 	if err != nil {
 		return err
 	}
 	defer f.Close()
 	say := func(format string, args ...any) {
-		fmt.Fprintf(story, "%s "+format+"\n", append([]any{time.Now().UTC().Format(time.RFC3339Nano)}, args...)...)
+		fmt.Fprintf(faults, "%s "+format+"\n", append([]any{time.Now().UTC().Format(time.RFC3339Nano)}, args...)...)
 	}
-	err = f.Play(fleet.Soak{Seed: seed, Length: p.length, JobEvery: 120 * time.Millisecond, Say: say})
+	err = f.Play(fleet.Soak{Seed: seed, Length: p.length, JobEvery: jobEvery, Say: say})
 	fmt.Printf("seed %d: %s\n", seed, f.Books().Counts())
 	if err == nil {
 		return os.RemoveAll(dir)
--- a/proving/fleet/caller.go
+++ b/proving/fleet/caller.go
@@ -24,8 +24,15 @@
 	next int
 }
 
-// callerPatience is how long a caller waits for an answer.
-const callerPatience = 2500 * time.Millisecond
+const (
+	// callerPatience is how long a caller waits for an answer.
+	callerPatience = 2500 * time.Millisecond
+	// retryAfter is how long a caller waits before it sends a job again, mostAttempts how often it sends or cancels one.
+	retryAfter   = 500 * time.Millisecond
+	mostAttempts = 12
+	// cancelOneOf says of how many jobs one is canceled.
+	cancelOneOf = 20
+)
 
 // NewCaller returns a caller whose choices follow a seed.
 func NewCaller(f *Fleet, seed uint64) *Caller {
@@ -47,7 +54,7 @@
 			return
 		case <-ticker.C:
 			id := c.submit(c.draw())
-			cancel := c.pick(20) == 0
+			cancel := c.pick(cancelOneOf) == 0
 			calls.Go(func() { c.settle(id, cancel, stop) })
 		}
 	}
@@ -55,27 +62,27 @@
 
 // settle sends a job until it is accepted or surely refused too often, and cancels it where that is wanted.
 func (c *Caller) settle(id job.ID, cancel bool, stop <-chan struct{}) {
-	const attempts = 12
-	for range attempts {
+	for range mostAttempts {
 		if c.send(id) {
 			break
 		}
 		select {
 		case <-stop:
 			return
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(retryAfter):
 		}
 	}
 	if !cancel {
 		return
 	}
-	for range attempts {
+	for range mostAttempts {
 		if c.cancel(id) {
 			return
 		}
 	}
 }
 
+// pick draws a number from 0 up to, but not, n.
 func (c *Caller) pick(n int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -124,12 +131,14 @@
 	return accepted
 }
 
+// cancel cancels a job once and reports whether that was acknowledged.
 func (c *Caller) cancel(id job.ID) bool {
 	status, _ := c.call(fasthttp.MethodDelete, id, nil)
-	if status/100 == 2 {
+	acknowledged := status/100 == 2
+	if acknowledged {
 		c.fleet.books.Canceled(id)
 	}
-	return status/100 == 2
+	return acknowledged
 }
 
 // ask asks for the state of a job.
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -20,6 +20,14 @@
 // settleWithin is how long after the last fault all accepted jobs have to be completed.
 const settleWithin = 45 * time.Second
 
+// How long a fault lasts and how long after its begin the next one begins, in milliseconds: the least, and below how much more.
+const (
+	leastLasts = 300
+	moreLasts  = 6000
+	leastApart = 200
+	moreApart  = 2500
+)
+
 // Play plays faults in series, which overlap, and returns what was broken.
 func (f *Fleet) Play(s Soak) error {
 	caller, stop := NewCaller(f, s.Seed), make(chan struct{})
@@ -40,11 +48,11 @@
 	var ends sync.WaitGroup
 	for began := time.Now(); time.Since(began) < s.Length; {
 		next := disturbances[random.IntN(len(disturbances))]
-		lasts := time.Duration(300+random.IntN(6000)) * time.Millisecond
+		lasts := time.Duration(leastLasts+random.IntN(moreLasts)) * time.Millisecond
 		target := random.IntN(1 << 16)
 		s.Say("%v %s for %v on %d", time.Since(began).Round(time.Millisecond), next.name, lasts, target)
 		ends.Go(func() { next.play(f, target, lasts) })
-		<-time.After(time.Duration(200+random.IntN(2500)) * time.Millisecond)
+		<-time.After(time.Duration(leastApart+random.IntN(moreApart)) * time.Millisecond)
 	}
 	ends.Wait()
 }
--- a/proving/fleet/store.go
+++ b/proving/fleet/store.go
@@ -23,7 +23,7 @@
 	delay  time.Duration
 }
 
-// lease is a lease and the timer by which it runs out.
+// lease is the length of a lease and the timer by which it runs out.
 type lease struct {
 	ttl   time.Duration
 	timer *time.Timer
@@ -73,6 +73,7 @@
 	Gone     bool   `json:"gone,omitempty"`
 }
 
+// wireOf returns an item as the platform writes it.
 func wireOf(i kv.Item, gone bool) wireItem {
 	return wireItem{Key: i.Key(), Value: i.Value(), Revision: uint64(i.Revision()), Gone: gone}
 }
@@ -110,6 +111,7 @@
 	}
 }
 
+// query returns a parameter of a call.
 func query(ctx *fasthttp.RequestCtx, name string) string { return string(ctx.QueryArgs().Peek(name)) }
 
 func (s *Store) get(ctx *fasthttp.RequestCtx) {
@@ -124,13 +126,16 @@
 	}
 }
 
+// mostItems bounds the items of one answer.
+const mostItems = 500
+
+// page answers with the items under a prefix, from a key on.
 func (s *Store) page(ctx *fasthttp.RequestCtx) {
 	items, at, err := s.data.Range(ctx, query(ctx, "path-prefix"))
 	if err != nil {
 		refuse(ctx, err)
 		return
 	}
-	const mostItems = 500
 	after := query(ctx, "depends-on")
 	page, more := []wireItem{}, false
 	for _, i := range items {
@@ -213,6 +218,7 @@
 	s.data.Expire(id)
 }
 
+// leaseOf returns the lease that ends a path, 0 where none does.
 func leaseOf(path string) kv.LeaseID {
 	id, _ := strconv.ParseUint(path[strings.LastIndexByte(path, '/')+1:], 10, 64)
 	return kv.LeaseID(id)
