--- a/proving/fleet/disturbances.go
+++ b/proving/fleet/disturbances.go
@@ -57,15 +57,19 @@
 	{"answers of commits lost", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Lost) }},
 	{"commits late", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Late) }},
 	{"commits not done", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Unsent) }},
-	{"entry cut from the store", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.entry(n).name], relay.Towards|relay.Back, d) }},
-	{"answers of the store do not reach an entry", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.entry(n).name], relay.Back, d) }},
-	{"agent cut from the store", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.agent(n).name], relay.Towards|relay.Back, d) }},
+	{"entry cut from the store", func(f *Fleet, n int, d time.Duration) {
+		mute(f.storeRelays[f.entry(n).name], relay.Towards|relay.Back, d)
+	}},
+	{"answers of the store do not reach an entry", func(f *Fleet, n int, d time.Duration) { mute(f.storeRelays[f.entry(n).name], relay.Back, d) }},
+	{"agent cut from the store", func(f *Fleet, n int, d time.Duration) {
+		mute(f.storeRelays[f.agent(n).name], relay.Towards|relay.Back, d)
+	}},
 	{"nothing reaches an entry", func(f *Fleet, n int, d time.Duration) { mute(f.peer(n), relay.Towards, d) }},
 	{"nobody hears an entry", func(f *Fleet, n int, d time.Duration) { mute(f.peer(n), relay.Back, d) }},
 	{"entry cut off", func(f *Fleet, n int, d time.Duration) {
 		var both sync.WaitGroup
 		both.Go(func() { mute(f.peer(n), relay.Towards|relay.Back, d) })
-		mute(f.stores[f.entry(n).name], relay.Towards|relay.Back, d)
+		mute(f.storeRelays[f.entry(n).name], relay.Towards|relay.Back, d)
 		both.Wait()
 	}},
 	{"entry far away", func(f *Fleet, n int, d time.Duration) {
@@ -73,7 +77,7 @@
 		<-time.After(d)
 		f.peer(n).SetDelay(0)
 	}},
-	{"connections reset", func(f *Fleet, n int, _ time.Duration) { f.peer(n).Reset(); f.stores[f.agent(n).name].Reset() }},
+	{"connections reset", func(f *Fleet, n int, _ time.Duration) { f.peer(n).Reset(); f.storeRelays[f.agent(n).name].Reset() }},
 	{"history forgotten", func(f *Fleet, _ int, _ time.Duration) { f.store.Forget() }},
 }
 
@@ -83,7 +87,7 @@
 
 func (f *Fleet) worker(n int) *Worker { return f.workers[n%len(f.workers)] }
 
-func (f *Fleet) peer(n int) *relay.Relay { return f.peers[n%len(f.peers)] }
+func (f *Fleet) peer(n int) *relay.Relay { return f.peerRelays[n%len(f.peerRelays)] }
 
 // mute swallows the bytes of some ways for a while.
 func mute(r *relay.Relay, ways relay.Direction, d time.Duration) {
--- a/proving/fleet/fleet.go
+++ b/proving/fleet/fleet.go
@@ -30,9 +30,9 @@
 	entries []*Process
 	agents  []*Process
 
-	// stores stand between each process and the store, by its name; peers before the entries, in their order.
-	stores map[string]*relay.Relay
-	peers  []*relay.Relay
+	// storeRelays stand between each process and the store, by its name; peerRelays before the entries, in their order.
+	storeRelays map[string]*relay.Relay
+	peerRelays  []*relay.Relay
 
 	stop    chan struct{}
 	servers []*fasthttp.Server
@@ -41,7 +41,7 @@
 
 // New starts a fleet with the programs of a directory; its logs and settings go to another.
 func New(size Size, binaries, dir string) (*Fleet, error) {
-	f := &Fleet{store: NewStore(), books: NewBooks(), stores: make(map[string]*relay.Relay), stop: make(chan struct{})}
+	f := &Fleet{store: NewStore(), books: NewBooks(), storeRelays: make(map[string]*relay.Relay), stop: make(chan struct{})}
 	if err := f.begin(size, binaries, dir); err != nil {
 		f.Close()
 		return nil, err
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	f.peers = append(f.peers, peers)
+	f.peerRelays = append(f.peerRelays, peers)
 	if a.store, err = f.storeFor(entry.name, a.store); err != nil {
 		return err
 	}
@@ -101,7 +101,7 @@
 	if err != nil {
 		return "", err
 	}
-	f.stores[name] = r
+	f.storeRelays[name] = r
 	return r.Address(), nil
 }
 
@@ -137,8 +137,8 @@
 
 // relays returns all relays of the fleet.
 func (f *Fleet) relays() []*relay.Relay {
-	all := slices.Clone(f.peers)
-	for _, r := range f.stores {
+	all := slices.Clone(f.peerRelays)
+	for _, r := range f.storeRelays {
 		all = append(all, r)
 	}
 	return all
