--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -32,7 +32,7 @@
 	fillingWeight = 0.25
 )
 
-// costOf returns how crowded the worker would be, and whether the task would get anything at all there.
+// costOf returns what a task of the group costs on the worker, and whether it would get anything at all there.
 func (p *Planner) costOf(w *Worker, g *Group) (float64, bool) {
 	if w.Capacity.CPU == 0 {
 		return 0, false
