--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -13,7 +13,7 @@
 // gain returns what a filling task is worth on a worker beyond the harm that it does there, and whether it suits.
 func (p *Planner) gain(w *Worker, g *Group) (float64, bool) {
 	worth := w.share(g.Step.Size.CPU) / pressure.WorthOfOver
-	harm := w.press(g.Step, p.pressure)
+	harm := w.harm(g.Step, p.pressure)
 	crowded := w.Spare() < g.Step.Size.CPU && w.Filling > 0
 	return worth - harm, harm <= mostHarm*worth && !crowded
 }
@@ -32,7 +32,7 @@
 	fillingWeight = 0.25
 )
 
-// costOf returns how crowded the worker would be, and whether the task would get anything at all there.
+// costOf returns what a task of the group costs on the worker, and whether it would get anything at all there.
 func (p *Planner) costOf(w *Worker, g *Group) (float64, bool) {
 	if w.Capacity.CPU == 0 {
 		return 0, false
--- a/proving/fleet/caller.go
+++ b/proving/fleet/caller.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,8 +24,15 @@
 	next int
 }
 
-// callerPatience is how long a caller waits for an answer.
-const callerPatience = 2500 * time.Millisecond
+const (
+	// callerPatience is how long a caller waits for an answer.
+	callerPatience = 2500 * time.Millisecond
+	// retryAfter is how long a caller waits before it sends a job again, mostAttempts how often it sends or cancels one.
+	retryAfter   = 500 * time.Millisecond
+	mostAttempts = 12
+	// cancelOneOf says of how many jobs one is canceled.
+	cancelOneOf = 20
+)
 
 // NewCaller returns a caller whose choices follow a seed.
 func NewCaller(f *Fleet, seed uint64) *Caller {
@@ -46,7 +54,7 @@
 			return
 		case <-ticker.C:
 			id := c.submit(c.draw())
-			cancel := c.pick(20) == 0
+			cancel := c.pick(cancelOneOf) == 0
 			calls.Go(func() { c.settle(id, cancel, stop) })
 		}
 	}
@@ -54,27 +62,27 @@
 
 // settle sends a job until it is accepted or surely refused too often, and cancels it where that is wanted.
 func (c *Caller) settle(id job.ID, cancel bool, stop <-chan struct{}) {
-	const attempts = 12
-	for range attempts {
+	for range mostAttempts {
 		if c.send(id) {
 			break
 		}
 		select {
 		case <-stop:
 			return
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(retryAfter):
 		}
 	}
 	if !cancel {
 		return
 	}
-	for range attempts {
+	for range mostAttempts {
 		if c.cancel(id) {
 			return
 		}
 	}
 }
 
+// pick draws a number from 0 up to, but not, n.
 func (c *Caller) pick(n int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -105,7 +113,7 @@
 	id := job.ID(fmt.Sprintf("%08x%08x", c.random.Uint32(), c.next))
 	c.jobs[id] = spec
 	c.mu.Unlock()
-	c.fleet.Books.Sent(id, spec)
+	c.fleet.books.Sent(id, spec)
 	return id
 }
 
@@ -115,20 +123,22 @@
 	spec := c.jobs[id]
 	c.mu.Unlock()
 	body, _ := json.Marshal(bodyOf(spec))
-	c.fleet.Books.Sending(id)
+	c.fleet.books.Sending(id)
 	status, _ := c.call(fasthttp.MethodPost, id, body)
 	accepted := status/100 == 2
 	refused := status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
-	c.fleet.Books.Answered(id, accepted, refused)
+	c.fleet.books.Answered(id, accepted, refused)
 	return accepted
 }
 
+// cancel cancels a job once and reports whether that was acknowledged.
 func (c *Caller) cancel(id job.ID) bool {
 	status, _ := c.call(fasthttp.MethodDelete, id, nil)
-	if status/100 == 2 {
-		c.fleet.Books.Canceled(id)
+	acknowledged := status/100 == 2
+	if acknowledged {
+		c.fleet.books.Canceled(id)
 	}
-	return status/100 == 2
+	return acknowledged
 }
 
 // ask asks for the state of a job.
@@ -138,28 +148,28 @@
 		State string `json:"state"`
 	}
 	if status == fasthttp.StatusGone {
-		c.fleet.Books.Shown(id, job.Queued, true)
+		c.fleet.books.Shown(id, job.Queued, true)
 	}
 	if status != fasthttp.StatusOK || json.Unmarshal(answer, &body) != nil {
 		return
 	}
 	for s := job.Queued; s <= job.Canceled; s++ {
 		if s.String() == body.State {
-			c.fleet.Books.Shown(id, s, false)
+			c.fleet.books.Shown(id, s, false)
 		}
 	}
 }
 
 // AskAll asks for all jobs that are not known to be finished.
 func (c *Caller) AskAll() {
-	for _, id := range c.fleet.Books.Unfinished() {
+	for _, id := range c.fleet.books.Unfinished() {
 		c.ask(id)
 	}
 }
 
 // call sends a request to any entry and returns its status, 0 where there is no answer.
 func (c *Caller) call(method string, id job.ID, body []byte) (int, []byte) {
-	entry := c.fleet.Entries[c.pick(len(c.fleet.Entries))]
+	entry := c.fleet.entries[c.pick(len(c.fleet.entries))]
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -184,3 +194,13 @@
 	}
 	return map[string]any{"spec": spec.Text, "steps": steps}
 }
+
+// workOf returns how long a task works, which callers write into its text as "work=800ms".
+func workOf(text string) time.Duration {
+	_, rest, _ := strings.Cut(text, "work=")
+	d, err := time.ParseDuration(strings.Fields(rest + " 0s")[0])
+	if err != nil {
+		return 0
+	}
+	return d
+}
--- a/proving/fleet/demo.go
+++ b/proving/fleet/demo.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"fmt"
 	"syscall"
 	"time"
 
@@ -24,20 +23,18 @@
 		}
 		say("%s %s is accepted", name, id)
 	}
-	for _, p := range f.Entries[1:] {
+	for _, p := range f.entries[1:] {
 		p.Signal(syscall.SIGKILL)
 		say("%s is killed", p.name)
 	}
-	if err := f.await(demoWithin, func() bool { c.AskAll(); return len(f.Books.Unfinished()) == 0 }); err != nil {
+	if err := f.awaitFinished(c, demoWithin); err != nil {
 		return err
 	}
-	say("both are completed: %s", f.Books.Counts())
-	if broken := f.Books.Broken(); len(broken) > 0 {
-		return fmt.Errorf("%d promises broken:\n%s", len(broken), f.Books)
-	}
-	return nil
+	say("both are completed: %s", f.books.Counts())
+	return f.books.judge()
 }
 
+// demoStep returns a step of small tasks.
 func demoStep(tasks int, work time.Duration) job.Step {
 	return job.Step{Count: tasks, Size: job.Size{CPU: 1000, Memory: 500}, Estimate: work}
 }
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -4,11 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
-
-	"github.com/saffronpulley/saffronpulley/internal/kvtest"
-	"github.com/saffronpulley/saffronpulley/proving/relay"
 )
 
 // Soak says what a soak plays.
@@ -24,6 +20,14 @@
 // settleWithin is how long after the last fault all accepted jobs have to be completed.
 const settleWithin = 45 * time.Second
 
+// How long a fault lasts and how long after its begin the next one begins, in milliseconds: the least, and below how much more.
+const (
+	leastLasts = 300
+	moreLasts  = 6000
+	leastApart = 200
+	moreApart  = 2500
+)
+
 // Play plays faults in series, which overlap, and returns what was broken.
 func (f *Fleet) Play(s Soak) error {
 	caller, stop := NewCaller(f, s.Seed), make(chan struct{})
@@ -32,13 +36,10 @@
 	f.disturb(s)
 	close(stop)
 	calls.Wait()
-	if err := f.await(settleWithin, func() bool { caller.AskAll(); return len(f.Books.Unfinished()) == 0 }); err != nil {
-		return fmt.Errorf("%w\n%s", err, f.Books)
+	if err := f.awaitFinished(caller, settleWithin); err != nil {
+		return fmt.Errorf("%w\n%s", err, f.books)
 	}
-	if broken := f.Books.Broken(); len(broken) > 0 {
-		return fmt.Errorf("%d promises broken:\n%s", len(broken), f.Books)
-	}
-	return nil
+	return f.books.judge()
 }
 
 // disturb begins a fault every so often; each ends by itself some time later.
@@ -46,111 +47,12 @@
 	random := rand.New(rand.NewPCG(s.Seed, 11))
 	var ends sync.WaitGroup
 	for began := time.Now(); time.Since(began) < s.Length; {
-		fault := faults[random.IntN(len(faults))]
-		lasts := time.Duration(300+random.IntN(6000)) * time.Millisecond
+		next := disturbances[random.IntN(len(disturbances))]
+		lasts := time.Duration(leastLasts+random.IntN(moreLasts)) * time.Millisecond
 		target := random.IntN(1 << 16)
-		s.Say("%v %s for %v on %d", time.Since(began).Round(time.Millisecond), fault.name, lasts, target)
-		ends.Go(func() { fault.play(f, target, lasts) })
-		<-time.After(time.Duration(200+random.IntN(2500)) * time.Millisecond)
+		s.Say("%v %s for %v on %d", time.Since(began).Round(time.Millisecond), next.name, lasts, target)
+		ends.Go(func() { next.play(f, target, lasts) })
+		<-time.After(time.Duration(leastApart+random.IntN(moreApart)) * time.Millisecond)
 	}
 	ends.Wait()
 }
-
-// disturbance is a kind of fault; target picks what it strikes.
-type disturbance struct {
-	name string
-	play func(f *Fleet, target int, lasts time.Duration)
-}
-
-var faults = []disturbance{
-	{"entry killed", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGKILL) }},
-	{"agent killed", func(f *Fleet, n int, _ time.Duration) { f.agent(n).Signal(syscall.SIGKILL) }},
-	{"entry stopped", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGTERM) }},
-	{"agent stopped", func(f *Fleet, n int, _ time.Duration) { f.agent(n).Signal(syscall.SIGTERM) }},
-	{"entry frozen", func(f *Fleet, n int, d time.Duration) { freeze(f.entry(n), d) }},
-	{"agent frozen", func(f *Fleet, n int, d time.Duration) { freeze(f.agent(n), d) }},
-	{"all killed", func(f *Fleet, _ int, _ time.Duration) { f.killAll() }},
-	{"settings read again", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGHUP) }},
-	{"worker crashed", func(f *Fleet, n int, _ time.Duration) { f.worker(n).Crash() }},
-	{"worker silent", func(f *Fleet, n int, d time.Duration) {
-		f.worker(n).SetSilent(true)
-		<-time.After(d)
-		f.worker(n).SetSilent(false)
-	}},
-	{"orders late", func(f *Fleet, n int, d time.Duration) {
-		f.worker(n).SetLate(d / 2)
-		<-time.After(d)
-		f.worker(n).SetLate(0)
-	}},
-	{"store down", func(f *Fleet, _ int, d time.Duration) {
-		f.Store.SetDown(true)
-		<-time.After(d)
-		f.Store.SetDown(false)
-	}},
-	{"store slow", func(f *Fleet, _ int, d time.Duration) {
-		f.Store.SetDelay(250 * time.Millisecond)
-		<-time.After(d)
-		f.Store.SetDelay(0)
-	}},
-	{"answers of commits lost", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Lost) }},
-	{"commits late", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Late) }},
-	{"commits not done", func(f *Fleet, n int, d time.Duration) { f.lose(n, d, kvtest.Unsent) }},
-	{"entry cut from the store", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.entry(n).name], relay.Towards|relay.Back, d) }},
-	{"answers of the store do not reach an entry", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.entry(n).name], relay.Back, d) }},
-	{"agent cut from the store", func(f *Fleet, n int, d time.Duration) { mute(f.stores[f.agent(n).name], relay.Towards|relay.Back, d) }},
-	{"nothing reaches an entry", func(f *Fleet, n int, d time.Duration) { mute(f.peer(n), relay.Towards, d) }},
-	{"nobody hears an entry", func(f *Fleet, n int, d time.Duration) { mute(f.peer(n), relay.Back, d) }},
-	{"entry cut off", func(f *Fleet, n int, d time.Duration) {
-		var both sync.WaitGroup
-		both.Go(func() { mute(f.peer(n), relay.Towards|relay.Back, d) })
-		mute(f.stores[f.entry(n).name], relay.Towards|relay.Back, d)
-		both.Wait()
-	}},
-	{"entry far away", func(f *Fleet, n int, d time.Duration) {
-		f.peer(n).SetDelay(150 * time.Millisecond)
-		<-time.After(d)
-		f.peer(n).SetDelay(0)
-	}},
-	{"connections reset", func(f *Fleet, n int, _ time.Duration) { f.peer(n).Reset(); f.stores[f.agent(n).name].Reset() }},
-	{"history forgotten", func(f *Fleet, _ int, _ time.Duration) { f.Store.Forget() }},
-}
-
-func (f *Fleet) entry(n int) *Process { return f.Entries[n%len(f.Entries)] }
-func (f *Fleet) agent(n int) *Process { return f.Agents[n%len(f.Agents)] }
-func (f *Fleet) worker(n int) *Worker { return f.Workers[n%len(f.Workers)] }
-
-func (f *Fleet) peer(n int) *relay.Relay { return f.peers[n%len(f.peers)] }
-
-func mute(r *relay.Relay, ways relay.Direction, d time.Duration) {
-	r.Mute(ways)
-	<-time.After(d)
-	r.Mute(0)
-}
-
-func freeze(p *Process, d time.Duration) {
-	p.Signal(syscall.SIGSTOP)
-	<-time.After(d)
-	p.Signal(syscall.SIGCONT)
-}
-
-func (f *Fleet) killAll() {
-	for _, p := range f.Entries {
-		p.Signal(syscall.SIGKILL)
-	}
-	for _, p := range f.Agents {
-		p.Signal(syscall.SIGKILL)
-	}
-}
-
-// lose lets a part of the commits come to grief for a while.
-func (f *Fleet) lose(n int, d time.Duration, trouble kvtest.Trouble) {
-	random := rand.New(rand.NewPCG(uint64(n), 3))
-	f.Store.SetTrouble(func() kvtest.Trouble {
-		if random.IntN(3) == 0 {
-			return trouble
-		}
-		return kvtest.None
-	})
-	<-time.After(d)
-	f.Store.SetTrouble(nil)
-}
--- a/proving/fleet/store.go
+++ b/proving/fleet/store.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,7 +9,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
 )
@@ -26,7 +23,7 @@
 	delay  time.Duration
 }
 
-// lease is a lease and the timer by which it runs out.
+// lease is the length of a lease and the timer by which it runs out.
 type lease struct {
 	ttl   time.Duration
 	timer *time.Timer
@@ -76,6 +73,7 @@
 	Gone     bool   `json:"gone,omitempty"`
 }
 
+// wireOf returns an item as the platform writes it.
 func wireOf(i kv.Item, gone bool) wireItem {
 	return wireItem{Key: i.Key(), Value: i.Value(), Revision: uint64(i.Revision()), Gone: gone}
 }
@@ -113,6 +111,7 @@
 	}
 }
 
+// query returns a parameter of a call.
 func query(ctx *fasthttp.RequestCtx, name string) string { return string(ctx.QueryArgs().Peek(name)) }
 
 func (s *Store) get(ctx *fasthttp.RequestCtx) {
@@ -127,13 +126,16 @@
 	}
 }
 
+// mostItems bounds the items of one answer.
+const mostItems = 500
+
+// page answers with the items under a prefix, from a key on.
 func (s *Store) page(ctx *fasthttp.RequestCtx) {
 	items, at, err := s.data.Range(ctx, query(ctx, "path-prefix"))
 	if err != nil {
 		refuse(ctx, err)
 		return
 	}
-	const mostItems = 500
 	after := query(ctx, "depends-on")
 	page, more := []wireItem{}, false
 	for _, i := range items {
@@ -176,8 +178,7 @@
 		} `json:"put"`
 		Removes []string `json:"remove"`
 	}
-	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	if !read(ctx, &body) {
 		return
 	}
 	change := kv.Txn{Removes: body.Removes}
@@ -199,8 +200,7 @@
 	var body struct {
 		TTL int64 `json:"ttl_ms"`
 	}
-	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	if !read(ctx, &body) {
 		return
 	}
 	ttl := time.Duration(body.TTL) * time.Millisecond
@@ -218,6 +218,7 @@
 	s.data.Expire(id)
 }
 
+// leaseOf returns the lease that ends a path, 0 where none does.
 func leaseOf(path string) kv.LeaseID {
 	id, _ := strconv.ParseUint(path[strings.LastIndexByte(path, '/')+1:], 10, 64)
 	return kv.LeaseID(id)
@@ -238,33 +239,3 @@
 	s.expire(leaseOf(path))
 	write(ctx, struct{}{})
 }
-
-// refuse answers an error as the platform does; an answer that is lost breaks the connection.
-func refuse(ctx *fasthttp.RequestCtx, err error) {
-	switch fault.KindOf(err) {
-	case fault.OutcomeUnknown:
-		lose(ctx)
-	case fault.Conflict:
-		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
-	case fault.NotFound:
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-	case fault.Stale:
-		ctx.SetStatusCode(fasthttp.StatusGone)
-	case fault.BadInput:
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-	default:
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-	}
-}
-
-func closeConn(c net.Conn) { _ = c.Close() }
-
-func write(ctx *fasthttp.RequestCtx, body any) {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(encoded)
-}
