Tests of the leads read what others write only after it is written

One run of the dispatch tests panicked in mailbox.send: TestWorld took an answer in the report's goroutine while the lead's orders came in by another, so that which came first hung on chance. Now both orders are drawn, as strict as before.

--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,12 +18,23 @@
 
 // fakeAdvisor allows one worker and notes the calls.
 type fakeAdvisor struct {
-	good  string
+	good string
+
+	mu    sync.Mutex
 	calls [][]string
 }
 
+// asked returns the calls so far.
+func (f *fakeAdvisor) asked() [][]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.calls)
+}
+
 func (f *fakeAdvisor) Advise(_ context.Context, _ string, instances []string) (Tickets, error) {
+	f.mu.Lock()
 	f.calls = append(f.calls, instances)
+	f.mu.Unlock()
 	time.Sleep(5 * time.Millisecond)
 	tickets := Tickets{ByInstance: map[string]string{}, Valid: 3 * time.Second}
 	if slices.Contains(instances, f.good) {
@@ -49,7 +61,7 @@
 		assert.NilError(t, cycle(ctx, term))
 		assert.Equal(t, len(agents["a"].mail)+len(agents["b"].mail), 0, "nothing is placed before the advice is there")
 		time.Sleep(10 * time.Millisecond)
-		assert.DeepEqual(t, advisor.calls, [][]string{{"a1", "b1"}})
+		assert.DeepEqual(t, advisor.asked(), [][]string{{"a1", "b1"}})
 		assert.NilError(t, cycle(ctx, term))
 		synctest.Wait()
 		assert.Equal(t, len(agents["a"].mail), 0)
@@ -64,7 +76,7 @@
 		assert.NilError(t, err)
 		assert.NilError(t, cycle(ctx, term))
 		time.Sleep(10 * time.Millisecond)
-		assert.Equal(t, len(advisor.calls), 2)
+		assert.Equal(t, len(advisor.asked()), 2)
 		assert.NilError(t, cycle(ctx, term))
 		synctest.Wait()
 		assert.Equal(t, len(agents["b"].mail), 2)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -184,19 +184,30 @@
 			r.Pending = append(r.Pending, s.Run)
 		}
 	}
+	before := len(a.mail)
 	answered := make(chan struct{})
+	var answer link.ReportAnswer
+	var err error
 	go func() {
 		defer close(answered)
-		answer, err := t.report(mailbox{a}, r)
-		if err == nil {
-			w.take(a, r, answer, sent)
-		}
+		answer, err = t.report(mailbox{a}, r)
 	}()
 	synctest.Wait()
 	if t == w.newest() {
 		w.lead(t)
 	}
 	<-answered
+	// The orders that the lead sends meanwhile are on a way of their own, so that the answer comes before or after them.
+	synctest.Wait()
+	var later []link.Orders
+	if rapid.Bool().Draw(w.t, "answer before orders") {
+		later = slices.Clone(a.mail[before:])
+		a.mail = a.mail[:before]
+	}
+	if err == nil {
+		w.take(a, r, answer, sent)
+	}
+	a.mail = append(a.mail, later...)
 }
 
 func (w *world) take(a *fakeAgent, r link.Report, answer link.ReportAnswer, sent time.Time) {
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -188,16 +188,19 @@
 func TestLeadWithoutItsLeaseSaysSo(t *testing.T) {
 	l := begin(t, memory{}, "vm-1")
 	profile := &control.Profile{Agent: "vm-2", Hall: "h", Rack: 0}
-	entry := &rpc.Peer{}
-	l.subscribers[entry] = struct{}{}
+	// The entry asks a lead that nobody beats to, which would push what changed to a peer that has no connection.
+	asked, entry := begin(t, memory{}, "vm-1"), &rpc.Peer{}
+	asked.subscribers[entry] = struct{}{}
 	for _, lapsed := range []bool{false, true} {
 		if lapsed {
-			l.prolonged(time.Now().Add(-2*time.Hour), store.NewLease("vm-1", time.Hour))
+			for _, lead := range []*Lead{l, asked} {
+				lead.prolonged(time.Now().Add(-2*time.Hour), store.NewLease("vm-1", time.Hour))
+			}
 		}
 		answer, err := l.Beat(t.Context(), nil, control.Beat{Instance: "vm-2", Boot: "b", Profile: profile})
 		assert.NilError(t, err)
 		assert.Equal(t, answer.Lapsed, lapsed)
-		subscribed, err := l.Subscribe(t.Context(), entry, control.Subscribe{})
+		subscribed, err := asked.Subscribe(t.Context(), entry, control.Subscribe{})
 		assert.NilError(t, err)
 		assert.Equal(t, subscribed.Lapsed, lapsed)
 	}
