--- a/proving/fleet/books.go
+++ b/proving/fleet/books.go
@@ -127,6 +127,11 @@
 	return true
 }
 
+// has reports whether a task is one of the job's.
+func (e *entry) has(id job.TaskID) bool {
+	return id.Time == 0 && id.Step < len(e.spec.Steps) && id.Index < e.spec.Steps[id.Step].Count
+}
+
 // started judges a start that a worker accepted.
 func (b *Books) started(worker string, id job.TaskID, run int, text string) {
 	b.mu.Lock()
@@ -134,7 +139,7 @@
 	b.starts++
 	e, h := b.jobs[id.Job], b.history(id)
 	switch {
-	case e == nil:
+	case e == nil || !e.has(id):
 		b.fail("%s was started, which nobody handed in", id)
 		return
 	case e.spec.Text != text:
@@ -245,7 +250,7 @@
 			canceled++
 		}
 	}
-	return fmt.Sprintf("%d jobs, %d accepted, %d canceled, %d starts, %d broken promises", len(b.jobs), accepted, canceled, b.starts, len(b.broken))
+	return fmt.Sprintf("%d jobs, %d accepted, %d canceled, %d starts", len(b.jobs), accepted, canceled, b.starts)
 }
 
 // String returns the broken promises, one a line.
