--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -98,21 +98,24 @@
 
 // take places a task of the group on a worker.
 func (p *Planner) take(w *Worker, g *Group, index, run int) Placement {
-	p.burden(w, g, 1)
+	switch {
+	case g.Step.Fills:
+		w.burden(g.Step.Image, w.share(g.Step.Size.CPU), p.pressure)
+	case g.Step.Serves():
+		w.serve(g.Step.Image, p.pressure)
+	}
 	return g.take(w, index, run)
 }
 
-// giveBack undoes take.
+// giveBack undoes the latest take on a worker.
 func (p *Planner) giveBack(w *Worker, g *Group) {
-	p.burden(w, g, -1)
-	g.giveBack(w)
-}
-
-// burden counts a task of the group among what fills a worker, or no longer where the sign is negative.
-func (p *Planner) burden(w *Worker, g *Group, sign float64) {
-	if g.Step.Fills {
-		w.burden(g.Step.Image, sign*w.share(g.Step.Size.CPU), p.pressure)
+	switch {
+	case g.Step.Fills:
+		w.burden(g.Step.Image, -w.share(g.Step.Size.CPU), p.pressure)
+	case g.Step.Serves():
+		w.Served = w.Served[:len(w.Served)-1]
 	}
+	g.giveBack(w)
 }
 
 // Suits reports whether some worker that the group does not avoid would suit a task of it.
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -1,10 +1,12 @@
 package plan
 
 import (
+	"maps"
 	"math"
 	"slices"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
 
 // servingShare is the part of a serving task's declared processors that it uses on average, as the users' sites draw it;
@@ -138,3 +140,13 @@
 		w.Served[i].press(weight, deviation, share)
 	}
 }
+
+// serve adds a task that will serve here, of which nothing is known but what fills beside it.
+func (w *Worker) serve(image string, weights Pressure) {
+	s := Served{Image: image, Headroom: pressure.UnknownHeadroom, Deviation: pressure.UnknownDeviation}
+	for _, filling := range slices.Sorted(maps.Keys(w.Fills)) {
+		weight, deviation := weights.Weight(image, filling)
+		s.press(weight, deviation, w.Fills[filling])
+	}
+	w.Served = append(w.Served, s)
+}
--- a/internal/pressure/model_test.go
+++ b/internal/pressure/model_test.go
@@ -97,7 +97,7 @@
 		at := d.now.Add(time.Second)
 		ahead, deviation := d.track.Ahead(at)
 		d.now = at
-		if math.Abs(ahead-d.own()) > 0.5 || deviation > unknownDeviation {
+		if math.Abs(ahead-d.own()) > 0.5 || deviation > UnknownDeviation {
 			t.Fatalf("%.2f is foretold with a deviation of %.2f, and %.2f came", ahead, deviation, d.own())
 		}
 	})
@@ -107,7 +107,7 @@
 	var track Track
 	headroom, deviation := track.Ahead(time.Unix(1, 0))
 	assert.Equal(t, headroom, UnknownHeadroom)
-	assert.Equal(t, deviation, unknownDeviation)
+	assert.Equal(t, deviation, UnknownDeviation)
 	track.Observe(time.Unix(1, 0), 1, 0.01)
 	headroom, _ = track.Ahead(time.Unix(1, 1e8))
 	assert.Assert(t, headroom < 1.5)
--- a/internal/pressure/track.go
+++ b/internal/pressure/track.go
@@ -24,9 +24,10 @@
 }
 
 const (
-	// UnknownHeadroom and its deviation are what a task is taken to have before its first figure, and return to in time.
-	UnknownHeadroom  = 2.5
-	unknownDeviation = 0.75
+	// UnknownHeadroom is what a task is taken to have before its first figure, as idle tasks have in the mean on recorded days.
+	UnknownHeadroom = 2.5
+	// UnknownDeviation is the standard deviation of that, from the same days.
+	UnknownDeviation = 0.75
 	// slopeDeviation is that of a slope not yet seen, in headroom a second: half of the range within a quarter of ten seconds.
 	slopeDeviation = 0.4
 	// slopeDrift is the variance that a slope gains each second, beside the swing; the best of four on a recorded day.
@@ -51,7 +52,7 @@
 	gap := now.Sub(t.seen).Seconds()
 	if !t.Seen() || gap > mostGap {
 		*t = Track{value: UnknownHeadroom, usual: UnknownHeadroom, swing: t.swing, seen: now}
-		t.spread[0][0] = unknownDeviation * unknownDeviation
+		t.spread[0][0] = UnknownDeviation * UnknownDeviation
 		t.spread[1][1] = slopeDeviation * slopeDeviation
 		return
 	}
@@ -98,11 +99,11 @@
 // Ahead returns the headroom without neighbors that is likely at a time, and its standard deviation.
 func (t *Track) Ahead(at time.Time) (float64, float64) {
 	if !t.Seen() || at.Sub(t.seen).Seconds() > mostGap {
-		return UnknownHeadroom, unknownDeviation
+		return UnknownHeadroom, UnknownDeviation
 	}
 	after := max(at.Sub(t.seen).Seconds(), 0)
 	ahead := *t
 	ahead.advance(at)
 	value := t.usual + (ahead.value-t.usual)*math.Exp(-after/usualAfter)
-	return min(max(value, 0), MostHeadroom), min(math.Sqrt(max(ahead.spread[0][0], 0)), unknownDeviation)
+	return min(max(value, 0), MostHeadroom), min(math.Sqrt(max(ahead.spread[0][0], 0)), UnknownDeviation)
 }
