--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -77,7 +77,7 @@
 }
 
 // hopeless reports whether a task that asks for no more of the same kind has found no worker in this plan, which only
-// fills workers further.
+// fills workers further. A larger task does more harm for its worth, until it takes nearly a whole worker.
 func (p *Planner) hopeless(g *Group) bool {
 	least, known := p.full[kind{g.Service, g.Step.Image}]
 	return known && g.plainFill() && least.Fits(g.Step.Size)
