--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -37,8 +37,7 @@
 		Callers string `yaml:"callers"`
 		Ready   string `yaml:"ready"`
 		Reports string `yaml:"reports"`
-		// Peers is where other processes are listened for, where that is not the address and ports.peers, at which they
-		// come in.
+		// Peers is where an entry listens for other processes; empty for address and ports.peers, where they connect to.
 		Peers string `yaml:"peers"`
 	} `yaml:"listen"`
 	Neighbors string `yaml:"neighbors"`
