A fleet that cannot start ends, and is tried again with other ports

Cause of the hang, by the trace: New had failed, and Close waited for a server that began only after its Shutdown, which such a server passes over. Listeners are closed now. Why New had failed was not printed; likely a port that another fleet of the same test took between its choice and its use (three fleets begin at once): not shown. New now tries three times.

--- a/proving/fleet/fleet.go
+++ b/proving/fleet/fleet.go
@@ -34,21 +34,29 @@
 	storeRelays map[string]*relay.Relay
 	peerRelays  []*relay.Relay
 
-	stop    chan struct{}
-	servers []*fasthttp.Server
-	serving sync.WaitGroup
+	stop      chan struct{}
+	servers   []*fasthttp.Server
+	listeners []net.Listener
+	serving   sync.WaitGroup
 }
 
 // New starts a fleet with the programs of a directory; its logs and settings go to another.
 func New(size Size, binaries, dir string) (*Fleet, error) {
-	f := &Fleet{store: NewStore(), books: NewBooks(), storeRelays: make(map[string]*relay.Relay), stop: make(chan struct{})}
-	if err := f.begin(size, binaries, dir); err != nil {
+	var err error
+	// A port that was free may be taken by the time that it is listened on.
+	for range startAttempts {
+		f := &Fleet{store: NewStore(), books: NewBooks(), storeRelays: make(map[string]*relay.Relay), stop: make(chan struct{})}
+		if err = f.begin(size, binaries, dir); err == nil {
+			return f, nil
+		}
 		f.Close()
-		return nil, err
 	}
-	return f, nil
+	return nil, err
 }
 
+// startAttempts is how often a fleet is tried to start.
+const startAttempts = 3
+
 // begin starts the store, the entries and the agents, in this order.
 func (f *Fleet) begin(size Size, binaries, dir string) error {
 	// A block of its own keeps fleets apart that run at the same time, of this process and of others.
@@ -130,7 +138,7 @@
 		return "", err
 	}
 	server := &fasthttp.Server{Handler: handle, NoDefaultServerHeader: true, CloseOnShutdown: true}
-	f.servers = append(f.servers, server)
+	f.servers, f.listeners = append(f.servers, server), append(f.listeners, listener)
 	f.serving.Go(func() { _ = server.Serve(listener) })
 	return listener.Addr().String(), nil
 }
@@ -157,6 +165,10 @@
 		_ = r.Close()
 		r.Reset()
 	}
+	// A server that has not begun yet passes over its shutdown, and ends by its listener only.
+	for _, l := range f.listeners {
+		_ = l.Close()
+	}
 	for _, s := range f.servers {
 		_ = s.Shutdown()
 	}
