--- a/proving/fleet/fleet.go
+++ b/proving/fleet/fleet.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 
 	"github.com/valyala/fasthttp"
 
@@ -50,6 +52,9 @@
 			return f, nil
 		}
 		f.Close()
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
 	}
 	return nil, err
 }
