Tasks of one step share one load: a Kalman filter an image for weights and loads together

Change: pressure.Model follows loads by job and step, jointly with the weights; the middle of tasks on one worker is taken.

--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -38,10 +40,9 @@
 }
 
 // figures returns the share of the worker that each image that fills uses by a report, and the tasks that serve and show a
-// tail.
-func (h *hosted) figures(r link.Report) (map[string]float64, []*placed) {
-	use := make(map[string]float64)
-	var serving []*placed
+// tail, by the load that they share.
+func (h *hosted) figures(r link.Report) (map[string]float64, map[string][]*placed) {
+	use, serving := make(map[string]float64), make(map[string][]*placed)
 	for _, running := range r.Running {
 		id, ok := running.TaskID()
 		p := h.runs[id]
@@ -52,35 +53,41 @@
 		case p.step.Fills:
 			use[p.step.Image] += float64(running.Figure) / float64(h.worker.Capacity.CPU)
 		case p.step.Serves() && running.Figure > 0 && !p.stopping:
-			serving = append(serving, p)
+			serving[loadOf(id)] = append(serving[loadOf(id)], p)
 		}
 	}
 	return use, serving
 }
 
+// loadOf names the load that the tasks of a step share.
+func loadOf(id job.TaskID) string {
+	return stepID{id.Job, id.Time, id.Step}.String()
+}
+
 // observe teaches the model the headrooms of tasks that serve on one worker, beside what was used there.
-func (t *term) observe(now time.Time, serving []*placed, felt map[string]float64) {
-	alike := make(map[string]int)
-	for _, p := range serving {
-		alike[p.step.Image]++
-	}
-	for _, p := range serving {
-		target := float64(p.step.Target.Milliseconds())
-		headroom := pressure.Headroom(float64(p.figure), target)
-		t.pressure.Observe(now, pressure.Sample{
-			Image: p.step.Image, Task: &p.track, Headroom: headroom, Variance: pressure.Blur(headroom, target), Alike: alike[p.step.Image],
-		}, felt)
+func (t *term) observe(now time.Time, serving map[string][]*placed, felt map[string]float64) {
+	for _, name := range slices.Sorted(maps.Keys(serving)) {
+		tasks := serving[name]
+		step := tasks[0].step
+		s := pressure.Sample{Image: step.Image, Load: name, TargetMillis: float64(step.Target.Milliseconds())}
+		for _, p := range tasks {
+			s.Headrooms = append(s.Headrooms, pressure.Headroom(float64(p.figure), s.TargetMillis))
+		}
+		expected := t.pressure.Observe(now, s, felt)
+		for i, p := range tasks {
+			p.own.Observe(now, s.Headrooms[i]-expected)
+		}
 	}
 }
 
 // serving returns the tasks that serve on a worker with their headrooms.
-func (h *hosted) serving() []plan.Served {
+func (t *term) serving(h *hosted) []plan.Served {
 	at := time.Now().Add(aheadOf)
 	var served []plan.Served
 	for _, id := range h.runsWhich((*placed).serves) {
 		p := h.runs[id]
-		headroom, deviation := p.track.Ahead(at)
-		served = append(served, plan.Served{Image: p.step.Image, Headroom: headroom, Deviation: deviation})
+		headroom, deviation := t.pressure.Ahead(p.step.Image, loadOf(id), at)
+		served = append(served, plan.Served{Image: p.step.Image, Headroom: headroom + p.own.Ahead(at), Deviation: deviation})
 	}
 	return served
 }
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -39,8 +39,8 @@
 	// pace is the pace in percent of a task that fills, slow since when it has been below slowPace.
 	pace int
 	slow time.Time
-	// track follows the headroom of a task that serves.
-	track pressure.Track
+	// own is by how much a task that serves is off its load.
+	own pressure.Own
 }
 
 // host returns what is known of a life of a worker, with an empty record of one that is new.
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -63,7 +63,7 @@
 	workers := make([]*plan.Worker, 0, len(t.hosts))
 	for _, h := range t.hostsInOrder() {
 		h.worker.Trials = h.trials()
-		h.worker.Served = h.serving()
+		h.worker.Served = t.serving(h)
 		h.weigh()
 		workers = append(workers, &h.worker)
 	}
--- a/internal/pressure/clash.go
+++ b/internal/pressure/clash.go
@@ -23,12 +23,14 @@
 	defer m.mu.Unlock()
 	f, g := m.filter(a), m.filter(b)
 	differ, whole, known := 0.0, 0.0, 0
-	for c := range f.mean {
-		if f.variance[c][c] > knownVariance || g.variance[c][c] > knownVariance {
+	for column := range len(m.columns) {
+		first, firstVariance := f.weight(column)
+		second, secondVariance := g.weight(column)
+		if firstVariance > knownVariance || secondVariance > knownVariance {
 			continue
 		}
 		known++
-		first, second := min(f.mean[c], heavy), min(g.mean[c], heavy)
+		first, second = min(first, heavy), min(second, heavy)
 		differ += math.Abs(first - second)
 		whole += max(first, second)
 	}
--- a/internal/pressure/codec.go
+++ b/internal/pressure/codec.go
@@ -35,9 +35,10 @@
 	}
 	for image, f := range m.filters {
 		var kept storedFilter
-		for i := range f.mean {
-			kept.Mean = append(kept.Mean, float32(f.mean[i]))
-			kept.Variance = append(kept.Variance, float32(f.variance[i][i]))
+		for column := range len(m.columns) {
+			weight, variance := f.weight(column)
+			kept.Mean = append(kept.Mean, float32(weight))
+			kept.Variance = append(kept.Variance, float32(variance))
 		}
 		stored.Filters[image] = kept
 	}
@@ -55,10 +56,9 @@
 		if len(kept.Mean) != len(kept.Variance) {
 			return fault.New(fault.Internal, "the stored pressures of %s have %d means and %d variances", image, len(kept.Mean), len(kept.Variance))
 		}
-		f := &filter{}
-		f.grow(len(kept.Mean))
-		for i := range kept.Mean {
-			f.mean[i], f.variance[i][i] = float64(kept.Mean[i]), float64(kept.Variance[i])
+		f := newFilter()
+		for column := range kept.Mean {
+			f.weights[column] = f.grow(float64(kept.Mean[column]), float64(kept.Variance[column]))
 		}
 		filters[image] = f
 	}
--- a/internal/pressure/model.go
+++ b/internal/pressure/model.go
@@ -1,13 +1,15 @@
 package pressure
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
 
 // A filter estimates for each serving image by how much each filling image lowers its headroom where that image uses a
-// whole worker; together with the tracks of the tasks it is one Kalman filter, whose covariances between tasks are left out.
+// whole worker, together with the loads of its tasks.
 //
 // Weighed on recorded quiet days: levels (logarithms of the tail over the target) against use, which explain half as
 // much, the square root of use (less), and changes of levels within half a second (a third too low, since figures lag
@@ -18,9 +20,12 @@
 	PriorWeight   = 2.5
 	priorVariance = 12.0
 	// pressedNoise is the part of the variance of a figure that grows with the square of the pressure, which changes within
-	// seconds; alikeNoise is by how much less the second task of an image tells, whose neighbors are the same.
-	pressedNoise = 0.04
-	alikeNoise   = 0.25
+	// seconds.
+	pressedNoise = 0.06
+	// enoughTasks is how many tasks have a middle that does not rise alone; rising is how many standard deviations a sample
+	// of fewer has to be too low for that to be taken of it.
+	enoughTasks = 3
+	rising      = 3.0
 	// drift is added to the variance of each weight in use with each sample, since what images do to each other changes.
 	drift = 0.02
 	// mostImages bounds the filling images that are told apart; later ones share the last column.
@@ -56,43 +61,79 @@
 	return c
 }
 
-// filter returns the filter of a serving image, with a column for each filling image.
-func (m *Model) filter(serving string) *filter {
-	f := entryOf(m.filters, serving)
-	f.grow(min(len(m.columns), mostImages))
-	return f
-}
+// filter returns the filter of a serving image.
+func (m *Model) filter(serving string) *filter { return entryOf(m.filters, serving, newFilter) }
 
-// Sample is the headroom of a serving task as a figure shows it.
+// Sample is what the tasks that share one load show on one worker.
 type Sample struct {
-	// Image is that of the task, Task its track.
+	// Image is that of the tasks, Load names the load that they share.
 	Image string
-	Task  *Track
-	// Headroom has a variance by the figure's own blur.
-	Headroom float64
-	Variance float64
-	// Alike is how many tasks of the image show a figure beside the same neighbors.
-	Alike int
+	Load  string
+	// Headrooms come from tails in whole milliseconds, under a target in milliseconds.
+	Headrooms    []float64
+	TargetMillis float64
 }
 
-// Observe takes a sample, beside the shares of the worker that each filling image used.
-func (m *Model) Observe(now time.Time, s Sample, use map[string]float64) {
+// Observe takes a sample, beside the shares of the worker that each filling image used, and returns the headroom that is
+// now expected there.
+func (m *Model) Observe(now time.Time, s Sample, use map[string]float64) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	f, x := m.shares(s.Image, use)
-	s.Task.Follow(m.swing.speed())
-	s.Task.advance(now)
-	pressed, doubt := f.pressed(x)
+	f := m.filter(s.Image)
+	l := f.load(s.Load, now, m.swing.speed())
+	if l == nil {
+		return UnknownHeadroom
+	}
+	factors, pressed := f.factors(m.shares(use))
+	shown := middle(s.Headrooms)
 	if pressed == 0 {
-		m.swing.observe(s.Image, s.Task, now, s.Headroom)
+		m.swing.observe(s.Image, &l.past, now, shown)
 	}
-	off := s.Headroom - max(s.Task.value-pressed, 0)
-	if s.Headroom < saturated && off >= 0 {
-		return
+	value := l.slot + valueSlot
+	off := shown - max(f.mean[value]-pressed, 0)
+	if shown >= saturated || off < 0 {
+		weights := factors
+		factors = append(slices.Clone(factors), factor{slot: value, times: 1})
+		known := f.spread(factors)
+		f.correct(factors, off, known+noiseOfSample(s, shown, pressed, off, known))
+		f.mean[value] = min(max(f.mean[value], 0), MostHeadroom)
+		f.loosen(weights)
 	}
-	whole := s.Task.spread[0][0] + doubt + s.Variance + pressedNoise*pressed*pressed
-	f.correct(x, off, whole*(1+alikeNoise*float64(s.Alike-1)))
-	s.Task.correct(off, whole)
+	_, pressed = f.factors(m.shares(use))
+	return max(f.mean[value]-pressed, 0)
+}
+
+// middle returns the upper middle of some headrooms: tasks that rise alone lower theirs only.
+func middle(headrooms []float64) float64 {
+	return slices.Sorted(slices.Values(headrooms))[len(headrooms)/2]
+}
+
+// noiseOfSample returns the variance of a sample that is off what was predicted, whose own variance is known. The middle of
+// a few tasks may be one that rises alone; it then tells little.
+func noiseOfSample(s Sample, shown, pressed, off, known float64) float64 {
+	count := float64(len(s.Headrooms))
+	noise := Blur(shown, s.TargetMillis)/count + pressedNoise*pressed*pressed
+	if len(s.Headrooms) >= enoughTasks {
+		return noise
+	}
+	noise += ownDeviation * ownDeviation / count
+	if off < -rising*math.Sqrt(known+noise) {
+		noise += off * off
+	}
+	return noise
+}
+
+// Ahead returns the headroom that a task of a load likely has at a time without neighbors, and its standard deviation.
+func (m *Model) Ahead(serving, name string, at time.Time) (float64, float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f := m.filter(serving)
+	l := f.loads[name]
+	if l == nil || at.Sub(l.seen).Seconds() > mostGap {
+		return UnknownHeadroom, UnknownDeviation
+	}
+	value, variance := f.ahead(l, at, m.swing.speed())
+	return min(max(value, 0), MostHeadroom), min(math.Sqrt(variance+ownDeviation*ownDeviation), UnknownDeviation)
 }
 
 // Swing returns how fast the loads of serving tasks swing, in radians a second.
@@ -102,18 +143,13 @@
 	return m.swing.speed()
 }
 
-// shares returns the filter of a serving image and the shares by its columns.
-func (m *Model) shares(serving string, use map[string]float64) (*filter, []float64) {
-	columns := make(map[int]float64, len(use))
-	for image, share := range use {
-		columns[m.column(image)] += share
-	}
-	f := m.filter(serving)
-	x := make([]float64, len(f.mean))
-	for c, share := range columns {
-		x[c] = share
+// shares returns the shares by columns.
+func (m *Model) shares(use map[string]float64) map[int]float64 {
+	shares := make(map[int]float64, len(use))
+	for _, image := range slices.Sorted(maps.Keys(use)) {
+		shares[m.column(image)] += use[image]
 	}
-	return f, x
+	return shares
 }
 
 // Weight returns by how much a filling image lowers the headroom of a serving one where it uses the whole worker,
@@ -121,7 +157,6 @@
 func (m *Model) Weight(serving, filling string) (float64, float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := m.column(filling)
-	f := m.filter(serving)
-	return max(f.mean[c], 0), math.Sqrt(max(f.variance[c][c], 0))
+	weight, variance := m.filter(serving).weight(m.column(filling))
+	return weight, math.Sqrt(variance)
 }
--- a/internal/pressure/model_test.go
+++ b/internal/pressure/model_test.go
@@ -16,7 +16,7 @@
 	now    time.Time
 	phase  float64
 	period float64
-	track  Track
+	load   string
 }
 
 const targetMillis = 18
@@ -36,10 +36,12 @@
 func (d *day) observe(m *Model, use map[string]float64, pressed float64) {
 	d.now = d.now.Add(500 * time.Millisecond)
 	shown := d.figure(pressed)
-	m.Observe(d.now, Sample{Image: "web", Task: &d.track, Headroom: shown, Variance: Blur(shown, targetMillis), Alike: 1}, use)
+	m.Observe(d.now, Sample{Image: "web", Load: d.load, Headrooms: []float64{shown}, TargetMillis: targetMillis}, use)
 }
 
-func newDay(phase float64) *day { return &day{now: time.Unix(1000, 0), phase: phase, period: 10} }
+func newDay(phase float64) *day {
+	return &day{now: time.Unix(1000, 0), phase: phase, period: 10, load: fmt.Sprintf("load %.3f", phase)}
+}
 
 func TestModelTellsPairsApart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -59,6 +61,59 @@
 	})
 }
 
+// TestSharedLoadTellsPairsApart: tasks of one load on two workers, of which one has a neighbor all the time, tell within
+// seconds what the neighbor does; a task that is followed alone cannot tell it from a load that has grown.
+func TestSharedLoadTellsPairsApart(t *testing.T) {
+	m, d := NewModel(), newDay(0)
+	for range 8 {
+		d.observe(m, nil, 0)
+		d.now = d.now.Add(-500 * time.Millisecond)
+		d.observe(m, map[string]float64{"mail": 0.12}, 0.12*8)
+	}
+	weight, deviation := m.Weight("web", "mail")
+	assert.Assert(t, math.Abs(weight-8) < 2, "%.1f", weight)
+	assert.Assert(t, deviation < 2, "%.1f", deviation)
+}
+
+// TestRiseOfOneTaskIsNotThatOfItsLoad: of three tasks one rises alone.
+func TestRiseOfOneTaskIsNotThatOfItsLoad(t *testing.T) {
+	m, now := NewModel(), time.Unix(1000, 0)
+	for range 10 {
+		now = now.Add(500 * time.Millisecond)
+		expected := m.Observe(now, Sample{Image: "web", Load: "a", Headrooms: []float64{2.5, 1, 2.5}, TargetMillis: targetMillis}, nil)
+		assert.Assert(t, math.Abs(expected-2.5) < 0.2, "%.2f", expected)
+	}
+	headroom, _ := m.Ahead("web", "a", now)
+	assert.Assert(t, math.Abs(headroom-2.5) < 0.2, "%.2f", headroom)
+}
+
+// TestLoadLooksAhead: after two swings what a load will be in two seconds is known.
+func TestLoadLooksAhead(t *testing.T) {
+	m, d := NewModel(), newDay(0)
+	for range 40 {
+		d.observe(m, nil, 0)
+	}
+	at := d.now.Add(2 * time.Second)
+	headroom, deviation := m.Ahead("web", d.load, at)
+	d.now = at
+	assert.Assert(t, math.Abs(headroom-d.own()) < 0.4, "%.2f is foretold, and %.2f came", headroom, d.own())
+	assert.Assert(t, deviation < UnknownDeviation)
+	headroom, deviation = m.Ahead("web", d.load, at.Add(time.Minute))
+	assert.Equal(t, headroom, UnknownHeadroom)
+	assert.Equal(t, deviation, UnknownDeviation)
+}
+
+// TestOwnRiseFades: what a task is off its load is half gone within a second and nearly gone in five.
+func TestOwnRiseFades(t *testing.T) {
+	var own Own
+	now := time.Unix(1, 0)
+	assert.Equal(t, own.Ahead(now), 0.0)
+	own.Observe(now, -1)
+	assert.Equal(t, own.Ahead(now), -1.0)
+	assert.Assert(t, own.Ahead(now.Add(time.Second)) > -0.5)
+	assert.Assert(t, own.Ahead(now.Add(5*time.Second)) > -0.05)
+}
+
 // TestSaturatedTailsTeachNothingWrong: a tail far over its target says only that there is no headroom left.
 func TestSaturatedTailsTeachNothingWrong(t *testing.T) {
 	m, d := NewModel(), newDay(0)
@@ -88,14 +143,15 @@
 func TestTrackLooksAhead(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := newDay(rapid.Float64Range(0, 1).Draw(t, "phase"))
-		d.track.Follow(2 * math.Pi / d.period)
+		var track Track
+		track.Follow(2 * math.Pi / d.period)
 		for range 80 {
 			d.now = d.now.Add(500 * time.Millisecond)
 			shown := d.figure(0)
-			d.track.Observe(d.now, shown, Blur(shown, targetMillis))
+			track.Observe(d.now, shown, Blur(shown, targetMillis))
 		}
 		at := d.now.Add(time.Second)
-		ahead, deviation := d.track.Ahead(at)
+		ahead, deviation := track.Ahead(at)
 		d.now = at
 		if math.Abs(ahead-d.own()) > 0.5 || deviation > UnknownDeviation {
 			t.Fatalf("%.2f is foretold with a deviation of %.2f, and %.2f came", ahead, deviation, d.own())
@@ -168,12 +224,11 @@
 	for serving, slows := range slowedBy {
 		f := m.filter(serving)
 		for _, fill := range fills {
-			c := m.column(fill)
-			f.grow(c + 1)
-			f.variance[c][c] = 1
-			f.mean[c] = 1
+			slot := f.weightSlot(m.column(fill))
+			f.variance[slot][slot] = 1
+			f.mean[slot] = 1
 			if strings.Contains(slows, fill) {
-				f.mean[c] = 9
+				f.mean[slot] = 9
 			}
 		}
 	}
@@ -188,13 +243,20 @@
 	m, d := NewModel(), newDay(0)
 	for n := range 3 * mostServing {
 		d.now = d.now.Add(time.Millisecond)
-		m.Observe(d.now, Sample{Image: fmt.Sprint("web", n), Task: &d.track, Headroom: 2, Variance: 1, Alike: 1}, nil)
-		m.Weight("web", fmt.Sprint("mail", n))
+		filling := fmt.Sprint("mail", n)
+		m.Observe(d.now, Sample{
+			Image: fmt.Sprint("web", n), Load: fmt.Sprint("load", n), Headrooms: []float64{2}, TargetMillis: targetMillis,
+		}, map[string]float64{filling: 0.1})
+		m.Observe(d.now, Sample{
+			Image: "web0", Load: fmt.Sprint("load", n), Headrooms: []float64{2}, TargetMillis: targetMillis,
+		}, map[string]float64{filling: 0.1})
 	}
 	assert.Assert(t, len(m.filters) <= mostServing+1, "%d filters", len(m.filters))
 	assert.Assert(t, len(m.swing.means) <= mostServing+1, "%d means", len(m.swing.means))
 	assert.Equal(t, len(m.columns), mostImages)
 	for _, f := range m.filters {
-		assert.Assert(t, len(f.mean) <= mostImages)
+		assert.Assert(t, len(f.weights) <= mostImages)
+		assert.Assert(t, len(f.loads) <= mostLoads)
+		assert.Assert(t, len(f.mean) <= mostImages+loadSlots*mostLoads)
 	}
 }
--- /dev/null
+++ b/internal/pressure/own.go
@@ -0,0 +1,28 @@
+package pressure
+
+import (
+	"math"
+	"time"
+)
+
+// Own follows by how much the headroom of a task is off what its load and its neighbors explain. The zero Own is off by
+// nothing.
+type Own struct {
+	off  float64
+	seen time.Time
+}
+
+// ownAfter is the time in seconds after which a third is left of what a task is off, since a task that rises alone does so
+// for some two seconds.
+const ownAfter = 1.4
+
+// Observe takes by how much the task is off.
+func (o *Own) Observe(now time.Time, off float64) { o.off, o.seen = off, now }
+
+// Ahead returns by how much the task is likely off at a time.
+func (o *Own) Ahead(at time.Time) float64 {
+	if o.seen.IsZero() {
+		return 0
+	}
+	return o.off * math.Exp(-max(at.Sub(o.seen).Seconds(), 0)/ownAfter)
+}
--- a/internal/pressure/swing.go
+++ b/internal/pressure/swing.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// swing learns how fast the loads of serving tasks swing, from how alike the headrooms of a task are some time apart.
+// swing learns how fast the loads of serving tasks swing, from how alike the headrooms of a load are some time apart.
 type swing struct {
 	// product and square sum up the products and the squares of how far headrooms are off the mean of their image.
 	product, square float64
 	means           map[string]*mean
 }
 
-// past are the last headrooms of a task.
+// past are the last headrooms of a load.
 type past struct {
 	at   [pastKept]time.Time
 	off  [pastKept]float64
@@ -44,20 +44,21 @@
 	enoughOfImage = 30
 )
 
+func newMean() *mean { return &mean{} }
+
 func newSwing() *swing {
 	return &swing{means: make(map[string]*mean)}
 }
 
-// observe takes a headroom of a task that nothing fills beside.
-func (s *swing) observe(serving string, task *Track, now time.Time, headroom float64) {
-	m := entryOf(s.means, serving)
+// observe takes a headroom of tasks that nothing fills beside.
+func (s *swing) observe(serving string, p *past, now time.Time, headroom float64) {
+	m := entryOf(s.means, serving, newMean)
 	m.sum += headroom
 	m.count++
 	if m.count < enoughOfImage {
 		return
 	}
 	off := headroom - m.sum/m.count
-	p := &task.past
 	for i, at := range p.at {
 		if gap := now.Sub(at) - apart; gap.Abs() <= apartSlack {
 			s.product += off * p.off[i]
--- a/internal/pressure/track.go
+++ b/internal/pressure/track.go
@@ -19,8 +19,6 @@
 	// swing is the angular speed of the swing in radians a second.
 	swing float64
 	seen  time.Time
-	// past serves to learn the swing.
-	past past
 }
 
 const (
