Nothing that fills is added beside a task that is over its target for long; orders keep to the worker's connections

An agent that was started again also began to count anew. Now the lead places nothing that fills on a worker on which a task is over for 1.2 s, the agent refuses it, what comes while all stands has to stand, and what is found over is taken to be over for long.

The unused map of guarding services goes.

--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -17,6 +17,9 @@
 	sampleEvery = 450 * time.Millisecond
 	// aheadOf is how far ahead a placement looks at what serves: about half of the time that a task that fills takes.
 	aheadOf = time.Second
+	// closeAfter is how long a serving task may be over its target before its worker takes nothing more that fills: the agent
+	// slows what is there already from then on.
+	closeAfter = 1200 * time.Millisecond
 	// weightSteps divides 1 into the steps in which weights are told to agents.
 	weightSteps = 10
 	// swingSteps does the same for the speed of swings.
@@ -118,5 +121,20 @@
 	return found
 }
 
+// noteOver takes note of since when a task has been over its target.
+func (p *placed) noteOver() {
+	switch {
+	case !p.step.Serves() || p.figure <= int(p.step.Target.Milliseconds()):
+		p.over = time.Time{}
+	case p.over.IsZero():
+		p.over = time.Now()
+	}
+}
+
+// overForLong reports whether a task is over its target for so long that nothing may be added that could slow it.
+func (p *placed) overForLong() bool {
+	return !p.over.IsZero() && time.Since(p.over) > closeAfter
+}
+
 // serves reports whether the task serves users.
 func (p *placed) serves() bool { return p.step.Serves() }
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -39,6 +39,8 @@
 	// pace is the pace in percent of a task that fills, slow since when it has been below slowPace.
 	pace int
 	slow time.Time
+	// over is since when a task that serves has been over its target, zero while it is not.
+	over time.Time
 	// own is by how much a task that serves is off its load.
 	own pressure.Own
 }
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -64,6 +64,7 @@
 	for _, h := range t.hostsInOrder() {
 		h.worker.Trials = h.trials()
 		h.worker.Served = t.serving(h)
+		h.worker.Pressed = len(h.runsWhich((*placed).overForLong)) > 0
 		h.weigh()
 		workers = append(workers, &h.worker)
 	}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -113,6 +113,7 @@
 		known.job.Save(id, r.Number, r.Checkpoint)
 	}
 	p.figure = r.Figure
+	p.noteOver()
 	p.paced(r.Pace)
 	if r.Percent != p.percent || r.Pace < steadyPace {
 		p.percent, p.moved = r.Percent, time.Now()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -51,6 +51,9 @@
 	answer.PermissionMillis = min(permission, max(trust-age, 0)).Milliseconds()
 	answer.Doubtful = age > doubtAfter
 	answer.Entries = t.entryList()
+	if newest := t.d.config.Policies.Newest(); newest != nil {
+		answer.Connections = newest.Connections(r.Service)
+	}
 	return answer, nil
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -114,6 +114,8 @@
 	Stop(ctx context.Context, instance string, run Run, fence uint64) (Refusal, error)
 	// Pace sets the part of the processors, in percent, that a run may use of what it asks for.
 	Pace(ctx context.Context, instance string, run Run, percent int, fence uint64) (Refusal, error)
+	// Limit bounds the connections that the worker is sent orders over, to what it takes at once.
+	Limit(connections int)
 	// Hold renews what runs and returns what the worker has.
 	Hold(ctx context.Context, instance string, hold Hold) (View, Refusal, error)
 }
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -89,6 +89,8 @@
 	Doubtful bool      `json:"doubtful,omitempty"`
 	Entries  []string  `json:"entries,omitempty"`
 	Profiles []Profile `json:"profiles,omitempty"`
+	// Connections is how many connections the worker takes at once, 0 where that is not known.
+	Connections int `json:"connections,omitempty"`
 	// Presses tells, by each image that fills the worker, by how much it lowers the headroom of each serving image there;
 	// Swing is how fast the loads of serving tasks swing, in radians a second.
 	Presses map[string]map[string]float64 `json:"presses,omitempty"`
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -107,6 +107,8 @@
 			case "serves":
 				image, headroom, _ := strings.Cut(value, ":")
 				w.Served = append(w.Served, Served{Image: image, Headroom: decimal(t, headroom), Deviation: 0.3})
+			case "pressed":
+				w.Pressed = true
 			case "closed":
 				w.Open = false
 			case "trials":
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -30,6 +30,8 @@
 	// Open says that new tasks may be placed here; Trials bounds how many, AnyNumber for as many as fit.
 	Open   bool
 	Trials int
+	// Pressed says that a task here has been over its target for so long that nothing that fills may be added.
+	Pressed bool
 	// Served are the tasks that serve here, Fills what is asked by those that fill, in shares of the worker by image.
 	Served []Served
 	Fills  map[string]float64
@@ -108,6 +110,8 @@
 		return false
 	case step.Requires != "" && !slices.Contains(w.Labels, step.Requires):
 		return false
+	case step.Fills && w.Pressed:
+		return false
 	case step.AntiAffinity > 0 && g.Held[w.Host] >= step.AntiAffinity:
 		return false
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -23,18 +23,22 @@
 type Policy struct {
 	version Version
 	routes  []Route
-	guards  map[string]bool
-	maxBody int
+	// connections is how many connections a worker takes at once, by its service.
+	connections map[string]int
+	maxBody     int
 }
 
-// New returns a version of the configuration; guards names the services whose workers reject what does not fit.
-func New(version Version, routes []Route, guards map[string]bool, maxBody int) *Policy {
-	return &Policy{version: version, routes: routes, guards: guards, maxBody: maxBody}
+// New returns a version of the configuration; connections tells how many a worker takes at once, by its service.
+func New(version Version, routes []Route, connections map[string]int, maxBody int) *Policy {
+	return &Policy{version: version, routes: routes, connections: connections, maxBody: maxBody}
 }
 
 // Version returns the number of the configuration.
 func (p *Policy) Version() Version { return p.version }
 
+// Connections returns how many connections a worker of a service takes at once, 0 where that is not told.
+func (p *Policy) Connections(service string) int { return p.connections[service] }
+
 // MaxBody returns the largest body of a call in bytes.
 func (p *Policy) MaxBody() int { return p.maxBody }
 
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -56,7 +56,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &order{start: start, text: text, cancel: cancel}
 	l.orders[run] = o
-	if l.report.Draining {
+	crowded := start.Fills && l.overFor(longOver)
+	if crowded {
+		r.logger.Info("start refused beside a task that is over its target; task=%s run=%d", run.Task, run.Number)
+	}
+	if l.report.Draining || crowded {
 		o.refuse(l, run, host.RefusedBusy)
 		wait.Wake(r.changed)
 		return
--- a/internal/runner/paces.go
+++ b/internal/runner/paces.go
@@ -36,7 +36,7 @@
 	}
 	for _, running := range l.view.Running {
 		p, known := l.profiles[running.Run]
-		pace, wanted := l.wanted[p.Image]
+		pace, wanted := l.wantedPace(p.Image)
 		if !known || !p.Fills || !wanted || l.paceOf(running.Run) == pace {
 			continue
 		}
@@ -45,6 +45,26 @@
 	}
 }
 
+// wantedPace returns the pace of an image in percent, false where none was reckoned yet. What comes while all that fills
+// stands has to stand too.
+func (l *life) wantedPace(image string) (int, bool) {
+	if l.overFor(longerOver) {
+		return pacing.Least, true
+	}
+	pace, wanted := l.wanted[image]
+	return pace, wanted
+}
+
+// overFor reports whether some serving task has been over its target for a time.
+func (l *life) overFor(least time.Duration) bool {
+	for _, since := range l.over {
+		if l.read.Sub(since) > least {
+			return true
+		}
+	}
+	return false
+}
+
 // filling returns the images of what fills the worker, and the share of the worker that each uses.
 func (l *life) filling() ([]pacing.Filling, map[string]float64) {
 	whole, use := make(map[string]float64), make(map[string]float64)
@@ -74,7 +94,7 @@
 		if p.TargetMillis == 0 || running.Figure == 0 {
 			continue
 		}
-		over := l.overFor(running)
+		over := l.noteOver(running)
 		track := l.follow(now, running, p, felt)
 		s := pacing.Served{Weights: make(map[string]float64), Long: over > longOver, Longer: over > longerOver}
 		s.Headroom, s.Deviation = track.Ahead(now.Add(aheadOf))
@@ -117,16 +137,20 @@
 	return sum
 }
 
-// overFor returns for how long a serving task has been over its target.
-func (l *life) overFor(running host.Running) time.Duration {
+// noteOver returns for how long a serving task has been over its target. One that is found over, as an agent that was
+// started again finds it, is taken to have been over for long: nobody knows how long it was before.
+func (l *life) noteOver(running host.Running) time.Duration {
 	if int64(running.Figure) <= l.profiles[running.Run].TargetMillis {
 		delete(l.over, running.Run)
 		return 0
 	}
 	since, known := l.over[running.Run]
 	if !known {
-		l.over[running.Run] = l.read
-		return 0
+		since = l.read
+		if l.views == 1 {
+			since = l.read.Add(-longOver)
+		}
+		l.over[running.Run] = since
 	}
 	return l.read.Sub(since)
 }
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -15,6 +15,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 	"github.com/saffronpulley/saffronpulley/internal/timeline"
 )
@@ -45,6 +46,8 @@
 	return host.Accepted, nil
 }
 
+func (f *fakeWorker) Limit(int) {}
+
 func (f *fakeWorker) Hold(context.Context, string, host.Hold) (host.View, host.Refusal, error) {
 	return host.View{}, host.Accepted, nil
 }
@@ -235,3 +238,82 @@
 	_, hold, _ := r.nextHold()
 	assert.Equal(t, hold.Seen, uint64(7))
 }
+
+// Runs of the tests of the pace: a task that serves under a target of 10 ms, and one that fills.
+var (
+	servingRun = host.Run{Task: job.TaskID{Job: "00000000000000bb"}, Number: 1}
+	fillingRun = host.Run{Task: job.TaskID{Job: "00000000000000cc"}, Number: 1}
+)
+
+// crowd lets the agent know a serving task and a filling one beside it.
+func crowd(r *Runner) {
+	r.life.profiles[servingRun] = link.Profile{Run: wireRun(servingRun), Image: "web", CPU: 1000, TargetMillis: 10, Lasting: true}
+	r.life.profiles[fillingRun] = link.Profile{Run: wireRun(fillingRun), Image: "mail", CPU: 1000, Fills: true}
+}
+
+// show lets the worker show a tail, in milliseconds, beside a filling task.
+func show(r *Runner, tail int) {
+	r.held(context.Background(), "i-1", host.Hold{Fence: 3}, host.View{Running: []host.Running{
+		{Run: servingRun, Percent: 100, Figure: tail}, {Run: fillingRun, Figure: 500},
+	}})
+}
+
+// TestNothingIsAddedBesideATaskThatIsOverForLong failed with filling tasks that were started two seconds after a serving
+// task had gone over its target, which was then over for four.
+func TestNothingIsAddedBesideATaskThatIsOverForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{start: accept}
+		r := newTest(worker)
+		crowd(r)
+		show(r, 5)
+		for range 4 {
+			time.Sleep(500 * time.Millisecond)
+			show(r, 20)
+		}
+		orders := startOrders()
+		orders.Starts[0].Fills = true
+		_, err := r.takeOrders(context.Background(), nil, orders)
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, len(worker.started()), 0)
+		orders = startOrders()
+		orders.Starts[0].Number = 2
+		_, err = r.takeOrders(context.Background(), nil, orders)
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, len(worker.started()), 1, "what does not fill starts")
+	})
+}
+
+// TestWhatComesWhileAllStandsHasToStand failed with a task of another image that ran at full pace until the next reckoning.
+func TestWhatComesWhileAllStandsHasToStand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTest(&fakeWorker{start: accept})
+		crowd(r)
+		show(r, 5)
+		for range 6 {
+			time.Sleep(500 * time.Millisecond)
+			show(r, 20)
+		}
+		late := host.Run{Task: job.TaskID{Job: "00000000000000dd"}, Number: 1}
+		r.life.profiles[late] = link.Profile{Run: wireRun(late), Image: "scan", CPU: 1000, Fills: true}
+		r.held(context.Background(), "i-1", host.Hold{Fence: 3}, host.View{Running: []host.Running{
+			{Run: servingRun, Percent: 100, Figure: 20}, {Run: late, Figure: 500},
+		}})
+		assert.Equal(t, r.life.paceOf(late), pacing.Least)
+	})
+}
+
+// TestTaskThatIsFoundOverIsTakenToBeOverForLong failed with an agent that was started again beside a task that had been over
+// its target before, and took two seconds more to stop what slowed it.
+func TestTaskThatIsFoundOverIsTakenToBeOverForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTest(&fakeWorker{start: accept})
+		crowd(r)
+		for range 4 {
+			show(r, 20)
+			time.Sleep(500 * time.Millisecond)
+		}
+		assert.Equal(t, r.life.paceOf(fillingRun), pacing.Least)
+	})
+}
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -114,6 +114,7 @@
 		return false, err
 	}
 	r.config.Pool.Learn(answer.Entries)
+	r.config.Worker.Limit(answer.Connections)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if answer.Epoch != r.epoch {
