bench lateness tells from a lead's logs how the time of late jobs was spent

One row a queue and outcome: waiting for the first run of the critical task of each step, running again, and running. The line 'job ended' tells the objective for it.

--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -130,7 +130,8 @@
 		known.failed[host] = true
 	}
 	if state := known.job.State(); state.Final() && known.ended.IsZero() {
-		t.logger.Info("job ended; job=%s state=%s ms=%d", id.Job, state, time.Since(known.since).Milliseconds())
+		t.logger.Info("job ended; job=%s state=%s ms=%d objective_ms=%d",
+			id.Job, state, time.Since(known.since).Milliseconds(), known.job.Objective().Milliseconds())
 		t.finish(known)
 	}
 	t.touch(known)
--- /dev/null
+++ b/proving/cmd/bench/lateness.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/saffronpulley/saffronpulley/proving/lateness"
+)
+
+// benchLateness prints how the time of the jobs in a log was spent, in seconds in the mean.
+func benchLateness(path string) error {
+	log, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	shares, err := lateness.Read(log)
+	if err != nil {
+		return err
+	}
+	const padding = 2
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, padding, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "queue\toutcome\tjobs\tobjective\ttook\twaiting\tagain\trunning\t")
+	for _, s := range shares {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", s.Queue, s.Outcome, s.Jobs,
+			s.Objective.Seconds(), s.Took.Seconds(), s.Waiting.Seconds(), s.Again.Seconds(), s.Running.Seconds())
+	}
+	return table.Flush()
+}
--- a/proving/cmd/bench/main.go
+++ b/proving/cmd/bench/main.go
@@ -16,6 +16,8 @@
 	path := app.Command("path", "Times requests straight to the endpoint and through entry and agent.")
 	cells := app.Command("cells", "Measures each role at several numbers of agents.")
 	agents := cells.Flag("agents", "Numbers of agents.").Default("8", "16", "30", "60").Ints()
+	late := app.Command("lateness", "Tells from a lead's logs how the time of jobs was spent.")
+	logs := late.Arg("log", "The log.").Required().ExistingFile()
 	var err error
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case decisions.FullCommand():
@@ -24,6 +26,8 @@
 		err = benchPath()
 	case cells.FullCommand():
 		err = benchCells(*agents)
+	case late.FullCommand():
+		err = benchLateness(*logs)
 	case all.FullCommand():
 		err = benchAll()
 	}
