--- a/proving/cmd/bench/lateness.go
+++ b/proving/cmd/bench/lateness.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"text/tabwriter"
@@ -10,12 +11,11 @@
 
 // benchLateness prints how the time of the jobs in a log was spent, in seconds in the mean.
 func benchLateness(path string) error {
-	log, err := os.Open(path)
+	log, err := os.ReadFile(path)
 	if err != nil {
 		return err
 	}
-	defer log.Close()
-	shares, err := lateness.Read(log)
+	shares, err := lateness.Read(bytes.NewReader(log))
 	if err != nil {
 		return err
 	}
