--- /dev/null
+++ b/internal/dispatch/world_workers_test.go
@@ -0,0 +1,251 @@
+package dispatch
+
+import (
+	"slices"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// follow binds an agent to a lead, unless it has followed a later one.
+func (w *world) follow(a *fakeAgent, t *term) bool {
+	if t.epoch < a.epoch {
+		return false
+	}
+	if t.epoch > a.epoch {
+		a.epoch = t.epoch
+		a.mail = nil
+		a.rejected = nil
+	}
+	a.worker.fence = max(a.worker.fence, a.epoch)
+	return true
+}
+
+// report tells a lead what the worker has and takes the permission.
+func (w *world) report(a *fakeAgent, t *term) {
+	if !w.follow(a, t) {
+		return
+	}
+	a.worker.expire()
+	sent := time.Now()
+	r := link.Report{
+		VM: a.vm, Epoch: a.epoch, Instance: a.worker.instance, Service: testService, CPU: testCapacity.CPU,
+		Memory: testCapacity.Memory, Fenced: true, Rejected: a.rejected,
+	}
+	for _, name := range sortedKeys(a.worker.running) {
+		r.Running = append(r.Running, link.Running{Run: link.Run{Task: name, Number: a.worker.running[name].number}, Pace: 100})
+	}
+	for _, e := range a.worker.ended {
+		if e.Sequence > a.seen {
+			r.Ended = append(r.Ended, e)
+		}
+	}
+	for _, orders := range a.mail {
+		if orders.Instance != a.worker.instance {
+			continue
+		}
+		for _, s := range orders.Starts {
+			r.Pending = append(r.Pending, s.Run)
+		}
+	}
+	before := len(a.mail)
+	answered := make(chan struct{})
+	var answer link.ReportAnswer
+	var err error
+	go func() {
+		defer close(answered)
+		answer, err = t.report(mailbox{a}, r)
+	}()
+	synctest.Wait()
+	if t == w.newest() {
+		w.lead(t)
+	}
+	<-answered
+	// The orders that the lead sends meanwhile are on a way of their own, so that the answer comes before or after them.
+	synctest.Wait()
+	var later []link.Orders
+	if rapid.Bool().Draw(w.t, "answer before orders") {
+		later = slices.Clone(a.mail[before:])
+		a.mail = a.mail[:before]
+	}
+	if err == nil {
+		w.take(a, r, answer, sent)
+	}
+	a.mail = append(a.mail, later...)
+}
+
+func (w *world) take(a *fakeAgent, r link.Report, answer link.ReportAnswer, sent time.Time) {
+	if sent.After(a.permitted) && !a.permitted.IsZero() {
+		a.forsake()
+	}
+	a.worker.expire()
+	a.permitted = later(a.permitted, sent.Add(time.Duration(answer.PermissionMillis)*time.Millisecond))
+	if r.Instance != a.worker.instance {
+		return
+	}
+	a.rejected = nil
+	a.seen = max(a.seen, answer.Seen)
+	a.worker.held = a.permitted
+	for _, e := range a.worker.ended {
+		// What ended before the worker's time was over may have been given up, by the platform's own reckoning.
+		if e.Sequence <= a.worker.lapsed {
+			continue
+		}
+		if e.Sequence <= a.seen && job.End(e.End) == job.EndDone {
+			w.noted[e.Task] = true
+		}
+		if e.Sequence <= a.seen && job.End(e.End) == job.EndFailed {
+			w.failed[e.Task]++
+		}
+	}
+	a.worker.ended = slices.DeleteFunc(a.worker.ended, func(e link.Ended) bool { return e.Sequence <= a.seen })
+	for name, run := range a.worker.running {
+		run.until = a.permitted
+		a.worker.running[name] = run
+	}
+}
+
+// deliver carries out one letter of an agent's mail, not always the oldest.
+func (w *world) deliver(a *fakeAgent) {
+	if len(a.mail) == 0 {
+		return
+	}
+	n := rapid.IntRange(0, len(a.mail)-1).Draw(w.t, "letter")
+	orders := a.mail[n]
+	a.mail = slices.Delete(a.mail, n, n+1)
+	if orders.Epoch != a.epoch || orders.Instance != a.worker.instance {
+		return
+	}
+	for _, s := range orders.Starts {
+		w.start(a, s)
+	}
+	for _, s := range orders.Stops {
+		a.stop(s)
+	}
+}
+
+func (w *world) start(a *fakeAgent, s link.Start) {
+	worker := a.worker
+	worker.expire()
+	if s.Number <= a.dead[s.Task] {
+		return
+	}
+	if worker.latest[s.Task] < s.Number && (!time.Now().Before(a.permitted) || worker.fence > a.epoch) {
+		if worker.latest[s.Task] < s.Number {
+			a.dead[s.Task] = s.Number
+		}
+		a.rejected = append(a.rejected, link.Rejected{Run: s.Run, Refusal: 1})
+		return
+	}
+	if worker.latest[s.Task] >= s.Number {
+		if run, runs := worker.running[s.Task]; !runs || run.number != s.Number {
+			if !slices.ContainsFunc(worker.ended, func(e link.Ended) bool { return e.Run == s.Run }) {
+				a.rejected = append(a.rejected, link.Rejected{Run: s.Run, Refusal: 2})
+			}
+		}
+		return
+	}
+	w.judge(a, s)
+	id, _ := job.ParseTaskID(s.Task)
+	worker.latest[s.Task] = s.Number
+	worker.running[s.Task] = fakeRun{number: s.Number, until: a.permitted, size: w.specs[id.Job].Steps[id.Step].Room()}
+	worker.room(w.t)
+}
+
+// judge fails the test where a start must never happen.
+func (w *world) judge(a *fakeAgent, s link.Start) {
+	id, _ := job.ParseTaskID(s.Task)
+	spec, known := w.specs[id.Job]
+	if !known {
+		w.t.Fatalf("%s: started, but nobody handed it in", s.Task)
+	}
+	step := spec.Steps[id.Step]
+	for _, other := range w.agents {
+		other.worker.expire()
+		if _, runs := other.worker.running[s.Task]; runs {
+			w.t.Fatalf("%s: run %d starts on %s while it runs on %s", s.Task, s.Number, a.vm, other.vm)
+		}
+	}
+	if w.noted[s.Task] && !step.Lasting {
+		w.t.Fatalf("%s: run %d starts after its end was taken note of", s.Task, s.Number)
+	}
+	if w.failed[s.Task] >= testAttempts && !step.Lasting && !step.Gang {
+		w.t.Fatalf("%s: run %d starts after %d failures", s.Task, s.Number, w.failed[s.Task])
+	}
+	for _, d := range step.DependsOn {
+		if !w.stepDone(id, d) {
+			w.t.Fatalf("%s: starts before step %d is done", s.Task, d)
+		}
+	}
+}
+
+func (w *world) stepDone(id job.TaskID, step int) bool {
+	spec := w.specs[id.Job].Steps[step]
+	for i := range spec.Count {
+		name := job.TaskID{Job: id.Job, Step: step, Index: i}.String()
+		if w.done[name] == spec.Gang && spec.Gang {
+			return true
+		}
+		if !spec.Gang && !w.done[name] {
+			return false
+		}
+	}
+	return !spec.Gang
+}
+
+// finish ends a run of a worker by itself.
+func (w *world) finish(a *fakeAgent) {
+	a.worker.expire()
+	names := sortedKeys(a.worker.running)
+	if len(names) == 0 {
+		return
+	}
+	name := rapid.SampledFrom(names).Draw(w.t, "ends")
+	id, _ := job.ParseTaskID(name)
+	step := w.specs[id.Job].Steps[id.Step]
+	end := job.EndDone
+	if step.Lasting || rapid.IntRange(0, 5).Draw(w.t, "fails") == 0 {
+		end = job.EndFailed
+	}
+	if step.Gang {
+		w.finishGang(id, step.Count, end)
+		return
+	}
+	if end == job.EndDone {
+		w.done[name] = true
+	}
+	a.worker.end(name, end)
+}
+
+// finishGang ends all members of a gang together, and as alone where some are missing.
+func (w *world) finishGang(id job.TaskID, count int, end job.End) {
+	members := make(map[string]*fakeWorker)
+	for _, a := range w.agents {
+		a.worker.expire()
+		for name := range a.worker.running {
+			if member, _ := job.ParseTaskID(name); member.Job == id.Job && member.Step == id.Step {
+				members[name] = a.worker
+			}
+		}
+	}
+	if len(members) < count {
+		for _, name := range sortedKeys(members) {
+			members[name].end(name, job.EndAlone)
+		}
+		return
+	}
+	for n, name := range sortedKeys(members) {
+		how := end
+		if n > 0 && end == job.EndFailed {
+			how = job.EndBroken
+		}
+		if end == job.EndDone {
+			w.done[name] = true
+		}
+		members[name].end(name, how)
+	}
+}
