Checkpoints reach the store beside commits that are made anyway

Cause: a checkpoint was stored only with the next start or end of a task of the same job, so that tasks of minutes would begin anew where all VMs are lost at once. Now a job with new checkpoints is written again, at most once a second, where a commit has room for it; no call more is made. Test, red before: TestCheckpointsOutlastTheLead.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -12,6 +14,10 @@
 // for what was learned.
 const mostRecords = kv.MaxEntries - 6
 
+// checkpointEvery is the least time between two records of a job for its checkpoints alone: tasks save their progress once or
+// twice a second, and a record has up to some kilobytes.
+const checkpointEvery = time.Second
+
 // batch is what one transaction writes.
 type batch struct {
 	change   kv.Txn
@@ -49,6 +55,9 @@
 			return nil, err
 		}
 	}
+	if err := t.addCheckpoints(b); err != nil {
+		return nil, err
+	}
 	t.sweep(b)
 	if len(b.versions) == 0 && len(b.removed) == 0 && !b.relock {
 		return nil, nil
@@ -75,6 +84,28 @@
 	}
 	b.change.Puts = append(b.change.Puts, kv.Put{Key: record.ProgressKey(known.job.ID()), Value: value})
 	b.versions[known] = known.version
+	known.unsaved, known.written = false, time.Now()
+	return nil
+}
+
+// addCheckpoints adds jobs with new checkpoints to a batch that is written anyway, so that little is run again where all VMs
+// are lost at once.
+func (t *term) addCheckpoints(b *batch) error {
+	if len(b.versions) == 0 {
+		return nil
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.jobs)) {
+		known := t.jobs[id]
+		if len(b.versions) == mostRecords {
+			return nil
+		}
+		if !known.unsaved || b.has(known) || time.Since(known.written) < checkpointEvery {
+			continue
+		}
+		if err := b.add(known); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -110,7 +110,7 @@
 		return
 	}
 	if known := t.jobs[id.Job]; known != nil {
-		known.job.Save(id, r.Number, r.Checkpoint)
+		known.unsaved = known.job.Save(id, r.Number, r.Checkpoint) || known.unsaved
 	}
 	p.figure = r.Figure
 	p.noteOver()
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -17,6 +17,9 @@
 	// version counts the changes, saved is the version that the store has.
 	version uint64
 	saved   uint64
+	// unsaved says that tasks have checkpoints which the store does not have, written is when the job was last put into a batch.
+	unsaved bool
+	written time.Time
 	failed  map[job.Host]bool
 }
 
