--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -28,8 +28,9 @@
 	doubtAfter = 1500 * time.Millisecond
 	// proveEvery is how often a lead without commits proves that it leads.
 	proveEvery = 500 * time.Millisecond
-	// gather is how long changes are gathered for one commit: little beside the quarter second that a lookup has.
-	gather = 5 * time.Millisecond
+	// gather is how long changes are gathered for one commit: little beside the quarter second that a lookup has, and long
+	// enough that most ends of a step share one call to the store.
+	gather = 15 * time.Millisecond
 	// restFactor times the time that a plan took is the least time before the next: on a VM that is slow or short of
 	// processor time the lead has to answer reports too.
 	restFactor = 2
