Agents pace by the loads that the lead follows

Change: the answer to a report tells the loads of the worker's steps; the agent adds what its own figures are off. Without news of two seconds it goes by its own tracks as before.

--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -22,7 +22,8 @@
 	closeAfter = 1200 * time.Millisecond
 	// weightSteps divides 1 into the steps in which weights are told to agents.
 	weightSteps = 10
-	// swingSteps does the same for the speed of swings.
+	// loadSteps and swingSteps do the same for headrooms and for the speed of swings.
+	loadSteps  = 100
 	swingSteps = 100
 )
 
@@ -56,17 +57,12 @@
 		case p.step.Fills:
 			use[p.step.Image] += float64(running.Figure) / float64(h.worker.Capacity.CPU)
 		case p.step.Serves() && running.Figure > 0 && !p.stopping:
-			serving[loadOf(id)] = append(serving[loadOf(id)], p)
+			serving[id.StepName()] = append(serving[id.StepName()], p)
 		}
 	}
 	return use, serving
 }
 
-// loadOf names the load that the tasks of a step share.
-func loadOf(id job.TaskID) string {
-	return stepID{id.Job, id.Time, id.Step}.String()
-}
-
 // observe teaches the model the headrooms of tasks that serve on one worker, beside what was used there.
 func (t *term) observe(now time.Time, serving map[string][]*placed, felt map[string]float64) {
 	for _, name := range slices.Sorted(maps.Keys(serving)) {
@@ -89,7 +85,7 @@
 	var served []plan.Served
 	for _, id := range h.runsWhich((*placed).serves) {
 		p := h.runs[id]
-		headroom, deviation := t.pressure.Ahead(p.step.Image, loadOf(id), at)
+		headroom, deviation := t.pressure.Ahead(p.step.Image, id.StepName(), at)
 		served = append(served, plan.Served{Image: p.step.Image, Headroom: headroom + p.own.Ahead(at), Deviation: deviation})
 	}
 	return served
@@ -121,6 +117,28 @@
 	return found
 }
 
+// loads returns what is known of the loads of the tasks that serve on a worker, by their steps.
+func (t *term) loads(host job.Host) map[string]link.Load {
+	h := t.hosts[host]
+	if h == nil {
+		return nil
+	}
+	now := time.Now()
+	found := make(map[string]link.Load)
+	for id, p := range h.runs {
+		if !p.step.Serves() {
+			continue
+		}
+		if l, known := t.pressure.Load(p.step.Image, id.StepName(), now); known {
+			found[id.StepName()] = link.Load{
+				Value: round(l.Value, loadSteps), Slope: round(l.Slope, loadSteps),
+				Usual: round(l.Usual, loadSteps), Deviation: round(l.Deviation, loadSteps),
+			}
+		}
+	}
+	return found
+}
+
 // noteOver takes note of since when a task has been over its target.
 func (p *placed) noteOver() {
 	switch {
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -95,6 +95,17 @@
 	// Swing is how fast the loads of serving tasks swing, in radians a second.
 	Presses map[string]map[string]float64 `json:"presses,omitempty"`
 	Swing   float64                       `json:"swing,omitempty"`
+	// Loads are those of the steps that serve there, by the names of the steps.
+	Loads map[string]Load `json:"loads,omitempty"`
+}
+
+// Load is the headroom that the tasks of a step have without neighbors, its slope a second, its usual value, and the standard
+// deviation of a task's.
+type Load struct {
+	Value     float64 `json:"v"`
+	Slope     float64 `json:"s"`
+	Usual     float64 `json:"u"`
+	Deviation float64 `json:"d"`
 }
 
 // Profile is what an agent has to know of a run beside its name.
--- a/internal/pressure/filter.go
+++ b/internal/pressure/filter.go
@@ -206,16 +206,16 @@
 	}
 }
 
-// ahead returns the headroom that the load likely leaves without neighbors at a time, and its variance.
-func (f *filter) ahead(l *load, at time.Time, swing float64) (float64, float64) {
+// ahead returns the slots of a load at a time, and the variance of its value.
+func (f *filter) ahead(l *load, at time.Time, swing float64) ([]float64, float64) {
 	gap := max(at.Sub(l.seen).Seconds(), 0)
 	step, noise := motionOf(gap, swing), noiseOf(gap)
-	value := step.apply([loadSlots]float64(f.mean[l.slot : l.slot+loadSlots]))[valueSlot]
+	slots := step.apply([loadSlots]float64(f.mean[l.slot : l.slot+loadSlots]))
 	variance := noise[valueSlot][valueSlot]
 	for i, a := range step[valueSlot] {
 		for j, b := range step[valueSlot] {
 			variance += a * b * f.variance[l.slot+i][l.slot+j]
 		}
 	}
-	return value, math.Max(variance, 0)
+	return slots, math.Max(variance, 0)
 }
--- a/internal/pressure/load.go
+++ b/internal/pressure/load.go
@@ -16,6 +16,23 @@
 	past past
 }
 
+// Load is the headroom that the tasks of a step have without neighbors at a time, its slope in headroom a second, its usual
+// value, and the standard deviation of a task's.
+type Load struct {
+	Value     float64
+	Slope     float64
+	Usual     float64
+	Deviation float64
+	Seen      time.Time
+}
+
+// Ahead returns the headroom at a later time, where loads swing at a speed in radians a second.
+func (l Load) Ahead(at time.Time, swing float64) float64 {
+	gap := max(at.Sub(l.Seen).Seconds(), 0)
+	moved := motionOf(gap, swing).apply([loadSlots]float64{valueSlot: l.Value, slopeSlot: l.Slope, usualSlot: l.Usual})
+	return min(max(moved[valueSlot], 0), MostHeadroom)
+}
+
 // The slots of a load.
 const (
 	valueSlot = iota
@@ -31,8 +48,10 @@
 	// usual value; the best of four each on recorded days.
 	swingDrift = 0.01
 	usualDrift = 0.001
-	// ownDeviation is by how much a task is off its load.
-	ownDeviation = 0.25
+	// ownDeviation is by how much a task is off its load, steadyDeviation the same where it is known by how much it was off
+	// half a second before.
+	ownDeviation    = 0.25
+	steadyDeviation = 0.15
 	// mostLoads bounds the loads of one image that are followed at once.
 	mostLoads = 32
 )
--- a/internal/pressure/model.go
+++ b/internal/pressure/model.go
@@ -123,6 +123,22 @@
 	return noise
 }
 
+// Load returns a load at a time, false where it is not known.
+func (m *Model) Load(serving, name string, now time.Time) (Load, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f := m.filter(serving)
+	l := f.loads[name]
+	if l == nil || now.Sub(l.seen).Seconds() > mostGap {
+		return Load{}, false
+	}
+	slots, variance := f.ahead(l, now, m.swing.speed())
+	return Load{
+		Value: slots[valueSlot], Slope: slots[slopeSlot], Usual: slots[usualSlot],
+		Deviation: math.Sqrt(variance + steadyDeviation*steadyDeviation), Seen: now,
+	}, true
+}
+
 // Ahead returns the headroom that a task of a load likely has at a time without neighbors, and its standard deviation.
 func (m *Model) Ahead(serving, name string, at time.Time) (float64, float64) {
 	m.mu.Lock()
@@ -132,8 +148,8 @@
 	if l == nil || at.Sub(l.seen).Seconds() > mostGap {
 		return UnknownHeadroom, UnknownDeviation
 	}
-	value, variance := f.ahead(l, at, m.swing.speed())
-	return min(max(value, 0), MostHeadroom), min(math.Sqrt(variance+ownDeviation*ownDeviation), UnknownDeviation)
+	slots, variance := f.ahead(l, at, m.swing.speed())
+	return min(max(slots[valueSlot], 0), MostHeadroom), min(math.Sqrt(variance+ownDeviation*ownDeviation), UnknownDeviation)
 }
 
 // Swing returns how fast the loads of serving tasks swing, in radians a second.
--- a/internal/pressure/model_test.go
+++ b/internal/pressure/model_test.go
@@ -95,6 +95,11 @@
 	}
 	at := d.now.Add(2 * time.Second)
 	headroom, deviation := m.Ahead("web", d.load, at)
+	load, known := m.Load("web", d.load, d.now)
+	assert.Assert(t, known)
+	assert.Assert(t, math.Abs(load.Ahead(at, m.Swing())-headroom) < 1e-9)
+	_, known = m.Load("web", "none", d.now)
+	assert.Assert(t, !known)
 	d.now = at
 	assert.Assert(t, math.Abs(headroom-d.own()) < 0.4, "%.2f is foretold, and %.2f came", headroom, d.own())
 	assert.Assert(t, deviation < UnknownDeviation)
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -45,6 +45,9 @@
 	used   map[string]float64
 	// swing is how fast the loads of serving tasks swing, as the lead tells, 0 before that.
 	swing float64
+	// loads are those of serving steps, as the lead tells; owns follow by how much single tasks are off them.
+	loads map[string]pressure.Load
+	owns  map[host.Run]*pressure.Own
 }
 
 // order is a start or a stop that is under way, or whose end is still to be told.
@@ -67,6 +70,7 @@
 		orders: make(map[host.Run]*order), refused: make(map[job.TaskID]int),
 		profiles: make(map[host.Run]link.Profile), paces: make(map[host.Run]int),
 		over: make(map[host.Run]time.Time), tracks: make(map[host.Run]*pressure.Track),
+		owns: make(map[host.Run]*pressure.Own),
 	}
 }
 
@@ -86,6 +90,7 @@
 			delete(l.profiles, run)
 			delete(l.over, run)
 			delete(l.tracks, run)
+			delete(l.owns, run)
 			delete(l.paces, run)
 		}
 	}
--- a/internal/runner/paces.go
+++ b/internal/runner/paces.go
@@ -21,6 +21,8 @@
 	longerOver = 2200 * time.Millisecond
 	// aheadOf is how far ahead a pace looks: until the next figures show its effect.
 	aheadOf = 500 * time.Millisecond
+	// loadFor is how long what the lead told of a load is used: some reports that went unanswered.
+	loadFor = 2 * time.Second
 	// sureOf is the headroom below which a figure tells nothing of the task's own load.
 	sureOf = 0.3
 )
@@ -95,9 +97,8 @@
 			continue
 		}
 		over := l.noteOver(running)
-		track := l.follow(now, running, p, felt)
 		s := pacing.Served{Weights: make(map[string]float64), Long: over > longOver, Longer: over > longerOver}
-		s.Headroom, s.Deviation = track.Ahead(now.Add(aheadOf))
+		s.Headroom, s.Deviation = l.ahead(now, running, p, felt)
 		for _, f := range filling {
 			s.Weights[f.Image] = l.weight(p.Image, f.Image)
 		}
@@ -106,6 +107,31 @@
 	return served
 }
 
+// ahead returns the headroom that a serving task likely has soon without neighbors, and its standard deviation: from the load
+// that the lead tells, where it did so of late, and else from the task's own track.
+func (l *life) ahead(now time.Time, running host.Running, p link.Profile, felt map[string]float64) (float64, float64) {
+	soon := now.Add(aheadOf)
+	headroom, deviation := l.follow(now, running, p, felt).Ahead(soon)
+	load, known := l.loads[running.Run.Task.StepName()]
+	if !known || now.Sub(load.Seen) > loadFor {
+		return headroom, deviation
+	}
+	own := l.ownOf(running.Run)
+	shown := pressure.Headroom(float64(running.Figure), float64(p.TargetMillis))
+	own.Observe(now, shown-max(load.Ahead(now, l.swing)-l.pressed(p.Image, felt), 0))
+	return load.Ahead(soon, l.swing) + own.Ahead(soon), load.Deviation
+}
+
+// ownOf returns by how much a run is off its load, nothing for one that was not seen.
+func (l *life) ownOf(run host.Run) *pressure.Own {
+	own := l.owns[run]
+	if own == nil {
+		own = &pressure.Own{}
+		l.owns[run] = own
+	}
+	return own
+}
+
 // follow takes the headroom that a serving task shows into its track, as it would be without what was used beside it.
 func (l *life) follow(now time.Time, running host.Running, p link.Profile, felt map[string]float64) *pressure.Track {
 	track := l.trackOf(running.Run)
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -317,3 +317,22 @@
 		assert.Equal(t, r.life.paceOf(fillingRun), pacing.Least)
 	})
 }
+
+// TestPaceGoesByTheLoadThatTheLeadTells: the lead knows from all workers that a load is about to rise, while the figures of one
+// task on one worker do not show it yet; what it told too long ago is not used.
+func TestPaceGoesByTheLoadThatTheLeadTells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTest(&fakeWorker{start: accept})
+		crowd(r)
+		l, web := r.life, host.Running{Run: servingRun, Percent: 100, Figure: 5}
+		l.told(link.Report{}, link.ReportAnswer{Swing: 0.6, Loads: map[string]link.Load{
+			servingRun.Task.StepName(): {Value: 2, Slope: -1, Usual: 2, Deviation: 0.2},
+		}})
+		headroom, deviation := l.ahead(time.Now(), web, l.profiles[servingRun], nil)
+		assert.Assert(t, headroom < 1.6 && headroom > 1.3, "%.2f", headroom)
+		assert.Equal(t, deviation, 0.2)
+		time.Sleep(loadFor + time.Millisecond)
+		headroom, _ = l.ahead(time.Now(), web, l.profiles[servingRun], nil)
+		assert.Assert(t, headroom > 1.8, "%.2f", headroom)
+	})
+}
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -7,6 +7,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/pressure"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
 	"github.com/saffronpulley/saffronpulley/internal/wait"
@@ -151,6 +152,7 @@
 	}
 	l.profile(answer.Profiles)
 	l.presses, l.swing = answer.Presses, answer.Swing
+	l.loads = loadsOf(answer.Loads, time.Now())
 	for _, rejected := range report.Rejected {
 		if run, ok := parseRun(rejected.Run); ok && l.orders[run] != nil && l.orders[run].final {
 			delete(l.orders, run)
@@ -158,6 +160,15 @@
 	}
 }
 
+// loadsOf returns the loads that the lead tells of, as of a time.
+func loadsOf(told map[string]link.Load, now time.Time) map[string]pressure.Load {
+	loads := make(map[string]pressure.Load, len(told))
+	for name, t := range told {
+		loads[name] = pressure.Load{Value: t.Value, Slope: t.Slope, Usual: t.Usual, Deviation: t.Deviation, Seen: now}
+	}
+	return loads
+}
+
 // compose returns the report of what the worker has now.
 func (r *Runner) compose() (link.Report, *life) {
 	r.mu.Lock()
