A task stands still after three figures without progress, and one of minutes only after a twentieth of its estimate

Cause: progress is told in hundredths, so that a task of over four minutes shows none for 2.5 s and was stopped as stuck, over and over; and one that three figures show to stand still waited as long as one of which nothing is heard. Tests, red before: TestTaskOfMinutesDoesNotStandStill, TestThreeFiguresShowThatATaskStandsStill.

--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -35,7 +35,11 @@
 	percent   int
 	// figure is the latest: the tail in milliseconds of a task that serves, else the thousandths of a core in use.
 	figure int
+	// moved is when the task last got on, or stood still for its pace; still counts the figures since, looked is when the
+	// last of them came.
 	moved  time.Time
+	still  int
+	looked time.Time
 	// pace is the pace in percent of a task that fills, slow since when it has been below slowPace.
 	pace int
 	slow time.Time
@@ -45,6 +49,20 @@
 	own pressure.Own
 }
 
+// progress takes note of how far a task is, at its pace.
+func (p *placed) progress(percent, pace int) {
+	now := time.Now()
+	switch {
+	case percent != p.percent || pace < steadyPace:
+		p.percent, p.moved, p.still = percent, now, 0
+	case now.Sub(p.looked) < sampleEvery:
+		return
+	default:
+		p.still++
+	}
+	p.looked = now
+}
+
 // host returns what is known of a life of a worker, with an empty record of one that is new.
 func (t *term) host(name job.Host) *hosted {
 	h := t.hosts[name]
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -12,8 +12,13 @@
 	openFor = 1300 * time.Millisecond
 	// suspectFrom is how many failures in a row close a worker but for a trial.
 	suspectFrom = 3
-	// stuckAfter is how long a task may stand still at full pace before it is started elsewhere.
-	stuckAfter = 2500 * time.Millisecond
+	// stuckAfter is how long a task may stand still at full pace before it is started elsewhere; stuckSeen is the same where
+	// stuckFigures in a row have shown it.
+	stuckAfter   = 2500 * time.Millisecond
+	stuckSeen    = 1300 * time.Millisecond
+	stuckFigures = 3
+	// stuckShare of its estimate is how long a task may stand still in any case, since progress is told in hundredths.
+	stuckShare = 0.05
 )
 
 // expire gives up the workers whose permission is over.
@@ -54,7 +59,14 @@
 
 // standsStill reports whether a run that should get on has not for long.
 func (p *placed) standsStill() bool {
-	return !p.step.Lasting && p.committed && !p.stopping && !p.sent.IsZero() && time.Since(p.moved) >= stuckAfter
+	if p.step.Lasting || !p.committed || p.stopping || p.sent.IsZero() {
+		return false
+	}
+	patience := stuckAfter
+	if p.still >= stuckFigures {
+		patience = stuckSeen
+	}
+	return time.Since(p.moved) >= max(patience, time.Duration(stuckShare*float64(p.step.Estimate)))
 }
 
 // plan places what waits; the placements count once they are committed.
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -115,7 +115,5 @@
 	p.figure = r.Figure
 	p.noteOver()
 	p.paced(r.Pace)
-	if r.Percent != p.percent || r.Pace < steadyPace {
-		p.percent, p.moved = r.Percent, time.Now()
-	}
+	p.progress(r.Percent, r.Pace)
 }
