--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -193,12 +193,12 @@
 
 // awaitNews waits until something changed and a while more, in which what changes with it is gathered, and at least until a
 // time; or for a tick.
-func (t *term) awaitNews(ctx context.Context, tick <-chan time.Time, least time.Time) {
+func (t *term) awaitNews(ctx context.Context, ticks <-chan time.Time, least time.Time) {
 	select {
 	case <-ctx.Done():
 	case <-t.wake:
 		wait.For(ctx, max(gather, time.Until(least)))
-	case <-tick:
+	case <-ticks:
 	}
 }
 
