--- a/internal/pressure/model.go
+++ b/internal/pressure/model.go
@@ -123,13 +123,22 @@
 	return noise
 }
 
+// followed returns a load that showed a figure not too long before a time, with its filter; nil where there is none.
+func (m *Model) followed(serving, name string, at time.Time) (*filter, *load) {
+	f := m.filter(serving)
+	l := f.loads[name]
+	if l == nil || at.Sub(l.seen).Seconds() > mostGap {
+		return f, nil
+	}
+	return f, l
+}
+
 // Load returns a load at a time, false where it is not known.
 func (m *Model) Load(serving, name string, now time.Time) (Load, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	f := m.filter(serving)
-	l := f.loads[name]
-	if l == nil || now.Sub(l.seen).Seconds() > mostGap {
+	f, l := m.followed(serving, name, now)
+	if l == nil {
 		return Load{}, false
 	}
 	slots, variance := f.ahead(l, now, m.swing.speed())
@@ -143,9 +152,8 @@
 func (m *Model) Ahead(serving, name string, at time.Time) (float64, float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	f := m.filter(serving)
-	l := f.loads[name]
-	if l == nil || at.Sub(l.seen).Seconds() > mostGap {
+	f, l := m.followed(serving, name, at)
+	if l == nil {
 		return UnknownHeadroom, UnknownDeviation
 	}
 	slots, variance := f.ahead(l, at, m.swing.speed())
--- a/internal/runner/paces.go
+++ b/internal/runner/paces.go
@@ -116,25 +116,15 @@
 	if !known || now.Sub(load.Seen) > loadFor {
 		return headroom, deviation
 	}
-	own := l.ownOf(running.Run)
+	own := entryOf(l.owns, running.Run)
 	shown := pressure.Headroom(float64(running.Figure), float64(p.TargetMillis))
 	own.Observe(now, shown-max(load.Ahead(now, l.swing)-l.pressed(p.Image, felt), 0))
 	return load.Ahead(soon, l.swing) + own.Ahead(soon), load.Deviation
 }
 
-// ownOf returns by how much a run is off its load, nothing for one that was not seen.
-func (l *life) ownOf(run host.Run) *pressure.Own {
-	own := l.owns[run]
-	if own == nil {
-		own = &pressure.Own{}
-		l.owns[run] = own
-	}
-	return own
-}
-
 // follow takes the headroom that a serving task shows into its track, as it would be without what was used beside it.
 func (l *life) follow(now time.Time, running host.Running, p link.Profile, felt map[string]float64) *pressure.Track {
-	track := l.trackOf(running.Run)
+	track := entryOf(l.tracks, running.Run)
 	track.Follow(l.swing)
 	target := float64(p.TargetMillis)
 	headroom := pressure.Headroom(float64(running.Figure), target)
@@ -144,14 +134,14 @@
 	return track
 }
 
-// trackOf returns the track of a run, a new one where it has none.
-func (l *life) trackOf(run host.Run) *pressure.Track {
-	track := l.tracks[run]
-	if track == nil {
-		track = &pressure.Track{}
-		l.tracks[run] = track
+// entryOf returns what is kept of a run, its zero value where nothing was yet.
+func entryOf[T any](entries map[host.Run]*T, run host.Run) *T {
+	entry := entries[run]
+	if entry == nil {
+		entry = new(T)
+		entries[run] = entry
 	}
-	return track
+	return entry
 }
 
 // pressed returns by how much what was used lowers the headroom of a serving image.
