Read once more: what stood twice stands once; behaviour as before

How long a task may be over its target is one constant of package pacing for lead and agent; a step has one name (job.TaskID); the loads of a worker are reckoned once a step and not once a task; a sample's factors once; a commit sorts the jobs whose checkpoints are due and not all jobs; the age of a load is asked in one place.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -50,7 +49,7 @@
 }
 
 func (s stepID) String() string {
-	return string(s.job) + "." + strconv.Itoa(s.time) + "." + strconv.Itoa(s.step)
+	return job.TaskID{Job: s.job, Time: s.time, Step: s.step}.StepName()
 }
 
 // ticketsFor returns the tickets of a group by the workers that may run it, and asks for them where they are not known.
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -94,15 +93,15 @@
 	if len(b.versions) == 0 {
 		return nil
 	}
-	for _, id := range slices.Sorted(maps.Keys(t.jobs)) {
-		known := t.jobs[id]
-		if len(b.versions) == mostRecords {
-			return nil
-		}
-		if !known.unsaved || b.has(known) || time.Since(known.written) < checkpointEvery {
-			continue
+	var due []job.ID
+	for id, known := range t.jobs {
+		if known.unsaved && !b.has(known) && time.Since(known.written) >= checkpointEvery {
+			due = append(due, id)
 		}
-		if err := b.add(known); err != nil {
+	}
+	slices.Sort(due)
+	for _, id := range due[:min(len(due), mostRecords-len(b.versions))] {
+		if err := b.add(t.jobs[id]); err != nil {
 			return err
 		}
 	}
--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -8,6 +8,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/plan"
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
@@ -17,9 +18,6 @@
 	sampleEvery = 450 * time.Millisecond
 	// aheadOf is how far ahead a placement looks at what serves: about half of the time that a task that fills takes.
 	aheadOf = time.Second
-	// closeAfter is how long a serving task may be over its target before its worker takes nothing more that fills: the agent
-	// slows what is there already from then on.
-	closeAfter = 1200 * time.Millisecond
 	// weightSteps divides 1 into the steps in which weights are told to agents.
 	weightSteps = 10
 	// loadSteps and swingSteps do the same for headrooms and for the speed of swings.
@@ -57,7 +55,8 @@
 		case p.step.Fills:
 			use[p.step.Image] += float64(running.Figure) / float64(h.worker.Capacity.CPU)
 		case p.step.Serves() && running.Figure > 0 && !p.stopping:
-			serving[id.StepName()] = append(serving[id.StepName()], p)
+			name := id.StepName()
+			serving[name] = append(serving[name], p)
 		}
 	}
 	return use, serving
@@ -126,11 +125,12 @@
 	now := time.Now()
 	found := make(map[string]link.Load)
 	for id, p := range h.runs {
-		if !p.step.Serves() {
+		name := id.StepName()
+		if _, told := found[name]; told || !p.step.Serves() {
 			continue
 		}
-		if l, known := t.pressure.Load(p.step.Image, id.StepName(), now); known {
-			found[id.StepName()] = link.Load{
+		if l, known := t.pressure.Load(p.step.Image, name, now); known {
+			found[name] = link.Load{
 				Value: round(l.Value, loadSteps), Slope: round(l.Slope, loadSteps),
 				Usual: round(l.Usual, loadSteps), Deviation: round(l.Deviation, loadSteps),
 			}
@@ -151,7 +151,7 @@
 
 // overForLong reports whether a task is over its target for so long that nothing may be added that could slow it.
 func (p *placed) overForLong() bool {
-	return !p.over.IsZero() && time.Since(p.over) > closeAfter
+	return !p.over.IsZero() && time.Since(p.over) > pacing.LongOver
 }
 
 // serves reports whether the task serves users.
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -15,7 +15,7 @@
 }
 
 // String returns the name of the task as the worker knows it.
-func (t TaskID) String() string { return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Time, t.Step, t.Index) }
+func (t TaskID) String() string { return t.StepName() + "." + strconv.Itoa(t.Index) }
 
 // StepName names the step of the task, of one time of its job.
 func (t TaskID) StepName() string { return fmt.Sprintf("%s.%d.%d", t.Job, t.Time, t.Step) }
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -2,10 +2,15 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
 
+// LongOver is how long a serving task may be over its target before what is known to slow it must give way, and nothing that
+// fills may be added beside it. The platform's owners allow some four seconds, and a figure is half a second old.
+const LongOver = 1200 * time.Millisecond
+
 const (
 	// Full is the highest pace in percent.
 	Full = 100
--- a/internal/pressure/filter.go
+++ b/internal/pressure/filter.go
@@ -74,10 +74,9 @@
 	return max(f.mean[slot], 0), max(f.variance[slot][slot], 0)
 }
 
-// factors returns what the shares of the columns count in a figure, and by how much they lower the headroom.
-func (f *filter) factors(shares map[int]float64) ([]factor, float64) {
+// factors returns what the shares of the columns count in a figure.
+func (f *filter) factors(shares map[int]float64) []factor {
 	var factors []factor
-	pressed := 0.0
 	for column, share := range shares {
 		if share == 0 {
 			continue
@@ -85,10 +84,16 @@
 		factors = append(factors, factor{slot: f.weightSlot(column), times: -share})
 	}
 	slices.SortFunc(factors, func(a, b factor) int { return a.slot - b.slot })
-	for _, x := range factors {
+	return factors
+}
+
+// pressed returns by how much the weights among the factors lower the headroom.
+func (f *filter) pressed(weights []factor) float64 {
+	pressed := 0.0
+	for _, x := range weights {
 		pressed -= x.times * max(f.mean[x.slot], 0)
 	}
-	return factors, pressed
+	return pressed
 }
 
 // spread returns the variance of a sum of slots.
@@ -131,11 +136,7 @@
 // load returns a load, brought to a time; nil where as many are followed as there may be.
 func (f *filter) load(name string, now time.Time, swing float64) *load {
 	l := f.loads[name]
-	if l != nil && now.Sub(l.seen).Seconds() > mostGap {
-		f.forget(name)
-		l = nil
-	}
-	if l == nil {
+	if l == nil || l.old(now) {
 		f.forgetOld(now)
 		if len(f.loads) >= mostLoads {
 			return nil
@@ -167,7 +168,7 @@
 func (f *filter) forgetOld(now time.Time) {
 	var old []string
 	for name, l := range f.loads {
-		if now.Sub(l.seen).Seconds() > mostGap {
+		if l.old(now) {
 			old = append(old, name)
 		}
 	}
--- a/internal/pressure/load.go
+++ b/internal/pressure/load.go
@@ -16,6 +16,9 @@
 	past past
 }
 
+// old reports whether nothing of the load's last figure is left at a time.
+func (l *load) old(at time.Time) bool { return at.Sub(l.seen).Seconds() > mostGap }
+
 // Load is the headroom that the tasks of a step have without neighbors at a time, its slope in headroom a second, its usual
 // value, and the standard deviation of a task's.
 type Load struct {
--- a/internal/pressure/model.go
+++ b/internal/pressure/model.go
@@ -84,7 +84,8 @@
 	if l == nil {
 		return UnknownHeadroom
 	}
-	factors, pressed := f.factors(m.shares(use))
+	weights := f.factors(m.shares(use))
+	pressed := f.pressed(weights)
 	shown := middle(s.Headrooms)
 	if pressed == 0 {
 		m.swing.observe(s.Image, &l.past, now, shown)
@@ -92,15 +93,13 @@
 	value := l.slot + valueSlot
 	off := shown - max(f.mean[value]-pressed, 0)
 	if shown >= saturated || off < 0 {
-		weights := factors
-		factors = append(slices.Clone(factors), factor{slot: value, times: 1})
+		factors := append(slices.Clone(weights), factor{slot: value, times: 1})
 		known := f.spread(factors)
 		f.correct(factors, off, known+noiseOfSample(s, shown, pressed, off, known))
 		f.mean[value] = min(max(f.mean[value], 0), MostHeadroom)
 		f.loosen(weights)
 	}
-	_, pressed = f.factors(m.shares(use))
-	return max(f.mean[value]-pressed, 0)
+	return max(f.mean[value]-f.pressed(weights), 0)
 }
 
 // middle returns the upper middle of some headrooms: tasks that rise alone lower theirs only.
@@ -127,7 +126,7 @@
 func (m *Model) followed(serving, name string, at time.Time) (*filter, *load) {
 	f := m.filter(serving)
 	l := f.loads[name]
-	if l == nil || at.Sub(l.seen).Seconds() > mostGap {
+	if l == nil || l.old(at) {
 		return f, nil
 	}
 	return f, l
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -7,6 +7,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
 	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
@@ -56,7 +57,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &order{start: start, text: text, cancel: cancel}
 	l.orders[run] = o
-	crowded := start.Fills && l.overFor(longOver)
+	crowded := start.Fills && l.overFor(pacing.LongOver)
 	if crowded {
 		r.logger.Info("start refused beside a task that is over its target; task=%s run=%d", run.Task, run.Number)
 	}
--- a/internal/runner/paces.go
+++ b/internal/runner/paces.go
@@ -15,10 +15,9 @@
 const (
 	// adjustEvery is the shortest time between two changes of the pace, whose effect the next figures show.
 	adjustEvery = 400 * time.Millisecond
-	// longOver and longerOver are how long a serving task may be over its target before what is known to slow it must give
-	// way, and before all that fills must. The platform's owners allow some four seconds, and a figure is half a second old.
-	longOver   = 1200 * time.Millisecond
-	longerOver = 2200 * time.Millisecond
+	// longerOver is how long a serving task may be over its target before all that fills must give way, a second after what is
+	// known to slow it must.
+	longerOver = pacing.LongOver + time.Second
 	// aheadOf is how far ahead a pace looks: until the next figures show its effect.
 	aheadOf = 500 * time.Millisecond
 	// loadFor is how long what the lead told of a load is used: some reports that went unanswered.
@@ -97,7 +96,7 @@
 			continue
 		}
 		over := l.noteOver(running)
-		s := pacing.Served{Weights: make(map[string]float64), Long: over > longOver, Longer: over > longerOver}
+		s := pacing.Served{Weights: make(map[string]float64), Long: over > pacing.LongOver, Longer: over > longerOver}
 		s.Headroom, s.Deviation = l.ahead(now, running, p, felt)
 		for _, f := range filling {
 			s.Weights[f.Image] = l.weight(p.Image, f.Image)
@@ -164,7 +163,7 @@
 	if !known {
 		since = l.read
 		if l.views == 1 {
-			since = l.read.Add(-longOver)
+			since = l.read.Add(-pacing.LongOver)
 		}
 		l.over[running.Run] = since
 	}
