A job is not refused for good by a lead that has heard no worker yet

Cause: an entry follows a new lead and takes its load with the first answer, before that lead has heard its workers; a lead guards against that itself, the entry did not. Now such an entry answers 503 with when to return.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -247,10 +247,21 @@
 
 // HasLeads reports whether each known cell has a lead, and there is one.
 func (c *Catalog) HasLeads() bool {
+	return c.each(func(cell *Cell) bool { return cell.peer != nil })
+}
+
+// KnowsWorkers reports whether there is a cell, and each has a lead that has told of workers. A new lead is followed before it
+// has heard of any, and that it knows of none then says nothing about them.
+func (c *Catalog) KnowsWorkers() bool {
+	return c.each(func(cell *Cell) bool { return cell.peer != nil && cell.load.Capacity > 0 })
+}
+
+// each reports whether there is a cell, and something holds of each.
+func (c *Catalog) each(holds func(*Cell) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, cell := range c.cells {
-		if cell.peer == nil {
+		if !holds(cell) {
 			return false
 		}
 	}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -77,8 +77,8 @@
 func (e *Entry) submit(ctx context.Context, s submission, row table.Row) (control.Job, error) {
 	cells := e.catalog.ForJob(row.Size())
 	if len(cells) == 0 {
-		if !e.catalog.HasLeads() {
-			return control.Job{}, fault.New(fault.Unavailable, "no cell has a lead for now")
+		if !e.catalog.KnowsWorkers() {
+			return control.Job{}, fault.New(fault.Unavailable, "not every cell has a lead that has heard its workers")
 		}
 		return control.Job{}, fault.New(fault.Impossible, "no worker of the region has %s, even empty", row.Size())
 	}
