Connections that go silent cost one time-out; a stale report brings no earlier life back

Cause: each idle connection of a pool was tried until its own time-out, and a watch or a range on a silent connection hung for its own limit though newer calls were answered (the lead saw no accepted job for 2.8 s after an outage). A failed watch was read anew as a whole range, though only a forgotten history asks for that. Whichever life of a worker, or connection of an agent, reported last was taken to be the present one.

Connections are probed and end when bytes go unacknowledged for 2 s. The worker is asked which life is there when another reports; a lead ignores reports by an agent's earlier connection. Orders that did not arrive, or had nobody to go to, are given again with the next report instead of 0.9 s later.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/httpclient"
 	"github.com/saffronpulley/saffronpulley/internal/metric"
 )
 
@@ -79,7 +81,8 @@
 
 // Listen listens on an address; a failure names the setting that gave it.
 func Listen(address, setting string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	config := net.ListenConfig{KeepAliveConfig: httpclient.Probes()}
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.BadInput, "cannot listen; choose a free address for "+setting)
 	}
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -51,7 +51,9 @@
 
 // fakeAgent follows one lead and passes its orders on when told to.
 type fakeAgent struct {
-	vm        string
+	vm string
+	// session is the number of its connection to the lead.
+	session   uint64
 	epoch     uint64
 	permitted time.Time
 	seen      uint64
@@ -66,6 +68,8 @@
 // mailbox is the session between a lead and an agent.
 type mailbox struct{ agent *fakeAgent }
 
+func (m mailbox) number() uint64 { return m.agent.session }
+
 func (m mailbox) send(orders link.Orders) error {
 	m.agent.mail = append(m.agent.mail, orders)
 	return nil
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/plan"
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
@@ -108,10 +109,21 @@
 	t.sendStop(host, id, p)
 }
 
-// sendStop orders the stop of a run and notes when.
+// sendStop orders the stop of a run and notes when, unless its agent cannot be reached.
 func (t *term) sendStop(host job.Host, id job.TaskID, p *placed) {
-	p.stopSent = time.Now()
-	t.orderStop(host, id, p.run)
+	if t.orderStop(host, id, p.run) {
+		p.stopSent = time.Now()
+	}
+}
+
+// run returns a run that is placed here, nil for any other.
+func (h *hosted) run(r link.Run) *placed {
+	id, ok := r.TaskID()
+	p := h.runs[id]
+	if !ok || p == nil || p.run != r.Number {
+		return nil
+	}
+	return p
 }
 
 // lose takes all runs of a worker's life back, which surely are no more.
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/record"
@@ -24,10 +25,13 @@
 		next, err := t.nextInputs(ctx, after)
 		if err != nil {
 			if ctx.Err() == nil {
-				t.logger.Warn("accepted jobs are read anew after a failed watch: %v", err)
+				t.logger.Warn("the watch of accepted jobs failed; revision=%d reason=%v", after, err)
 				wait.For(ctx, inputPause)
 			}
-			next = 0
+			if fault.Is(err, fault.Stale) {
+				after = 0
+			}
+			continue
 		}
 		after = next
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -14,6 +14,8 @@
 
 // session is the connection of an agent.
 type session interface {
+	// number tells the order in which sessions began.
+	number() uint64
 	// send hands the agent orders and waits until it has them.
 	send(orders link.Orders) error
 	close()
@@ -29,6 +31,8 @@
 	return err
 }
 
+func (c connection) number() uint64 { return c.peer.Number() }
+
 func (c connection) close() { c.peer.Close() }
 
 // orderStart orders a committed run; a run without a reachable agent is ordered once its agent reports.
@@ -37,11 +41,11 @@
 	if known == nil {
 		return
 	}
-	p.sent = time.Now()
 	orders := t.ordersFor(host)
 	if orders == nil {
 		return
 	}
+	p.sent = time.Now()
 	checkpoint := known.job.Task(id).Checkpoint()
 	if p.step.Gang {
 		checkpoint = known.job.GangCheckpoint(id.Time, id.Step)
@@ -55,11 +59,14 @@
 	orders.Texts[string(id.Job)] = known.job.Spec().Text
 }
 
-// orderStop orders the end of a run, also of one that is not placed.
-func (t *term) orderStop(host job.Host, id job.TaskID, run int) {
-	if orders := t.ordersFor(host); orders != nil {
-		orders.Stops = append(orders.Stops, link.NewRun(id, run))
+// orderStop orders the end of a run, also of one that is not placed, and reports whether its agent can be reached.
+func (t *term) orderStop(host job.Host, id job.TaskID, run int) bool {
+	orders := t.ordersFor(host)
+	if orders == nil {
+		return false
 	}
+	orders.Stops = append(orders.Stops, link.NewRun(id, run))
+	return true
 }
 
 // ordersFor returns the orders that are gathered for a worker's agent, nil where that cannot be reached.
@@ -82,19 +89,40 @@
 		if a.orders == nil || a.session == nil {
 			continue
 		}
-		go t.send(a.vm, a.session, *a.orders)
+		go t.send(a.vm, a.host, a.session, *a.orders)
 		a.orders = nil
 	}
 }
 
-func (t *term) send(vm string, s session, orders link.Orders) {
+func (t *term) send(vm string, host job.Host, s session, orders link.Orders) {
 	if err := s.send(orders); err != nil {
 		t.logger.Warn("orders were not acknowledged and the agent is dropped; vm=%s starts=%d stops=%d reason=%v",
 			vm, len(orders.Starts), len(orders.Stops), err)
+		t.unsend(host, orders)
 		s.close()
 	}
 }
 
+// unsend takes note that orders may not have arrived: the agent's next report shows which of them are to be given again.
+func (t *term) unsend(host job.Host, orders link.Orders) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[host]
+	if h == nil {
+		return
+	}
+	for _, start := range orders.Starts {
+		if p := h.run(start.Run); p != nil {
+			p.sent = time.Time{}
+		}
+	}
+	for _, stop := range orders.Stops {
+		if p := h.run(stop); p != nil {
+			p.stopSent = time.Time{}
+		}
+	}
+}
+
 // ticket returns what a start on a worker brings for an advised queue, empty where none is known.
 func (t *term) ticket(h job.Host, id job.TaskID) string {
 	known := t.advised[stepID{id.Job, id.Time, id.Step}]
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -89,8 +89,7 @@
 			t.orderStart(h.worker.Host, id, p)
 		}
 		if present[id] != p.run && p.stopping && time.Since(p.stopSent) > resendAfter {
-			p.stopSent = time.Now()
-			t.orderStop(h.worker.Host, id, p.run)
+			t.sendStop(h.worker.Host, id, p)
 		}
 	}
 }
@@ -104,8 +103,7 @@
 	}
 	if p.stopping {
 		if time.Since(p.stopSent) > resendAfter {
-			p.stopSent = time.Now()
-			t.orderStop(h.worker.Host, id, p.run)
+			t.sendStop(h.worker.Host, id, p)
 		}
 		return
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -28,6 +28,11 @@
 		return link.ReportAnswer{}, fault.New(fault.Stale, "epoch %d is newer than this lead's %d", r.Epoch, t.epoch)
 	}
 	t.mu.Lock()
+	if t.overtaken(s, r) {
+		t.mu.Unlock()
+		t.logger.Warn("report by an earlier connection is ignored; vm=%s instance=%s", r.VM, r.Instance)
+		return link.ReportAnswer{}, fault.New(fault.Stale, "%s has reported by a newer connection", r.VM)
+	}
 	answer := link.ReportAnswer{Epoch: t.epoch}
 	a := t.hear(s, r)
 	needed, taken := t.reconcile(a, r)
@@ -58,6 +63,14 @@
 	return answer, nil
 }
 
+// overtaken reports whether the agent has reported by a newer connection, so that a cut has held this report up. An agent
+// that starts again connects anew, and a connection that reports was answered while its agent lived: so the order of
+// connections is that of the agent's lives, and that of what they saw of the worker.
+func (t *term) overtaken(s session, r link.Report) bool {
+	a := t.agents[r.VM]
+	return a != nil && a.session != nil && s.number() < a.session.number()
+}
+
 // hear takes note of the agent and of the life of its worker; an earlier life has lost all that it ran.
 func (t *term) hear(s session, r link.Report) *agent {
 	a := t.agents[r.VM]
--- a/internal/dispatch/report_test.go
+++ b/internal/dispatch/report_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
@@ -119,3 +120,21 @@
 		synctest.Wait()
 	})
 }
+
+// TestReportByAnEarlierConnectionIsIgnored failed with the runs of the present life lost to one that was over.
+func TestReportByAnEarlierConnectionIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		term := testTerm(t, kvtest.New())
+		earlier, later := mailbox{&fakeAgent{vm: "vm", session: 1}}, mailbox{&fakeAgent{vm: "vm", session: 2}}
+		_, err := term.report(earlier, reportOf("i1"))
+		assert.NilError(t, err)
+		_, err = term.report(later, reportOf("i2"))
+		assert.NilError(t, err)
+		assert.NilError(t, cycle(t.Context(), term))
+		_, err = term.report(earlier, reportOf("i1"))
+		assert.Assert(t, fault.Is(err, fault.Stale))
+		task := term.jobs["00000000000000aa"].job.Task(job.TaskID{Job: "00000000000000aa"})
+		assert.Equal(t, task.Phase(), job.Placed)
+		assert.Equal(t, task.Host().Instance, "i2")
+	})
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -144,9 +144,11 @@
 			continue
 		}
 		if after != 0 {
-			f.logger.Warn("the watch of %s ended and the key is read again: %v", f.key, err)
+			f.logger.Warn("the watch of %s failed; revision=%d reason=%v", f.key, after, err)
+		}
+		if fault.Is(err, fault.Stale) {
+			after = 0
 		}
-		after = 0
 		wait.For(ctx, pause)
 		pause = min(2*pause, retryLast)
 	}
--- a/internal/httpclient/dial.go
+++ b/internal/httpclient/dial.go
@@ -4,13 +4,23 @@
 	"context"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
-const dialTimeout = time.Second
+const (
+	dialTimeout = time.Second
+	// probeEvery is how often a connection on which nothing moves is probed; the kernel counts in whole seconds.
+	probeEvery = time.Second
+	// unansweredProbes end a connection.
+	unansweredProbes = 2
+	// unacknowledgedFor is how long bytes that were sent, or a probe, may go without an acknowledgement of the other side.
+	unacknowledgedFor = 2 * time.Second
+)
 
 // source is the address from which all connections of the process are made, nil for any.
 var source net.Addr
@@ -39,7 +49,7 @@
 
 // Dial connects to an address host:port within a second; a failure is a DialError.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: source}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: source, KeepAliveConfig: Probes(), Control: endUnacknowledged}
 	connection, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &DialError{cause: err}
@@ -48,3 +58,17 @@
 }
 
 func dial(address string) (net.Conn, error) { return Dial(context.Background(), address) }
+
+// Probes returns how connections are probed, so that one whose other side is gone without a word ends within seconds.
+func Probes() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: unansweredProbes}
+}
+
+// endUnacknowledged makes the kernel end a connection whose bytes are not acknowledged for long.
+func endUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(descriptor uintptr) {
+		failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedFor.Milliseconds()))
+	})
+	return errors.CombineErrors(err, failed)
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -42,7 +42,7 @@
 	})
 	var advisor dispatch.Advisor
 	if address := p.settings.Advice(); address != "" {
-		advisor = platform.NewAdvice(address)
+		advisor = platform.NewAdvice(address, p.logger.Part("advice"))
 	}
 	e.dispatcher = dispatch.New(dispatch.Config{
 		Advisor: advisor,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,7 +65,7 @@
 		settings: settings, boot: ulid.Make().String(), logger: logger, clock: timeline.NewClock(time.Now),
 		metrics: metric.New(),
 	}
-	p.store = measuredStore{store: platform.NewStore(settings.Store()), metrics: p.metrics}
+	p.store = measuredStore{store: platform.NewStore(settings.Store(), logger.Part("store")), metrics: p.metrics}
 	p.metrics.RegisterProcess()
 	p.mux = rpc.NewMux(p.clock)
 	p.pool = relay.NewPool(settings.PeerAddress(), secret, p.mux, settings.Neighbors())
--- a/internal/rpc/peer.go
+++ b/internal/rpc/peer.go
@@ -17,8 +17,12 @@
 
 const methodHello = "hello"
 
+// numbers counts the connections of the process.
+var numbers atomic.Uint64
+
 // Peer is the other end of a connection.
 type Peer struct {
+	number     uint64
 	mux        *Mux
 	connection *jsonrpc2.Conn
 	secret     string
@@ -45,7 +49,7 @@
 }
 
 func newPeer(stream net.Conn, secret string, m *Mux) *Peer {
-	p := &Peer{mux: m, secret: secret}
+	p := &Peer{number: numbers.Add(1), mux: m, secret: secret}
 	objects := jsonrpc2.NewBufferedStream(countedConn{stream}, boundedCodec{})
 	// The connection reads at once, so the handler waits until the peer is whole.
 	ready := make(chan struct{})
@@ -82,6 +86,9 @@
 	return envelope{Body: json.RawMessage("{}")}, nil
 }
 
+// Number tells the order in which the connections of this process began.
+func (p *Peer) Number() uint64 { return p.number }
+
 // Done returns the channel that is closed when the connection has ended.
 func (p *Peer) Done() <-chan struct{} { return p.connection.DisconnectNotify() }
 
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -100,6 +100,10 @@
 	if l == nil || l.report.Instance != instance {
 		return
 	}
+	if fault.Is(err, fault.Stale) {
+		r.over(l)
+		return
+	}
 	if !l.silent && time.Since(l.answered) > silentAfter {
 		l.silent = true
 		r.logger.Warn("worker does not answer; instance=%s reason=%v", instance, err)
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -28,6 +28,8 @@
 	views  uint64
 	seen   uint64
 	silent bool
+	// gone says that the worker answered for another life.
+	gone   bool
 	orders map[host.Run]*order
 	// refused is the highest run of each task that was refused; an order for it that comes again is not carried out.
 	refused  map[job.TaskID]int
@@ -74,6 +76,15 @@
 	}
 }
 
+// renew takes a newer report of the life; one that was overtaken is left. Draining is never taken back.
+func (l *life) renew(report host.Report) {
+	if report.Sequence < l.report.Sequence {
+		return
+	}
+	report.Draining = report.Draining || l.report.Draining
+	l.report = report
+}
+
 // prune forgets refused orders of which the view shows how their runs ended, and profiles of runs that are no more.
 func (l *life) prune() {
 	for _, e := range l.view.Ended {
--- /dev/null
+++ b/internal/runner/lives_test.go
@@ -0,0 +1,82 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/host"
+)
+
+// held lets an agent hold its worker and find out which life is there, until the test ends.
+func held(t *testing.T, r *Runner) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = r.holdOn(ctx) }()
+	go func() { _ = r.verify(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestReportHeldUpByACutBringsNoEarlierLifeBack failed with i-1 in place of i-2: whichever life reported last was taken to be there.
+func TestReportHeldUpByACutBringsNoEarlierLifeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{there: "i-1"}
+		r := newTest(worker)
+		held(t, r)
+		worker.revive("i-2")
+		r.Heard(host.Report{Instance: "i-2", Sequence: 1})
+		time.Sleep(time.Second)
+		report, _ := r.compose()
+		assert.Equal(t, report.Instance, "i-2")
+		assert.Assert(t, r.Heard(host.Report{Instance: "i-1", Sequence: 9}), "it is acknowledged, so that it is not sent again")
+		time.Sleep(time.Second)
+		report, _ = r.compose()
+		assert.Equal(t, report.Instance, "i-2")
+		assert.Assert(t, !report.Silent)
+	})
+}
+
+// TestReportOfALifeNeverHeardOfIsAskedFor failed as above: an agent that started after the crash had not heard of i-1 before.
+func TestReportOfALifeNeverHeardOfIsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{there: "i-1"}
+		r := newTest(worker)
+		held(t, r)
+		r.Heard(host.Report{Instance: "i-0", Sequence: 9})
+		time.Sleep(time.Second)
+		report, _ := r.compose()
+		assert.Equal(t, report.Instance, "i-1")
+		assert.Assert(t, r.lives.isOver("i-0"))
+	})
+}
+
+// TestFirstReportMayBeTheStaleOne: the life that is there takes its place as soon as it reports.
+func TestFirstReportMayBeTheStaleOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{there: "i-2"}
+		r := newTest(worker)
+		held(t, r)
+		time.Sleep(time.Second)
+		report, _ := r.compose()
+		assert.Assert(t, report.Lapsed, "what ran in a life that is over is gone")
+		r.Heard(host.Report{Instance: "i-2", Sequence: 1})
+		time.Sleep(time.Second)
+		report, _ = r.compose()
+		assert.Equal(t, report.Instance, "i-2")
+		assert.Assert(t, !report.Lapsed)
+	})
+}
+
+func TestLivesThatAreOverAreBounded(t *testing.T) {
+	var l lives
+	for range 3 * mostPast {
+		l.end("i")
+	}
+	assert.Equal(t, len(l.past), mostPast)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -39,6 +39,8 @@
 	changed chan struct{}
 	settled chan struct{}
 	heard   chan struct{}
+	// claimed wakes what finds out which life of the worker is there.
+	claimed chan struct{}
 
 	// mu guards all below; no call is made while it is held.
 	mu        sync.Mutex
@@ -46,13 +48,14 @@
 	session   *rpc.Peer
 	permitted time.Time
 	life      *life
+	lives     lives
 }
 
 // New returns an agent that knows neither its worker nor its lead.
 func New(config Config) *Runner {
 	r := &Runner{
 		config: config, logger: config.Logger, changed: make(chan struct{}, 1),
-		settled: make(chan struct{}, 1), heard: make(chan struct{}, 1),
+		settled: make(chan struct{}, 1), heard: make(chan struct{}, 1), claimed: make(chan struct{}, 1),
 	}
 	r.mux = rpc.NewMux(config.Clock)
 	rpc.Handle(r.mux, link.MethodOrders, r.takeOrders)
@@ -63,6 +66,7 @@
 func (r *Runner) Run(ctx context.Context) error {
 	group, bounded := errgroup.WithContext(ctx)
 	group.Go(func() error { return r.holdOn(bounded) })
+	group.Go(func() error { return r.verify(bounded) })
 	group.Go(func() error { return r.report(bounded) })
 	return group.Wait()
 }
@@ -73,21 +77,23 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	switch {
-	case r.life == nil || r.life.report.Instance != report.Instance:
+	case r.lives.isOver(report.Instance):
+		r.logger.Warn("report of an earlier life is ignored; instance=%s sequence=%d", report.Instance, report.Sequence)
+		return true
+	case r.life == nil:
 		r.logger.Info("worker heard; instance=%s service=%s cpu=%d memory=%d labels=%v draining=%t",
 			report.Instance, report.Service, report.Capacity.CPU, report.Capacity.Memory, report.Labels, report.Draining)
 		r.life = newLife(report, now)
 		wait.Wake(r.heard)
-	case report.Sequence < r.life.report.Sequence:
+	case r.life.instance != report.Instance:
+		r.claim(report, now)
 		return true
 	}
 	if report.Draining && !r.life.report.Draining {
 		r.logger.Info("worker drains; instance=%s remaining_ms=%d", report.Instance, report.Remaining.Milliseconds())
 		wait.Wake(r.changed)
 	}
-	draining := r.life.report.Draining
-	r.life.report = report
-	r.life.report.Draining = report.Draining || draining
+	r.life.renew(report)
 	return true
 }
 
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -18,6 +18,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 	"github.com/saffronpulley/saffronpulley/internal/timeline"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 // fakeWorker answers orders as told and notes them.
@@ -26,6 +27,8 @@
 	starts []host.Start
 	stops  []host.Run
 	start  func() (host.Refusal, error)
+	// there is the life that is there, empty for any.
+	there string
 }
 
 func (f *fakeWorker) Start(_ context.Context, _ string, order host.Start) (host.Refusal, error) {
@@ -48,10 +51,24 @@
 
 func (f *fakeWorker) Limit(int) {}
 
-func (f *fakeWorker) Hold(context.Context, string, host.Hold) (host.View, host.Refusal, error) {
+func (f *fakeWorker) Hold(ctx context.Context, instance string, h host.Hold) (host.View, host.Refusal, error) {
+	f.mu.Lock()
+	there := f.there
+	f.mu.Unlock()
+	if there != "" && there != instance {
+		return host.View{}, host.RefusedWrong, fault.New(fault.Stale, "another life answers")
+	}
+	wait.For(ctx, h.Wait)
 	return host.View{}, host.Accepted, nil
 }
 
+// revive gives the worker another life.
+func (f *fakeWorker) revive(instance string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.there = instance
+}
+
 var testTask = job.TaskID{Job: "00000000000000aa"}
 
 func testRun(number int) host.Run { return host.Run{Task: testTask, Number: number} }
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -183,7 +183,7 @@
 	report.CPU, report.Memory, report.GPU = w.Capacity.CPU, w.Capacity.Memory, w.Capacity.GPU
 	report.Draining, report.RemainingMillis = w.Draining, w.Remaining.Milliseconds()
 	report.Silent = l.silent
-	report.Lapsed = l.silent && time.Now().After(l.until)
+	report.Lapsed = l.silent && (l.gone || time.Now().After(l.until))
 	report.Fenced = l.views > 0 && l.fenced == r.epoch
 	l.describe(&report)
 	return report, l
