--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
@@ -28,7 +29,7 @@
 func crowdedTerm() *term {
 	store := kvtest.New()
 	d := New(Config{
-		Node: "e", Boot: "b", Address: "a", Strength: 1, Store: store, Policies: noPolicies{}, Logger: logging.Discard(),
+		Node: "e", Boot: "b", Address: "a", Strength: 1, Store: store, Health: &kv.Health{}, Policies: noPolicies{}, Logger: logging.Discard(),
 		Lead: follow.New(store, record.LeadKey, record.DecodeLead, logging.Discard()),
 	})
 	t := newTerm(d, 1, 1)
--- a/internal/dispatch/campaign_test.go
+++ b/internal/dispatch/campaign_test.go
@@ -66,7 +66,7 @@
 		lead := follow.New(s, record.LeadKey, record.DecodeLead, logging.Discard())
 		name := string(rune('a' + i))
 		d := New(Config{
-			Node: name, Boot: name, Address: name, Strength: 1, Store: s, Policies: noPolicies{}, Logger: logging.Discard(),
+			Node: name, Boot: name, Address: name, Strength: 1, Store: s, Health: &kv.Health{}, Policies: noPolicies{}, Logger: logging.Discard(),
 			Lead: lead, Metrics: metric.New(),
 		})
 		all = append(all, d)
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -61,6 +61,7 @@
 			revision, err = t.landed(ctx, t.commits+1)
 		}
 		patience = t.patience.Longer(patience)
+		t.tellEntries()
 		if err == nil {
 			t.patience.Answered(time.Since(asked))
 			t.committedBatch(b, revision, asked)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -123,13 +123,13 @@
 	return answer, err
 }
 
-func (d *Dispatcher) ping(_ context.Context, _ *rpc.Peer, p link.Ping) (link.PingAnswer, error) {
+func (d *Dispatcher) ping(_ context.Context, peer *rpc.Peer, p link.Ping) (link.PingAnswer, error) {
 	d.config.Policies.Take(p.Offer)
 	t, err := d.current()
 	if err != nil {
 		return link.PingAnswer{}, err
 	}
-	answer := link.PingAnswer{Entries: t.entry(p.Address)}
+	answer := link.PingAnswer{Entries: t.hearEntry(p.Address, peer)}
 	switch t.judge(p) {
 	case storeAway:
 		answer.StoreDown = true
--- a/internal/dispatch/report_test.go
+++ b/internal/dispatch/report_test.go
@@ -29,7 +29,7 @@
 	_, err = store.Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: record.JobKey("00000000000000aa"), Value: value}}})
 	assert.NilError(t, err)
 	d := New(Config{
-		Node: "e", Boot: "b", Address: "a", Strength: 1, Store: store, Policies: noPolicies{}, Logger: logging.Discard(),
+		Node: "e", Boot: "b", Address: "a", Strength: 1, Store: store, Health: &kv.Health{}, Policies: noPolicies{}, Logger: logging.Discard(),
 		Lead: follow.New(store, record.LeadKey, record.DecodeLead, logging.Discard()),
 	})
 	term, err := d.stand(ctx)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -58,6 +58,8 @@
 	proven chan struct{}
 	// yielded is closed once another entry is asked to lead.
 	yielded chan struct{}
+	// toldAway says that the entries were told that the store is away; only the committing goroutine uses it.
+	toldAway bool
 
 	// mu guards the lease and all below; no answer is waited for while it is held.
 	mu       sync.Mutex
@@ -67,7 +69,7 @@
 	jobs     map[job.ID]*tracked
 	hosts    map[job.Host]*hosted
 	agents   map[string]*agent
-	entries  map[string]time.Time
+	entries  map[string]*entry
 	// dirty are the jobs to commit, by the order in which they changed; changes counts them.
 	dirty    map[job.ID]uint64
 	changes  uint64
@@ -85,7 +87,7 @@
 		d: d, epoch: epoch, lease: lease, store: d.config.Store, logger: d.logger, started: time.Now(),
 		wake: make(chan struct{}, 1), done: make(chan struct{}), committed: make(chan struct{}),
 		jobs: make(map[job.ID]*tracked), hosts: make(map[job.Host]*hosted), agents: make(map[string]*agent),
-		entries: make(map[string]time.Time), dirty: make(map[job.ID]uint64), advised: make(map[stepID]*advice),
+		entries: make(map[string]*entry), dirty: make(map[job.ID]uint64), advised: make(map[stepID]*advice),
 		pressure: pressure.NewModel(), patience: wait.NewPatience(patienceFirst, patienceLast),
 		proven: make(chan struct{}, 1), yielded: make(chan struct{}),
 	}
@@ -212,24 +214,6 @@
 	}
 }
 
-// entry takes note of an entry and returns all that were heard of.
-func (t *term) entry(address string) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.entries[address] = time.Now()
-	return t.entryList()
-}
-
-func (t *term) entryList() []string {
-	list := []string{t.d.config.Address}
-	for address, heard := range t.entries {
-		if time.Since(heard) < trust {
-			list = append(list, address)
-		}
-	}
-	return list
-}
-
 func (t *term) waiting(queue string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -58,7 +58,7 @@
 	w.store.Revoke()
 	name := fmt.Sprintf("entry%d", len(w.terms))
 	d := New(Config{
-		Node: name, Boot: name, Address: name, Strength: 1, Store: w.store, Policies: noPolicies{},
+		Node: name, Boot: name, Address: name, Strength: 1, Store: w.store, Health: &kv.Health{}, Policies: noPolicies{},
 		Lead: follow.New(w.store, record.LeadKey, record.DecodeLead, logging.Discard()), Logger: logging.Discard(),
 	})
 	t, err := d.stand(w.ctx)
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -12,52 +12,115 @@
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
-// pinger tells the lead of this entry.
-type pinger struct {
-	*Desk
+const (
+	// pingEvery is how often an entry tells the lead of itself; a quarter of the shortest time in which a
+	// configuration has to be in force.
+	pingEvery = 500 * time.Millisecond
+	// pingPatience bounds the answer.
+	pingPatience = 700 * time.Millisecond
+	// probeEvery is how often an entry tells the lead of itself, and finds out whether the store answers it, while the store
+	// answers the lead no more; probePatience bounds the answer.
+	probeEvery    = 200 * time.Millisecond
+	probePatience = 200 * time.Millisecond
+	// awayFor is how long the store is taken to be away after a probe: until some more of them.
+	awayFor = 5 * probeEvery
+	// askPatience bounds the question who leads now.
+	askPatience = 500 * time.Millisecond
+)
+
+// Successor stands for the lead in place of one that is gone.
+type Successor interface {
+	// Suspect says that the lead of an epoch may be replaced.
+	Suspect(epoch uint64, reason string)
+}
+
+// Pinger tells the lead of an entry, and hears from it of the configuration, of other entries and of the store.
+type Pinger struct {
+	desk          *Desk
 	node, address string
 	successor     Successor
+	// told wakes it when the lead says that the store is away, or back.
+	told chan struct{}
 	// sendValue says that the lead needs this entry's configuration, probing that the store answers neither the lead nor this
 	// entry.
 	sendValue bool
 	probing   bool
 }
 
+// NewPinger returns the pinger of an entry that others reach at an address.
+func NewPinger(desk *Desk, node, address string, successor Successor) *Pinger {
+	return &Pinger{desk: desk, node: node, address: address, successor: successor, told: make(chan struct{}, 1)}
+}
+
+// Register adds the method by which the lead says at once that the store is away or back.
+func (p *Pinger) Register(m *rpc.Mux) {
+	rpc.Handle(m, link.MethodStore, func(context.Context, *rpc.Peer, link.Empty) (link.Empty, error) {
+		wait.Wake(p.told)
+		return link.Empty{}, nil
+	})
+}
+
+// Run pings the lead until ctx ends.
+func (p *Pinger) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		ended, err := p.ping(ctx)
+		if err != nil && ctx.Err() == nil {
+			p.desk.logger.Debug("the lead was not reached: %v", err)
+			p.lost(ctx, err)
+		}
+		pause := pingEvery
+		if p.probing {
+			pause = probeEvery
+		}
+		select {
+		case <-ctx.Done():
+		case <-ended:
+		case <-p.told:
+		case <-time.After(pause):
+		}
+	}
+}
+
 // ping tells the lead once, and returns a channel that is closed when the connection to it ends; nil where there is none.
-func (p *pinger) ping(ctx context.Context) (<-chan struct{}, error) {
-	lead, known := p.config.Lead.Value()
+func (p *Pinger) ping(ctx context.Context) (<-chan struct{}, error) {
+	config := &p.desk.config
+	lead, known := config.Lead.Value()
 	if !known || lead.Revision == 0 || lead.Held.Address == p.address {
+		p.back()
 		return nil, nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, pingPatience)
 	defer cancel()
-	peer, err := p.config.Pool.Peer(bounded, lead.Held.Address)
+	peer, err := config.Pool.Peer(bounded, lead.Held.Address)
 	if err != nil {
-		p.missed(lead, err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.successor.Suspect(lead.Held.Epoch, "its VM refuses connections")
+		}
 		return nil, err
 	}
-	own := p.config.Policies.Offer()
+	own := config.Policies.Offer()
 	answer, err := rpc.Call[link.Ping, link.PingAnswer](bounded, peer, link.MethodPing, p.message(lead.Held.Epoch, own))
 	p.sendValue = false
 	if err != nil {
 		if !fault.Is(err, fault.Stale) {
-			p.config.Pool.Drop(lead.Held.Address)
+			config.Pool.Drop(lead.Held.Address)
 		}
 		return nil, err
 	}
-	p.config.Pool.Learn(answer.Entries)
-	p.config.Policies.Take(answer.Offer)
+	config.Pool.Learn(answer.Entries)
+	config.Policies.Take(answer.Offer)
 	p.sendValue = answer.Revision != 0 && answer.Revision < own.Revision
 	p.heed(ctx, lead.Held.Epoch, answer)
 	return peer.Done(), nil
 }
 
 // message returns what the lead is told.
-func (p *pinger) message(epoch uint64, own link.Offer) link.Ping {
+func (p *Pinger) message(epoch uint64, own link.Offer) link.Ping {
 	m := link.Ping{Entry: p.node, Address: p.address, Epoch: epoch, StoreAgeMillis: -1, Offer: own}
-	if answered := p.config.Health.Answered(); !answered.IsZero() {
+	if answered := p.desk.config.Health.Answered(); !answered.IsZero() {
 		m.StoreAgeMillis = time.Since(answered).Milliseconds()
 	}
 	if !p.sendValue {
@@ -66,35 +129,57 @@
 	return m
 }
 
-// missed takes note that the lead cannot be connected to: a VM that refuses has no such process any more.
-func (p *pinger) missed(lead follow.Value[record.Lead], err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		p.successor.Suspect(lead.Held.Epoch, "its VM refuses connections")
+// lost takes note that nobody tells of the store any more. An entry that the store does not answer asks others who leads.
+func (p *Pinger) lost(ctx context.Context, err error) {
+	p.back()
+	if !fault.Is(err, fault.Stale) || !p.desk.config.Health.Down() {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, askPatience)
+	defer cancel()
+	item, err := p.desk.config.Store.Get(bounded, record.LeadKey)
+	if err != nil || item.Revision() == 0 {
+		return
+	}
+	if held, err := record.DecodeLead(item.Value()); err == nil {
+		p.desk.config.Lead.Offer(follow.Value[record.Lead]{Held: held, Revision: item.Revision()})
 	}
 }
 
 // heed acts on what the lead knows of the store.
-func (p *pinger) heed(ctx context.Context, epoch uint64, answer link.PingAnswer) {
-	if answer.Succeed {
+func (p *Pinger) heed(ctx context.Context, epoch uint64, answer link.PingAnswer) {
+	switch {
+	case answer.Succeed:
 		p.successor.Suspect(epoch, "the store does not answer it")
-	}
-	if answer.StoreDown {
+		p.back()
+	case answer.StoreDown:
 		p.probe(ctx)
+	default:
+		p.back()
+	}
+}
+
+// back takes note that the store is not known to be away.
+func (p *Pinger) back() {
+	if !p.probing {
 		return
 	}
+	p.desk.logger.Info("callers are served again; the store is not known to be away")
 	p.probing = false
-	p.config.Store.SetAway(false)
+	p.desk.config.Store.SetBack()
 }
 
-// probe finds out whether the store answers this entry, where it does not answer the lead, or where nobody can be asked.
-func (p *pinger) probe(ctx context.Context) {
+// probe finds out whether the store answers this entry, where it does not answer the lead.
+func (p *Pinger) probe(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, probePatience)
 	defer cancel()
-	_, err := p.config.Direct.Get(bounded, record.ChainKey)
-	away := err != nil
-	if away && !p.probing {
-		p.logger.Warn("the store answers neither the lead nor this entry; callers are refused: %v", err)
+	if _, err := p.desk.config.Direct.Get(bounded, record.ChainKey); err != nil {
+		if !p.probing {
+			p.desk.logger.Warn("the store answers neither the lead nor this entry; callers are refused: %v", err)
+		}
+		p.probing = true
+		p.desk.config.Store.SetAway(awayFor)
+		return
 	}
-	p.probing = away
-	p.config.Store.SetAway(away)
+	p.back()
 }
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -10,6 +10,8 @@
 	// MethodPing is an entry's call to the lead; MethodWaiting asks the lead for a queue's count.
 	MethodPing    = "ping"
 	MethodWaiting = "waiting"
+	// MethodStore is the lead's call to an entry, which says that the store is away or back and that a ping tells more.
+	MethodStore = "store"
 	// MethodGet and MethodCommit ask an entry to reach the store for a process that cannot.
 	MethodGet    = "store.get"
 	MethodCommit = "store.commit"
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -29,6 +29,7 @@
 	policies   *intake.Policies
 	lead       *follow.Follower[record.Lead]
 	dispatcher *dispatch.Dispatcher
+	pinger     *intake.Pinger
 	stopping   atomic.Bool
 }
 
@@ -50,6 +51,8 @@
 		Store: p.store, Health: p.health, Lead: e.lead, Policies: e.policies, Logger: p.logger.Part("dispatch"), Metrics: p.metrics,
 	})
 	e.dispatcher.Register(p.mux)
+	e.pinger = intake.NewPinger(e.desk, p.settings.ID(), p.settings.PeerAddress(), e.dispatcher)
+	e.pinger.Register(p.mux)
 	intake.Register(p.mux, p.store, p.health)
 	servers, err := e.listen()
 	if err != nil {
@@ -102,7 +105,7 @@
 	defer end()
 	go e.policies.Run(lasting)
 	go e.lead.Run(lasting)
-	go e.desk.Ping(lasting, e.settings.ID(), e.settings.PeerAddress(), e.dispatcher)
+	go e.pinger.Run(lasting)
 	go e.dispatcher.Run(ctx)
 	<-ctx.Done()
 	e.stopping.Store(true)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,8 +38,10 @@
 	patience *wait.Patience
 
 	mu sync.Mutex
-	// away says that the store was found to answer nobody, by the lead and by this process.
-	away bool
+	// away is until when the store is taken to answer nobody, as the lead and this process found; ended is closed when that
+	// begins.
+	away  time.Time
+	ended chan struct{}
 	// down is when no way to the store gave an answer last, zero once one did; trying says that a call finds out.
 	down   time.Time
 	trying bool
@@ -47,17 +49,28 @@
 
 // New returns a store over the direct one, of which health is known, and the entries of a pool.
 func New(direct kv.Store, health *kv.Health, pool *Pool) *Store {
-	return &Store{direct: direct, health: health, pool: pool, patience: wait.NewPatience(directLeast, directMost)}
+	return &Store{
+		direct: direct, health: health, pool: pool, patience: wait.NewPatience(directLeast, directMost), ended: make(chan struct{}),
+	}
 }
 
-// SetAway takes note of whether the store was found to answer nobody; then calls are refused at once.
-func (s *Store) SetAway(away bool) {
+// SetAway takes note that the store was found to answer nobody: calls that are under way are given up, and others refused at
+// once, for a while or until SetBack.
+func (s *Store) SetAway(lasts time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.away = away
-	if !away {
-		s.down = time.Time{}
+	if !time.Now().Before(s.away) {
+		close(s.ended)
+		s.ended = make(chan struct{})
 	}
+	s.away = time.Now().Add(lasts)
+}
+
+// SetBack takes note that the store answers again, or that this is not known.
+func (s *Store) SetBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away, s.down = time.Time{}, time.Time{}
 }
 
 // attempt is one way to the store.
@@ -112,6 +125,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
+	defer s.endWith(cancel)()
 	var doubt error
 	for {
 		err := s.round(ctx, direct, peer, &doubt)
@@ -129,11 +143,27 @@
 	}
 }
 
+// endWith cancels a call once the store is found to be away, until the returned function is called.
+func (s *Store) endWith(cancel context.CancelFunc) func() {
+	s.mu.Lock()
+	ended := s.ended
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-ended:
+			cancel()
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
 // enter reports whether a call may be tried: while the store is down, one at a time, and not too often.
 func (s *Store) enter() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.away {
+	if time.Now().Before(s.away) {
 		return false
 	}
 	if s.down.IsZero() {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -138,9 +138,21 @@
 func TestStoreThatAnswersNobodyIsNotAsked(t *testing.T) {
 	store := kvtest.New()
 	s := New(store, &kv.Health{}, pool())
-	s.SetAway(true)
+	s.SetAway(time.Minute)
 	assert.Assert(t, fault.Is(s.Commit(context.Background(), once()), fault.Unavailable))
 	assert.Equal(t, store.Commits(), 0)
-	s.SetAway(false)
+	s.SetBack()
 	assert.NilError(t, s.Commit(context.Background(), once()))
 }
+
+// TestCallUnderWayIsGivenUpOnceTheStoreIsAway failed while such calls were held until their patience was over.
+func TestCallUnderWayIsGivenUpOnceTheStoreIsAway(t *testing.T) {
+	store := kvtest.New()
+	store.SetTrouble(always(kvtest.Unsent))
+	s := New(store, &kv.Health{}, pool())
+	began := time.Now()
+	time.AfterFunc(50*time.Millisecond, func() { s.SetAway(time.Minute) })
+	err := s.Commit(context.Background(), once())
+	assert.Assert(t, fault.Is(err, fault.OutcomeUnknown), "it may have been done: %v", err)
+	assert.Assert(t, time.Since(began) < patience/2)
+}
--- a/proving/fleet/fleet.go
+++ b/proving/fleet/fleet.go
@@ -35,6 +35,8 @@
 	// storeRelays stand between each process and the store, by its name; peerRelays before the entries, in their order.
 	storeRelays map[string]*relay.Relay
 	peerRelays  []*relay.Relay
+	// workerRelays stand before the workers, in the order of those.
+	workerRelays []*relay.Relay
 
 	stop      chan struct{}
 	servers   []*fasthttp.Server
@@ -127,13 +129,18 @@
 		return err
 	}
 	f.workers = append(f.workers, w)
+	before, err := relay.New(a.agent(i)+":0", address)
+	if err != nil {
+		return err
+	}
+	f.workerRelays = append(f.workerRelays, before)
 	f.serving.Go(func() { w.Run(f.stop) })
 	agent := newProcess(name, "", binaries, dir)
 	f.agents = append(f.agents, agent)
 	if a.store, err = f.storeFor(name, a.store); err != nil {
 		return err
 	}
-	return agent.start(settings(a, name, "agent", a.agent(i), address))
+	return agent.start(settings(a, name, "agent", a.agent(i), before.Address()))
 }
 
 // serve lets a stand-in listen on an address, and returns which one it got.
@@ -150,7 +157,7 @@
 
 // relays returns all relays of the fleet.
 func (f *Fleet) relays() []*relay.Relay {
-	all := slices.Clone(f.peerRelays)
+	all := append(slices.Clone(f.peerRelays), f.workerRelays...)
 	for _, r := range f.storeRelays {
 		all = append(all, r)
 	}
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -20,6 +20,9 @@
 // settleWithin is how long after the last fault all accepted jobs have to be completed.
 const settleWithin = 45 * time.Second
 
+// laterEvery is how many faults there are to one of laterDisturbances.
+const laterEvery = 2
+
 // How long a fault lasts and how long after its begin the next one begins, in milliseconds: the least, and below how much more.
 const (
 	leastLasts = 300
@@ -44,7 +47,7 @@
 
 // disturb begins a fault every so often; each ends by itself some time later.
 func (f *Fleet) disturb(s Soak) {
-	random := rand.New(rand.NewPCG(s.Seed, 11))
+	random, more := rand.New(rand.NewPCG(s.Seed, 11)), rand.New(rand.NewPCG(s.Seed, 12))
 	var ends sync.WaitGroup
 	for began := time.Now(); time.Since(began) < s.Length; {
 		next := disturbances[random.IntN(len(disturbances))]
@@ -52,6 +55,11 @@
 		target := random.IntN(1 << 16)
 		s.Say("%v %s for %v on %d", time.Since(began).Round(time.Millisecond), next.name, lasts, target)
 		ends.Go(func() { next.play(f, target, lasts) })
+		if more.IntN(laterEvery) == 0 {
+			next := laterDisturbances[more.IntN(len(laterDisturbances))]
+			s.Say("%v %s besides", time.Since(began).Round(time.Millisecond), next.name)
+			ends.Go(func() { next.play(f, target, lasts) })
+		}
 		<-time.After(time.Duration(leastApart+random.IntN(moreApart)) * time.Millisecond)
 	}
 	ends.Wait()
--- a/proving/relay/relay.go
+++ b/proving/relay/relay.go
@@ -18,8 +18,9 @@
 	cut   map[string]bool
 	muted Direction
 	delay time.Duration
-	// sources are the connections that stand, with the IP number of each.
+	// sources are the connections that stand, with the IP number of each; silent are those on which nothing passes for good.
 	sources map[net.Conn]string
+	silent  map[net.Conn]bool
 }
 
 // bufferSize is how many bytes are read at once.
@@ -41,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: listener, target: target, cut: make(map[string]bool), sources: make(map[net.Conn]string)}
+	r := &Relay{listener: listener, target: target, cut: make(map[string]bool), sources: make(map[net.Conn]string), silent: make(map[net.Conn]bool)}
 	go r.accept()
 	return r, nil
 }
@@ -102,11 +103,20 @@
 	}
 }
 
-// swallows reports whether bytes from a source are lost on a way, and how long they take else.
-func (r *Relay) swallows(source string, way Direction) (bool, time.Duration) {
+// Silence makes all connections that stand silent for good, without a reset; new ones pass.
+func (r *Relay) Silence() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cut[source] || r.muted&way != 0, r.delay
+	for link := range r.sources {
+		r.silent[link] = true
+	}
+}
+
+// swallows reports whether bytes of a connection from a source are lost on a way, and how long they take else.
+func (r *Relay) swallows(link net.Conn, source string, way Direction) (bool, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut[source] || r.silent[link] || r.muted&way != 0, r.delay
 }
 
 // accept serves each connection until the relay is closed.
@@ -131,8 +141,8 @@
 		return
 	}
 	done := make(chan struct{}, 2)
-	go func() { r.copy(far, link, source, Towards); done <- struct{}{} }()
-	go func() { r.copy(link, far, source, Back); done <- struct{}{} }()
+	go func() { r.copy(far, link, passage{link, source, Towards}); done <- struct{}{} }()
+	go func() { r.copy(link, far, passage{link, source, Back}); done <- struct{}{} }()
 	<-done
 	_ = link.Close()
 	_ = far.Close()
@@ -152,14 +162,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.sources, link)
+	delete(r.silent, link)
+}
+
+// passage is one way through a relay, of a connection from a source.
+type passage struct {
+	link   net.Conn
+	source string
+	way    Direction
 }
 
 // copy passes bytes on, late where the relay is slow; while they are to be lost it swallows them.
-func (r *Relay) copy(to io.Writer, from io.Reader, source string, way Direction) {
+func (r *Relay) copy(to io.Writer, from io.Reader, p passage) {
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
-		lost, delay := r.swallows(source, way)
+		lost, delay := r.swallows(p.link, p.source, p.way)
 		if n > 0 && !lost {
 			<-time.After(delay)
 			if _, err := to.Write(buffer[:n]); err != nil {
