--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -65,6 +65,9 @@
 // Done returns the channel that is closed when Run has ended.
 func (d *Dispatcher) Done() <-chan struct{} { return d.done }
 
+// Leads reports whether this entry leads.
+func (d *Dispatcher) Leads() bool { return d.term.Load() != nil }
+
 // Register adds the dispatcher's methods to a mux.
 func (d *Dispatcher) Register(m *rpc.Mux) {
 	rpc.Handle(m, link.MethodReport, d.report)
--- a/internal/dispatch/succession.go
+++ b/internal/dispatch/succession.go
@@ -14,10 +14,13 @@
 	suspectFor = time.Second
 	// newerBy is by how much an entry's answer from the store must be newer than the lead's trouble to show that the store
 	// works: messages and slow processes make it look newer than it is.
-	newerBy = 60 * time.Millisecond
+	newerBy = 20 * time.Millisecond
 	// yieldAfter is how many calls of a lead in a row are not answered, while the store answers others, until it yields: where
 	// a third of all answers is lost that happens once in some hundred commits.
 	yieldAfter = 5
+	// pickFor is how long a lead waits for an entry as strong as itself: one that is weaker plans more slowly for as long as it
+	// leads, and pings come twice a second.
+	pickFor = 900 * time.Millisecond
 	// yieldRest is how long a lead that yielded does not stand again.
 	yieldRest = time.Second
 )
@@ -61,16 +64,29 @@
 		return storeWell
 	}
 	answered := time.Now().Add(-time.Duration(p.StoreAgeMillis) * time.Millisecond)
-	switch newer := p.StoreAgeMillis >= 0 && answered.After(health.Failing().Add(newerBy)); {
+	newer := p.StoreAgeMillis >= 0 && answered.After(health.Failing().Add(newerBy))
+	switch {
+	case !newer && t.knownToAnswer(health.Failing()):
+		return storeWell
 	case !newer:
 		return storeAway
-	case health.Failures() >= yieldAfter:
+	case health.Failures() >= yieldAfter && (p.Strength >= t.d.config.Strength || time.Since(health.Failing()) > pickFor):
 		return storeElsewhere
 	}
+	t.mu.Lock()
+	t.elsewhere = time.Now()
+	t.mu.Unlock()
 	wait.Wake(t.proven)
 	return storeWell
 }
 
+// knownToAnswer reports whether the lead has heard since a time that the store answers another entry.
+func (t *term) knownToAnswer(since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.elsewhere.After(since)
+}
+
 // yield ends the term, since an entry that the store answers takes over.
 func (t *term) yield(entry string) {
 	t.mu.Lock()
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -66,9 +66,10 @@
 		defer cancel()
 		ended := make(chan error, 1)
 		go func() { ended <- term.awaitYield(ctx) }()
+		strength := 0.2
 		fail := func() { d.config.Health.Note(time.Now(), fault.New(fault.Unavailable, "turned away")) }
 		ping := func(age time.Duration) link.PingAnswer {
-			answer, err := d.ping(ctx, nil, link.Ping{Entry: "f", Address: "f", StoreAgeMillis: age.Milliseconds()})
+			answer, err := d.ping(ctx, nil, link.Ping{Entry: "f", Address: "f", Strength: strength, StoreAgeMillis: age.Milliseconds()})
 			assert.NilError(t, err)
 			return answer
 		}
@@ -77,14 +78,18 @@
 		fail()
 		assert.DeepEqual(t, ping(0), link.PingAnswer{Entries: []string{"e", "f"}})
 		fail()
-		time.Sleep(time.Second)
+		time.Sleep(pickFor / 2)
 		assert.Assert(t, ping(2*time.Second).StoreDown, "what the entry heard is older than the trouble")
 		assert.Assert(t, ping(-time.Millisecond).StoreDown, "the entry never heard of the store")
+		assert.Equal(t, term.knownToAnswer(d.config.Health.Failing()), false)
 		recent := ping(0)
 		assert.Assert(t, !recent.StoreDown && !recent.Succeed, "the lead tries a few times more")
+		assert.Assert(t, !ping(-time.Millisecond).StoreDown, "the store answers another entry")
 		for range yieldAfter {
 			fail()
 		}
+		assert.Assert(t, !ping(0).Succeed, "a stronger entry may come")
+		strength = 1
 		assert.Assert(t, ping(0).Succeed)
 		assert.Assert(t, fault.Is(<-ended, fault.Unavailable))
 		_, err = d.ping(ctx, nil, link.Ping{Entry: "g", Address: "g"})
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -79,7 +79,9 @@
 	learned    time.Time
 	loadLogged time.Time
 	relock     bool
-	committed  chan struct{}
+	// elsewhere is when the lead last heard that the store answers an entry, though not the lead.
+	elsewhere time.Time
+	committed chan struct{}
 }
 
 func newTerm(d *Dispatcher, epoch uint64, lease kv.LeaseID) *term {
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -27,21 +27,25 @@
 	probePatience = 200 * time.Millisecond
 	// awayFor is how long the store is taken to be away after a probe: until some more of them.
 	awayFor = 5 * probeEvery
+	// alertFor is how long an entry pings more often after it was told of the store.
+	alertFor = time.Second
 	// askPatience bounds the question who leads now.
 	askPatience = 500 * time.Millisecond
 )
 
 // Successor stands for the lead in place of one that is gone.
 type Successor interface {
+	// Leads reports whether this entry leads.
+	Leads() bool
 	// Suspect says that the lead of an epoch may be replaced.
 	Suspect(epoch uint64, reason string)
 }
 
 // Pinger tells the lead of an entry, and hears from it of the configuration, of other entries and of the store.
 type Pinger struct {
-	desk          *Desk
-	node, address string
-	successor     Successor
+	desk      *Desk
+	self      Self
+	successor Successor
 	// told wakes it when the lead says that the store is away, or back.
 	told chan struct{}
 	// sendValue says that the lead needs this entry's configuration, probing that the store answers neither the lead nor this
@@ -50,9 +54,15 @@
 	probing   bool
 }
 
-// NewPinger returns the pinger of an entry that others reach at an address.
-func NewPinger(desk *Desk, node, address string, successor Successor) *Pinger {
-	return &Pinger{desk: desk, node: node, address: address, successor: successor, told: make(chan struct{}, 1)}
+// Self is what an entry tells of itself: its name, where others reach it, and the processor share of its VM.
+type Self struct {
+	Node, Address string
+	Strength      float64
+}
+
+// NewPinger returns the pinger of an entry.
+func NewPinger(desk *Desk, self Self, successor Successor) *Pinger {
+	return &Pinger{desk: desk, self: self, successor: successor, told: make(chan struct{}, 1)}
 }
 
 // Register adds the method by which the lead says at once that the store is away or back.
@@ -65,6 +75,7 @@
 
 // Run pings the lead until ctx ends.
 func (p *Pinger) Run(ctx context.Context) {
+	var alert time.Time
 	for ctx.Err() == nil {
 		ended, err := p.ping(ctx)
 		if err != nil && ctx.Err() == nil {
@@ -72,24 +83,37 @@
 			p.lost(ctx, err)
 		}
 		pause := pingEvery
-		if p.probing {
+		if p.probing || time.Since(alert) < alertFor {
 			pause = probeEvery
 		}
 		select {
 		case <-ctx.Done():
 		case <-ended:
 		case <-p.told:
+			alert = time.Now()
+			_ = p.ask(ctx)
 		case <-time.After(pause):
 		}
 	}
 }
 
+// ask asks the store for something, so that the next ping tells how it answers this entry now.
+func (p *Pinger) ask(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, probePatience)
+	defer cancel()
+	_, err := p.desk.config.Direct.Get(bounded, record.ChainKey)
+	return err
+}
+
 // ping tells the lead once, and returns a channel that is closed when the connection to it ends; nil where there is none.
 func (p *Pinger) ping(ctx context.Context) (<-chan struct{}, error) {
 	config := &p.desk.config
 	lead, known := config.Lead.Value()
-	if !known || lead.Revision == 0 || lead.Held.Address == p.address {
+	if !known || lead.Revision == 0 || lead.Held.Address == p.self.Address {
 		p.back()
+		if known && lead.Revision != 0 && !p.successor.Leads() {
+			p.askWhoLeads(ctx)
+		}
 		return nil, nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, pingPatience)
@@ -119,7 +143,9 @@
 
 // message returns what the lead is told.
 func (p *Pinger) message(epoch uint64, own link.Offer) link.Ping {
-	m := link.Ping{Entry: p.node, Address: p.address, Epoch: epoch, StoreAgeMillis: -1, Offer: own}
+	m := link.Ping{
+		Entry: p.self.Node, Address: p.self.Address, Strength: p.self.Strength, Epoch: epoch, StoreAgeMillis: -1, Offer: own,
+	}
 	if answered := p.desk.config.Health.Answered(); !answered.IsZero() {
 		m.StoreAgeMillis = time.Since(answered).Milliseconds()
 	}
@@ -129,10 +155,17 @@
 	return m
 }
 
-// lost takes note that nobody tells of the store any more. An entry that the store does not answer asks others who leads.
+// lost takes note that nobody tells of the store any more.
 func (p *Pinger) lost(ctx context.Context, err error) {
 	p.back()
-	if !fault.Is(err, fault.Stale) || !p.desk.config.Health.Down() {
+	if fault.Is(err, fault.Stale) {
+		p.askWhoLeads(ctx)
+	}
+}
+
+// askWhoLeads asks through other entries who leads, where the store does not answer this one, which cannot follow the lead.
+func (p *Pinger) askWhoLeads(ctx context.Context) {
+	if !p.desk.config.Health.Down() {
 		return
 	}
 	bounded, cancel := context.WithTimeout(ctx, askPatience)
@@ -171,9 +204,7 @@
 
 // probe finds out whether the store answers this entry, where it does not answer the lead.
 func (p *Pinger) probe(ctx context.Context) {
-	bounded, cancel := context.WithTimeout(ctx, probePatience)
-	defer cancel()
-	if _, err := p.desk.config.Direct.Get(bounded, record.ChainKey); err != nil {
+	if err := p.ask(ctx); err != nil {
 		if !p.probing {
 			p.desk.logger.Warn("the store answers neither the lead nor this entry; callers are refused: %v", err)
 		}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -143,6 +143,8 @@
 	Entry   string `json:"entry"`
 	Address string `json:"address"`
 	Epoch   uint64 `json:"epoch"`
+	// Strength is the processor share of the entry's VM.
+	Strength float64 `json:"strength"`
 	// StoreAgeMillis is how long ago the store last answered the entry, below 0 where it never did.
 	StoreAgeMillis int64 `json:"store_age_ms"`
 	Offer
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -51,7 +51,9 @@
 		Store: p.store, Health: p.health, Lead: e.lead, Policies: e.policies, Logger: p.logger.Part("dispatch"), Metrics: p.metrics,
 	})
 	e.dispatcher.Register(p.mux)
-	e.pinger = intake.NewPinger(e.desk, p.settings.ID(), p.settings.PeerAddress(), e.dispatcher)
+	e.pinger = intake.NewPinger(e.desk, intake.Self{
+		Node: p.settings.ID(), Address: p.settings.PeerAddress(), Strength: p.settings.Strength(),
+	}, e.dispatcher)
 	e.pinger.Register(p.mux)
 	intake.Register(p.mux, p.store, p.health)
 	servers, err := e.listen()
