--- a/internal/dispatch/campaign.go
+++ b/internal/dispatch/campaign.go
@@ -19,7 +19,7 @@
 	// campaignPause lies between two attempts to win the lead.
 	campaignPause = 150 * time.Millisecond
 	// standBack is how long an entry with a whole core waits before it stands for the lead; weaker ones wait longer.
-	standBack = 15 * time.Millisecond
+	standBack = 30 * time.Millisecond
 	// leastStrength is the share of a core below which an entry waits no longer.
 	leastStrength = 0.05
 )
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -116,7 +116,11 @@
 		}
 		return nil, nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, pingPatience)
+	patience := pingPatience
+	if p.probing {
+		patience = probePatience
+	}
+	bounded, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	peer, err := config.Pool.Peer(bounded, lead.Held.Address)
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,9 +38,10 @@
 	patience *wait.Patience
 
 	mu sync.Mutex
-	// away is until when the store is taken to answer nobody, as the lead and this process found; ended is closed when that
-	// begins.
+	// away is until when the store is taken to answer nobody, as the lead and this process found at a time; ended is closed
+	// when that begins.
 	away  time.Time
+	found time.Time
 	ended chan struct{}
 	// down is when no way to the store gave an answer last, zero once one did; trying says that a call finds out.
 	down   time.Time
@@ -63,7 +64,8 @@
 		close(s.ended)
 		s.ended = make(chan struct{})
 	}
-	s.away = time.Now().Add(lasts)
+	s.found = time.Now()
+	s.away = s.found.Add(lasts)
 }
 
 // SetBack takes note that the store answers again, or that this is not known.
@@ -163,7 +165,7 @@
 func (s *Store) enter() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Now().Before(s.away) {
+	if time.Now().Before(s.away) && !s.health.Answered().After(s.found) {
 		return false
 	}
 	if s.down.IsZero() {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -137,12 +137,18 @@
 // TestStoreThatAnswersNobodyIsNotAsked failed while each entry learned of an outage by time-outs of its own.
 func TestStoreThatAnswersNobodyIsNotAsked(t *testing.T) {
 	store := kvtest.New()
-	s := New(store, &kv.Health{}, pool())
+	health := &kv.Health{}
+	s := New(store, health, pool())
 	s.SetAway(time.Minute)
 	assert.Assert(t, fault.Is(s.Commit(context.Background(), once()), fault.Unavailable))
 	assert.Equal(t, store.Commits(), 0)
 	s.SetBack()
 	assert.NilError(t, s.Commit(context.Background(), once()))
+	s.SetAway(time.Minute)
+	time.Sleep(time.Millisecond)
+	health.Note(time.Now(), nil)
+	err := s.Commit(context.Background(), once())
+	assert.Assert(t, fault.Is(err, fault.Conflict), "the store answers this process again: %v", err)
 }
 
 // TestCallUnderWayIsGivenUpOnceTheStoreIsAway failed while such calls were held until their patience was over.
