--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -19,6 +19,8 @@
 	clockRate = 0.98
 	// silentAfter is how long a worker may not answer before it is told to be silent.
 	silentAfter = 1500 * time.Millisecond
+	// fencePatience bounds the hold that shows the worker a new epoch; the next one does so as well.
+	fencePatience = 300 * time.Millisecond
 	// holdPause lies between two holds that found nothing new, or failed.
 	holdPause = 100 * time.Millisecond
 )
@@ -31,22 +33,44 @@
 			r.await(ctx, r.heard)
 			continue
 		}
-		view, refusal, err := r.config.Worker.Hold(ctx, instance, hold)
-		if err == nil && refusal != host.Accepted {
-			err = fault.New(fault.Conflict, "the worker refuses the hold: %s", refusal)
-		}
-		if err != nil {
+		settles, err := r.hold(ctx, instance, hold)
+		switch {
+		case err != nil:
 			r.unheld(instance, err)
 			wait.For(ctx, holdPause)
-			continue
-		}
-		if r.held(ctx, instance, hold, view) {
+		case settles:
 			r.await(ctx, r.settled)
 		}
 	}
 	return ctx.Err()
 }
 
+// hold sends one hold, and reports whether ends wait to be taken note of.
+func (r *Runner) hold(ctx context.Context, instance string, hold host.Hold) (bool, error) {
+	view, refusal, err := r.config.Worker.Hold(ctx, instance, hold)
+	if err == nil && refusal != host.Accepted {
+		err = fault.New(fault.Conflict, "the worker refuses the hold: %s", refusal)
+	}
+	if err != nil {
+		return false, err
+	}
+	return r.held(ctx, instance, hold, view), nil
+}
+
+// fence shows the worker the epoch of a lead that was just found, beside the hold that waits for an end: before that the lead
+// cannot count on what it hears of the worker.
+func (r *Runner) fence(ctx context.Context) {
+	instance, hold, ok := r.nextHold()
+	if !ok || hold.Wait > 0 {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, fencePatience)
+	defer cancel()
+	if _, err := r.hold(bounded, instance, hold); err != nil {
+		r.logger.Debug("the worker has not seen the epoch yet: %v", err)
+	}
+}
+
 // await waits for a signal, or a while.
 func (r *Runner) await(ctx context.Context, c chan struct{}) {
 	select {
@@ -119,6 +143,10 @@
 	if l == nil || l.report.Instance != instance {
 		return false
 	}
+	if l.views > 0 && view.Clock < l.clock {
+		// A newer answer has overtaken this one.
+		return false
+	}
 	now := time.Now()
 	if l.silent {
 		r.logger.Info("worker answers again; instance=%s", instance)
--- a/internal/runner/lives_test.go
+++ b/internal/runner/lives_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
 // held lets an agent hold its worker and find out which life is there, until the test ends.
@@ -80,3 +81,27 @@
 	}
 	assert.Equal(t, len(l.past), mostPast)
 }
+
+// TestWorkerSeesANewEpochBesideTheHoldThatWaits failed with reports that a new lead could not use for up to half a second.
+func TestWorkerSeesANewEpochBesideTheHoldThatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTest(&fakeWorker{there: "i-1"})
+		held(t, r)
+		time.Sleep(holdWait / 4)
+		assert.NilError(t, r.adopt(nil, record.Lead{Epoch: 4}))
+		r.fence(t.Context())
+		report, _ := r.compose()
+		assert.Assert(t, report.Fenced)
+	})
+}
+
+// TestViewThatWasOvertakenIsLeft failed with the runs of the older view.
+func TestViewThatWasOvertakenIsLeft(t *testing.T) {
+	r := newTest(&fakeWorker{})
+	newer := host.View{Clock: host.Clock(2 * time.Second), Running: []host.Running{{Run: testRun(2)}}}
+	r.held(t.Context(), "i-1", host.Hold{}, newer)
+	r.held(t.Context(), "i-1", host.Hold{}, host.View{Clock: host.Clock(time.Second), Running: []host.Running{{Run: testRun(1)}}})
+	report, _ := r.compose()
+	assert.Equal(t, len(report.Running), 1)
+	assert.Equal(t, report.Running[0].Number, 2)
+}
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -67,6 +67,7 @@
 		return err
 	}
 	r.logger.Info("lead followed; epoch=%d node=%s", lead.Epoch, lead.Node)
+	r.fence(ctx)
 	checked := time.Now()
 	for ctx.Err() == nil {
 		doubtful, err := r.tell(ctx, session)
