--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -37,9 +37,9 @@
 		l.addWorker(h)
 	}
 	t.logger.Info("load; workers=%d waiting_short=%d waiting_lasting=%d waiting_batch=%d of_jobs=%d cores=%d serving=%d "+
-		"filling_tasks=%d slowed=%d asked=%d used=%d served=%d over=%d",
+		"filling_tasks=%d slowed=%d asked=%d used=%d served=%d over=%d starved=%.1f",
 		len(t.hosts), l.waitingShort, l.waitingLasting, l.waitingBatch, l.batchJobs, l.capacity/thousandths, l.serving/thousandths,
-		l.filling, l.slowed, l.asked/thousandths, l.used/thousandths, l.served, l.over)
+		l.filling, l.slowed, l.asked/thousandths, l.used/thousandths, l.served, l.over, t.starvation.level)
 }
 
 // addWaiting counts the tasks that wait, and the jobs that those of them belong to which will fill.
@@ -80,3 +80,16 @@
 		}
 	}
 }
+
+// inUse returns how many thousandths of a core batch uses, and how many the workers have.
+func (t *term) inUse() (used, capacity int) {
+	for _, h := range t.hosts {
+		capacity += h.worker.Capacity.CPU
+		for _, p := range h.runs {
+			if p.step.Fills {
+				used += p.figure
+			}
+		}
+	}
+	return used, capacity
+}
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -81,7 +81,10 @@
 		workers = append(workers, &h.worker)
 	}
 	t.logLoad(groups)
+	used, capacity := t.inUse()
+	t.starvation.observe(time.Now(), groups, used, capacity)
 	planner := plan.New(workers, t.pressure)
+	planner.Starve(t.starvation.level)
 	t.relocate(planner)
 	for _, p := range planner.Make(groups) {
 		known := t.jobs[p.Task.Job]
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -39,6 +39,7 @@
 	answer.Profiles = t.profiles(r.Unknown)
 	answer.Presses, answer.Swing = t.presses(a.host), round(t.pressure.Swing(), swingSteps)
 	answer.Loads = t.loads(a.host)
+	answer.Starved = round(t.starvation.level, starvedSteps)
 	changed := len(t.dirty) > 0
 	t.mu.Unlock()
 	if changed {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -79,6 +79,7 @@
 	learned    time.Time
 	loadLogged time.Time
 	relock     bool
+	starvation starvation
 	// elsewhere is when the lead last heard that the store answers an entry, though not the lead.
 	elsewhere time.Time
 	committed chan struct{}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -97,6 +97,8 @@
 	// Swing is how fast the loads of serving tasks swing, in radians a second.
 	Presses map[string]map[string]float64 `json:"presses,omitempty"`
 	Swing   float64                       `json:"swing,omitempty"`
+	// Starved is how starved batch is, from 0 to 1.
+	Starved float64 `json:"starved,omitempty"`
 	// Loads are those of the steps that serve there, by the names of the steps.
 	Loads map[string]Load `json:"loads,omitempty"`
 }
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -43,15 +43,19 @@
 	Whole float64
 }
 
+// starvedWorth is by how much more the work of batch counts where it is starved altogether.
+const starvedWorth = 1.5
+
 // Reckon returns the pace of each filling image in percent, such that the work done outweighs the harm to what serves by
-// as much as possible.
-func Reckon(served []Served, filling []Filling) map[string]int {
+// as much as possible; batch that is starved, from 0 to 1, counts more.
+func Reckon(served []Served, filling []Filling, starved float64) map[string]int {
+	worth := (1 + starvedWorth*starved) / pressure.WorthOfOver
 	if slices.ContainsFunc(served, func(s Served) bool { return s.Longer }) {
 		return stopAll(filling)
 	}
-	best := climb(served, filling, Full)
-	other := climb(served, filling, Least)
-	if value(served, filling, other) > value(served, filling, best) {
+	best := climb(served, filling, Full, worth)
+	other := climb(served, filling, Least, worth)
+	if value(served, filling, other, worth) > value(served, filling, best, worth) {
 		best = other
 	}
 	paces := make(map[string]int, len(filling))
@@ -70,20 +74,20 @@
 	return paces
 }
 
-// climb changes one pace at a time, from all at one pace, for as long as it helps.
-func climb(served []Served, filling []Filling, from int) []int {
+// climb changes one pace at a time, from all at one pace, for as long as it helps; worth is that of a worker full of batch.
+func climb(served []Served, filling []Filling, from int, worth float64) []int {
 	paces := make([]int, len(filling))
 	for i := range paces {
 		paces[i] = from
 	}
-	highest := value(served, filling, paces)
+	highest := value(served, filling, paces, worth)
 	for range rounds {
 		changed := false
 		for i := range paces {
 			kept := paces[i]
 			for _, choice := range choices {
 				paces[i] = choice
-				if v := value(served, filling, paces); v > highest {
+				if v := value(served, filling, paces, worth); v > highest {
 					highest, kept, changed = v, choice, true
 				}
 			}
@@ -97,10 +101,10 @@
 }
 
 // value weighs the work done at some paces against the tasks that are likely over their targets.
-func value(served []Served, filling []Filling, paces []int) float64 {
+func value(served []Served, filling []Filling, paces []int, worth float64) float64 {
 	total := 0.0
 	for i, f := range filling {
-		total += f.at(paces[i]) / pressure.WorthOfOver
+		total += worth * f.at(paces[i])
 	}
 	for _, s := range served {
 		pressed := 0.0
--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -10,12 +10,15 @@
 // does more harm is paced down before long, and keeps its memory from others meanwhile.
 const mostHarm = 0.3
 
+// lenientHarm is how much of the worth the harm may eat up besides where batch is starved altogether.
+const lenientHarm = 0.6
+
 // gain returns what a filling task is worth on a worker beyond the harm that it does there, and whether it suits.
 func (p *Planner) gain(w *Worker, g *Group) (float64, bool) {
 	worth := w.share(g.Step.Size.CPU) / pressure.WorthOfOver
 	harm := w.harm(g.Step, p.pressure)
 	crowded := w.Spare() < g.Step.Size.CPU && w.Filling > 0
-	return worth - harm, harm <= mostHarm*worth && !crowded
+	return worth - harm, harm <= (mostHarm+lenientHarm*p.starved)*worth && !crowded
 }
 
 // Weights of a placement's cost, in shares of a worker's processors: what is avoided goes last of all, data that
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -19,6 +19,8 @@
 type Planner struct {
 	workers  []*Worker
 	pressure Pressure
+	// starved is how starved batch is, from 0 to 1.
+	starved float64
 	// full holds, by service and image, the least size of a plain filling task that no worker suits any more.
 	full map[kind]job.Size
 }
@@ -37,6 +39,9 @@
 	return p
 }
 
+// Starve lets batch that is starved, from 0 to 1, do more harm for its worth.
+func (p *Planner) Starve(starved float64) { p.starved = starved }
+
 // Make places what waits, most urgent first, and returns the placements in that order.
 func (p *Planner) Make(groups []*Group) []Placement {
 	slices.SortStableFunc(groups, before)
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -47,6 +47,8 @@
 	used   map[string]float64
 	// swing is how fast the loads of serving tasks swing, as the lead tells, 0 before that.
 	swing float64
+	// starved is how starved batch is, as the lead tells, from 0 to 1.
+	starved float64
 	// loads are those of serving steps, as the lead tells; owns follow by how much single tasks are off them.
 	loads map[string]pressure.Load
 	owns  map[host.Run]*pressure.Own
--- a/internal/runner/paces.go
+++ b/internal/runner/paces.go
@@ -33,7 +33,7 @@
 		filling, use := l.filling()
 		felt := pressure.Mean(l.used, use)
 		l.used = use
-		l.wanted = pacing.Reckon(l.served(now, felt, filling), filling)
+		l.wanted = pacing.Reckon(l.served(now, felt, filling), filling, l.starved)
 	}
 	for _, running := range l.view.Running {
 		p, known := l.profiles[running.Run]
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -152,7 +152,7 @@
 		l.seen = max(l.seen, answer.Seen)
 	}
 	l.profile(answer.Profiles)
-	l.presses, l.swing = answer.Presses, answer.Swing
+	l.presses, l.swing, l.starved = answer.Presses, answer.Swing, answer.Starved
 	l.loads = loadsOf(answer.Loads, time.Now())
 	for _, rejected := range report.Rejected {
 		if run, ok := parseRun(rejected.Run); ok && l.orders[run] != nil && l.orders[run].final {
