--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -5,13 +5,9 @@
 	"testing"
 	"time"
 
-	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/job"
-	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
 	"github.com/saffronpulley/saffronpulley/internal/link"
-	"github.com/saffronpulley/saffronpulley/internal/logging"
-	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
 // Sizes of the benchmark: a grown deployment of the users.
@@ -28,11 +24,7 @@
 // crowdedTerm returns a term whose workers are busy and for which jobs wait that fit nowhere well.
 func crowdedTerm() *term {
 	store := kvtest.New()
-	d := New(Config{
-		Node: "e", Boot: "b", Address: "a", Strength: 1, Store: store, Health: &kv.Health{}, Policies: noPolicies{}, Logger: logging.Discard(),
-		Lead: follow.New(store, record.LeadKey, record.DecodeLead, logging.Discard()),
-	})
-	t := newTerm(d, 1, 1)
+	t := newTerm(entryOf("e", store), 1, 1)
 	serving := t.benchJob(0, job.Step{
 		Count: benchWorkers * benchServing, Size: job.Size{CPU: 6000, Memory: 9000}, Lasting: true, Image: "serve", Target: 18 * time.Millisecond,
 	})
--- a/internal/dispatch/campaign_test.go
+++ b/internal/dispatch/campaign_test.go
@@ -10,12 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
-	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
-	"github.com/saffronpulley/saffronpulley/internal/logging"
-	"github.com/saffronpulley/saffronpulley/internal/metric"
-	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
 // thinLink is a store whose ranges take long and whose leases run out.
@@ -63,14 +59,9 @@
 	var running sync.WaitGroup
 	var all []*Dispatcher
 	for i, s := range stores {
-		lead := follow.New(s, record.LeadKey, record.DecodeLead, logging.Discard())
-		name := string(rune('a' + i))
-		d := New(Config{
-			Node: name, Boot: name, Address: name, Strength: 1, Store: s, Health: &kv.Health{}, Policies: noPolicies{}, Logger: logging.Discard(),
-			Lead: lead, Metrics: metric.New(),
-		})
+		d := entryOf(string(rune('a'+i)), s)
 		all = append(all, d)
-		running.Go(func() { lead.Run(ctx) })
+		running.Go(func() { d.config.Lead.Run(ctx) })
 		running.Go(func() { d.Run(ctx) })
 	}
 	<-time.After(length)
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -8,9 +8,14 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/metric"
 	"github.com/saffronpulley/saffronpulley/internal/policy"
+	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
 // cycle is one turn of the work of a lead, until all is committed.
@@ -23,6 +28,15 @@
 	}
 }
 
+// entryOf returns an entry that may lead.
+func entryOf(name string, store kv.Store) *Dispatcher {
+	return New(Config{
+		Node: name, Boot: name, Address: name, Strength: 1, Store: store, Health: &kv.Health{}, Policies: noPolicies{},
+		Logger: logging.Discard(), Metrics: metric.New(),
+		Lead: follow.New(store, record.LeadKey, record.DecodeLead, logging.Discard()),
+	})
+}
+
 type noPolicies struct{}
 
 func (noPolicies) Newest() *policy.Policy { return nil }
--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -46,15 +46,15 @@
 func (h *hosted) figures(r link.Report) (map[string]float64, map[string][]*placed) {
 	use, serving := make(map[string]float64), make(map[string][]*placed)
 	for _, running := range r.Running {
-		id, ok := running.TaskID()
-		p := h.runs[id]
-		if !ok || p == nil || p.run != running.Number {
+		p := h.run(running.Run)
+		if p == nil {
 			continue
 		}
 		switch {
 		case p.step.Fills:
 			use[p.step.Image] += float64(running.Figure) / float64(h.worker.Capacity.CPU)
 		case p.step.Serves() && running.Figure > 0 && !p.stopping:
+			id, _ := running.TaskID()
 			name := id.StepName()
 			serving[name] = append(serving[name], p)
 		}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -46,11 +46,10 @@
 
 // rejected takes back a run that never started.
 func (t *term) rejected(h *hosted, r link.Rejected) {
-	id, ok := r.TaskID()
-	p := h.runs[id]
-	if !ok || p == nil || p.run != r.Number {
+	if h.run(r.Run) == nil {
 		return
 	}
+	id, _ := r.TaskID()
 	t.logger.Info("start rejected; task=%s run=%d vm=%s reason=%s", r.Task, r.Number, h.worker.Host.VM, host.Refusal(r.Refusal))
 	h.remove(id, r.Number)
 	known := t.jobs[id.Job]
--- a/internal/dispatch/report_test.go
+++ b/internal/dispatch/report_test.go
@@ -7,17 +7,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"context"
+
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/record"
-
-	"context"
-
-	"github.com/saffronpulley/saffronpulley/internal/follow"
-	"github.com/saffronpulley/saffronpulley/internal/logging"
 )
 
 // testTerm returns a term with one accepted job of one task.
@@ -28,11 +25,7 @@
 	assert.NilError(t, err)
 	_, err = store.Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: record.JobKey("00000000000000aa"), Value: value}}})
 	assert.NilError(t, err)
-	d := New(Config{
-		Node: "e", Boot: "b", Address: "a", Strength: 1, Store: store, Health: &kv.Health{}, Policies: noPolicies{}, Logger: logging.Discard(),
-		Lead: follow.New(store, record.LeadKey, record.DecodeLead, logging.Discard()),
-	})
-	term, err := d.stand(ctx)
+	term, err := entryOf("e", store).stand(ctx)
 	assert.NilError(t, err)
 	assert.NilError(t, term.load(ctx))
 	return term
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -9,22 +9,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
-	"github.com/saffronpulley/saffronpulley/internal/follow"
-	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
 	"github.com/saffronpulley/saffronpulley/internal/link"
-	"github.com/saffronpulley/saffronpulley/internal/logging"
-	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
-// entryOf returns an entry that may lead.
-func entryOf(name string, store kv.Store) *Dispatcher {
-	return New(Config{
-		Node: name, Boot: name, Address: name, Strength: 1, Store: store, Health: &kv.Health{}, Policies: noPolicies{},
-		Logger: logging.Discard(), Lead: follow.New(store, record.LeadKey, record.DecodeLead, logging.Discard()),
-	})
-}
-
 // TestSuspectedLeadIsReplacedBeforeItsLeaseEnds failed with "e leads": nothing was scheduled until the lease of a dead lead
 // ended. The lead that was suspected wrongly finds out with its next commit.
 func TestSuspectedLeadIsReplacedBeforeItsLeaseEnds(t *testing.T) {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -8,11 +8,9 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
-	"github.com/saffronpulley/saffronpulley/internal/logging"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
@@ -57,11 +55,7 @@
 func (w *world) elect() {
 	w.store.Revoke()
 	name := fmt.Sprintf("entry%d", len(w.terms))
-	d := New(Config{
-		Node: name, Boot: name, Address: name, Strength: 1, Store: w.store, Health: &kv.Health{}, Policies: noPolicies{},
-		Lead: follow.New(w.store, record.LeadKey, record.DecodeLead, logging.Discard()), Logger: logging.Discard(),
-	})
-	t, err := d.stand(w.ctx)
+	t, err := entryOf(name, w.store).stand(w.ctx)
 	if err != nil || t.load(w.ctx) != nil {
 		return
 	}
--- a/internal/job/script_test.go
+++ b/internal/job/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -10,28 +9,23 @@
 
 	"golang.org/x/tools/txtar"
 	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/scripttest"
 )
 
 // TestScripts plays what happens to jobs: each archive has the steps of one job, one a line, and what is done and expected.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	assert.NilError(t, err)
-	assert.Assert(t, len(files) > 0)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
-			archive, err := txtar.ParseFile(file)
-			assert.NilError(t, err)
-			parts := make(map[string]string)
-			for _, f := range archive.Files {
-				parts[f.Name] = string(f.Data)
-			}
-			j := New("00000000000000aa", parseSpec(t, parts["job"]), Queue{Attempts: 2, Stretch: 2}, time.Unix(1000, 0))
-			for n, line := range strings.Split(strings.TrimSpace(parts["script"]), "\n") {
-				play(t, j, strings.Fields(line), fmt.Sprintf("line %d: %s", n+1, line))
-				j = restored(t, j)
-			}
-		})
-	}
+	scripttest.Each(t, func(t *testing.T, archive *txtar.Archive) {
+		parts := make(map[string]string)
+		for _, f := range archive.Files {
+			parts[f.Name] = string(f.Data)
+		}
+		j := New("00000000000000aa", parseSpec(t, parts["job"]), Queue{Attempts: 2, Stretch: 2}, time.Unix(1000, 0))
+		for n, line := range strings.Split(strings.TrimSpace(parts["script"]), "\n") {
+			play(t, j, strings.Fields(line), fmt.Sprintf("line %d: %s", n+1, line))
+			j = restored(t, j)
+		}
+	})
 }
 
 // restored brings the job through the store, which must change nothing.
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/scripttest"
 )
 
 // pairs is a pressure by "serving/filling".
@@ -35,36 +35,29 @@
 
 // TestScripts plans what the archives describe and compares the placements.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	assert.NilError(t, err)
-	assert.Assert(t, len(files) > 0)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
-			archive, err := txtar.ParseFile(file)
-			assert.NilError(t, err)
-			var workers []*Worker
-			var groups []*Group
-			weights := make(pairs)
-			want := ""
-			for _, f := range archive.Files {
-				lines := strings.Split(strings.TrimSpace(string(f.Data)), "\n")
-				switch f.Name {
-				case "workers":
-					workers = parseWorkers(t, lines)
-				case "groups":
-					groups = parseGroups(t, lines)
-				case "pressure":
-					for _, line := range lines {
-						words := strings.Fields(line)
-						weights[words[0]] = decimal(t, words[1])
-					}
-				case "placed":
-					want = strings.TrimSpace(string(f.Data))
+	scripttest.Each(t, func(t *testing.T, archive *txtar.Archive) {
+		var workers []*Worker
+		var groups []*Group
+		weights := make(pairs)
+		want := ""
+		for _, f := range archive.Files {
+			lines := strings.Split(strings.TrimSpace(string(f.Data)), "\n")
+			switch f.Name {
+			case "workers":
+				workers = parseWorkers(t, lines)
+			case "groups":
+				groups = parseGroups(t, lines)
+			case "pressure":
+				for _, line := range lines {
+					words := strings.Fields(line)
+					weights[words[0]] = decimal(t, words[1])
 				}
+			case "placed":
+				want = strings.TrimSpace(string(f.Data))
 			}
-			assert.Equal(t, describe(New(workers, weights).Make(groups)), want)
-		})
-	}
+		}
+		assert.Equal(t, describe(New(workers, weights).Make(groups)), want)
+	})
 }
 
 func describe(placed []Placement) string {
--- /dev/null
+++ b/internal/scripttest/doc.go
@@ -0,0 +1,2 @@
+// Package scripttest plays tests that are written as data: each txtar archive in testdata is one of them.
+package scripttest
--- /dev/null
+++ b/internal/scripttest/scripttest.go
@@ -0,0 +1,27 @@
+package scripttest
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"golang.org/x/tools/txtar"
+	"gotest.tools/v3/assert"
+)
+
+const suffix = ".txtar"
+
+// Each plays every archive of the package's testdata, of which there must be one, as a test of its own.
+func Each(t *testing.T, play func(t *testing.T, archive *txtar.Archive)) {
+	t.Helper()
+	files, err := filepath.Glob("testdata/*" + suffix)
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), suffix), func(t *testing.T) {
+			archive, err := txtar.ParseFile(file)
+			assert.NilError(t, err)
+			play(t, archive)
+		})
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -11,26 +11,20 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/scripttest"
 )
 
 func noEnvironment(string) (string, bool) { return "", false }
 
 // TestProblems reads the files of testdata: the section "file" is refused with each line of "problems".
 func TestProblems(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	assert.NilError(t, err)
-	assert.Assert(t, len(files) > 0)
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			archive, err := txtar.ParseFile(file)
-			assert.NilError(t, err)
-			_, err = parse("s.yaml", archive.Files[0].Data, nil, noEnvironment)
-			assert.Equal(t, fault.KindOf(err), fault.BadInput)
-			for line := range strings.Lines(string(archive.Files[1].Data)) {
-				assert.ErrorContains(t, err, strings.TrimSpace(line))
-			}
-		})
-	}
+	scripttest.Each(t, func(t *testing.T, archive *txtar.Archive) {
+		_, err := parse("s.yaml", archive.Files[0].Data, nil, noEnvironment)
+		assert.Equal(t, fault.KindOf(err), fault.BadInput)
+		for line := range strings.Lines(string(archive.Files[1].Data)) {
+			assert.ErrorContains(t, err, strings.TrimSpace(line))
+		}
+	})
 }
 
 func TestExamplesAreRight(t *testing.T) {
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -11,21 +10,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/scripttest"
 )
 
 // TestScripts plays the files of testdata: each section is an edit "NAME base=N", or "want" with the table or the
 // refusal that must come of the edit before it.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	assert.NilError(t, err)
-	assert.Assert(t, len(files) > 0)
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			archive, err := txtar.ParseFile(file)
-			assert.NilError(t, err)
-			play(t, archive)
-		})
-	}
+	scripttest.Each(t, play)
 }
 
 func play(t *testing.T, archive *txtar.Archive) {
--- a/proving/lateness/lateness_test.go
+++ b/proving/lateness/lateness_test.go
@@ -2,32 +2,26 @@
 
 import (
 	"fmt"
-	"path/filepath"
 	"strings"
 	"testing"
 
 	"golang.org/x/tools/txtar"
 	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/scripttest"
 )
 
 // TestScripts reads logs and compares how the time of their jobs was spent.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	assert.NilError(t, err)
-	assert.Assert(t, len(files) > 0)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
-			archive, err := txtar.ParseFile(file)
-			assert.NilError(t, err)
-			assert.Equal(t, len(archive.Files), 2)
-			shares, err := Read(strings.NewReader(string(archive.Files[0].Data)))
-			assert.NilError(t, err)
-			var got strings.Builder
-			for _, s := range shares {
-				fmt.Fprintf(&got, "%s %s jobs=%d took=%s waiting=%s again=%s running=%s\n",
-					s.Queue, s.Outcome, s.Jobs, s.Took, s.Waiting, s.Again, s.Running)
-			}
-			assert.Equal(t, got.String(), string(archive.Files[1].Data))
-		})
-	}
+	scripttest.Each(t, func(t *testing.T, archive *txtar.Archive) {
+		assert.Equal(t, len(archive.Files), 2)
+		shares, err := Read(strings.NewReader(string(archive.Files[0].Data)))
+		assert.NilError(t, err)
+		var got strings.Builder
+		for _, s := range shares {
+			fmt.Fprintf(&got, "%s %s jobs=%d took=%s waiting=%s again=%s running=%s\n",
+				s.Queue, s.Outcome, s.Jobs, s.Took, s.Waiting, s.Again, s.Running)
+		}
+		assert.Equal(t, got.String(), string(archive.Files[1].Data))
+	})
 }
