--- a/proving/fleet/books.go
+++ b/proving/fleet/books.go
@@ -32,7 +32,7 @@
 	canceled time.Time
 	// canceling says that its caller asked to cancel it, which may have been done without an answer.
 	canceling bool
-	seen     job.State
+	seen      job.State
 }
 
 // history is what became of a task.
