--- /dev/null
+++ b/internal/relay/away.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"context"
+	"time"
+)
+
+// SetAway takes note that the store was found to answer nobody: calls that are under way are given up, and others refused at
+// once, for a while or until SetBack.
+func (s *Store) SetAway(lasts time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !time.Now().Before(s.away) {
+		close(s.ended)
+		s.ended = make(chan struct{})
+	}
+	s.found = time.Now()
+	s.away = s.found.Add(lasts)
+}
+
+// SetBack takes note that the store answers again, or that this is not known.
+func (s *Store) SetBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away, s.down = time.Time{}, time.Time{}
+}
+
+// endWith cancels a call once the store is found to be away, until the returned function is called.
+func (s *Store) endWith(cancel context.CancelFunc) func() {
+	s.mu.Lock()
+	ended := s.ended
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-ended:
+			cancel()
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
+// enter reports whether a call may be tried: while the store is down, one at a time, and not too often.
+func (s *Store) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.away) && !s.health.Answered().After(s.found) {
+		return false
+	}
+	if s.down.IsZero() {
+		return true
+	}
+	if s.trying || time.Since(s.down) < downFor {
+		return false
+	}
+	s.trying = true
+	return true
+}
+
+// leave takes note of whether any way to the store gave an answer.
+func (s *Store) leave(answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trying = false
+	s.down = time.Time{}
+	if !answered {
+		s.down = time.Now()
+	}
+}
