Tests that bite: a test of outages passed without the guard that it is for; orders not acknowledged and failed watches have one each

Guards were turned off one by one in a copy: TestCallersAreRefused... stayed green without SetAway, since a store that refuses looks the same; now it asks that the store gets no call. Orders that were not acknowledged, and a watch that goes on where it was, had no test. TestWorkerSees... asks for the hold itself and would not notice if nobody sent it.

--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
@@ -93,3 +94,26 @@
 		assert.DeepEqual(t, stops, []link.Run{link.NewRun(job.TaskID{Job: lateJob}, 1)})
 	})
 }
+
+// deaf is a session that acknowledges nothing.
+type deaf struct{ mailbox }
+
+func (deaf) send(link.Orders) error { return fault.New(fault.OutcomeUnknown, "no answer") }
+
+// TestOrdersThatWereNotAcknowledgedAreGivenAgainWithTheNextReport failed with no order for resendAfter.
+func TestOrdersThatWereNotAcknowledgedAreGivenAgainWithTheNextReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lead, a := testTerm(t, kvtest.New()), &fakeAgent{vm: "vm"}
+		_, err := lead.report(deaf{mailbox{a}}, reportOf("i1"))
+		assert.NilError(t, err)
+		assert.NilError(t, cycle(t.Context(), lead))
+		synctest.Wait()
+		assert.Equal(t, len(a.mail), 0)
+		_, err = lead.report(mailbox{a}, reportOf("i1"))
+		assert.NilError(t, err)
+		assert.NilError(t, cycle(t.Context(), lead))
+		synctest.Wait()
+		assert.Equal(t, len(a.mail), 1)
+		assert.Equal(t, len(a.mail[0].Starts), 1)
+	})
+}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
@@ -74,3 +75,43 @@
 		t.Fatal("the channel is open after a change")
 	}
 }
+
+// failingOnce is a store whose first watch fails, and that counts its ranges.
+type failingOnce struct {
+	*kvtest.Store
+	watches, ranges int
+}
+
+// Range implements kv.Store.
+func (s *failingOnce) Range(ctx context.Context, prefix string) ([]kv.Item, kv.Revision, error) {
+	s.ranges++
+	return s.Store.Range(ctx, prefix)
+}
+
+// Watch implements kv.Store.
+func (s *failingOnce) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Event, kv.Revision, error) {
+	s.watches++
+	if s.watches == 1 {
+		return nil, after, fault.New(fault.OutcomeUnknown, "the connection went silent")
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+// TestFailedWatchGoesOnWhereItWas failed with a second range: all was read anew, though only a forgotten history asks for that.
+func TestFailedWatchGoesOnWhereItWas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &failingOnce{Store: kvtest.New()}
+		put(t, store.Store, "key", "one")
+		f := New(store, "key", text, logging.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		put(t, store.Store, "key", "two")
+		time.Sleep(time.Second)
+		value, _ := f.Value()
+		assert.Equal(t, value.Held, "two")
+		cancel()
+		<-f.Done()
+		assert.Equal(t, store.ranges, 1)
+	})
+}
--- a/internal/intake/pinger_test.go
+++ b/internal/intake/pinger_test.go
@@ -30,8 +30,9 @@
 	*kvtest.Store
 	health *kv.Health
 
-	mu   sync.Mutex
-	away bool
+	mu    sync.Mutex
+	away  bool
+	asked int
 }
 
 func (s *turningAway) set(away bool) {
@@ -40,10 +41,18 @@
 	s.away = away
 }
 
+// calls returns how often the store was asked.
+func (s *turningAway) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
 // Get implements kv.Store.
 func (s *turningAway) Get(ctx context.Context, key string) (kv.Item, error) {
 	s.mu.Lock()
 	away := s.away
+	s.asked++
 	s.mu.Unlock()
 	asked := time.Now()
 	if away {
@@ -140,9 +149,11 @@
 // TestCallersAreRefusedOnceStoreAnswersNeitherLeadNorEntry failed while each entry found out by time-outs of its callers.
 func TestCallersAreRefusedOnceStoreAnswersNeitherLeadNorEntry(t *testing.T) {
 	e := newEntry(t)
+	// refuses reports whether a caller is refused without a call to the store.
 	refuses := func() bool {
+		before := e.store.calls()
 		_, err := e.desk.config.Store.Get(t.Context(), record.ChainKey)
-		return fault.Is(err, fault.Unavailable)
+		return fault.Is(err, fault.Unavailable) && e.store.calls() == before
 	}
 	e.lead.set(link.PingAnswer{StoreDown: true}, nil)
 	assert.NilError(t, e.pinged(t))
