The lead's load is reckoned in one place

What batch uses and what the workers have was summed up twice, for the log and for how starved batch is; one pass serves both, at each plan.

--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -25,17 +25,22 @@
 	filling, slowed, served, over int
 }
 
-// logLoad logs the load now and then.
-func (t *term) logLoad(groups []*plan.Group) {
+// currentLoad returns the load, without what waits.
+func (t *term) currentLoad() load {
+	var l load
+	for _, h := range t.hosts {
+		l.addWorker(h)
+	}
+	return l
+}
+
+// logLoad logs the load, with what waits, now and then.
+func (t *term) logLoad(l load, groups []*plan.Group) {
 	if time.Since(t.loadLogged) < loadEvery {
 		return
 	}
 	t.loadLogged = time.Now()
-	var l load
 	l.addWaiting(groups)
-	for _, h := range t.hosts {
-		l.addWorker(h)
-	}
 	t.logger.Info("load; workers=%d waiting_short=%d waiting_lasting=%d waiting_batch=%d of_jobs=%d cores=%d serving=%d "+
 		"filling_tasks=%d slowed=%d asked=%d used=%d served=%d over=%d starved=%.1f",
 		len(t.hosts), l.waitingShort, l.waitingLasting, l.waitingBatch, l.batchJobs, l.capacity/thousandths, l.serving/thousandths,
@@ -80,16 +85,3 @@
 		}
 	}
 }
-
-// inUse returns how many thousandths of a core batch uses, and how many the workers have.
-func (t *term) inUse() (used, capacity int) {
-	for _, h := range t.hosts {
-		capacity += h.worker.Capacity.CPU
-		for _, p := range h.runs {
-			if p.step.Fills {
-				used += p.figure
-			}
-		}
-	}
-	return used, capacity
-}
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -80,9 +80,9 @@
 		h.weigh()
 		workers = append(workers, &h.worker)
 	}
-	t.logLoad(groups)
-	used, capacity := t.inUse()
-	t.starvation.observe(time.Now(), groups, used, capacity)
+	l := t.currentLoad()
+	t.logLoad(l, groups)
+	t.starvation.observe(time.Now(), groups, l.used, l.capacity)
 	planner := plan.New(workers, t.pressure)
 	planner.Starve(t.starvation.level)
 	t.relocate(planner)
