--- a/internal/relay/away.go
+++ b/internal/relay/away.go
@@ -11,8 +11,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !time.Now().Before(s.away) {
-		close(s.ended)
-		s.ended = make(chan struct{})
+		s.end()
+		s.serving, s.end = context.WithCancel(context.Background())
 	}
 	s.found = time.Now()
 	s.away = s.found.Add(lasts)
@@ -25,20 +25,11 @@
 	s.away, s.down = time.Time{}, time.Time{}
 }
 
-// endWith cancels a call once the store is found to be away, until the returned function is called.
-func (s *Store) endWith(cancel context.CancelFunc) func() {
+// onAway calls a function once the store is found to be away, unless the returned function is called before.
+func (s *Store) onAway(call func()) func() bool {
 	s.mu.Lock()
-	ended := s.ended
-	s.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		select {
-		case <-ended:
-			cancel()
-		case <-done:
-		}
-	}()
-	return func() { close(done) }
+	defer s.mu.Unlock()
+	return context.AfterFunc(s.serving, call)
 }
 
 // enter reports whether a call may be tried: while the store is down, one at a time, and not too often.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,11 +43,12 @@
 	mu sync.Mutex
 	// asked is when the store itself was last asked.
 	asked time.Time
-	// away is until when the store is taken to answer nobody, as the lead and this process found at a time; ended is closed
-	// when that begins.
-	away  time.Time
-	found time.Time
-	ended chan struct{}
+	// away is until when the store is taken to answer nobody, as the lead and this process found at a time; serving is ended by
+	// end when that begins.
+	away    time.Time
+	found   time.Time
+	serving context.Context
+	end     context.CancelFunc
 	// down is when no way to the store gave an answer last, zero once one did; trying says that a call finds out.
 	down   time.Time
 	trying bool
@@ -55,9 +56,9 @@
 
 // New returns a store over the direct one, of which health is known, and the entries of a pool.
 func New(direct kv.Store, health *kv.Health, pool *Pool) *Store {
-	return &Store{
-		direct: direct, health: health, pool: pool, patience: wait.NewPatience(directLeast, directMost), ended: make(chan struct{}),
-	}
+	s := &Store{direct: direct, health: health, pool: pool, patience: wait.NewPatience(directLeast, directMost)}
+	s.serving, s.end = context.WithCancel(context.Background())
+	return s
 }
 
 // attempt is one way to the store.
@@ -112,7 +113,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	defer s.endWith(cancel)()
+	defer s.onAway(cancel)()
 	var doubt error
 	for {
 		err := s.round(ctx, direct, peer, &doubt)
