A test of late orders waits until orders have arrived

Cause, shown by the race detector: orders go out beside a turn of the lead, and those of one turn were still on their way when the next wrote to the same agent of the test, so that one append was lost. The product's agents take orders under a lock.

--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -18,6 +18,13 @@
 
 const lateJob job.ID = "00000000000000aa"
 
+// work is a turn of a lead, until its orders have arrived: they go out beside it, and a later turn would write to the same agent.
+func work(t *testing.T, lead *term) {
+	t.Helper()
+	assert.NilError(t, cycle(t.Context(), lead))
+	synctest.Wait()
+}
+
 // cancelJob cancels the job of a test and lets the lead hear of it.
 func cancelJob(t *testing.T, store *kvtest.Store, lead *term) {
 	t.Helper()
@@ -25,7 +32,7 @@
 	assert.NilError(t, err)
 	_, err = lead.nextInputs(t.Context(), 0)
 	assert.NilError(t, err)
-	assert.NilError(t, cycle(t.Context(), lead))
+	work(t, lead)
 }
 
 // lateReport shows the first run of the job's task at work.
@@ -41,8 +48,7 @@
 	a.mail = nil
 	_, err := lead.report(mailbox{a}, r)
 	assert.NilError(t, err)
-	assert.NilError(t, cycle(t.Context(), lead))
-	synctest.Wait()
+	work(t, lead)
 	var stops []link.Run
 	for _, orders := range a.mail {
 		stops = append(stops, orders.Stops...)
@@ -56,7 +62,7 @@
 	lead := testTerm(t, store)
 	_, err := lead.report(mailbox{a}, reportOf("i1"))
 	assert.NilError(t, err)
-	assert.NilError(t, cycle(t.Context(), lead))
+	work(t, lead)
 	return lead
 }
 
@@ -106,13 +112,11 @@
 		lead, a := testTerm(t, kvtest.New()), &fakeAgent{vm: "vm"}
 		_, err := lead.report(deaf{mailbox{a}}, reportOf("i1"))
 		assert.NilError(t, err)
-		assert.NilError(t, cycle(t.Context(), lead))
-		synctest.Wait()
+		work(t, lead)
 		assert.Equal(t, len(a.mail), 0)
 		_, err = lead.report(mailbox{a}, reportOf("i1"))
 		assert.NilError(t, err)
-		assert.NilError(t, cycle(t.Context(), lead))
-		synctest.Wait()
+		work(t, lead)
 		assert.Equal(t, len(a.mail), 1)
 		assert.Equal(t, len(a.mail[0].Starts), 1)
 	})
