Halls that the operators close get nothing new

The lead follows the closures (hall.Closures, one watch for the whole fleet, 2.5 reads a second), places nothing there, takes back what is committed and not started, and places nothing at all once the store has not confirmed them for 2 s. Each agent is told with each answer and each order, by revisions so that older word never wins, and refuses once its hall is closed or it has not heard for as long. Weighed: a watch at each agent (1,200 times the reads, and an agent that is cut off hears nothing either), entries' reports (the lead asks the store itself, sooner). What runs there goes on.

The watch of accepted jobs, the followed keys and the closures now share follow.Prefix.

A store that names no revision made the followers spin; found by a test that hung, guarded now.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -121,7 +121,7 @@
 	t.committed = make(chan struct{})
 }
 
-// release orders a run that is committed, or takes it back where its job has ended meanwhile.
+// release orders a run that is committed, or takes it back where its job has ended or its hall was closed meanwhile.
 func (t *term) release(r batchedRun) {
 	h := t.hosts[r.host]
 	if h == nil || h.runs[r.id] == nil || h.runs[r.id].run != r.run {
@@ -129,7 +129,7 @@
 	}
 	p := h.runs[r.id]
 	p.committed, p.moved = true, time.Now()
-	if !p.stopping {
+	if !p.stopping && !t.closed(h) {
 		t.orderStart(r.host, r.id, p)
 		return
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/follow"
+	"github.com/saffronpulley/saffronpulley/internal/hall"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
@@ -39,6 +40,8 @@
 	Health   *kv.Health
 	Lead     *follow.Follower[record.Lead]
 	Policies Policies
+	// Closures are the halls that the operators have closed.
+	Closures *hall.Closures
 	Logger   logging.Logger
 	Metrics  *metric.Registry
 	// Advisor knows the workers of advised queues; nil where the platform has none.
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/saffronpulley/saffronpulley/internal/follow"
+	"github.com/saffronpulley/saffronpulley/internal/hall"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/link"
@@ -32,11 +33,17 @@
 func entryOf(name string, store kv.Store) *Dispatcher {
 	return New(Config{
 		Node: name, Boot: name, Address: name, Strength: 1, Store: store, Health: &kv.Health{}, Policies: noPolicies{},
-		Logger: logging.Discard(), Metrics: metric.New(),
+		Closures: hall.New(store, testClosures, testClosedWithin, logging.Discard()),
+		Logger:   logging.Discard(), Metrics: metric.New(),
 		Lead: follow.New(store, record.LeadKey, record.DecodeLead, logging.Discard()),
 	})
 }
 
+const (
+	testClosures     = "closed/"
+	testClosedWithin = 5 * time.Second
+)
+
 type noPolicies struct{}
 
 func (noPolicies) Newest() *policy.Policy { return nil }
@@ -65,7 +72,12 @@
 
 // fakeAgent follows one lead and passes its orders on when told to.
 type fakeAgent struct {
-	vm string
+	vm   string
+	hall string
+	// latest is what it was told of its hall last, told up to when the lead surely had told all, followed when it found its lead.
+	latest   link.Hall
+	told     time.Time
+	followed time.Time
 	// session is the number of its connection to the lead.
 	session   uint64
 	epoch     uint64
@@ -101,6 +113,19 @@
 	}
 }
 
+// learn takes what the lead told of the hall.
+func (a *fakeAgent) learn(told link.Hall, at time.Time) {
+	if told.Revision >= a.latest.Revision {
+		a.latest = told
+	}
+	a.told = later(a.told, at)
+}
+
+// mayStart reports whether the hall is open as far as the agent was told of late.
+func (a *fakeAgent) mayStart() bool {
+	return !a.latest.Closed && time.Since(a.told) <= hall.StaleAfter(testClosedWithin)
+}
+
 // forsake drops all orders, since the lead may have given their runs up when the permission was over.
 func (a *fakeAgent) forsake() {
 	for _, orders := range a.mail {
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -4,66 +4,34 @@
 	"context"
 	"time"
 
-	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/record"
-	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
-const (
-	// inputWait is how long the watch of accepted jobs waits.
-	inputWait = 1500 * time.Millisecond
-	// inputPause follows a failed call.
-	inputPause = 100 * time.Millisecond
-)
+// inputTiming is how one lead follows the accepted jobs: what waits in an outage is taken a tenth of a second after its end.
+var inputTiming = follow.Timing{Wait: 1500 * time.Millisecond, Retry: 100 * time.Millisecond}
 
 // watchInputs takes the jobs and cancellations that entries write.
 func (t *term) watchInputs(ctx context.Context) error {
-	after := t.inputs
-	for ctx.Err() == nil {
-		next, err := t.nextInputs(ctx, after)
-		if err != nil {
-			if ctx.Err() == nil {
-				t.logger.Warn("the watch of accepted jobs failed; revision=%d reason=%v", after, err)
-				wait.For(ctx, inputPause)
-			}
-			if fault.Is(err, fault.Stale) {
-				after = 0
-			}
-			continue
-		}
-		after = next
-	}
+	t.inputsFollower().Run(ctx, t.inputs)
 	return ctx.Err()
 }
 
-func (t *term) nextInputs(ctx context.Context, after kv.Revision) (kv.Revision, error) {
-	if after == 0 {
-		items, at, err := t.store.Range(ctx, record.Inputs)
-		if err != nil {
-			return 0, err
-		}
-		t.takeInputs(items)
-		return at, nil
-	}
-	events, at, err := t.store.Watch(ctx, record.Inputs, after, inputWait)
-	if err != nil {
-		return 0, err
-	}
+func (t *term) inputsFollower() *follow.Prefix {
+	return follow.NewPrefix(t.store, record.Inputs, inputTiming, t.takeInputs, t.logger)
+}
+
+func (t *term) takeInputs(c follow.Change) error {
 	var items []kv.Item
-	for _, e := range events {
+	for _, e := range c.Events {
 		if !e.Gone() {
 			items = append(items, e.Item())
 		}
 	}
-	t.takeInputs(items)
-	return at, nil
-}
-
-func (t *term) takeInputs(items []kv.Item) {
 	if len(items) == 0 {
-		return
+		return nil
 	}
 	t.mu.Lock()
 	for _, i := range items {
@@ -74,6 +42,7 @@
 	}
 	t.mu.Unlock()
 	t.wakeUp()
+	return nil
 }
 
 func (t *term) takeJob(i kv.Item) {
--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -30,7 +30,7 @@
 	t.Helper()
 	_, err := store.Commit(context.Background(), kv.Txn{Puts: []kv.Put{{Key: record.CancelKey(lateJob), Value: []byte{1}}}})
 	assert.NilError(t, err)
-	_, err = lead.nextInputs(t.Context(), 0)
+	_, err = lead.inputsFollower().Next(t.Context(), 0)
 	assert.NilError(t, err)
 	work(t, lead)
 }
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -40,6 +40,7 @@
 		return
 	}
 	t.loadLogged = time.Now()
+	t.logClosures()
 	l.addWaiting(groups)
 	t.logger.Info("load; workers=%d waiting_short=%d waiting_lasting=%d waiting_batch=%d of_jobs=%d cores=%d serving=%d "+
 		"filling_tasks=%d slowed=%d asked=%d used=%d served=%d over=%d starved=%.1f",
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -35,10 +35,15 @@
 
 func (c connection) close() { c.peer.Close() }
 
-// orderStart orders a committed run; a run without a reachable agent is ordered once its agent reports.
+// orderStart orders a committed run; a run without a reachable agent is ordered once its agent reports. In a hall that was closed
+// meanwhile it is taken back by a stop in place of that, since an earlier order may have arrived.
 func (t *term) orderStart(host job.Host, id job.TaskID, p *placed) {
 	known := t.jobs[id.Job]
-	if known == nil {
+	if known == nil || t.closures.Stale() {
+		return
+	}
+	if t.closed(t.hosts[host]) {
+		t.halt(host, id, p)
 		return
 	}
 	orders := t.ordersFor(host)
@@ -76,7 +81,9 @@
 		return nil
 	}
 	if a.orders == nil {
-		a.orders = &link.Orders{Epoch: t.epoch, Instance: host.Instance, Texts: make(map[string]string)}
+		a.orders = &link.Orders{
+			Epoch: t.epoch, Instance: host.Instance, Texts: make(map[string]string), Hall: t.hallStatus(t.hosts[host].hall),
+		}
 	}
 	return a.orders
 }
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -75,6 +75,7 @@
 	workers := make([]*plan.Worker, 0, len(t.hosts))
 	for _, h := range t.hostsInOrder() {
 		h.worker.Trials = h.trials()
+		h.worker.Closed = t.closed(h)
 		h.worker.Served = t.serving(h)
 		h.worker.Pressed = len(h.runsWhich((*placed).overForLong)) > 0
 		h.weigh()
@@ -86,6 +87,10 @@
 	planner := plan.New(workers, t.pressure)
 	planner.Starve(t.starvation.level)
 	t.relocate(planner)
+	if t.closures.Stale() {
+		t.logger.Warn("nothing is placed; reason=the store has not confirmed of late which halls are closed")
+		return
+	}
 	for _, p := range planner.Make(groups) {
 		known := t.jobs[p.Task.Job]
 		run := known.job.Place(p.Task, p.Host, p.Run)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -40,6 +40,7 @@
 	answer.Presses, answer.Swing = t.presses(a.host), round(t.pressure.Swing(), swingSteps)
 	answer.Loads = t.loads(a.host)
 	answer.Starved = round(t.starvation.level, starvedSteps)
+	answer.Hall = t.hallStatus(r.Hall)
 	changed := len(t.dirty) > 0
 	t.mu.Unlock()
 	if changed {
@@ -100,7 +101,7 @@
 	w.Service, w.Labels = r.Service, r.Labels
 	w.Capacity = job.Size{CPU: r.CPU, Memory: r.Memory, GPU: r.GPU}
 	w.Open = !r.Draining && !r.Silent
-	t.hosts[current].draining = r.Draining
+	t.hosts[current].draining, t.hosts[current].hall = r.Draining, r.Hall
 	return a
 }
 
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/hall"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
@@ -54,6 +55,7 @@
 	// asks keeps calls for advice one after the other; it is taken before mu.
 	asks     sync.Mutex
 	patience *wait.Patience
+	closures *hall.Closures
 	// proven wakes what waits for the store, since it answers another entry.
 	proven chan struct{}
 	// yielded is closed once another entry is asked to lead.
@@ -91,13 +93,17 @@
 		wake: make(chan struct{}, 1), done: make(chan struct{}), committed: make(chan struct{}),
 		jobs: make(map[job.ID]*tracked), hosts: make(map[job.Host]*hosted), agents: make(map[string]*agent),
 		entries: make(map[string]*entry), dirty: make(map[job.ID]uint64), advised: make(map[stepID]*advice),
-		pressure: pressure.NewModel(), patience: wait.NewPatience(patienceFirst, patienceLast),
-		proven: make(chan struct{}, 1), yielded: make(chan struct{}),
+		pressure: pressure.NewModel(), closures: d.config.Closures,
+		patience: wait.NewPatience(patienceFirst, patienceLast),
+		proven:   make(chan struct{}, 1), yielded: make(chan struct{}),
 	}
 }
 
 // load reads all jobs and how far they are; nothing of them changes any more but by this term.
 func (t *term) load(ctx context.Context) error {
+	if err := t.closures.Load(ctx); err != nil {
+		return err
+	}
 	t.loadLearned(ctx)
 	inputs, at, err := t.store.Range(ctx, record.Inputs)
 	if err != nil {
@@ -159,6 +165,7 @@
 		}
 		loaded()
 		group.Go(func() error { return t.watchInputs(bounded) })
+		group.Go(func() error { return t.watchClosures(bounded) })
 		return t.work(bounded)
 	})
 	return group.Wait()
--- a/internal/dispatch/world_property_test.go
+++ b/internal/dispatch/world_property_test.go
@@ -26,7 +26,7 @@
 
 func (w *world) act() {
 	a := rapid.SampledFrom(w.agents).Draw(w.t, "agent")
-	switch rapid.IntRange(0, 15).Draw(w.t, "act") {
+	switch rapid.IntRange(0, 16).Draw(w.t, "act") {
 	case 0, 1:
 		w.submit()
 	case 2:
@@ -54,11 +54,16 @@
 		if rapid.IntRange(0, 2).Draw(w.t, "elects") == 0 {
 			w.elect()
 		}
+	case 16:
+		w.toggle(rapid.SampledFrom(testHalls).Draw(w.t, "hall"))
 	}
 }
 
 // settle lets everything work until all jobs that can end have ended.
 func (w *world) settle() {
+	for _, hall := range sortedKeys(w.closed) {
+		w.toggle(hall)
+	}
 	w.store.SetTrouble(nil)
 	w.store.Catch()
 	for _, id := range slices.Sorted(maps.Keys(w.specs)) {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -29,19 +29,24 @@
 	noted   map[string]bool
 	failed  map[string]int
 	trouble int
+	// closed is since when each closed hall is.
+	closed map[string]time.Time
 }
 
 const testAttempts = 2
 
+var testHalls = []string{"north", "south"}
+
 var testCapacity = job.Size{CPU: 4000, Memory: 8000}
 
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		t: t, ctx: context.Background(), store: kvtest.New(), specs: make(map[job.ID]job.Spec),
 		done: make(map[string]bool), noted: make(map[string]bool), failed: make(map[string]int),
+		closed: make(map[string]time.Time),
 	}
 	for i := range 3 {
-		a := &fakeAgent{vm: fmt.Sprintf("vm%d", i)}
+		a := &fakeAgent{vm: fmt.Sprintf("vm%d", i), hall: testHalls[i%len(testHalls)]}
 		a.revive()
 		w.agents = append(w.agents, a)
 	}
@@ -119,9 +124,31 @@
 	})
 }
 
+// toggle closes a hall as the operators do, or opens it again.
+func (w *world) toggle(hall string) {
+	_, closed := w.closed[hall]
+	change := kv.Txn{Puts: []kv.Put{{Key: testClosures + hall, Value: []byte("odd")}}}
+	if closed {
+		change = kv.Txn{Removes: []string{testClosures + hall}}
+	}
+	w.store.SetTrouble(nil)
+	if _, err := w.store.Commit(w.ctx, change); err != nil {
+		w.t.Fatal(err)
+	}
+	w.store.SetTrouble(w.troubled)
+	if closed {
+		delete(w.closed, hall)
+		return
+	}
+	w.closed[hall] = time.Now()
+}
+
 // lead lets one of the leads work; those of the past find out by the store.
 func (w *world) lead(t *term) {
-	if _, err := t.nextInputs(w.ctx, 0); err != nil {
+	if err := t.closures.Load(w.ctx); err != nil {
+		w.t.Fatal(err)
+	}
+	if _, err := t.inputsFollower().Next(w.ctx, 0); err != nil {
 		w.t.Fatal(err)
 	}
 	if err := cycle(w.ctx, t); err != nil && t == w.newest() {
--- a/internal/dispatch/world_workers_test.go
+++ b/internal/dispatch/world_workers_test.go
@@ -17,7 +17,7 @@
 		return false
 	}
 	if t.epoch > a.epoch {
-		a.epoch = t.epoch
+		a.epoch, a.followed = t.epoch, time.Now()
 		a.mail = nil
 		a.rejected = nil
 	}
@@ -33,7 +33,7 @@
 	a.worker.expire()
 	sent := time.Now()
 	r := link.Report{
-		VM: a.vm, Epoch: a.epoch, Instance: a.worker.instance, Service: testService, CPU: testCapacity.CPU,
+		VM: a.vm, Hall: a.hall, Epoch: a.epoch, Instance: a.worker.instance, Service: testService, CPU: testCapacity.CPU,
 		Memory: testCapacity.Memory, Fenced: true, Rejected: a.rejected,
 	}
 	for _, name := range sortedKeys(a.worker.running) {
@@ -82,6 +82,7 @@
 	if sent.After(a.permitted) && !a.permitted.IsZero() {
 		a.forsake()
 	}
+	a.learn(answer.Hall, sent)
 	a.worker.expire()
 	a.permitted = later(a.permitted, sent.Add(time.Duration(answer.PermissionMillis)*time.Millisecond))
 	if r.Instance != a.worker.instance {
@@ -120,6 +121,7 @@
 	if orders.Epoch != a.epoch || orders.Instance != a.worker.instance {
 		return
 	}
+	a.learn(orders.Hall, a.followed)
 	for _, s := range orders.Starts {
 		w.start(a, s)
 	}
@@ -134,7 +136,7 @@
 	if s.Number <= a.dead[s.Task] {
 		return
 	}
-	if worker.latest[s.Task] < s.Number && (!time.Now().Before(a.permitted) || worker.fence > a.epoch) {
+	if worker.latest[s.Task] < s.Number && (!time.Now().Before(a.permitted) || worker.fence > a.epoch || !a.mayStart()) {
 		if worker.latest[s.Task] < s.Number {
 			a.dead[s.Task] = s.Number
 		}
@@ -163,6 +165,9 @@
 	if !known {
 		w.t.Fatalf("%s: started, but nobody handed it in", s.Task)
 	}
+	if since, closed := w.closed[a.hall]; closed && time.Since(since) > testClosedWithin {
+		w.t.Fatalf("%s: run %d starts on %s in a hall that has been closed for %s", s.Task, s.Number, a.vm, time.Since(since))
+	}
 	step := spec.Steps[id.Step]
 	for _, other := range w.agents {
 		other.worker.expire()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,20 +5,13 @@
 	"sync"
 	"time"
 
-	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
-	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
-const (
-	// watchWait is how long a watch waits; a watch that hears nothing more is noticed after it.
-	watchWait = 1500 * time.Millisecond
-	// retryFirst and retryLast bound the pause after a failed call: under the second within which an outage's end is to be
-	// noticed, and few enough calls beside the store's rate.
-	retryFirst = 50 * time.Millisecond
-	retryLast  = 400 * time.Millisecond
-)
+// timing lets each of many processes follow a key with few calls beside the store's rate; an outage's end is noticed within half
+// a second.
+var timing = Timing{Wait: 1500 * time.Millisecond, Retry: 400 * time.Millisecond}
 
 // Value is a decoded value and the revision at which it was written, 0 where the key is absent.
 type Value[T any] struct {
@@ -135,62 +128,27 @@
 // Run follows the key until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	defer close(f.done)
-	pause := retryFirst
-	var after kv.Revision
-	for ctx.Err() == nil {
-		next, err := f.step(ctx, after)
-		if err == nil {
-			after, pause = next, retryFirst
-			continue
-		}
-		if after != 0 {
-			f.logger.Warn("the watch of %s failed; revision=%d reason=%v", f.key, after, err)
-		}
-		if fault.Is(err, fault.Stale) {
-			after = 0
-		}
-		wait.For(ctx, pause)
-		pause = min(2*pause, retryLast)
-	}
+	NewPrefix(f.store, f.key, timing, f.takeChange, f.logger).Run(ctx, 0)
 }
 
-// step reads the key where no revision is known, else waits for its next change.
-func (f *Follower[T]) step(ctx context.Context, after kv.Revision) (kv.Revision, error) {
-	asked := time.Now()
-	if after == 0 {
-		items, at, err := f.store.Range(ctx, f.key)
-		if err != nil {
-			return 0, err
-		}
-		return at, f.takeOf(items, at, asked)
-	}
-	events, at, err := f.store.Watch(ctx, f.key, after, watchWait)
-	if err != nil {
-		return 0, err
-	}
-	for _, e := range events {
+// takeChange takes what a call told of the key, among others that it is the beginning of.
+func (f *Follower[T]) takeChange(c Change) error {
+	found := false
+	for _, e := range c.Events {
 		if e.Item().Key() != f.key {
 			continue
 		}
+		found = true
 		item := e.Item()
 		if e.Gone() {
 			item = kv.NewItem(f.key, nil, 0)
 		}
-		if err := f.take(item, e.Item().Revision(), asked); err != nil {
-			return 0, err
-		}
-	}
-	return at, nil
-}
-
-func (f *Follower[T]) takeOf(items []kv.Item, at kv.Revision, asked time.Time) error {
-	for _, i := range items {
-		if i.Key() == f.key {
-			return f.take(i, i.Revision(), asked)
+		if err := f.take(item, e.Item().Revision(), c.Asked); err != nil {
+			return err
 		}
 	}
-	if at == 0 {
-		return fault.New(fault.Unavailable, "the store named no revision")
+	if found || !c.Whole {
+		return nil
 	}
-	return f.take(kv.NewItem(f.key, nil, 0), at, asked)
+	return f.take(kv.NewItem(f.key, nil, 0), c.At, c.Asked)
 }
--- /dev/null
+++ b/internal/follow/prefix.go
@@ -0,0 +1,97 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
+)
+
+// retryFirst is the pause after a call that failed; each further one is twice as long, up to Timing.Retry.
+const retryFirst = 50 * time.Millisecond
+
+// Timing is how a prefix is followed.
+type Timing struct {
+	// Wait is how long a watch waits: one that hears nothing more is noticed after it.
+	Wait time.Duration
+	// Retry is the longest pause after a call that failed: the end of an outage is noticed within it.
+	Retry time.Duration
+}
+
+// Change is what one call told of the keys under a prefix.
+type Change struct {
+	Events []kv.Event
+	// Whole says that Events are all keys there are, and not what changed.
+	Whole bool
+	// At is the revision up to which this holds, Asked when the call was made.
+	At    kv.Revision
+	Asked time.Time
+}
+
+// Prefix follows all keys under a prefix of the store.
+type Prefix struct {
+	store  kv.Store
+	prefix string
+	timing Timing
+	take   func(Change) error
+	logger logging.Logger
+}
+
+// NewPrefix returns what hands all changes under a prefix to take; what take fails for is read again.
+func NewPrefix(store kv.Store, prefix string, timing Timing, take func(Change) error, logger logging.Logger) *Prefix {
+	return &Prefix{store: store, prefix: prefix, timing: timing, take: take, logger: logger}
+}
+
+// Run follows the prefix after a revision until ctx ends; revision 0 stands for none that is known.
+func (p *Prefix) Run(ctx context.Context, after kv.Revision) {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		next, err := p.Next(ctx, after)
+		if err == nil {
+			after, pause = next, retryFirst
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if after != 0 {
+			p.logger.Warn("the watch of %s failed; revision=%d reason=%v", p.prefix, after, err)
+		}
+		if fault.Is(err, fault.Stale) {
+			after = 0
+		}
+		wait.For(ctx, pause)
+		pause = min(2*pause, p.timing.Retry)
+	}
+}
+
+// Next reads all keys where no revision is known, else waits for the next change, and returns the revision to go on from.
+func (p *Prefix) Next(ctx context.Context, after kv.Revision) (kv.Revision, error) {
+	change := Change{Whole: after == 0, Asked: time.Now()}
+	var err error
+	if change.Whole {
+		change.Events, change.At, err = p.all(ctx)
+	} else {
+		change.Events, change.At, err = p.store.Watch(ctx, p.prefix, after, p.timing.Wait)
+	}
+	if err == nil && change.At == 0 {
+		// A watch cannot go on from there.
+		err = fault.New(fault.Unavailable, "the store named no revision")
+	}
+	if err != nil {
+		return 0, err
+	}
+	return change.At, p.take(change)
+}
+
+func (p *Prefix) all(ctx context.Context) ([]kv.Event, kv.Revision, error) {
+	items, at, err := p.store.Range(ctx, p.prefix)
+	events := make([]kv.Event, 0, len(items))
+	for _, i := range items {
+		events = append(events, kv.NewEvent(i, false))
+	}
+	return events, at, err
+}
--- /dev/null
+++ b/internal/hall/closures.go
@@ -0,0 +1,164 @@
+package hall
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/follow"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
+)
+
+// timingOf lets one watch go silent and the next confirm what is known before that counts as stale: 0.4 s, 0.8 s until the silent
+// one is given up, and 0.4 s again are under the 2 s that a bound of 5 s allows. Only the lead follows closures, so that this costs
+// two and a half reads a second for the whole fleet.
+func timingOf(stale time.Duration) follow.Timing {
+	const waits, retries = 5, 20
+	return follow.Timing{Wait: stale / waits, Retry: stale / retries}
+}
+
+// staleShare is the part of the time in which a closure has to be in force after which what is known counts as stale. An agent
+// keeps to the same part for what it was told, and the last fifth is for an order that is under way.
+const staleShare = 0.4
+
+// leastStale keeps a short bound from stopping all starts: agents hear from the lead once in 0.6 s.
+const leastStale = 1200 * time.Millisecond
+
+// StaleAfter returns after how long what is known of closures no longer allows a start, by the time in which a closure has to be
+// in force.
+func StaleAfter(within time.Duration) time.Duration {
+	return max(time.Duration(staleShare*float64(within)), leastStale)
+}
+
+// Status is whether a hall is closed as of a revision of the store.
+type Status struct {
+	Closed bool
+	// Revision orders what is known: a higher one is newer.
+	Revision kv.Revision
+}
+
+// Closures are the halls that the operators have closed: a key under a prefix for each, whatever its value.
+type Closures struct {
+	store  kv.Store
+	prefix string
+	stale  time.Duration
+	logger logging.Logger
+
+	mu        sync.Mutex
+	since     map[string]time.Time
+	revision  kv.Revision
+	confirmed time.Time
+	changed   func()
+}
+
+// New returns the closures under a prefix, of which nothing is known yet; each has to be in force within a time.
+func New(store kv.Store, prefix string, within time.Duration, logger logging.Logger) *Closures {
+	return &Closures{store: store, prefix: prefix, stale: StaleAfter(within), logger: logger, since: make(map[string]time.Time)}
+}
+
+// Notify sets what is called after each change; it is called without a lock held.
+func (c *Closures) Notify(changed func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changed = changed
+}
+
+// Load reads the closures as of now.
+func (c *Closures) Load(ctx context.Context) error {
+	_, err := c.follower().Next(ctx, 0)
+	return err
+}
+
+// Run follows the closures until ctx ends.
+func (c *Closures) Run(ctx context.Context) {
+	c.mu.Lock()
+	after := c.revision
+	c.mu.Unlock()
+	c.follower().Run(ctx, after)
+}
+
+func (c *Closures) follower() *follow.Prefix {
+	return follow.NewPrefix(c.store, c.prefix, timingOf(c.stale), c.take, c.logger)
+}
+
+// Status returns whether a hall is closed.
+func (c *Closures) Status(hall string) Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, closed := c.since[hall]
+	return Status{Closed: closed, Revision: c.revision}
+}
+
+// Closed returns the closed halls in order, with when each was first heard to be.
+func (c *Closures) Closed() ([]string, map[string]time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.since)), maps.Clone(c.since)
+}
+
+// Stale reports whether the store has confirmed what is known so long ago that a hall may be closed without its being known.
+func (c *Closures) Stale() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.confirmed) > c.stale
+}
+
+func (c *Closures) take(change follow.Change) error {
+	if changed := c.apply(change); changed != nil {
+		changed()
+	}
+	return nil
+}
+
+// apply takes a change and returns what is to be called for it, nil where nothing changed.
+func (c *Closures) apply(change follow.Change) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// What a call tells that was overtaken by a newer one is older.
+	if change.At < c.revision {
+		return nil
+	}
+	c.revision = change.At
+	if change.Asked.After(c.confirmed) {
+		c.confirmed = change.Asked
+	}
+	named := make(map[string]bool, len(change.Events))
+	changed := false
+	for _, e := range change.Events {
+		hall, ok := strings.CutPrefix(e.Item().Key(), c.prefix)
+		if !ok || hall == "" {
+			continue
+		}
+		named[hall] = true
+		changed = c.set(hall, !e.Gone()) || changed
+	}
+	for hall := range c.since {
+		if change.Whole && !named[hall] {
+			changed = c.set(hall, false) || changed
+		}
+	}
+	if !changed {
+		return nil
+	}
+	return c.changed
+}
+
+// set takes note of whether a hall is closed and reports whether that is new.
+func (c *Closures) set(hall string, closed bool) bool {
+	since, known := c.since[hall]
+	switch {
+	case closed == known:
+		return false
+	case closed:
+		c.logger.Info("hall closed by the operators; hall=%s", hall)
+		c.since[hall] = time.Now()
+	default:
+		c.logger.Info("hall opened again; hall=%s closed_ms=%d", hall, time.Since(since).Milliseconds())
+		delete(c.since, hall)
+	}
+	return true
+}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -101,6 +101,14 @@
 	Starved float64 `json:"starved,omitempty"`
 	// Loads are those of the steps that serve there, by the names of the steps.
 	Loads map[string]Load `json:"loads,omitempty"`
+	// Hall tells of the hall of the agent.
+	Hall Hall `json:"hall"`
+}
+
+// Hall tells whether the operators have closed a hall as of a revision of the store; a higher revision is newer.
+type Hall struct {
+	Closed   bool   `json:"closed,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // Load is the headroom that the tasks of a step have without neighbors, its slope a second, its usual value, and the standard
@@ -138,6 +146,8 @@
 	Stops    []Run   `json:"stops,omitempty"`
 	// Texts holds the text of each job that Starts name, by the job's name.
 	Texts map[string]string `json:"texts,omitempty"`
+	// Hall tells of the hall of the agent as of these orders.
+	Hall Hall `json:"hall"`
 }
 
 // Ping tells the lead of an entry and of the newest configuration that it knows.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -10,6 +10,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/admin"
 	"github.com/saffronpulley/saffronpulley/internal/dispatch"
 	"github.com/saffronpulley/saffronpulley/internal/follow"
+	"github.com/saffronpulley/saffronpulley/internal/hall"
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/intake"
 	"github.com/saffronpulley/saffronpulley/internal/record"
@@ -48,7 +49,8 @@
 	e.dispatcher = dispatch.New(dispatch.Config{
 		Advisor: advisor,
 		Node:    p.settings.ID(), Boot: p.boot, Address: p.settings.PeerAddress(), Strength: p.settings.Strength(),
-		Store: p.store, Health: p.health, Lead: e.lead, Policies: e.policies, Logger: p.logger.Part("dispatch"), Metrics: p.metrics,
+		Closures: hall.New(p.store, platform.ClosuresPrefix, p.settings.ClosedWithin(), p.logger.Part("closures")),
+		Store:    p.store, Health: p.health, Lead: e.lead, Policies: e.policies, Logger: p.logger.Part("dispatch"), Metrics: p.metrics,
 	})
 	e.dispatcher.Register(p.mux)
 	e.pinger = intake.NewPinger(e.desk, intake.Self{
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -46,6 +46,8 @@
 	Advice    string `yaml:"advice"`
 	// GraceSeconds is how long after SIGTERM the process is killed.
 	GraceSeconds float64 `yaml:"grace_s"`
+	// ClosedMillis is within how many milliseconds nothing starts in a closed hall any more, 0 where the platform tells none.
+	ClosedMillis float64 `yaml:"closed_ms"`
 	Log          string  `yaml:"log"`
 }
 
@@ -84,6 +86,9 @@
 		return fault.New(fault.BadInput, "strength is %v; give the VM's share of a core, above 0", f.Strength)
 	case f.GraceSeconds <= 0:
 		return fault.New(fault.BadInput, "grace_s is %v; give the seconds from SIGTERM to the kill, above 0", f.GraceSeconds)
+	case f.ClosedMillis < 0:
+		return fault.New(fault.BadInput, "closed_ms is %v; give the milliseconds within which a closed hall gets nothing new, 0 for %v",
+			f.ClosedMillis, defaultClosed)
 	case f.MemoryMB < leastMemoryMB:
 		return fault.New(fault.BadInput, "memory_mb is %d; at least %d are needed", f.MemoryMB, leastMemoryMB)
 	}
@@ -98,6 +103,9 @@
 	return s.checkAddresses()
 }
 
+// defaultClosed is within what time a closed hall gets nothing new where the platform tells no time.
+const defaultClosed = 5 * time.Second
+
 // leastMemoryMB is what the runtime and a small state take.
 const leastMemoryMB = 32
 
@@ -184,6 +192,14 @@
 	return time.Duration(s.file.GraceSeconds * float64(time.Second))
 }
 
+// ClosedWithin returns within what time nothing starts any more in a hall that the operators have closed.
+func (s *Settings) ClosedWithin() time.Duration {
+	if s.file.ClosedMillis == 0 {
+		return defaultClosed
+	}
+	return time.Duration(s.file.ClosedMillis * float64(time.Millisecond))
+}
+
 // Advice returns the address of the service that advises queues, empty where there is none.
 func (s *Settings) Advice() string { return s.file.Advice }
 
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -33,6 +33,12 @@
 	assert.DeepEqual(t, s.Neighbors(), []string{"10.1.0.13:7720", "10.2.0.30:7720"})
 	assert.Equal(t, s.Grace(), 6*time.Second)
 	assert.Equal(t, s.ListenPeers(), s.PeerAddress())
+	assert.Equal(t, s.ClosedWithin(), 5*time.Second, "where the platform tells none")
+	for text, within := range map[string]time.Duration{"closed_ms:": 5 * time.Second, "closed_ms: 4000": 4 * time.Second} {
+		s, err = Parse([]byte(goodSettings + text + "\n"))
+		assert.NilError(t, err)
+		assert.Equal(t, s.ClosedWithin(), within)
+	}
 	s, err = Parse([]byte(strings.Replace(goodSettings, "listen: {", "listen: { peers: \"10.1.0.14:7730\",", 1)))
 	assert.NilError(t, err)
 	assert.Equal(t, s.ListenPeers(), "10.1.0.14:7730")
@@ -51,6 +57,7 @@
 		"store: \"10.200.1.7:8169\">store: somewhere":   "store is \"somewhere\"",
 		"grace_s: 6>grace_s: 0":                         "grace_s is 0",
 		"listen: {>listen: { peers: there,":             "listen.peers is \"there\"",
+		"grace_s: 6>grace_s: 6\nclosed_ms: -1":          "closed_ms is -1",
 		"log: info>log: info\nfuture: 1":                "not in their form",
 		"strength: 0.24>strength: much":                 "not in their form",
 		"reports: \"10.1.0.14:8166\">reports: \"8166\"": "listen.reports is \"8166\"",
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -30,6 +30,8 @@
 	// Open says that new tasks may be placed here; Trials bounds how many, AnyNumber for as many as fit.
 	Open   bool
 	Trials int
+	// Closed says that the operators want nothing new here.
+	Closed bool
 	// Pressed says that a task here has been over its target for so long that nothing that fills may be added.
 	Pressed bool
 	// Served are the tasks that serve here, Fills what is asked by those that fill, in shares of the worker by image.
@@ -106,7 +108,7 @@
 	switch {
 	case g.Tickets != nil && !advised:
 		return false
-	case !w.Open || w.Trials == 0 || w.Service != g.Service:
+	case !w.Open || w.Closed || w.Trials == 0 || w.Service != g.Service:
 		return false
 	case step.Requires != "" && !slices.Contains(w.Labels, step.Requires):
 		return false
--- /dev/null
+++ b/internal/runner/halls.go
@@ -0,0 +1,31 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/hall"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// halls is what the agent was told of closures of its hall.
+type halls struct {
+	latest link.Hall
+	// told is up to when the lead surely had told of all that it knew, followed when the connection to it began.
+	told     time.Time
+	followed time.Time
+}
+
+// learn takes what the lead told at a time, or later.
+func (h *halls) learn(told link.Hall, at time.Time) {
+	if told.Revision >= h.latest.Revision {
+		h.latest = told
+	}
+	if at.After(h.told) {
+		h.told = at
+	}
+}
+
+// mayStart reports whether something may start in the hall: it is open, and was so not long before.
+func (h *halls) mayStart(within time.Duration) bool {
+	return !h.latest.Closed && time.Since(h.told) <= hall.StaleAfter(within)
+}
--- /dev/null
+++ b/internal/runner/halls_test.go
@@ -0,0 +1,75 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/hall"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// TestNothingStartsInAClosedHall is an order that was under way as the hall was closed.
+func TestNothingStartsInAClosedHall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{start: accept}
+		r := newTest(worker)
+		r.halls.learn(link.Hall{Closed: true, Revision: 9}, time.Now())
+		_, err := r.takeOrders(context.Background(), nil, startOrders())
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, len(worker.started()), 0)
+
+		later := startOrders()
+		later.Starts[0].Number, later.Hall = 2, link.Hall{Revision: 10}
+		_, err = r.takeOrders(context.Background(), nil, later)
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, len(worker.started()), 1, "the order says that the hall is open again")
+	})
+}
+
+// TestStartThatGetsNoAnswerIsTakenBackOnceTheHallIsClosed is a start that is repeated while the hall is closed.
+func TestStartThatGetsNoAnswerIsTakenBackOnceTheHallIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{start: noAnswer}
+		r := newTest(worker)
+		_, err := r.takeOrders(context.Background(), nil, startOrders())
+		assert.NilError(t, err)
+		synctest.Wait()
+		r.mu.Lock()
+		r.halls.learn(link.Hall{Closed: true, Revision: 9}, time.Now())
+		r.mu.Unlock()
+		time.Sleep(10 * orderPause)
+		assert.Equal(t, len(worker.started()), 1)
+		assert.Equal(t, len(worker.stopped()), 1, "it may have been done")
+	})
+}
+
+// TestNothingStartsOnceTheLeadWasNotHeardForLong is an order that a cut held up: meanwhile the hall may have been closed.
+func TestNothingStartsOnceTheLeadWasNotHeardForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{start: accept}
+		r := newTest(worker)
+		time.Sleep(hall.StaleAfter(testClosedWithin) + time.Millisecond)
+		_, err := r.takeOrders(context.Background(), nil, startOrders())
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, len(worker.started()), 0)
+	})
+}
+
+// TestOlderWordOfAHallIsLeft is an answer that newer orders have overtaken.
+func TestOlderWordOfAHallIsLeft(t *testing.T) {
+	var h halls
+	now := time.Now()
+	h.learn(link.Hall{Closed: true, Revision: 9}, now)
+	h.learn(link.Hall{Revision: 8}, now)
+	assert.Assert(t, h.latest.Closed)
+	h.learn(link.Hall{Revision: 10}, now.Add(-time.Hour))
+	assert.Assert(t, !h.latest.Closed)
+	assert.Equal(t, h.told, now)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -19,15 +19,17 @@
 
 // Config holds what an agent needs.
 type Config struct {
-	VM      string
-	Hall    string
-	Worker  host.Worker
-	Store   *relay.Store
-	Pool    *relay.Pool
-	Clock   *timeline.Clock
-	Secret  string
-	Logger  logging.Logger
-	Metrics *metric.Registry
+	VM   string
+	Hall string
+	// ClosedWithin is the time after which nothing may start in a hall that the operators have closed.
+	ClosedWithin time.Duration
+	Worker       host.Worker
+	Store        *relay.Store
+	Pool         *relay.Pool
+	Clock        *timeline.Clock
+	Secret       string
+	Logger       logging.Logger
+	Metrics      *metric.Registry
 }
 
 // Runner is the agent of one worker.
@@ -47,6 +49,7 @@
 	epoch     uint64
 	session   *rpc.Peer
 	permitted time.Time
+	halls     halls
 	life      *life
 	lives     lives
 }
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -69,16 +69,19 @@
 	f.there = instance
 }
 
+const testClosedWithin = 5 * time.Second
+
 var testTask = job.TaskID{Job: "00000000000000aa"}
 
 func testRun(number int) host.Run { return host.Run{Task: testTask, Number: number} }
 
 // newTest returns an agent that follows epoch 3 and has a worker's life, permitted for 5 seconds.
 func newTest(worker *fakeWorker) *Runner {
-	r := New(Config{VM: "vm", Worker: worker, Logger: logging.Discard(), Clock: timeline.NewClock(time.Now)})
+	r := New(Config{VM: "vm", ClosedWithin: testClosedWithin, Worker: worker, Logger: logging.Discard(), Clock: timeline.NewClock(time.Now)})
 	r.Heard(host.Report{Instance: "i-1", Service: "s", Capacity: job.Size{CPU: 4000, Memory: 1000}, Sequence: 1})
 	r.epoch = 3
 	r.permitted = time.Now().Add(5 * time.Second)
+	r.halls.told = time.Now()
 	return r
 }
 
