--- a/proving/fleet/books.go
+++ b/proving/fleet/books.go
@@ -16,6 +16,8 @@
 	jobs   map[job.ID]*entry
 	tasks  map[job.TaskID]*history
 	broken []string
+	// closed is since when each closed hall is.
+	closed map[string]time.Time
 	starts int
 }
 
@@ -48,7 +50,9 @@
 
 // NewBooks returns empty books.
 func NewBooks() *Books {
-	return &Books{jobs: make(map[job.ID]*entry), tasks: make(map[job.TaskID]*history)}
+	return &Books{
+		jobs: make(map[job.ID]*entry), tasks: make(map[job.TaskID]*history), closed: make(map[string]time.Time),
+	}
 }
 
 // fail notes a broken promise; b.mu is held.
@@ -108,6 +112,17 @@
 	}
 }
 
+// Closed notes that a hall was closed, or opened again.
+func (b *Books) Closed(hall string, closed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !closed {
+		delete(b.closed, hall)
+		return
+	}
+	b.closed[hall] = time.Now()
+}
+
 // Shown notes the state of a job that a caller was told; gone says that the job is not known.
 func (b *Books) Shown(id job.ID, state job.State, gone bool) {
 	b.mu.Lock()
@@ -142,11 +157,14 @@
 }
 
 // started judges a start that a worker accepted.
-func (b *Books) started(worker string, id job.TaskID, run int, text string) {
+func (b *Books) started(worker, hall string, id job.TaskID, run int, text string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.starts++
 	e, h := b.jobs[id.Job], b.history(id)
+	if since, closed := b.closed[hall]; closed && time.Since(since) > closedBound {
+		b.fail("%s was started in hall %s %v after that was closed", id, hall, time.Since(since))
+	}
 	switch {
 	case e == nil || !e.has(id):
 		b.fail("%s was started, which nobody handed in", id)
--- a/proving/fleet/fleet.go
+++ b/proving/fleet/fleet.go
@@ -107,7 +107,7 @@
 	if a.store, err = f.storeFor(entry.name, a.store); err != nil {
 		return err
 	}
-	return entry.start(settings(a, entry.name, "entry", a.entry(i), ""))
+	return entry.start(settings(a, entry.name, "entry", a.entry(i), hallOf(i), ""))
 }
 
 // storeFor returns where a process finds the store: a relay of its own.
@@ -123,7 +123,7 @@
 // addAgent starts a worker and the agent beside it.
 func (f *Fleet) addAgent(i int, a addresses, binaries, dir string) error {
 	name := fmt.Sprintf("side-%d", i+1)
-	w := NewWorker(name, service, at(a.agent(i), a.reports), room, f.books)
+	w := NewWorker(name, hallOf(i), at(a.agent(i), a.reports), room, f.books)
 	address, err := f.serve(a.agent(i)+":0", w.Handle)
 	if err != nil {
 		return err
@@ -140,7 +140,7 @@
 	if a.store, err = f.storeFor(name, a.store); err != nil {
 		return err
 	}
-	return agent.start(settings(a, name, "agent", a.agent(i), before.Address()))
+	return agent.start(settings(a, name, "agent", a.agent(i), hallOf(i), before.Address()))
 }
 
 // serve lets a stand-in listen on an address, and returns which one it got.
--- a/proving/fleet/heartbeat.go
+++ b/proving/fleet/heartbeat.go
@@ -29,7 +29,7 @@
 	w.life.sequence++
 	l := w.life
 	body, _ := json.Marshal(map[string]any{
-		"service": w.service, "address": "", "zone": "", "version": "v1", "slots": 8, "state": "ready",
+		"service": service, "address": "", "zone": w.hall, "version": "v1", "slots": 8, "state": "ready",
 		"capacity": map[string]int{"cpu": w.room.CPU, "mem-mb": w.room.Memory}, "labels": []string{"a", "r1-1"},
 		"clock-ms": l.clock(), "sequence": l.sequence,
 	})
--- a/proving/fleet/orders.go
+++ b/proving/fleet/orders.go
@@ -91,7 +91,7 @@
 	l.latest[id] = o.Run
 	step, takes, known := w.books.step(id)
 	l.running[id] = &run{number: o.Run, step: step, left: takes, looked: time.Now(), percent: 100}
-	w.books.started(l.instance, id, o.Run, o.Text)
+	w.books.started(l.instance, w.hall, id, o.Run, o.Text)
 	if used := l.used(); known && !used.Fits(w.room) {
 		w.books.overfull(l.instance, id)
 	}
--- a/proving/fleet/settings.go
+++ b/proving/fleet/settings.go
@@ -12,12 +12,18 @@
 	queueHost = "jobs.example"
 	prefix    = "/q/"
 	policyKey = "op/config"
+	closures  = "op/evacuate/"
 )
 
+// halls are those of a fleet; agents and entries stand in them by turns.
+var halls = []string{"h1", "h2"}
+
+func hallOf(i int) string { return halls[i%len(halls)] }
+
 // settings returns the settings of a process, by the names of deploy/node.yaml.
-func settings(a addresses, name, role, ip, worker string) string {
-	text := fmt.Sprintf("id: %s\nrole: %s\naddress: %s\nhall: h1\nstrength: 0.4\nmemory_mb: 256\nports:\n  peers: %d\n  metrics: %d\n",
-		name, role, ip, a.peers, a.metric)
+func settings(a addresses, name, role, ip, hall, worker string) string {
+	text := fmt.Sprintf("id: %s\nrole: %s\naddress: %s\nhall: %s\nstrength: 0.4\nmemory_mb: 256\nports:\n  peers: %d\n  metrics: %d\n",
+		name, role, ip, hall, a.peers, a.metric)
 	text += fmt.Sprintf("listen:\n  callers: %q\n  ready: %q\n  reports: %q\n  peers: %q\n",
 		at(ip, a.callers), at(ip, a.ready), at(ip, a.reports), at(ip, a.listen))
 	return text + fmt.Sprintf("neighbors: %q\nworker: %q\nstore: %q\nadvice: \"\"\ngrace_s: 6\nlog: info\n", a.neighbors, worker, a.store)
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -36,6 +36,7 @@
 	caller, stop := NewCaller(f, s.Seed), make(chan struct{})
 	var calls sync.WaitGroup
 	calls.Go(func() { caller.Play(s.JobEvery, stop) })
+	calls.Go(func() { f.closeHalls(s, stop) })
 	f.disturb(s)
 	close(stop)
 	calls.Wait()
--- a/proving/fleet/store.go
+++ b/proving/fleet/store.go
@@ -65,6 +65,12 @@
 	return err
 }
 
+// Remove removes a key as the operators do.
+func (s *Store) Remove(key string) error {
+	_, err := s.data.Commit(context.Background(), kv.Txn{Removes: []string{key}})
+	return err
+}
+
 // wireItem is an item as the platform writes it.
 type wireItem struct {
 	Key      string `json:"tls-key"`
--- a/proving/fleet/worker.go
+++ b/proving/fleet/worker.go
@@ -13,11 +13,11 @@
 
 // Worker stands in for a worker of the platform. It does not guard its room, so that a start beyond it shows.
 type Worker struct {
-	name    string
-	books   *Books
-	agent   string
-	room    job.Size
-	service string
+	name  string
+	books *Books
+	agent string
+	room  job.Size
+	hall  string
 
 	mu   sync.Mutex
 	life *life
@@ -28,8 +28,8 @@
 }
 
 // NewWorker returns a worker that reports to an agent; Run lets it live.
-func NewWorker(name, service, agent string, room job.Size, books *Books) *Worker {
-	w := &Worker{name: name, books: books, agent: agent, room: room, service: service}
+func NewWorker(name, hall, agent string, room job.Size, books *Books) *Worker {
+	w := &Worker{name: name, books: books, agent: agent, room: room, hall: hall}
 	w.revive()
 	return w
 }
