--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -22,7 +22,7 @@
 	defer t.mu.Unlock()
 	t.expire()
 	t.unstick()
-	t.evacuate()
+	t.moveFromLeaving()
 	t.plan()
 }
 
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -82,8 +82,8 @@
 		!p.slow.IsZero() && time.Since(p.slow) > slowFor
 }
 
-// evacuate stops what loses nothing by it on workers that leave, so that it starts elsewhere before they are gone.
-func (t *term) evacuate() {
+// moveFromLeaving stops what loses nothing by it on workers that leave, so that it starts elsewhere before they are gone.
+func (t *term) moveFromLeaving() {
 	for _, h := range t.hostsInOrder() {
 		if !h.draining {
 			continue
