Operators' changes in the stand-in store are never lost; the lead logs once that it may not know of closed halls

A closure that the stand-in did late could have closed a hall that the books knew as open; operators' calls always get their answers on the platform, so trouble passes them by. The hall that orders tell of is the agent's own, also where its worker's record is gone.

--- a/internal/dispatch/closures.go
+++ b/internal/dispatch/closures.go
@@ -19,6 +19,19 @@
 	return h != nil && t.closures.Status(h.hall).Closed
 }
 
+// confirmed reports whether the lead knows which halls are closed; it logs when that changes.
+func (t *term) confirmed() bool {
+	stale := t.closures.Stale()
+	switch {
+	case stale && !t.unconfirmed:
+		t.logger.Warn("nothing is placed; reason=the store has not confirmed of late which halls are closed")
+	case !stale && t.unconfirmed:
+		t.logger.Info("tasks are placed again; the store has confirmed which halls are closed")
+	}
+	t.unconfirmed = stale
+	return !stale
+}
+
 // hallStatus returns what agents are told of a hall.
 func (t *term) hallStatus(name string) link.Hall {
 	status := t.closures.Status(name)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -82,7 +82,7 @@
 	}
 	if a.orders == nil {
 		a.orders = &link.Orders{
-			Epoch: t.epoch, Instance: host.Instance, Texts: make(map[string]string), Hall: t.hallStatus(t.hosts[host].hall),
+			Epoch: t.epoch, Instance: host.Instance, Texts: make(map[string]string), Hall: t.hallStatus(a.hall),
 		}
 	}
 	return a.orders
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -87,8 +87,7 @@
 	planner := plan.New(workers, t.pressure)
 	planner.Starve(t.starvation.level)
 	t.relocate(planner)
-	if t.closures.Stale() {
-		t.logger.Warn("nothing is placed; reason=the store has not confirmed of late which halls are closed")
+	if !t.confirmed() {
 		return
 	}
 	for _, p := range planner.Make(groups) {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -14,6 +14,7 @@
 // agent is an agent as its latest report tells.
 type agent struct {
 	vm      string
+	hall    string
 	session session
 	heard   time.Time
 	host    job.Host
@@ -80,7 +81,7 @@
 		a = &agent{vm: r.VM}
 		t.agents[r.VM] = a
 	}
-	a.session, a.heard = s, time.Now()
+	a.session, a.heard, a.hall = s, time.Now(), r.Hall
 	if r.Instance == "" || !r.Fenced {
 		return a
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -80,8 +80,10 @@
 	// learned is when what was learned was last stored, loadLogged when the load was last logged.
 	learned    time.Time
 	loadLogged time.Time
-	relock     bool
-	starvation starvation
+	// unconfirmed says that nothing is placed, since halls may be closed that the lead does not know of.
+	unconfirmed bool
+	relock      bool
+	starvation  starvation
 	// elsewhere is when the lead last heard that the store answers an entry, though not the lead.
 	elsewhere time.Time
 	committed chan struct{}
--- a/internal/kvtest/kvtest.go
+++ b/internal/kvtest/kvtest.go
@@ -190,6 +190,14 @@
 	return s.apply(change)
 }
 
+// Operate makes a change as the operators do, whose calls no trouble befalls.
+func (s *Store) Operate(change kv.Txn) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err := s.apply(change)
+	return err
+}
+
 func (s *Store) apply(change kv.Txn) (kv.Revision, error) {
 	for _, c := range change.Conditions {
 		if s.items[c.Key].Revision() != c.Revision {
--- a/proving/fleet/books.go
+++ b/proving/fleet/books.go
@@ -112,15 +112,25 @@
 	}
 }
 
-// Closed notes that a hall was closed, or opened again.
-func (b *Books) Closed(hall string, closed bool) {
+// Closed notes that a hall was closed, or opened again, or that this failed.
+func (b *Books) Closed(hall string, closed bool, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !closed {
+	switch {
+	case err != nil:
+		b.fail("hall %s could not be closed or opened: %v", hall, err)
+	case closed:
+		b.closed[hall] = time.Now()
+	default:
 		delete(b.closed, hall)
-		return
 	}
-	b.closed[hall] = time.Now()
+}
+
+// judgeHall judges a start by the hall in which it happens; b.mu is held.
+func (b *Books) judgeHall(id job.TaskID, hall string) {
+	if since, closed := b.closed[hall]; closed && time.Since(since) > closedBound {
+		b.fail("%s was started in hall %s %v after that was closed", id, hall, time.Since(since))
+	}
 }
 
 // Shown notes the state of a job that a caller was told; gone says that the job is not known.
@@ -162,9 +172,7 @@
 	defer b.mu.Unlock()
 	b.starts++
 	e, h := b.jobs[id.Job], b.history(id)
-	if since, closed := b.closed[hall]; closed && time.Since(since) > closedBound {
-		b.fail("%s was started in hall %s %v after that was closed", id, hall, time.Since(since))
-	}
+	b.judgeHall(id, hall)
 	switch {
 	case e == nil || !e.has(id):
 		b.fail("%s was started, which nobody handed in", id)
--- a/proving/fleet/closures.go
+++ b/proving/fleet/closures.go
@@ -46,14 +46,11 @@
 	}
 }
 
-// setClosed closes or opens a hall as the operators do, however often the store lets it fail.
+// setClosed closes or opens a hall as the operators do.
 func (f *Fleet) setClosed(hall string, closed bool) {
 	change := func() error { return f.store.Remove(closures + hall) }
 	if closed {
 		change = func() error { return f.store.Put(closures+hall, []byte("{}")) }
 	}
-	for change() != nil {
-		<-time.After(100 * time.Millisecond)
-	}
-	f.books.Closed(hall, closed)
+	f.books.Closed(hall, closed, change())
 }
--- a/proving/fleet/store.go
+++ b/proving/fleet/store.go
@@ -61,14 +61,12 @@
 
 // Put writes a key as the operators do.
 func (s *Store) Put(key string, value []byte) error {
-	_, err := s.data.Commit(context.Background(), kv.Txn{Puts: []kv.Put{{Key: key, Value: value}}})
-	return err
+	return s.data.Operate(kv.Txn{Puts: []kv.Put{{Key: key, Value: value}}})
 }
 
 // Remove removes a key as the operators do.
 func (s *Store) Remove(key string) error {
-	_, err := s.data.Commit(context.Background(), kv.Txn{Removes: []string{key}})
-	return err
+	return s.data.Operate(kv.Txn{Removes: []string{key}})
 }
 
 // wireItem is an item as the platform writes it.
