Closed halls: one place for a VM's hall, metrics read when they are asked for

A second kind of gauge had come in beside the one that is read when metrics are written, and kept its value after an entry had lost the lead; the first kind serves both metrics now (a test plays the loss). A worker's hall stood at its agent and at itself; the agent's is used. The callback of closures is an argument of Run in place of state that was set beforehand.

--- a/internal/dispatch/closures.go
+++ b/internal/dispatch/closures.go
@@ -2,21 +2,31 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
 
 // watchClosures follows the halls that the operators close and open again.
 func (t *term) watchClosures(ctx context.Context) error {
-	t.closures.Notify(t.wakeUp)
-	t.closures.Run(ctx)
+	t.closures.Run(ctx, t.wakeUp)
 	return ctx.Err()
 }
 
 // closed reports whether a worker is in a hall that the operators have closed.
-func (t *term) closed(h *hosted) bool {
-	return h != nil && t.closures.Status(h.hall).Closed
+func (t *term) closed(host job.Host) bool {
+	return t.closures.Status(t.hallOf(host)).Closed
+}
+
+// hallOf returns the hall of a worker, empty while its agent has not told.
+func (t *term) hallOf(host job.Host) string {
+	if a := t.agents[host.VM]; a != nil {
+		return a.hall
+	}
+	return ""
 }
 
 // confirmed reports whether the lead knows which halls are closed; it logs when that changes.
@@ -38,32 +48,24 @@
 	return link.Hall{Closed: status.Closed, Revision: uint64(status.Revision)}
 }
 
-// closedLoad is what is left in a closed hall.
-type closedLoad struct{ workers, running, lasting int }
+// closedLoad is since when a hall is closed and what is left in it.
+type closedLoad struct {
+	since                     time.Time
+	workers, running, lasting int
+}
 
-// logClosures tells what is left in each closed hall, in the log and as metrics.
-func (t *term) logClosures() {
-	halls, since := t.closures.Closed()
-	left := make(map[string]*closedLoad, len(halls))
-	for _, name := range halls {
-		left[name] = &closedLoad{}
+// closedLoads returns what is left in each closed hall.
+func (t *term) closedLoads() map[string]*closedLoad {
+	left := make(map[string]*closedLoad)
+	for name, since := range t.closures.Closed() {
+		left[name] = &closedLoad{since: since}
 	}
-	running := 0
-	for _, h := range t.hosts {
-		l := left[h.hall]
-		if l == nil {
-			continue
+	for host, h := range t.hosts {
+		if l := left[t.hallOf(host)]; l != nil {
+			l.add(h)
 		}
-		running += len(h.runs)
-		l.add(h)
 	}
-	for _, name := range halls {
-		l := left[name]
-		t.logger.Info("hall is closed; hall=%s closed_ms=%d workers=%d running=%d lasting=%d",
-			name, time.Since(since[name]).Milliseconds(), l.workers, l.running, l.lasting)
-	}
-	t.d.config.Metrics.Level("lead.closed_halls").Update(int64(len(halls)))
-	t.d.config.Metrics.Level("lead.closed_running").Update(int64(running))
+	return left
 }
 
 // add counts a worker of the hall and what runs there.
@@ -76,3 +78,35 @@
 		}
 	}
 }
+
+// logClosures tells what is left in each closed hall.
+func (t *term) logClosures() {
+	left := t.closedLoads()
+	for _, name := range slices.Sorted(maps.Keys(left)) {
+		l := left[name]
+		t.logger.Info("hall is closed; hall=%s closed_ms=%d workers=%d running=%d lasting=%d",
+			name, time.Since(l.since).Milliseconds(), l.workers, l.running, l.lasting)
+	}
+}
+
+// registerClosures registers how many halls are closed and how many runs are left there; an entry that does not lead has none.
+func (d *Dispatcher) registerClosures() {
+	d.config.Metrics.Gauge("lead.closed_halls", func() int64 { return int64(len(d.closedLoads())) })
+	d.config.Metrics.Gauge("lead.closed_running", func() int64 {
+		running := 0
+		for _, l := range d.closedLoads() {
+			running += l.running
+		}
+		return int64(running)
+	})
+}
+
+func (d *Dispatcher) closedLoads() map[string]*closedLoad {
+	t := d.term.Load()
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closedLoads()
+}
--- a/internal/dispatch/closures_test.go
+++ b/internal/dispatch/closures_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
@@ -187,3 +189,27 @@
 		assert.Equal(t, c.task().Phase(), job.Waiting)
 	})
 }
+
+// TestMetricsTellWhatIsLeftInClosedHalls plays a run that goes on in a hall that was closed, until this entry leads no more.
+func TestMetricsTellWhatIsLeftInClosedHalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newClosingTest(t)
+		c.report(c.north)
+		c.work()
+		c.close("north")
+		d := c.term.d
+		d.term.Store(c.term)
+		assert.Assert(t, cmp.Contains(written(d), `"lead.closed_halls":{"value":1}`))
+		assert.Assert(t, cmp.Contains(written(d), `"lead.closed_running":{"value":1}`))
+		d.term.Store(nil)
+		assert.Assert(t, cmp.Contains(written(d), `"lead.closed_halls":{"value":0}`))
+		assert.Assert(t, cmp.Contains(written(d), `"lead.closed_running":{"value":0}`))
+	})
+}
+
+// written returns the metrics of an entry as they are served.
+func written(d *Dispatcher) string {
+	var text strings.Builder
+	d.config.Metrics.Write(&text)
+	return text.String()
+}
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -129,7 +129,7 @@
 	}
 	p := h.runs[r.id]
 	p.committed, p.moved = true, time.Now()
-	if !p.stopping && !t.closed(h) {
+	if !p.stopping && !t.closed(r.host) {
 		t.orderStart(r.host, r.id, p)
 		return
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -62,7 +62,9 @@
 
 // New returns a dispatcher that does not lead yet.
 func New(config Config) *Dispatcher {
-	return &Dispatcher{config: config, logger: config.Logger, done: make(chan struct{}), suspects: make(chan struct{}, 1)}
+	d := &Dispatcher{config: config, logger: config.Logger, done: make(chan struct{}), suspects: make(chan struct{}, 1)}
+	d.registerClosures()
+	return d
 }
 
 // Done returns the channel that is closed when Run has ended.
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -14,8 +14,6 @@
 type hosted struct {
 	worker plan.Worker
 	runs   map[job.TaskID]*placed
-	// hall is where the worker is, empty while its agent has not told.
-	hall string
 	// draining says that the worker leaves, and all that runs there with it.
 	draining bool
 	// sampled is when the figures were last taken into account, used what each image that fills used by them, in shares of
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -42,7 +42,7 @@
 	if known == nil || t.closures.Stale() {
 		return
 	}
-	if t.closed(t.hosts[host]) {
+	if t.closed(host) {
 		t.halt(host, id, p)
 		return
 	}
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -75,7 +75,7 @@
 	workers := make([]*plan.Worker, 0, len(t.hosts))
 	for _, h := range t.hostsInOrder() {
 		h.worker.Trials = h.trials()
-		h.worker.Closed = t.closed(h)
+		h.worker.Closed = t.closed(h.worker.Host)
 		h.worker.Served = t.serving(h)
 		h.worker.Pressed = len(h.runsWhich((*placed).overForLong)) > 0
 		h.weigh()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -102,7 +102,7 @@
 	w.Service, w.Labels = r.Service, r.Labels
 	w.Capacity = job.Size{CPU: r.CPU, Memory: r.Memory, GPU: r.GPU}
 	w.Open = !r.Draining && !r.Silent
-	t.hosts[current].draining, t.hosts[current].hall = r.Draining, r.Hall
+	t.hosts[current].draining = r.Draining
 	return a
 }
 
--- a/internal/hall/closures.go
+++ b/internal/hall/closures.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -52,7 +51,6 @@
 	since     map[string]time.Time
 	revision  kv.Revision
 	confirmed time.Time
-	changed   func()
 }
 
 // New returns the closures under a prefix, of which nothing is known yet; each has to be in force within a time.
@@ -60,29 +58,28 @@
 	return &Closures{store: store, prefix: prefix, stale: StaleAfter(within), logger: logger, since: make(map[string]time.Time)}
 }
 
-// Notify sets what is called after each change; it is called without a lock held.
-func (c *Closures) Notify(changed func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.changed = changed
-}
-
 // Load reads the closures as of now.
 func (c *Closures) Load(ctx context.Context) error {
-	_, err := c.follower().Next(ctx, 0)
+	_, err := c.follower(func() {}).Next(ctx, 0)
 	return err
 }
 
-// Run follows the closures until ctx ends.
-func (c *Closures) Run(ctx context.Context) {
+// Run follows the closures until ctx ends, and calls changed after each change, without a lock held.
+func (c *Closures) Run(ctx context.Context, changed func()) {
 	c.mu.Lock()
 	after := c.revision
 	c.mu.Unlock()
-	c.follower().Run(ctx, after)
+	c.follower(changed).Run(ctx, after)
 }
 
-func (c *Closures) follower() *follow.Prefix {
-	return follow.NewPrefix(c.store, c.prefix, timingOf(c.stale), c.take, c.logger)
+func (c *Closures) follower(changed func()) *follow.Prefix {
+	take := func(change follow.Change) error {
+		if c.apply(change) {
+			changed()
+		}
+		return nil
+	}
+	return follow.NewPrefix(c.store, c.prefix, timingOf(c.stale), take, c.logger)
 }
 
 // Status returns whether a hall is closed.
@@ -93,11 +90,11 @@
 	return Status{Closed: closed, Revision: c.revision}
 }
 
-// Closed returns the closed halls in order, with when each was first heard to be.
-func (c *Closures) Closed() ([]string, map[string]time.Time) {
+// Closed returns since when each closed hall is known to be.
+func (c *Closures) Closed() map[string]time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Sorted(maps.Keys(c.since)), maps.Clone(c.since)
+	return maps.Clone(c.since)
 }
 
 // Stale reports whether the store has confirmed what is known so long ago that a hall may be closed without its being known.
@@ -107,20 +104,13 @@
 	return time.Since(c.confirmed) > c.stale
 }
 
-func (c *Closures) take(change follow.Change) error {
-	if changed := c.apply(change); changed != nil {
-		changed()
-	}
-	return nil
-}
-
-// apply takes a change and returns what is to be called for it, nil where nothing changed.
-func (c *Closures) apply(change follow.Change) func() {
+// apply takes a change and reports whether a hall was closed or opened by it.
+func (c *Closures) apply(change follow.Change) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// What a call tells that was overtaken by a newer one is older.
 	if change.At < c.revision {
-		return nil
+		return false
 	}
 	c.revision = change.At
 	if change.Asked.After(c.confirmed) {
@@ -141,10 +131,7 @@
 			changed = c.set(hall, false) || changed
 		}
 	}
-	if !changed {
-		return nil
-	}
-	return c.changed
+	return changed
 }
 
 // set takes note of whether a hall is closed and reports whether that is new.
--- a/internal/hall/closures_test.go
+++ b/internal/hall/closures_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +32,9 @@
 	return kv.Txn{Puts: []kv.Put{{Key: testPrefix + hall, Value: []byte("{odd")}}}
 }
 
+// closedHalls returns the closed halls in order.
+func closedHalls(c *Closures) []string { return slices.Sorted(maps.Keys(c.Closed())) }
+
 func opening(hall string) kv.Txn { return kv.Txn{Removes: []string{testPrefix + hall}} }
 
 func TestClosuresAreHeardOfAndTakenBack(t *testing.T) {
@@ -44,14 +49,12 @@
 		assert.Assert(t, !c.Status("").Closed)
 
 		changes := 0
-		c.Notify(func() { changes++ })
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
-		go func() { defer close(ended); c.Run(ctx) }()
+		go func() { defer close(ended); c.Run(ctx, func() { changes++ }) }()
 		change(t, store, closing("south"))
 		synctest.Wait()
-		halls, _ := c.Closed()
-		assert.DeepEqual(t, halls, []string{"north", "south"})
+		assert.DeepEqual(t, closedHalls(c), []string{"north", "south"})
 		before := c.Status("north").Revision
 		change(t, store, opening("north"))
 		synctest.Wait()
@@ -64,8 +67,7 @@
 		change(t, store, opening("south"))
 		change(t, store, closing("east"))
 		time.Sleep(time.Second)
-		halls, _ = c.Closed()
-		assert.DeepEqual(t, halls, []string{"east"})
+		assert.DeepEqual(t, closedHalls(c), []string{"east"})
 		time.Sleep(time.Minute)
 		assert.Assert(t, !c.Stale(), "watches that hear nothing confirm it")
 		cancel()
@@ -100,7 +102,7 @@
 		assert.NilError(t, c.Load(t.Context()))
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
-		go func() { defer close(ended); c.Run(ctx) }()
+		go func() { defer close(ended); c.Run(ctx, func() {}) }()
 		time.Sleep(time.Second)
 		store.silent = true
 		for range 400 {
@@ -115,7 +117,7 @@
 func TestWhatWasOvertakenIsLeft(t *testing.T) {
 	c := New(kvtest.New(), testPrefix, testWithin, logging.Discard())
 	closed := kv.NewEvent(kv.NewItem(testPrefix+"north", nil, 7), false)
-	assert.NilError(t, c.take(follow.Change{Events: []kv.Event{closed}, Whole: true, At: 7, Asked: time.Now()}))
-	assert.NilError(t, c.take(follow.Change{Whole: true, At: 6, Asked: time.Now()}))
+	assert.Assert(t, c.apply(follow.Change{Events: []kv.Event{closed}, Whole: true, At: 7, Asked: time.Now()}))
+	assert.Assert(t, !c.apply(follow.Change{Whole: true, At: 6, Asked: time.Now()}))
 	assert.Equal(t, c.Status("north"), Status{Closed: true, Revision: 7})
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -36,11 +36,6 @@
 	return histogram
 }
 
-// Level returns the gauge of a name that is set from time to time.
-func (r *Registry) Level(name string) metrics.Gauge {
-	return metrics.GetOrRegisterGauge(name, r.registry)
-}
-
 // Gauge registers a gauge that is read when the metrics are written.
 func (r *Registry) Gauge(name string, read func() int64) {
 	_ = r.registry.Register(name, metrics.NewFunctionalGauge(read))
--- a/internal/runner/halls.go
+++ b/internal/runner/hall.go
@@ -7,8 +7,8 @@
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
 
-// halls is what the agent was told of closures of its hall.
-type halls struct {
+// hallState is what the agent was told of its hall.
+type hallState struct {
 	latest link.Hall
 	// told is up to when the lead surely had told of all that it knew, followed when the connection to it began.
 	told     time.Time
@@ -16,7 +16,7 @@
 }
 
 // learn takes what the lead told at a time, or later.
-func (h *halls) learn(told link.Hall, at time.Time) {
+func (h *hallState) learn(told link.Hall, at time.Time) {
 	if told.Revision >= h.latest.Revision {
 		h.latest = told
 	}
@@ -26,6 +26,6 @@
 }
 
 // mayStart reports whether something may start in the hall: it is open, and was so not long before.
-func (h *halls) mayStart(within time.Duration) bool {
+func (h *hallState) mayStart(within time.Duration) bool {
 	return !h.latest.Closed && time.Since(h.told) <= hall.StaleAfter(within)
 }
--- a/internal/runner/halls_test.go
+++ b/internal/runner/hall_test.go
@@ -17,7 +17,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		worker := &fakeWorker{start: accept}
 		r := newTest(worker)
-		r.halls.learn(link.Hall{Closed: true, Revision: 9}, time.Now())
+		r.hall.learn(link.Hall{Closed: true, Revision: 9}, time.Now())
 		_, err := r.takeOrders(context.Background(), nil, startOrders())
 		assert.NilError(t, err)
 		synctest.Wait()
@@ -41,7 +41,7 @@
 		assert.NilError(t, err)
 		synctest.Wait()
 		r.mu.Lock()
-		r.halls.learn(link.Hall{Closed: true, Revision: 9}, time.Now())
+		r.hall.learn(link.Hall{Closed: true, Revision: 9}, time.Now())
 		r.mu.Unlock()
 		time.Sleep(10 * orderPause)
 		assert.Equal(t, len(worker.started()), 1)
@@ -64,7 +64,7 @@
 
 // TestOlderWordOfAHallIsLeft is an answer that newer orders have overtaken.
 func TestOlderWordOfAHallIsLeft(t *testing.T) {
-	var h halls
+	var h hallState
 	now := time.Now()
 	h.learn(link.Hall{Closed: true, Revision: 9}, now)
 	h.learn(link.Hall{Revision: 8}, now)
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -34,7 +34,7 @@
 	if l == nil || l.report.Instance != orders.Instance {
 		return link.Empty{}, fault.New(fault.Stale, "instance %s of the worker is not there", orders.Instance)
 	}
-	r.halls.learn(orders.Hall, r.halls.followed)
+	r.hall.learn(orders.Hall, r.hall.followed)
 	for i := range orders.Starts {
 		start := orders.Starts[i]
 		run, ok := parseRun(start.Run)
@@ -134,13 +134,13 @@
 	return refusal, err
 }
 
-// allowed returns up to when a start may run, 0 where nothing may start (any more), the epoch to order it under, and whether the
+// allowed returns up to when a start may run, 0 where nothing may start any more, the epoch to order it under, and whether the
 // order still counts.
 func (r *Runner) allowed(l *life, run host.Run, o *order) (host.Clock, uint64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	until := r.until(l)
-	if l.report.Draining || !r.halls.mayStart(r.config.ClosedWithin) {
+	if l.report.Draining || !r.hall.mayStart(r.config.ClosedWithin) {
 		until = 0
 	}
 	return until, r.epoch, r.current(l, run, o)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -51,7 +51,7 @@
 	epoch     uint64
 	session   *rpc.Peer
 	permitted time.Time
-	halls     halls
+	hall      hallState
 	life      *life
 	lives     lives
 }
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -81,7 +81,7 @@
 	r.Heard(host.Report{Instance: "i-1", Service: "s", Capacity: job.Size{CPU: 4000, Memory: 1000}, Sequence: 1})
 	r.epoch = 3
 	r.permitted = time.Now().Add(5 * time.Second)
-	r.halls.told = time.Now()
+	r.hall.told = time.Now()
 	return r
 }
 
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -102,7 +102,7 @@
 		r.life.drop()
 	}
 	r.epoch, r.session = lead.Epoch, session
-	r.halls.followed = time.Now()
+	r.hall.followed = time.Now()
 	return nil
 }
 
@@ -123,7 +123,7 @@
 	if answer.Epoch != r.epoch {
 		return false, fault.New(fault.Stale, "the lead has epoch %d, not %d", answer.Epoch, r.epoch)
 	}
-	r.halls.learn(answer.Hall, sent)
+	r.hall.learn(answer.Hall, sent)
 	if l != nil && l == r.life && !r.permitted.IsZero() && sent.After(r.permitted) {
 		r.forsake(l)
 	}
