--- /dev/null
+++ b/internal/runner/begun.go
@@ -0,0 +1,84 @@
+package runner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/host"
+)
+
+// begun is a run that the worker was asked to start and that has not ended as far as the agent knows.
+type begun struct {
+	// asked is when the start was first sent, shown when the worker last listed the run.
+	asked time.Time
+	shown time.Time
+	// answered says that the worker surely had the run: it accepted the start, or listed the run.
+	answered bool
+}
+
+// age is how long the worker is known to have had the run.
+func (b *begun) age() time.Duration { return max(b.shown.Sub(b.asked), 0) }
+
+// begunRuns are the runs that one life of the worker may have.
+type begunRuns map[host.Run]*begun
+
+// ask takes note that a start is about to be sent.
+func (b begunRuns) ask(run host.Run) {
+	if b[run] == nil {
+		b[run] = &begun{asked: time.Now()}
+	}
+}
+
+// answer takes note that the worker accepted a start.
+func (b begunRuns) answer(run host.Run) {
+	if known := b[run]; known != nil {
+		known.answered = true
+	}
+}
+
+// show takes note of what the worker lists.
+func (b begunRuns) show(view host.View, now time.Time) {
+	for _, running := range view.Running {
+		b.ask(running.Run)
+		b[running.Run].answered, b[running.Run].shown = true, now
+	}
+	for _, e := range view.Ended {
+		delete(b, e.Run)
+	}
+}
+
+// unasked takes note that a start has surely not reached the life of the worker.
+func (r *Runner) unasked(l *life, run host.Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(l.begun, run)
+}
+
+// left returns the runs that the life may have had when it ended: those that it surely had, and those that were asked for no
+// longer ago than a start counts.
+func (b begunRuns) left(now time.Time) []host.Run {
+	var runs []host.Run
+	for run, known := range b {
+		if known.answered || now.Sub(known.asked) < holdTime {
+			runs = append(runs, run)
+		}
+	}
+	slices.SortFunc(runs, func(a, b host.Run) int { return strings.Compare(a.Task.String(), b.Task.String()) })
+	return runs
+}
+
+// crashed takes note that a life of the worker is over: a crash, unless the worker had told that it would leave.
+func (r *Runner) crashed(l *life) {
+	if l.crashed || l.left || l.report.Draining {
+		return
+	}
+	l.crashed = true
+	runs := l.begun.left(time.Now())
+	for _, run := range runs {
+		b := l.begun[run]
+		r.logger.Info("the worker crashed under a run; task=%s run=%d instance=%s answered=%t age_ms=%d",
+			run.Task, run.Number, l.instance, b.answered, b.age().Milliseconds())
+	}
+	r.logger.Warn("the worker crashed; instance=%s runs=%d", l.instance, len(runs))
+}
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -155,6 +155,7 @@
 	l.fenced = max(l.fenced, hold.Fence)
 	l.view = view
 	l.views++
+	l.begun.show(view, now)
 	l.prune()
 	r.adjust(ctx, l)
 	wait.Wake(r.changed)
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -28,9 +28,13 @@
 	views  uint64
 	seen   uint64
 	silent bool
-	// gone says that the worker answered for another life.
-	gone   bool
-	orders map[host.Run]*order
+	// gone says that the worker answered for another life, left that it ended by plan, crashed that its end was told.
+	gone    bool
+	left    bool
+	crashed bool
+	orders  map[host.Run]*order
+	// begun are the runs that it may have.
+	begun begunRuns
 	// refused is the highest run of each task that was refused; an order for it that comes again is not carried out.
 	refused  map[job.TaskID]int
 	profiles map[host.Run]link.Profile
@@ -71,7 +75,7 @@
 	return &life{
 		instance: report.Instance,
 		report:   report, clock: report.Clock, read: now, answered: now,
-		orders: make(map[host.Run]*order), refused: make(map[job.TaskID]int),
+		orders: make(map[host.Run]*order), begun: make(begunRuns), refused: make(map[job.TaskID]int),
 		profiles: make(map[host.Run]link.Profile), paces: make(map[host.Run]int),
 		over: make(map[host.Run]time.Time), tracks: make(map[host.Run]*pressure.Track),
 		owns: make(map[host.Run]*pressure.Own),
@@ -128,6 +132,7 @@
 
 // refuse takes note that the worker will never run what the order starts.
 func (o *order) refuse(l *life, run host.Run, why host.Refusal) {
+	delete(l.begun, run)
 	l.refused[run.Task] = max(l.refused[run.Task], run.Number)
 	o.refused, o.final, o.views = why, true, l.views
 }
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -113,8 +113,12 @@
 		if err == nil && r.started(l, run, o, refusal, doubtful) {
 			return
 		}
-		doubtful = doubtful || !fault.Is(err, fault.Unavailable)
-		if fault.Is(err, fault.Stale) {
+		stale := fault.Is(err, fault.Stale)
+		doubtful = doubtful || !stale && !fault.Is(err, fault.Unavailable)
+		if !doubtful {
+			r.unasked(l, run)
+		}
+		if stale {
 			return
 		}
 		wait.For(ctx, orderPause)
@@ -143,7 +147,11 @@
 	if l.report.Draining || !r.hall.mayStart(r.config.ClosedWithin) {
 		until = 0
 	}
-	return until, r.epoch, r.current(l, run, o)
+	counts := r.current(l, run, o)
+	if counts && until > 0 {
+		l.begun.ask(run)
+	}
+	return until, r.epoch, counts
 }
 
 // takeBack gives up a start that was not accepted: by a stop, where the worker may have done it.
@@ -171,6 +179,7 @@
 	}
 	switch {
 	case refusal == host.Accepted:
+		l.begun.answer(run)
 		delete(l.orders, run)
 		l.profiles[run] = o.start.Profile
 		return true
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -106,4 +106,9 @@
 // Left takes note that the worker has ended by plan.
 func (r *Runner) Left(instance string) {
 	r.logger.Info("worker left; instance=%s", instance)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.life != nil && r.life.instance == instance {
+		r.life.left = true
+	}
 }
