--- a/proving/fleet/books.go
+++ b/proving/fleet/books.go
@@ -42,6 +42,11 @@
 	alive map[string]int
 	done  int
 	noted bool
+	// crashes counts the workers that the task crashed, after its starts since the third of them, lost the workers that
+	// crashed while they ran it, whatever crashed them.
+	crashes int
+	after   int
+	lost    int
 }
 
 // cancelBound is how long after its cancelation was acknowledged a job's tasks may still be started: the platform allows 3 s
@@ -142,6 +147,8 @@
 	case gone && e.accepted && e.canceled.IsZero():
 		b.fail("job %s was accepted and is not known", id)
 	case gone:
+	case state == job.Failed && !b.mayFail(id, e):
+		b.fail("job %s is shown as failed though no two workers crashed under a task of it", id)
 	case state == job.Completed && !b.allDone(id, e):
 		b.fail("job %s is shown as completed though tasks are not done", id)
 	default:
@@ -173,6 +180,7 @@
 	b.starts++
 	e, h := b.jobs[id.Job], b.history(id)
 	b.judgeHall(id, hall)
+	b.judgeCrashes(id, h)
 	switch {
 	case e == nil || !e.has(id):
 		b.fail("%s was started, which nobody handed in", id)
@@ -236,14 +244,14 @@
 	b.fail("%s was ordered on %s beyond its room", id, worker)
 }
 
-// Unfinished returns the accepted jobs that are neither completed nor canceled, by what callers saw last.
+// Unfinished returns the accepted jobs that are neither completed nor given up nor canceled, by what callers saw last.
 func (b *Books) Unfinished() []job.ID {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var left []job.ID
 	for id, e := range b.jobs {
 		gone := e.canceling && e.seen == job.Canceled
-		if e.accepted && e.canceled.IsZero() && e.seen != job.Completed && !gone {
+		if e.accepted && e.canceled.IsZero() && e.seen != job.Completed && e.seen != job.Failed && !gone {
 			left = append(left, id)
 		}
 	}
--- /dev/null
+++ b/proving/fleet/crash_test.go
@@ -0,0 +1,48 @@
+package fleet
+
+import (
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+)
+
+// TestTaskThatCrashesItsWorkersIsGivenUp plays what the users saw: their jobs stayed `running` for minutes and most other work
+// failed, since two tasks were started again at once on each life of a worker that they had just crashed, some forty times.
+//
+// Order of events: a worker accepts the start, crashes ten milliseconds later with all that it runs, and is back after 1.5 s
+// under a new name; its agent tells the lead of the new life; the lead takes the end of the old one as nobody's fault, so that
+// all its runs wait again and are placed in the same plan, on the life that has just begun.
+//
+// Proof of the cause: run numbers that rose by one with each life under one and the same lead, 19 ms between the end and the
+// next placement in its log, and a stored progress that had nothing in which a crash could be counted.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	t.Parallel()
+	f, err := New(Size{Entries: 3, Agents: 5}, binaries, t.TempDir())
+	assert.NilError(t, err)
+	defer f.Close()
+	c, stop := NewCaller(f, 1), make(chan struct{})
+	var others sync.WaitGroup
+	others.Go(func() { c.Play(300*time.Millisecond, stop) })
+	for n := range 2 {
+		crashes := c.submit(job.Spec{Text: crashing + " work=500ms", Steps: []job.Step{demoStep(3, 500*time.Millisecond)}})
+		assert.NilError(t, f.await(finishedWithin, func() bool { return c.send(crashes) }))
+		// What was counted must be known to the next lead.
+		<-time.After(3 * time.Second)
+		f.entry(n).Signal(syscall.SIGKILL)
+	}
+	<-time.After(5 * time.Second)
+	close(stop)
+	others.Wait()
+	finished := f.awaitFinished(c, finishedWithin)
+	assert.NilError(t, f.books.judge())
+	assert.NilError(t, finished)
+	rightly, wrongly := f.books.GivenUp()
+	t.Logf("%s; %d workers crashed, %d jobs given up that crash workers, %d others", f.books.Counts(), f.books.Crashes(), rightly, wrongly)
+	assert.Equal(t, rightly, 2)
+	assert.Equal(t, wrongly, 0)
+}
--- a/proving/fleet/orders.go
+++ b/proving/fleet/orders.go
@@ -28,7 +28,7 @@
 		return
 	}
 	w.mu.Lock()
-	silent, late, l := w.silent, w.late, w.life
+	silent, late, l := w.away(), w.late, w.life
 	w.mu.Unlock()
 	if expected := string(ctx.Request.Header.Peek("X-Expect-Instance")); expected != "" && expected != l.instance {
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
@@ -92,6 +92,9 @@
 	step, takes, known := w.books.step(id)
 	l.running[id] = &run{number: o.Run, step: step, left: takes, looked: time.Now(), percent: 100}
 	w.books.started(l.instance, w.hall, id, o.Run, o.Text)
+	if crashesWorker(o.Text, id) {
+		w.crashSoon(l, id)
+	}
 	if used := l.used(); known && !used.Fits(w.room) {
 		w.books.overfull(l.instance, id)
 	}
@@ -118,7 +121,12 @@
 		w.mu.Lock()
 		news := len(l.ends) > 0
 		body := l.view()
+		over := w.life != l
 		w.mu.Unlock()
+		if over {
+			lose(ctx)
+			return
+		}
 		if news || time.Now().After(deadline) {
 			write(ctx, body)
 			return
--- a/proving/fleet/worker.go
+++ b/proving/fleet/worker.go
@@ -25,6 +25,8 @@
 	silent bool
 	late   time.Duration
 	lives  int
+	// back is when the worker answers and reports again after a task crashed it.
+	back time.Time
 }
 
 // NewWorker returns a worker that reports to an agent; Run lets it live.
@@ -46,6 +48,7 @@
 	if w.life != nil {
 		for id := range w.life.running {
 			w.books.ended(w.life.instance, id, false)
+			w.books.lost(id)
 		}
 	}
 	w.lives++
@@ -55,6 +58,29 @@
 	}
 }
 
+const (
+	// crashAfter is how long after its start a task that crashes its worker does so, downFor how long the worker is away then.
+	crashAfter = 10 * time.Millisecond
+	downFor    = 1500 * time.Millisecond
+)
+
+// crashSoon lets a task that has just been started crash this life of the worker.
+func (w *Worker) crashSoon(l *life, id job.TaskID) {
+	time.AfterFunc(crashAfter, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.life != l {
+			return
+		}
+		w.books.crashed(id)
+		w.revive()
+		w.back = time.Now().Add(downFor)
+	})
+}
+
+// away reports whether the worker neither answers nor reports; w.mu is held.
+func (w *Worker) away() bool { return w.silent || time.Now().Before(w.back) }
+
 // SetSilent makes the worker answer and report nothing; what it runs goes on.
 func (w *Worker) SetSilent(silent bool) {
 	w.mu.Lock()
@@ -82,7 +108,7 @@
 		}
 		w.mu.Lock()
 		w.advance()
-		due := !w.silent && time.Since(reported) >= heartbeatEvery
+		due := !w.away() && time.Since(reported) >= heartbeatEvery
 		w.mu.Unlock()
 		if due {
 			reported = time.Now()
