Work that crashes its workers is found out and given up

Cause: nobody counted a crash against the task that was started there. The end of a worker's life was an end of the worker's making for agent, lead and stored progress alike, so all that ran there waited again at once and was placed on the next life.

Mended in the design: an agent tells, until a lead has committed it, which runs a life of its worker had when it crashed, and for how long; the decision (internal/crash) finds the likely cause; suspects start where nothing else has just begun, and nothing starts beside them until they have outlived their start; the second crash without another explanation gives the job up, the fourth in any case. The count lies in the job's progress, so the next lead knows it.

Ruled out: a count lost with the lead (one lead all along), orders given twice (run numbers rise with each life).

--- /dev/null
+++ b/internal/crash/doc.go
@@ -0,0 +1,3 @@
+// Package crash decides what a crash of a worker says of the tasks that ran there: who is suspected of it, who starts alone
+// next, and whose job is given up. It knows no clock and no network.
+package crash
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -69,7 +69,7 @@
 func (t *term) benchJob(n int, step job.Step) *tracked {
 	id := job.ID(fmt.Sprintf("%016x", n))
 	queue := job.Queue{Service: testService, Attempts: 1, Stretch: 2, Target: time.Second}
-	known := &tracked{job: job.New(id, job.Spec{Steps: []job.Step{step}}, queue, time.Now()), since: time.Now(), failed: map[job.Host]bool{}}
+	known := newTracked(job.New(id, job.Spec{Steps: []job.Step{step}}, queue, time.Now()))
 	t.jobs[id] = known
 	return known
 }
--- a/internal/dispatch/groups.go
+++ b/internal/dispatch/groups.go
@@ -47,14 +47,22 @@
 		}
 		need := now.Sub(since) + known.job.Remaining(k)
 		objective := known.job.Objective()
+		others, suspects, weight := known.splitSuspects(job.TaskID{Job: known.job.ID(), Time: k, Step: n}, waiting, now)
 		group := &plan.Group{
 			Job: known.job, Time: k, Number: n, Step: &known.job.Spec().Steps[n], Service: queue.Service,
-			Indexes: waiting, Held: held, Avoid: known.failed, Priority: queue.Priority,
+			Indexes: others, Held: held, Avoid: known.failed, Priority: queue.Priority,
 			Starved: !known.idle.IsZero() && now.Sub(known.idle) > starvedAfter,
 			Slack:   objective - need, Late: lateFactor*objective - need, Work: known.job.Work(k),
 		}
 		t.advise(group, queue)
-		groups = append(groups, group)
+		if len(suspects) > 0 {
+			alone := *group
+			alone.Indexes, alone.Suspect = suspects, weight
+			groups = append(groups, &alone)
+		}
+		if len(others) > 0 {
+			groups = append(groups, group)
+		}
 	}
 	return groups
 }
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -46,6 +46,11 @@
 	slow time.Time
 	// over is since when a task that serves has been over its target, zero while it is not.
 	over time.Time
+	// proved says that the run has outlived its start, as the lead saw first at provedAt; suspect that it started alone to show
+	// whether it crashes its worker.
+	proved   bool
+	provedAt time.Time
+	suspect  bool
 	// own is by how much a task that serves is off its load.
 	own pressure.Own
 }
@@ -159,14 +164,21 @@
 	if end == job.EndFailed {
 		known.failed[host] = true
 	}
-	if state := known.job.State(); state.Final() && known.ended.IsZero() {
-		t.logger.Info("job ended; job=%s state=%s ms=%d objective_ms=%d",
-			id.Job, state, time.Since(known.since).Milliseconds(), known.job.Objective().Milliseconds())
-		t.finish(known)
-	}
+	t.conclude(known)
 	t.touch(known)
 }
 
+// conclude ends what is left of a job that has just come to its final state.
+func (t *term) conclude(known *tracked) {
+	state := known.job.State()
+	if !state.Final() || !known.ended.IsZero() {
+		return
+	}
+	t.logger.Info("job ended; job=%s state=%s ms=%d objective_ms=%d",
+		known.job.ID(), state, time.Since(known.since).Milliseconds(), known.job.Objective().Milliseconds())
+	t.finish(known)
+}
+
 // endGang stops what is left of a gang that one end has ended for all: an order that is still on its way, at the most.
 func (t *term) endGang(known *tracked, ended job.TaskID) {
 	member := ended
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -55,7 +55,13 @@
 		t.logger.Error("an accepted job cannot be read; job=%s reason=%v", id, err)
 		return
 	}
-	t.jobs[id] = &tracked{job: decoded, since: sinceAccepted(decoded.Accepted()), failed: make(map[job.Host]bool)}
+	t.jobs[id] = newTracked(decoded)
+}
+
+func newTracked(j *job.Job) *tracked {
+	return &tracked{
+		job: j, since: sinceAccepted(j.Accepted()), failed: make(map[job.Host]bool), suspects: make(map[job.TaskID]time.Time),
+	}
 }
 
 // sinceAccepted returns when a job was accepted by this clock, which may differ from the entry's.
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -79,11 +79,13 @@
 		h.worker.Served = t.serving(h)
 		h.worker.Pressed = len(h.runsWhich((*placed).overForLong)) > 0
 		h.weigh()
+		h.noteProofs()
 		workers = append(workers, &h.worker)
 	}
 	l := t.currentLoad()
 	t.logLoad(l, groups)
 	t.starvation.observe(time.Now(), groups, l.used, l.capacity)
+	keepForSuspects(workers, groups)
 	planner := plan.New(workers, t.pressure)
 	planner.Starve(t.starvation.level)
 	t.relocate(planner)
@@ -93,7 +95,8 @@
 	for _, p := range planner.Make(groups) {
 		known := t.jobs[p.Task.Job]
 		run := known.job.Place(p.Task, p.Host, p.Run)
-		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now(), pace: pacing.Full}
+		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now(), pace: pacing.Full, suspect: p.Suspect}
+		delete(known.suspects, p.Task)
 		t.logger.Info("task placed; task=%s run=%d vm=%s waited_ms=%d", p.Task, run, p.Host.VM, time.Since(known.since).Milliseconds())
 		t.touch(known)
 	}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -15,14 +15,13 @@
 	steadyPace = 50
 )
 
-// reconcile compares what the worker has with what is placed there. It returns which jobs must be saved before the
-// reported ends may go, and whether the ends were looked at.
-func (t *term) reconcile(a *agent, r link.Report) (map[*tracked]uint64, bool) {
+// reconcile compares what the worker has with what is placed there. It adds the jobs that must be saved before the reported
+// ends may go, and reports whether the ends were looked at.
+func (t *term) reconcile(a *agent, r link.Report, needed map[*tracked]uint64) bool {
 	h := t.hosts[job.Host{VM: r.VM, Instance: r.Instance}]
 	if h == nil || !r.Fenced || r.Epoch != t.epoch {
-		return nil, false
+		return false
 	}
-	needed := make(map[*tracked]uint64)
 	for _, e := range r.Ended {
 		if id, ok := e.TaskID(); ok {
 			t.apply(id, e.Number, job.End(e.End), e.Checkpoint, a.host)
@@ -41,7 +40,7 @@
 	case r.Lapsed:
 		t.lose(h, "the worker is silent and its time is over")
 	}
-	return needed, true
+	return true
 }
 
 // rejected takes back a run that never started.
@@ -109,6 +108,9 @@
 	if known := t.jobs[id.Job]; known != nil {
 		known.unsaved = known.job.Save(id, r.Number, r.Checkpoint) || known.unsaved
 	}
+	if !r.Fresh {
+		t.outlive(h, id, p)
+	}
 	p.figure = r.Figure
 	p.noteOver()
 	p.paced(r.Pace)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -36,7 +36,9 @@
 	}
 	answer := link.ReportAnswer{Epoch: t.epoch}
 	a := t.hear(s, r)
-	needed, taken := t.reconcile(a, r)
+	needed := make(map[*tracked]uint64)
+	crashes := t.takeCrashes(r.VM, r.Crashes, needed)
+	taken := t.reconcile(a, r, needed)
 	answer.Profiles = t.profiles(r.Unknown)
 	answer.Presses, answer.Swing = t.presses(a.host), round(t.pressure.Swing(), swingSteps)
 	answer.Loads = t.loads(a.host)
@@ -47,10 +49,13 @@
 	if changed {
 		t.wakeUp()
 	}
-	saved := taken && t.awaitSaved(needed)
+	saved := t.awaitSaved(needed)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if saved && a.host == (job.Host{VM: r.VM, Instance: r.Instance}) {
+	if saved {
+		answer.Crashes = crashes
+	}
+	if saved && taken && a.host == (job.Host{VM: r.VM, Instance: r.Instance}) {
 		for _, e := range r.Ended {
 			a.seen = max(a.seen, e.Sequence)
 		}
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -21,6 +21,8 @@
 	unsaved bool
 	written time.Time
 	failed  map[job.Host]bool
+	// suspects are the tasks that wait to start alone, with since when.
+	suspects map[job.TaskID]time.Time
 }
 
 // noteIdle takes note of since when nothing of the job runs.
--- /dev/null
+++ b/internal/job/crashes.go
@@ -0,0 +1,53 @@
+package job
+
+import (
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/crash"
+)
+
+// Unit returns the task by which crashes are counted: the first one of a gang, whose members share all ends, else the task.
+func (j *Job) Unit(t TaskID) TaskID {
+	if j.spec.Steps[t.Step].Gang {
+		t.Index = 0
+	}
+	return t
+}
+
+// Crashed takes note of what the crash of a worker says of a run that it had, and reports whether anything changed. It is
+// counted once for each run, and with the job, so that each next lead knows it: a count that one process keeps lets work that
+// crashes its workers start anew with each lead.
+func (j *Job) Crashed(t TaskID, run int, f crash.Finding) bool {
+	task := j.Task(t)
+	if task == nil || j.State().Final() || task.phase == Done || run > task.run || f.Blame() == crash.Cleared {
+		return false
+	}
+	unit := j.Task(j.Unit(t))
+	if run <= unit.judged {
+		return false
+	}
+	unit.judged = run
+	unit.suspicion = unit.suspicion.After(f)
+	if unit.suspicion.GivesUp(f) {
+		j.failed = true
+	}
+	return true
+}
+
+// Outlived takes note that a run was seen to live for a time, and reports whether less is held against its task now.
+func (j *Job) Outlived(t TaskID, run int, age time.Duration) bool {
+	task := j.Task(t)
+	if task == nil || task.run != run || task.phase != Placed {
+		return false
+	}
+	unit := j.Task(j.Unit(t))
+	before := unit.suspicion
+	unit.suspicion = before.Outlived(age)
+	return unit.suspicion != before
+}
+
+// Suspicion returns what is held against a task for crashes of workers.
+func (j *Job) Suspicion(t TaskID) crash.Suspicion { return j.Task(j.Unit(t)).suspicion }
+
+// Judged reports whether a crash under a run of a task was counted already.
+func (j *Job) Judged(t TaskID, run int) bool { return run <= j.Task(j.Unit(t)).judged }
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 )
 
@@ -14,6 +15,26 @@
 	Tasks []storedTask
 }
 
+// storedSuspects is the progress of a job of which tasks are suspected of crashing their workers. Jobs without any are stored
+// as before, so that leads of both kinds read them while a release is rolled out.
+type storedSuspects struct {
+	_        struct{} `cbor:",toarray"`
+	State    int
+	Hosts    []storedHost
+	Tasks    []storedTask
+	Suspects []storedSuspect
+}
+
+type storedSuspect struct {
+	_       struct{} `cbor:",toarray"`
+	Time    int
+	Step    int
+	Index   int
+	Crashes int
+	Doubts  int
+	Judged  int
+}
+
 type storedHost struct {
 	_        struct{} `cbor:",toarray"`
 	VM       string
@@ -36,6 +57,7 @@
 func (j *Job) EncodeProgress() ([]byte, error) {
 	stored := storedProgress{State: int(j.State())}
 	hosts := make(map[Host]int)
+	var suspects []storedSuspect
 	j.Each(func(id TaskID, t *Task) {
 		if t.run == 0 && t.phase == Waiting {
 			return
@@ -52,14 +74,34 @@
 			row.Host = hosts[t.host]
 		}
 		stored.Tasks = append(stored.Tasks, row)
+		if t.judged > 0 {
+			suspects = append(suspects, storedSuspect{
+				Time: id.Time, Step: id.Step, Index: id.Index, Judged: t.judged,
+				Crashes: t.suspicion.Crashes(), Doubts: t.suspicion.Doubts(),
+			})
+		}
 	})
-	return cbor.Marshal(stored)
+	if len(suspects) == 0 {
+		return cbor.Marshal(stored)
+	}
+	return cbor.Marshal(storedSuspects{State: stored.State, Hosts: stored.Hosts, Tasks: stored.Tasks, Suspects: suspects})
+}
+
+// decodeProgress reads a stored progress, with or without suspects.
+func decodeProgress(data []byte) (storedSuspects, error) {
+	var full storedSuspects
+	if cbor.Unmarshal(data, &full) == nil {
+		return full, nil
+	}
+	var plain storedProgress
+	err := cbor.Unmarshal(data, &plain)
+	return storedSuspects{State: plain.State, Hosts: plain.Hosts, Tasks: plain.Tasks}, err
 }
 
 // DecodeState returns the state of a stored progress.
 func DecodeState(data []byte) (State, error) {
-	var stored storedProgress
-	if err := cbor.Unmarshal(data, &stored); err != nil {
+	stored, err := decodeProgress(data)
+	if err != nil {
 		return Queued, fault.Wrap(err, fault.Internal, "the progress of a job cannot be read")
 	}
 	return State(stored.State), nil
@@ -67,8 +109,8 @@
 
 // ApplyProgress brings a decoded job to a stored progress.
 func (j *Job) ApplyProgress(data []byte) error {
-	var stored storedProgress
-	if err := cbor.Unmarshal(data, &stored); err != nil {
+	stored, err := decodeProgress(data)
+	if err != nil {
 		return fault.Wrap(err, fault.Internal, "the progress of job "+string(j.id)+" cannot be read")
 	}
 	for _, row := range stored.Tasks {
@@ -86,6 +128,11 @@
 		}
 		j.begun = j.begun || task.run > 0
 	}
+	for _, row := range stored.Suspects {
+		if task := j.Task(TaskID{Job: j.id, Time: row.Time, Step: row.Step, Index: row.Index}); task != nil {
+			task.suspicion, task.judged = crash.NewSuspicion(row.Crashes, row.Doubts), row.Judged
+		}
+	}
 	j.failed = State(stored.State) == Failed
 	j.canceled = State(stored.State) == Canceled
 	return nil
--- a/internal/job/script_test.go
+++ b/internal/job/script_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/tools/txtar"
 	"gotest.tools/v3/assert"
 
+	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/scripttest"
 )
 
@@ -108,6 +109,11 @@
 		assert.Equal(t, j.Cancel(), yes(1), where)
 	case "state":
 		assert.Equal(t, j.State().String(), words[1], where)
+	case "crash":
+		blame := map[string]crash.Blame{"cleared": crash.Cleared, "possible": crash.Possible, "likely": crash.Likely}[words[3]]
+		assert.Equal(t, j.Crashed(task(), number(2), crash.NewFinding(blame, words[4] == "alone")), yes(5), where)
+	case "outlived":
+		assert.Equal(t, j.Outlived(task(), number(2), time.Duration(number(3))*time.Millisecond), yes(4), where)
 	case "open":
 		assert.Equal(t, j.Open(number(1), number(2)), yes(3), where)
 	case "phase":
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"github.com/saffronpulley/saffronpulley/internal/crash"
 )
 
 // TaskID names a task: its job, which of the job's times, its step, and its number in the step.
@@ -100,6 +102,9 @@
 	failures   int
 	host       Host
 	checkpoint string
+	// suspicion is what is held against the task for crashes of workers, judged the latest run for which that was counted.
+	suspicion crash.Suspicion
+	judged    int
 }
 
 // Phase returns where the task stands.
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -36,6 +36,8 @@
 	Figure     int    `json:"f,omitempty"`
 	Pace       int    `json:"a,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
+	// Fresh says that the run has not outlived its start yet.
+	Fresh bool `json:"y,omitempty"`
 }
 
 // Ended is a run that ended on a worker.
@@ -52,6 +54,23 @@
 	Refusal int `json:"w"`
 }
 
+// Crash tells of a life of the worker that is over without notice.
+type Crash struct {
+	// Number counts the crashes that an agent tells of.
+	Number   uint64 `json:"n"`
+	Instance string `json:"instance"`
+	// Runs are those that it had or may have had.
+	Runs []CrashedRun `json:"runs"`
+}
+
+// CrashedRun is a run under which a worker crashed, or may have.
+type CrashedRun struct {
+	Run
+	// Answered says that the worker surely had the run, AgeMillis for how long it was seen to have it.
+	Answered  bool  `json:"a,omitempty"`
+	AgeMillis int64 `json:"g,omitempty"`
+}
+
 // Report tells the lead what an agent and its worker have.
 type Report struct {
 	VM    string `json:"vm"`
@@ -78,6 +97,8 @@
 	Rejected []Rejected `json:"rejected,omitempty"`
 	// Unknown names runs of which the agent has no profile.
 	Unknown []Run `json:"unknown,omitempty"`
+	// Crashes are the lives that ended without notice; each is told until a lead has committed what follows from it.
+	Crashes []Crash `json:"crashes,omitempty"`
 }
 
 // ReportAnswer is the lead's answer to a report.
@@ -87,6 +108,8 @@
 	PermissionMillis int64 `json:"permission_ms"`
 	// Seen is up to which number the ends are committed.
 	Seen uint64 `json:"seen"`
+	// Crashes is up to which number what follows from crashes is committed.
+	Crashes uint64 `json:"crashes,omitempty"`
 	// Doubtful says that the lead has not confirmed for a while that it leads.
 	Doubtful bool      `json:"doubtful,omitempty"`
 	Entries  []string  `json:"entries,omitempty"`
--- a/internal/plan/group.go
+++ b/internal/plan/group.go
@@ -21,6 +21,8 @@
 	Avoid map[job.Host]bool
 	// Tickets are the workers that may run the step at all, with what a start there brings; nil where all may.
 	Tickets map[job.Host]string
+	// Suspect is how much is held against the tasks for crashes of workers, 0 where they may start beside others.
+	Suspect int
 	// Starved says that nothing of the job runs; then one task is placed even where it presses on what serves.
 	Starved bool
 	// Priority 0 goes first. Slack is the time left before the objective is missed if all goes well from now on,
@@ -75,6 +77,7 @@
 
 func before(a, b *Group) int {
 	return cmp.Or(
+		cmp.Compare(b.Suspect, a.Suspect),
 		cmp.Compare(a.urgency(), b.urgency()),
 		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.order(), b.order()),
@@ -92,6 +95,7 @@
 		w.Trials++
 	}
 	g.Held[w.Host]--
+	w.unprove(g)
 }
 
 func (g *Group) take(w *Worker, index, run int) Placement {
@@ -100,6 +104,7 @@
 		w.Trials--
 	}
 	g.Held[w.Host]++
+	w.prove(g)
 	id := job.TaskID{Job: g.Job.ID(), Time: g.Time, Step: g.Number, Index: index}
-	return Placement{Task: id, Step: g.Step, Host: w.Host, Run: run}
+	return Placement{Task: id, Step: g.Step, Host: w.Host, Run: run, Suspect: g.Suspect > 0}
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -13,6 +13,8 @@
 	Step *job.Step
 	Host job.Host
 	Run  int
+	// Suspect says that the task is to outlive its start there alone.
+	Suspect bool
 }
 
 // Planner is one plan under way; it takes its choices into account.
@@ -32,6 +34,7 @@
 func New(workers []*Worker, weights Pressure) *Planner {
 	p := &Planner{workers: workers, pressure: weights, full: make(map[kind]job.Size)}
 	for _, w := range workers {
+		w.prover = nil
 		for _, image := range slices.Sorted(maps.Keys(w.Fills)) {
 			w.burden(image, w.Fills[image], weights)
 		}
@@ -98,7 +101,7 @@
 // plainFill reports whether only the size and the image of the group's tasks decide where they may go.
 func (g *Group) plainFill() bool {
 	s := g.Step
-	return s.Fills && !g.Starved && g.Tickets == nil && s.Requires == "" && s.AntiAffinity == 0
+	return s.Fills && !g.Starved && g.Suspect == 0 && g.Tickets == nil && s.Requires == "" && s.AntiAffinity == 0
 }
 
 // take places a task of the group on a worker.
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -34,6 +34,13 @@
 	Closed bool
 	// Pressed says that a task here has been over its target for so long that nothing that fills may be added.
 	Pressed bool
+	// Unproven counts the runs here that have not outlived their start yet. Reserved says that one of them is of a suspect,
+	// beside which nothing may start, Kept that the next to start here is to be a suspect.
+	Unproven int
+	Reserved bool
+	Kept     bool
+	// prover is the group of suspects of which this plan has placed a task here.
+	prover *Group
 	// Served are the tasks that serve here, Fills what is asked by those that fill, in shares of the worker by image.
 	Served []Served
 	Fills  map[string]float64
@@ -110,6 +117,8 @@
 		return false
 	case !w.Open || w.Closed || w.Trials == 0 || w.Service != g.Service:
 		return false
+	case !w.mayProve(g):
+		return false
 	case step.Requires != "" && !slices.Contains(w.Labels, step.Requires):
 		return false
 	case step.Fills && w.Pressed:
--- a/internal/runner/begun_test.go
+++ b/internal/runner/begun_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
 // TestRunsThatALifeMayHaveHad: what the worker accepted or listed, and what was asked for of late; not what ended.
@@ -46,3 +48,68 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// crashedUnder returns what a report tells of crashes.
+func crashedUnder(r *Runner) []link.Crash {
+	report, _ := r.compose()
+	return report.Crashes
+}
+
+// TestCrashIsToldUntilALeadHasCommittedIt, also to the next lead.
+func TestCrashIsToldUntilALeadHasCommittedIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{there: "i-1", start: accept}
+		r := newTest(worker)
+		held(t, r)
+		_, err := r.takeOrders(t.Context(), nil, startOrders())
+		assert.NilError(t, err)
+		synctest.Wait()
+		worker.revive("i-2")
+		r.Heard(host.Report{Instance: "i-2", Sequence: 1})
+		time.Sleep(time.Second)
+		told := crashedUnder(r)
+		assert.Equal(t, len(told), 1)
+		assert.Equal(t, told[0].Instance, "i-1")
+		assert.DeepEqual(t, told[0].Runs, []link.CrashedRun{{Run: wireRun(testRun(1)), Answered: true}})
+		assert.NilError(t, r.adopt(nil, record.Lead{Epoch: 4}))
+		assert.Equal(t, len(crashedUnder(r)), 1, "the next lead is told as well")
+		r.crashes.committed(told[0].Number - 1)
+		assert.Equal(t, len(crashedUnder(r)), 1)
+		r.crashes.committed(told[0].Number)
+		assert.Equal(t, len(crashedUnder(r)), 0)
+	})
+}
+
+// TestPlannedEndOfALifeIsNoCrash: the worker had said that it leaves, or took its leave.
+func TestPlannedEndOfALifeIsNoCrash(t *testing.T) {
+	for name, leave := range map[string]func(*Runner){
+		"draining": func(r *Runner) { r.Heard(host.Report{Instance: "i-1", Sequence: 2, Draining: true}) },
+		"left":     func(r *Runner) { r.Left("i-1") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &fakeWorker{there: "i-1", start: accept}
+				r := newTest(worker)
+				held(t, r)
+				_, err := r.takeOrders(t.Context(), nil, startOrders())
+				assert.NilError(t, err)
+				synctest.Wait()
+				leave(r)
+				worker.revive("i-2")
+				r.Heard(host.Report{Instance: "i-2", Sequence: 1})
+				time.Sleep(time.Second)
+				assert.Equal(t, len(crashedUnder(r)), 0)
+			})
+		})
+	}
+}
+
+// TestCrashesThatNoLeadHearsOfAreBounded: the latest are kept.
+func TestCrashesThatNoLeadHearsOfAreBounded(t *testing.T) {
+	var c crashes
+	for range 3 * mostCrashes {
+		c.add(link.Crash{})
+	}
+	assert.Equal(t, len(c.untold), mostCrashes)
+	assert.Equal(t, c.untold[mostCrashes-1].Number, uint64(3*mostCrashes))
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -54,6 +54,7 @@
 	hall      hallState
 	life      *life
 	lives     lives
+	crashes   crashes
 }
 
 // New returns an agent that knows neither its worker nor its lead.
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
@@ -124,6 +125,7 @@
 		return false, fault.New(fault.Stale, "the lead has epoch %d, not %d", answer.Epoch, r.epoch)
 	}
 	r.hall.learn(answer.Hall, sent)
+	r.crashes.committed(answer.Crashes)
 	if l != nil && l == r.life && !r.permitted.IsZero() && sent.After(r.permitted) {
 		r.forsake(l)
 	}
@@ -176,7 +178,7 @@
 func (r *Runner) compose() (link.Report, *life) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	report := link.Report{VM: r.config.VM, Hall: r.config.Hall, Epoch: r.epoch}
+	report := link.Report{VM: r.config.VM, Hall: r.config.Hall, Epoch: r.epoch, Crashes: slices.Clone(r.crashes.untold)}
 	l := r.life
 	if l == nil {
 		return report, nil
@@ -208,7 +210,7 @@
 		}
 		report.Running = append(report.Running, link.Running{
 			Run: wireRun(running.Run), Percent: running.Percent, Figure: running.Figure,
-			Pace: l.paceOf(running.Run), Checkpoint: running.Checkpoint,
+			Pace: l.paceOf(running.Run), Checkpoint: running.Checkpoint, Fresh: l.begun.fresh(running.Run),
 		})
 	}
 	for run, o := range l.orders {
