--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -104,6 +104,12 @@
 				w.Pressed = true
 			case "closed":
 				w.Open = false
+			case "unproven":
+				w.Unproven = int(decimal(t, value))
+			case "reserved":
+				w.Unproven, w.Reserved = 1, true
+			case "kept":
+				w.Kept = true
 			case "trials":
 				w.Trials = int(decimal(t, value))
 			default:
@@ -160,6 +166,8 @@
 				g.Priority = int(decimal(t, value))
 			case "starved":
 				g.Starved = true
+			case "suspect":
+				g.Suspect = int(decimal(t, value))
 			default:
 				t.Fatalf("%s: what is %s?", line, name)
 			}
--- a/proving/cmd/soak/main.go
+++ b/proving/cmd/soak/main.go
@@ -38,6 +38,7 @@
 	onPlatform.Flag("for", "How long failures come for each seed.").Default("20s").DurationVar(&p.length)
 	onPlatform.Flag("entries", "How many entries.").Default("3").IntVar(&p.entries)
 	onPlatform.Flag("agents", "How many agents with their workers.").Default("6").IntVar(&p.agents)
+	onPlatform.Flag("crashes", "Let some jobs crash the workers that start them.").Default("true").BoolVar(&p.crashes)
 	onPlatform.Flag("keep", "Where the logs of seeds that fail are kept.").Default("out/soak").StringVar(&p.keep)
 	run := p.run
 	if kingpin.MustParse(app.Parse(os.Args[1:])) == own.FullCommand() {
--- a/proving/cmd/soak/platform.go
+++ b/proving/cmd/soak/platform.go
@@ -17,6 +17,7 @@
 	first, seeds    uint64
 	length          time.Duration
 	entries, agents int
+	crashes         bool
 	keep            string
 }
 
@@ -57,8 +58,10 @@
 	say := func(format string, args ...any) {
 		fmt.Fprintf(faults, "%s "+format+"\n", append([]any{time.Now().UTC().Format(time.RFC3339Nano)}, args...)...)
 	}
-	err = f.Play(fleet.Soak{Seed: seed, Length: p.length, JobEvery: jobEvery, Say: say})
-	fmt.Printf("seed %d: %s\n", seed, f.Books().Counts())
+	err = f.Play(fleet.Soak{Seed: seed, Length: p.length, JobEvery: jobEvery, Crashes: p.crashes, Say: say})
+	rightly, wrongly := f.Books().GivenUp()
+	fmt.Printf("seed %d: %s; %d workers crashed by tasks, %d jobs given up that do so, %d others\n",
+		seed, f.Books().Counts(), f.Books().Crashes(), rightly, wrongly)
 	if err == nil {
 		return os.RemoveAll(dir)
 	}
--- a/proving/fleet/caller.go
+++ b/proving/fleet/caller.go
@@ -19,6 +19,9 @@
 	random *rand.Rand
 	client *fasthttp.Client
 
+	// Crashes lets some of the jobs crash their workers.
+	Crashes bool
+
 	mu   sync.Mutex
 	jobs map[job.ID]job.Spec
 	next int
@@ -30,8 +33,9 @@
 	// retryAfter is how long a caller waits before it sends a job again, mostAttempts how often it sends or cancels one.
 	retryAfter   = 500 * time.Millisecond
 	mostAttempts = 12
-	// cancelOneOf says of how many jobs one is canceled.
+	// cancelOneOf says of how many jobs one is canceled, crashOneOf of how many one crashes its workers, where any do.
 	cancelOneOf = 20
+	crashOneOf  = 25
 )
 
 // NewCaller returns a caller whose choices follow a seed.
@@ -53,7 +57,11 @@
 			calls.Wait()
 			return
 		case <-ticker.C:
-			id := c.submit(c.draw())
+			spec := c.draw()
+			if c.Crashes && c.submitted()%crashOneOf == 0 {
+				spec.Text = crashing + " " + spec.Text
+			}
+			id := c.submit(spec)
 			cancel := c.pick(cancelOneOf) == 0
 			calls.Go(func() { c.settle(id, cancel, stop) })
 		}
@@ -106,6 +114,13 @@
 	return spec
 }
 
+// submitted returns how many jobs were handed in.
+func (c *Caller) submitted() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next
+}
+
 // submit notes a job that will be handed in and returns its name.
 func (c *Caller) submit(spec job.Spec) job.ID {
 	c.mu.Lock()
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -13,6 +13,8 @@
 	// Length is how long faults come, JobEvery how often a job is handed in.
 	Length   time.Duration
 	JobEvery time.Duration
+	// Crashes lets some of the jobs crash their workers.
+	Crashes bool
 	// Say tells of each fault as it begins.
 	Say func(format string, args ...any)
 }
@@ -34,6 +36,7 @@
 // Play plays faults in series, which overlap, and returns what was broken.
 func (f *Fleet) Play(s Soak) error {
 	caller, stop := NewCaller(f, s.Seed), make(chan struct{})
+	caller.Crashes = s.Crashes
 	var calls sync.WaitGroup
 	calls.Go(func() { caller.Play(s.JobEvery, stop) })
 	calls.Go(func() { f.closeHalls(s, stop) })
