Bounds on which safety rests run on while a VM is suspended

A permission, the proof that a lead leads, and what was told or confirmed of closed halls are points on the clock that counts suspensions; by the steady clock a process that woke held its worker, permitted and started by old word, for as long again as it had been suspended.

--- /dev/null
+++ b/internal/boottime/boottime_test.go
@@ -0,0 +1,25 @@
+package boottime
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSystemGoesOn(t *testing.T) {
+	first := System{}.Now()
+	assert.Assert(t, !first.IsZero())
+	<-time.After(2 * time.Millisecond)
+	later := System{}.Now()
+	assert.Assert(t, later.After(first))
+	assert.Assert(t, later.Sub(first) >= time.Millisecond)
+	assert.Equal(t, first.Add(later.Sub(first)), later)
+}
+
+// BenchmarkNow: 274 ns on a developer's machine, a call to the kernel; an agent asks some ten times a second.
+func BenchmarkNow(b *testing.B) {
+	for b.Loop() {
+		System{}.Now()
+	}
+}
--- /dev/null
+++ b/internal/boottimetest/doc.go
@@ -0,0 +1,2 @@
+// Package boottimetest is a clock for tests of what happens when a VM was suspended.
+package boottimetest
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottimetest"
 	"github.com/saffronpulley/saffronpulley/internal/hall"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
@@ -94,7 +95,7 @@
 
 // openHalls returns closures that are confirmed for longer than a benchmark runs.
 func openHalls(store *kvtest.Store) *hall.Closures {
-	closures := hall.New(store, testClosures, time.Hour, logging.Discard())
+	closures := hall.New(store, testClosures, time.Hour, &boottimetest.Clock{}, logging.Discard())
 	if _, err := store.Commit(context.Background(), kv.Txn{}); err != nil {
 		panic(err)
 	}
--- a/internal/dispatch/campaign.go
+++ b/internal/dispatch/campaign.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	asked := time.Now()
+	began := t.now()
 	revision, err := t.store.Commit(ctx, change)
 	if fault.Is(err, fault.OutcomeUnknown) {
 		revision, err = t.landed(ctx, 0)
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	t.chain, t.verified = revision, asked
+	t.chain, t.verified = revision, began
 	return nil
 }
 
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/record"
@@ -55,7 +56,7 @@
 	pause := retryFirst
 	patience := t.patience.First()
 	for {
-		asked := time.Now()
+		asked, began := time.Now(), t.now()
 		revision, err := t.commitOnce(ctx, b.change, patience)
 		if fault.Is(err, fault.Conflict) {
 			revision, err = t.landed(ctx, t.commits+1)
@@ -64,7 +65,7 @@
 		t.tellEntries()
 		if err == nil {
 			t.patience.Answered(time.Since(asked))
-			t.committedBatch(b, revision, asked)
+			t.committedBatch(b, revision, began)
 			return nil
 		}
 		if fault.Is(err, fault.Stale) || ctx.Err() != nil {
@@ -99,10 +100,10 @@
 }
 
 // committedBatch takes note of what the store has now.
-func (t *term) committedBatch(b *batch, revision kv.Revision, asked time.Time) {
+func (t *term) committedBatch(b *batch, revision kv.Revision, began boottime.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.chain, t.verified = revision, asked
+	t.chain, t.verified = revision, began
 	t.commits++
 	if b.relock {
 		t.relock = false
@@ -142,12 +143,12 @@
 // prove confirms that the term still stands where no commit did of late.
 func (t *term) prove(ctx context.Context) error {
 	t.mu.Lock()
-	chain, verified := t.chain, t.verified
+	chain, age := t.chain, t.age()
 	t.mu.Unlock()
-	if time.Since(verified) < proveEvery {
+	if age < proveEvery {
 		return nil
 	}
-	asked := time.Now()
+	began := t.now()
 	item, err := t.store.Get(ctx, record.ChainKey)
 	if err != nil {
 		t.logger.Warn("the lead could not be confirmed: %v", err)
@@ -158,6 +159,6 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.verified = asked
+	t.verified = began
 	return nil
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/hall"
@@ -46,6 +47,8 @@
 	Metrics  *metric.Registry
 	// Advisor knows the workers of advised queues; nil where the platform has none.
 	Advisor Advisor
+	// Uptime is the clock of what the lead permits, which counts suspensions.
+	Uptime boottime.Clock
 }
 
 // Dispatcher leads whenever its process holds the lead.
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottimetest"
 	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/hall"
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -31,9 +32,10 @@
 
 // entryOf returns an entry that may lead.
 func entryOf(name string, store kv.Store) *Dispatcher {
+	clock := &boottimetest.Clock{}
 	return New(Config{
-		Node: name, Boot: name, Address: name, Strength: 1, Store: store, Health: &kv.Health{}, Policies: noPolicies{},
-		Closures: hall.New(store, testClosures, testClosedWithin, logging.Discard()),
+		Uptime: clock, Node: name, Boot: name, Address: name, Strength: 1, Store: store, Health: &kv.Health{}, Policies: noPolicies{},
+		Closures: hall.New(store, testClosures, testClosedWithin, clock, logging.Discard()),
 		Logger:   logging.Discard(), Metrics: metric.New(),
 		Lead: follow.New(store, record.LeadKey, record.DecodeLead, logging.Discard()),
 	})
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -60,7 +60,7 @@
 			a.seen = max(a.seen, e.Sequence)
 		}
 	}
-	age := time.Since(t.verified)
+	age := t.age()
 	answer.Seen = a.seen
 	answer.PermissionMillis = min(permission, max(trust-age, 0)).Milliseconds()
 	answer.Doubtful = age > doubtAfter
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -27,7 +27,7 @@
 		later, err := next.stand(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, later.epoch, earlier.epoch+1)
-		earlier.verified = time.Time{}
+		earlier.verified = 0
 		assert.Assert(t, fault.Is(earlier.prove(t.Context()), fault.Stale))
 	})
 }
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/hall"
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -64,10 +65,11 @@
 	toldAway bool
 
 	// mu guards the lease and all below; no answer is waited for while it is held.
-	mu       sync.Mutex
-	chain    kv.Revision
-	commits  uint64
-	verified time.Time
+	mu      sync.Mutex
+	chain   kv.Revision
+	commits uint64
+	// verified is when the lead last asked for what proved that it leads.
+	verified boottime.Instant
 	jobs     map[job.ID]*tracked
 	hosts    map[job.Host]*hosted
 	agents   map[string]*agent
@@ -190,6 +192,13 @@
 	}
 }
 
+// now returns the instant by which permissions are given.
+func (t *term) now() boottime.Instant { return t.d.config.Uptime.Now() }
+
+// age returns how old the last proof is that the term leads; a lead that was suspended has to prove it anew before it permits
+// anything.
+func (t *term) age() time.Duration { return t.now().Sub(t.verified) }
+
 func (t *term) wakeUp() { wait.Wake(t.wake) }
 
 // work plans and commits whenever something changed. Under load there is always something to commit: a plan waits for one
--- a/internal/follow/prefix.go
+++ b/internal/follow/prefix.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
@@ -29,6 +30,8 @@
 	// At is the revision up to which this holds, Asked when the call was made.
 	At    kv.Revision
 	Asked time.Time
+	// Began is when the call was made by the clock of the prefix, zero where it has none.
+	Began boottime.Instant
 }
 
 // Prefix follows all keys under a prefix of the store.
@@ -38,6 +41,7 @@
 	timing Timing
 	take   func(Change) error
 	logger logging.Logger
+	clock  boottime.Clock
 }
 
 // NewPrefix returns what hands all changes under a prefix to take; what take fails for is read again.
@@ -45,6 +49,12 @@
 	return &Prefix{store: store, prefix: prefix, timing: timing, take: take, logger: logger}
 }
 
+// Timed sets the clock by which changes tell when they were asked for, and returns the prefix.
+func (p *Prefix) Timed(clock boottime.Clock) *Prefix {
+	p.clock = clock
+	return p
+}
+
 // Run follows the prefix after a revision until ctx ends; revision 0 stands for none that is known.
 func (p *Prefix) Run(ctx context.Context, after kv.Revision) {
 	pause := retryFirst
@@ -71,6 +81,9 @@
 // Next reads all keys where no revision is known, else waits for the next change, and returns the revision to go on from.
 func (p *Prefix) Next(ctx context.Context, after kv.Revision) (kv.Revision, error) {
 	change := Change{Whole: after == 0, Asked: time.Now()}
+	if p.clock != nil {
+		change.Began = p.clock.Now()
+	}
 	var err error
 	if change.Whole {
 		change.Events, change.At, err = p.all(ctx)
--- a/internal/hall/closures.go
+++ b/internal/hall/closures.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
@@ -46,16 +47,20 @@
 	prefix string
 	stale  time.Duration
 	logger logging.Logger
+	clock  boottime.Clock
 
-	mu        sync.Mutex
-	since     map[string]time.Time
-	revision  kv.Revision
-	confirmed time.Time
+	mu       sync.Mutex
+	since    map[string]time.Time
+	revision kv.Revision
+	// confirmed is when the store was last asked for what is known; it grows old while the VM is suspended.
+	confirmed boottime.Instant
 }
 
 // New returns the closures under a prefix, of which nothing is known yet; each has to be in force within a time.
-func New(store kv.Store, prefix string, within time.Duration, logger logging.Logger) *Closures {
-	return &Closures{store: store, prefix: prefix, stale: StaleAfter(within), logger: logger, since: make(map[string]time.Time)}
+func New(store kv.Store, prefix string, within time.Duration, clock boottime.Clock, logger logging.Logger) *Closures {
+	return &Closures{
+		store: store, prefix: prefix, stale: StaleAfter(within), clock: clock, logger: logger, since: make(map[string]time.Time),
+	}
 }
 
 // Load reads the closures as of now.
@@ -79,7 +84,7 @@
 		}
 		return nil
 	}
-	return follow.NewPrefix(c.store, c.prefix, timingOf(c.stale), take, c.logger)
+	return follow.NewPrefix(c.store, c.prefix, timingOf(c.stale), take, c.logger).Timed(c.clock)
 }
 
 // Status returns whether a hall is closed.
@@ -101,7 +106,7 @@
 func (c *Closures) Stale() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Since(c.confirmed) > c.stale
+	return c.clock.Now().Sub(c.confirmed) > c.stale
 }
 
 // apply takes a change and reports whether a hall was closed or opened by it.
@@ -113,8 +118,8 @@
 		return false
 	}
 	c.revision = change.At
-	if change.Asked.After(c.confirmed) {
-		c.confirmed = change.Asked
+	if change.Began.After(c.confirmed) {
+		c.confirmed = change.Began
 	}
 	named := make(map[string]bool, len(change.Events))
 	changed := false
--- a/internal/hall/closures_test.go
+++ b/internal/hall/closures_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottimetest"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
@@ -42,7 +43,7 @@
 		store := kvtest.New()
 		change(t, store, closing("north"))
 		change(t, store, kv.Txn{Puts: []kv.Put{{Key: testPrefix}, {Key: "closing"}}})
-		c := New(store, testPrefix, testWithin, logging.Discard())
+		c := New(store, testPrefix, testWithin, &boottimetest.Clock{}, logging.Discard())
 		assert.Assert(t, c.Stale(), "nothing was read yet")
 		assert.NilError(t, c.Load(t.Context()))
 		assert.Assert(t, c.Status("north").Closed, "it lay there before, with an odd value")
@@ -98,7 +99,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &silentOnce{Store: kvtest.New()}
 		change(t, store.Store, closing("north"))
-		c := New(store, testPrefix, testWithin, logging.Discard())
+		c := New(store, testPrefix, testWithin, &boottimetest.Clock{}, logging.Discard())
 		assert.NilError(t, c.Load(t.Context()))
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
@@ -115,9 +116,24 @@
 }
 
 func TestWhatWasOvertakenIsLeft(t *testing.T) {
-	c := New(kvtest.New(), testPrefix, testWithin, logging.Discard())
+	c := New(kvtest.New(), testPrefix, testWithin, &boottimetest.Clock{}, logging.Discard())
 	closed := kv.NewEvent(kv.NewItem(testPrefix+"north", nil, 7), false)
 	assert.Assert(t, c.apply(follow.Change{Events: []kv.Event{closed}, Whole: true, At: 7, Asked: time.Now()}))
 	assert.Assert(t, !c.apply(follow.Change{Whole: true, At: 6, Asked: time.Now()}))
 	assert.Equal(t, c.Status("north"), Status{Closed: true, Revision: 7})
 }
+
+// TestWhatWasConfirmedBeforeASuspensionIsStale: a hall may have been closed meanwhile.
+func TestWhatWasConfirmedBeforeASuspensionIsStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock, store := &boottimetest.Clock{}, kvtest.New()
+		change(t, store, closing("north"))
+		c := New(store, testPrefix, testWithin, clock, logging.Discard())
+		assert.NilError(t, c.Load(t.Context()))
+		assert.Assert(t, !c.Stale())
+		clock.Suspend(StaleAfter(testWithin) + time.Millisecond)
+		assert.Assert(t, c.Stale())
+		assert.NilError(t, c.Load(t.Context()))
+		assert.Assert(t, !c.Stale())
+	})
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/saffronpulley/saffronpulley/internal/admin"
+	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/dispatch"
 	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/hall"
@@ -49,7 +50,8 @@
 	e.dispatcher = dispatch.New(dispatch.Config{
 		Advisor: advisor,
 		Node:    p.settings.ID(), Boot: p.boot, Address: p.settings.PeerAddress(), Strength: p.settings.Strength(),
-		Closures: hall.New(p.store, platform.ClosuresPrefix, p.settings.ClosedWithin(), p.logger.Part("closures")),
+		Closures: hall.New(p.store, platform.ClosuresPrefix, p.settings.ClosedWithin(), boottime.System{}, p.logger.Part("closures")),
+		Uptime:   boottime.System{},
 		Store:    p.store, Health: p.health, Lead: e.lead, Policies: e.policies, Logger: p.logger.Part("dispatch"), Metrics: p.metrics,
 	})
 	e.dispatcher.Register(p.mux)
--- a/internal/runner/hall.go
+++ b/internal/runner/hall.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/hall"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
@@ -11,12 +12,12 @@
 type hallState struct {
 	latest link.Hall
 	// told is up to when the lead surely had told of all that it knew, followed when the connection to it began.
-	told     time.Time
-	followed time.Time
+	told     boottime.Instant
+	followed boottime.Instant
 }
 
 // learn takes what the lead told at a time, or later.
-func (h *hallState) learn(told link.Hall, at time.Time) {
+func (h *hallState) learn(told link.Hall, at boottime.Instant) {
 	if told.Revision >= h.latest.Revision {
 		h.latest = told
 	}
@@ -26,6 +27,6 @@
 }
 
 // mayStart reports whether something may start in the hall: it is open, and was so not long before.
-func (h *hallState) mayStart(within time.Duration) bool {
-	return !h.latest.Closed && time.Since(h.told) <= hall.StaleAfter(within)
+func (h *hallState) mayStart(now boottime.Instant, within time.Duration) bool {
+	return !h.latest.Closed && now.Sub(h.told) <= hall.StaleAfter(within)
 }
--- a/internal/runner/hall_test.go
+++ b/internal/runner/hall_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottimetest"
 	"github.com/saffronpulley/saffronpulley/internal/hall"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
@@ -17,7 +18,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		worker := &fakeWorker{start: accept}
 		r := newTest(worker)
-		r.hall.learn(link.Hall{Closed: true, Revision: 9}, time.Now())
+		r.hall.learn(link.Hall{Closed: true, Revision: 9}, r.config.Uptime.Now())
 		_, err := r.takeOrders(context.Background(), nil, startOrders())
 		assert.NilError(t, err)
 		synctest.Wait()
@@ -41,7 +42,7 @@
 		assert.NilError(t, err)
 		synctest.Wait()
 		r.mu.Lock()
-		r.hall.learn(link.Hall{Closed: true, Revision: 9}, time.Now())
+		r.hall.learn(link.Hall{Closed: true, Revision: 9}, r.config.Uptime.Now())
 		r.mu.Unlock()
 		time.Sleep(10 * orderPause)
 		assert.Equal(t, len(worker.started()), 1)
@@ -65,7 +66,7 @@
 // TestOlderWordOfAHallIsLeft is an answer that newer orders have overtaken.
 func TestOlderWordOfAHallIsLeft(t *testing.T) {
 	var h hallState
-	now := time.Now()
+	now := (&boottimetest.Clock{}).Now()
 	h.learn(link.Hall{Closed: true, Revision: 9}, now)
 	h.learn(link.Hall{Revision: 8}, now)
 	assert.Assert(t, h.latest.Closed)
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -99,21 +99,19 @@
 // until returns up to when the worker's runs may go on, on its clock, and notes the same on this one. A worker that does
 // not answer is not renewed, so that the end of its runs comes into sight.
 func (r *Runner) until(l *life) host.Clock {
-	now := time.Now()
 	if l.silent {
 		return 0
 	}
-	end := now.Add(holdTime)
-	if r.permitted.Before(end) {
-		end = r.permitted
-	}
-	if !end.After(now) {
+	left := min(holdTime, r.permitted.Sub(r.config.Uptime.Now()))
+	if left <= 0 {
 		return 0
 	}
+	end := time.Now().Add(left)
 	if end.After(l.until) {
 		l.until = end
 	}
-	// The worker's clock shows at least this at end, however slowly it runs, so that its runs are over by then.
+	// The worker's clock shows at least this at end, however slowly it runs, so that its runs are over by then. Since it was
+	// read the steady clock went on; a suspension is left out, in which the worker's may have stood still as well.
 	return l.clock + host.Clock(clockRate*float64(end.Sub(l.read)))
 }
 
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -144,7 +144,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	until := r.until(l)
-	if l.report.Draining || !r.hall.mayStart(r.config.ClosedWithin) {
+	if l.report.Draining || !r.hall.mayStart(r.config.Uptime.Now(), r.config.ClosedWithin) {
 		until = 0
 	}
 	counts := r.current(l, run, o)
--- a/internal/runner/patience_test.go
+++ b/internal/runner/patience_test.go
@@ -51,7 +51,7 @@
 		late := 0
 		for n := range jobs {
 			r.mu.Lock()
-			r.permitted, r.hall.told = time.Now().Add(5*time.Second), time.Now()
+			r.permitted, r.hall.told = r.config.Uptime.Now().Add(5*time.Second), r.config.Uptime.Now()
 			r.mu.Unlock()
 			began := time.Now()
 			id := job.ID([]byte{'a' + byte(n/26), 'a' + byte(n%26)})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
@@ -27,9 +28,11 @@
 	Store        *relay.Store
 	Pool         *relay.Pool
 	Clock        *timeline.Clock
-	Secret       string
-	Logger       logging.Logger
-	Metrics      *metric.Registry
+	// Uptime is the clock of what the agent was permitted and told, which counts suspensions.
+	Uptime  boottime.Clock
+	Secret  string
+	Logger  logging.Logger
+	Metrics *metric.Registry
 }
 
 // Runner is the agent of one worker.
@@ -47,10 +50,11 @@
 	patience *wait.Patience
 
 	// mu guards all below; no call is made while it is held.
-	mu        sync.Mutex
-	epoch     uint64
-	session   *rpc.Peer
-	permitted time.Time
+	mu      sync.Mutex
+	epoch   uint64
+	session *rpc.Peer
+	// permitted is until when the worker may go on and be given work.
+	permitted boottime.Instant
 	hall      hallState
 	life      *life
 	lives     lives
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottimetest"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -77,11 +78,11 @@
 
 // newTest returns an agent that follows epoch 3 and has a worker's life, permitted for 5 seconds.
 func newTest(worker *fakeWorker) *Runner {
-	r := New(Config{VM: "vm", ClosedWithin: testClosedWithin, Worker: worker, Logger: logging.Discard(), Clock: timeline.NewClock(time.Now)})
+	r := New(Config{VM: "vm", ClosedWithin: testClosedWithin, Worker: worker, Logger: logging.Discard(), Clock: timeline.NewClock(time.Now), Uptime: &boottimetest.Clock{}})
 	r.Heard(host.Report{Instance: "i-1", Service: "s", Capacity: job.Size{CPU: 4000, Memory: 1000}, Sequence: 1})
 	r.epoch = 3
-	r.permitted = time.Now().Add(5 * time.Second)
-	r.hall.told = time.Now()
+	r.permitted = r.config.Uptime.Now().Add(5 * time.Second)
+	r.hall.told = r.config.Uptime.Now()
 	return r
 }
 
@@ -199,12 +200,12 @@
 		r := newTest(&fakeWorker{start: accept})
 		l := r.life
 		l.clock, l.read = host.Clock(100*time.Second), time.Now()
-		r.permitted = time.Now().Add(2 * time.Second)
+		r.permitted = r.config.Uptime.Now().Add(2 * time.Second)
 		// A worker's clock that is 2 % slow shows this after two seconds.
 		assert.Equal(t, time.Duration(r.until(l)), 100*time.Second+1960*time.Millisecond)
-		r.permitted = time.Now().Add(time.Minute)
+		r.permitted = r.config.Uptime.Now().Add(time.Minute)
 		assert.Equal(t, time.Duration(r.until(l)), 100*time.Second+time.Duration(clockRate*float64(holdTime)))
-		r.permitted = time.Now()
+		r.permitted = r.config.Uptime.Now()
 		assert.Equal(t, r.until(l), host.Clock(0))
 	})
 }
--- /dev/null
+++ b/internal/runner/suspended_test.go
@@ -0,0 +1,70 @@
+package runner
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/boottimetest"
+	"github.com/saffronpulley/saffronpulley/internal/hall"
+	"github.com/saffronpulley/saffronpulley/internal/host"
+)
+
+// suspend lets the VM of an agent have been suspended for a time.
+func suspend(t *testing.T, r *Runner, d time.Duration) {
+	t.Helper()
+	clock, ok := r.config.Uptime.(*boottimetest.Clock)
+	assert.Assert(t, ok)
+	clock.Suspend(d)
+}
+
+// TestSuspendedAgentHoldsNoLongerThanPermitted: a lead gives runs up once a permission of 5 s is over, and places them
+// elsewhere. By the steady clock an agent that wakes would hold its worker for as long again as it was suspended.
+func TestSuspendedAgentHoldsNoLongerThanPermitted(t *testing.T) {
+	for _, d := range []time.Duration{time.Second, 4 * time.Second, 5 * time.Second, 20 * time.Second} {
+		t.Run(fmt.Sprint(d), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTest(&fakeWorker{start: accept})
+				suspend(t, r, d)
+				// The worker answers the agent that woke, so that its clock is known as of now.
+				r.held(t.Context(), "i-1", host.Hold{}, host.View{Clock: host.Clock(time.Minute)})
+				left := min(holdTime, 5*time.Second-d)
+				want := host.Clock(0)
+				if left > 0 {
+					want = host.Clock(time.Minute) + host.Clock(clockRate*float64(left))
+				}
+				assert.Equal(t, r.until(r.life), want)
+			})
+		})
+	}
+}
+
+// TestClockReadBeforeASuspensionIsNotTakenAsNewer: the worker may have stood still with its agent.
+func TestClockReadBeforeASuspensionIsNotTakenAsNewer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTest(&fakeWorker{start: accept})
+		r.held(t.Context(), "i-1", host.Hold{}, host.View{Clock: host.Clock(time.Minute)})
+		suspend(t, r, 2*time.Second)
+		assert.Equal(t, r.until(r.life), host.Clock(time.Minute)+host.Clock(clockRate*float64(3*time.Second)))
+	})
+}
+
+// TestAgentThatWokeStartsNothingByOldWord: neither after its permission, nor after what it was told of its hall is stale.
+func TestAgentThatWokeStartsNothingByOldWord(t *testing.T) {
+	for _, d := range []time.Duration{hall.StaleAfter(testClosedWithin) + time.Millisecond, 5 * time.Second, 20 * time.Second} {
+		t.Run(fmt.Sprint(d), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &fakeWorker{start: accept}
+				r := newTest(worker)
+				suspend(t, r, d)
+				_, err := r.takeOrders(t.Context(), nil, startOrders())
+				assert.NilError(t, err)
+				synctest.Wait()
+				assert.Equal(t, len(worker.started()), 0)
+			})
+		})
+	}
+}
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -103,13 +103,13 @@
 		r.life.drop()
 	}
 	r.epoch, r.session = lead.Epoch, session
-	r.hall.followed = time.Now()
+	r.hall.followed = r.config.Uptime.Now()
 	return nil
 }
 
 // tell sends one report and takes the answer.
 func (r *Runner) tell(ctx context.Context, session *rpc.Peer) (bool, error) {
-	sent := time.Now()
+	sent := r.config.Uptime.Now()
 	report, l := r.compose()
 	bounded, cancel := context.WithTimeout(ctx, reportPatience)
 	defer cancel()
