Agents guard the room that their worker says it has now

The lead plans by what it was told last; a room may shrink between that and the start, and a worker that does not guard it was brought over it. The agent weighs each start against the worker's latest figure; what is being stopped counts until its end is listed. A refusal puts the task back at once, a change of the room is told at once.

The test of patience gives its worker more room: it lists no ends, so all its 640 tasks count as there.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -150,7 +150,7 @@
 
 func profileOf(step *job.Step, r link.Run) link.Profile {
 	return link.Profile{
-		Run: r, Image: step.Image, CPU: step.Size.CPU, TargetMillis: step.Target.Milliseconds(),
+		Run: r, Image: step.Image, CPU: step.Size.CPU, Memory: step.Size.Memory, GPU: step.Size.GPU, TargetMillis: step.Target.Milliseconds(),
 		Fills: step.Fills, Lasting: step.Lasting,
 	}
 }
--- a/internal/dispatch/report_test.go
+++ b/internal/dispatch/report_test.go
@@ -131,3 +131,38 @@
 		assert.Equal(t, task.Host().Instance, "i2")
 	})
 }
+
+// TestRoomThatHasShrunkTakesNothingMore: what runs there beyond it stays, and what waits goes there again once it has grown.
+func TestRoomThatHasShrunkTakesNothingMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.New()
+		term := testTerm(t, store)
+		term.jobs["00000000000000aa"].job = job.New("00000000000000aa",
+			job.Spec{Steps: []job.Step{{Count: 3, Size: job.Size{CPU: 400}}}}, job.Queue{Service: testService}, time.Now())
+		a := &fakeAgent{vm: "vm"}
+		placed := func(cpu int, ended ...link.Ended) int {
+			r := reportOf("i1")
+			r.CPU, r.Ended = cpu, ended
+			for id, p := range term.hostRuns("vm", "i1") {
+				r.Running = append(r.Running, link.Running{Run: link.NewRun(id, p.run)})
+			}
+			go func() { _, _ = term.report(mailbox{a}, r) }()
+			synctest.Wait()
+			work(t, term)
+			return len(term.hostRuns("vm", "i1"))
+		}
+		assert.Equal(t, placed(900), 2)
+		assert.Equal(t, placed(300), 2, "both are over the room, and run on")
+		done := link.Ended{Run: link.NewRun(job.TaskID{Job: "00000000000000aa"}, 1), Sequence: 1, End: int(job.EndDone)}
+		assert.Equal(t, placed(700, done), 1, "beside one of them there is no room for the third")
+		assert.Equal(t, placed(900), 2)
+	})
+}
+
+// hostRuns returns what is placed on a life of a worker.
+func (t *term) hostRuns(vm, instance string) map[job.TaskID]*placed {
+	if h := t.hosts[job.Host{VM: vm, Instance: instance}]; h != nil {
+		return h.runs
+	}
+	return nil
+}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -148,6 +148,8 @@
 	Run
 	Image        string `json:"image,omitempty"`
 	CPU          int    `json:"cpu"`
+	Memory       int    `json:"mem,omitempty"`
+	GPU          int    `json:"gpu,omitempty"`
 	TargetMillis int64  `json:"target_ms,omitempty"`
 	Fills        bool   `json:"fills,omitempty"`
 	Lasting      bool   `json:"lasting,omitempty"`
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -84,13 +84,14 @@
 	}
 }
 
-// renew takes a newer report of the life; one that was overtaken is left. Draining is never taken back.
-func (l *life) renew(report host.Report) {
+// renew takes a newer report of the life and reports whether it did; one that was overtaken is left. Draining is never taken back.
+func (l *life) renew(report host.Report) bool {
 	if report.Sequence < l.report.Sequence {
-		return
+		return false
 	}
 	report.Draining = report.Draining || l.report.Draining
 	l.report = report
+	return true
 }
 
 // prune forgets refused orders of which the view shows how their runs ended, and profiles of runs that are no more.
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -61,19 +61,32 @@
 	l.profiles[run] = start.Profile
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &order{start: start, text: text, cancel: cancel}
+	refusal := r.refusalOf(l, run, start)
 	l.orders[run] = o
-	crowded := start.Fills && l.overFor(pacing.LongOver)
-	if crowded {
-		r.logger.Info("start refused beside a task that is over its target; task=%s run=%d", run.Task, run.Number)
-	}
-	if l.report.Draining || crowded {
-		o.refuse(l, run, host.RefusedBusy)
+	if refusal != host.Accepted {
+		o.refuse(l, run, refusal)
 		wait.Wake(r.changed)
 		return
 	}
 	go r.start(ctx, l, run, o)
 }
 
+// refusalOf returns why the agent refuses a start for itself, Accepted where it does not.
+func (r *Runner) refusalOf(l *life, run host.Run, start *link.Start) host.Refusal {
+	switch {
+	case l.report.Draining:
+		return host.RefusedBusy
+	case start.Fills && l.overFor(pacing.LongOver):
+		r.logger.Info("start refused beside a task that is over its target; task=%s run=%d", run.Task, run.Number)
+		return host.RefusedBusy
+	case !l.fits(run, start):
+		r.logger.Info("start refused for want of room; task=%s run=%d taken=%v capacity=%v",
+			run.Task, run.Number, l.taken(), l.report.Capacity)
+		return host.RefusedRoom
+	}
+	return host.Accepted
+}
+
 // end carries out a stop, in place of a start that is under way.
 func (r *Runner) end(l *life, run host.Run) {
 	if o := l.orders[run]; o != nil {
--- a/internal/runner/patience_test.go
+++ b/internal/runner/patience_test.go
@@ -48,6 +48,8 @@
 		worker := &losingWorker{every: 20, accepted: make(map[job.TaskID]time.Time)}
 		r := newTest(&worker.fakeWorker)
 		r.config.Worker = worker
+		// This worker lists no ends, so that all tasks count as there.
+		r.life.report.Capacity = job.Size{CPU: jobs * tasks * 1000}
 		late := 0
 		for n := range jobs {
 			r.mu.Lock()
--- /dev/null
+++ b/internal/runner/room.go
@@ -0,0 +1,40 @@
+package runner
+
+import (
+	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// roomOf returns what a run takes of its worker's room.
+func roomOf(p link.Profile) job.Size {
+	size := job.Size{CPU: p.CPU, Memory: p.Memory, GPU: p.GPU}
+	if p.Fills {
+		size.CPU = 0
+	}
+	return size
+}
+
+// taken returns the room of all that the worker may have: what runs, what is being stopped, and what is on its way there.
+func (l *life) taken() job.Size {
+	var taken job.Size
+	for run := range l.begun {
+		taken = taken.Plus(roomOf(l.profiles[run]))
+	}
+	for run, o := range l.orders {
+		if l.begun[run] == nil && o.start != nil && !o.final {
+			taken = taken.Plus(roomOf(o.start.Profile))
+		}
+	}
+	return taken
+}
+
+// fits reports whether a start leaves the worker within the room that it says it has now. The lead plans by what it was told
+// last; meanwhile the room may have shrunk, and a worker that does not guard it would be brought over it.
+func (l *life) fits(run host.Run, start *link.Start) bool {
+	if l.begun[run] != nil {
+		return true
+	}
+	asked := roomOf(start.Profile)
+	return asked == job.Size{} || l.taken().Plus(asked).Fits(l.report.Capacity)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -104,7 +104,10 @@
 		r.logger.Info("worker drains; instance=%s remaining_ms=%d", report.Instance, report.Remaining.Milliseconds())
 		wait.Wake(r.changed)
 	}
-	r.life.renew(report)
+	if before := r.life.report.Capacity; r.life.renew(report) && report.Capacity != before {
+		r.logger.Info("worker has another room; instance=%s before=%v now=%v", report.Instance, before, report.Capacity)
+		wait.Wake(r.changed)
+	}
 	return true
 }
 
