--- a/internal/dispatch/campaign.go
+++ b/internal/dispatch/campaign.go
@@ -55,9 +55,10 @@
 	if held.Revision() != 0 {
 		holder, err := record.DecodeLead(held.Value())
 		if err != nil {
-			return nil, err
+			// Somebody else wrote it: nobody leads by it, and the chain fences whoever might.
+			d.logger.Error("the record of the lead cannot be read and is replaced; reason=%v", err)
 		}
-		if holder.Node != d.config.Node && !d.mayReplace(holder.Epoch) {
+		if err == nil && holder.Node != d.config.Node && !d.mayReplace(holder.Epoch) {
 			_, err := d.config.Lead.Refresh(ctx)
 			return nil, fault.New(fault.Conflict, "%s leads (%v)", holder.Node, err)
 		}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -124,9 +124,7 @@
 		t.takeJob(i)
 	}
 	for _, i := range progress {
-		if err := t.takeProgress(i); err != nil {
-			return err
-		}
+		t.takeProgress(i)
 	}
 	for _, i := range inputs {
 		t.takeCancel(i)
@@ -134,15 +132,18 @@
 	return nil
 }
 
-func (t *term) takeProgress(i kv.Item) error {
+func (t *term) takeProgress(i kv.Item) {
 	id, _ := record.ProgressOf(i.Key())
 	known, ok := t.jobs[id]
 	if !ok {
 		t.logger.Error("the progress of a job without its record is left; job=%s", id)
-		return nil
+		return
 	}
 	if err := known.job.ApplyProgress(i.Value()); err != nil {
-		return err
+		// What has run of it is not known, so nothing of it may run again; all other jobs go on.
+		t.logger.Error("the progress of a job cannot be read, and the job is left as it is; job=%s reason=%v", id, err)
+		delete(t.jobs, id)
+		return
 	}
 	known.job.Each(func(id job.TaskID, task *job.Task) {
 		if task.Phase() == job.Placed {
@@ -153,7 +154,6 @@
 	if known.job.State().Final() {
 		known.ended = time.Now()
 	}
-	return nil
 }
 
 // run reads all jobs, says that it has, and leads until ctx ends or another leads. The lease is renewed from the start: on a
--- a/internal/job/codec.go
+++ b/internal/job/codec.go
@@ -111,6 +111,10 @@
 			Affinity: s.Affinity, AntiAffinity: s.AntiAffinity, Image: s.Image, Target: time.Duration(s.Target) * time.Microsecond, MayMiss: s.MayMiss,
 		})
 	}
+	if err := spec.Check(); err != nil {
+		// Counts that no accepted job has would take a lead down that makes room for them.
+		return nil, fault.Wrap(err, fault.Internal, "the record of job "+string(id)+" is none of an accepted job")
+	}
 	q := stored.Queue
 	queue := Queue{
 		Name: q.Name, Service: q.Service, Priority: q.Priority, Attempts: q.Attempts,
--- a/internal/job/spec_test.go
+++ b/internal/job/spec_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 )
 
@@ -57,3 +58,30 @@
 	assert.Equal(t, j.Objective(), 6250*time.Millisecond)
 	assert.Equal(t, j.Work(0), 8.0)
 }
+
+// FuzzStored: whatever the store holds under a job's keys, it is read or refused.
+func FuzzStored(f *testing.F) {
+	spec := Spec{Steps: []Step{{Count: 2}}}
+	j := New("00000000000000aa", spec, Queue{}, time.Unix(1000, 0))
+	j.Place(TaskID{Job: j.id}, Host{VM: "a"}, 0)
+	for _, suspected := range []bool{false, true} {
+		if suspected {
+			j.Crashed(TaskID{Job: j.id}, 1, crash.NewFinding(crash.Likely, true))
+		}
+		progress, err := j.EncodeProgress()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(progress)
+	}
+	accepted, err := Encode(spec, Queue{}, time.Unix(1000, 0))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(accepted)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = Decode("00000000000000aa", data)
+		_, _ = DecodeState(data)
+		_ = New("00000000000000aa", spec, Queue{}, time.Unix(1000, 0)).ApplyProgress(data)
+	})
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -139,3 +139,6 @@
 
 // Left implements platform.Reports.
 func (noReports) Left(string) {}
+
+// Unusable implements platform.Reports.
+func (noReports) Unusable(string, error) {}
--- a/internal/runner/begun_test.go
+++ b/internal/runner/begun_test.go
@@ -112,7 +112,7 @@
 // TestPlannedEndOfALifeIsNoCrash: the worker had said that it leaves, or took its leave.
 func TestPlannedEndOfALifeIsNoCrash(t *testing.T) {
 	for name, leave := range map[string]func(*Runner){
-		"draining": func(r *Runner) { r.Heard(host.Report{Instance: "i-1", Sequence: 2, Draining: true}) },
+		"draining": func(r *Runner) { r.Heard(host.Report{Instance: "i-1", Service: "s", Sequence: 2, Draining: true}) },
 		"left":     func(r *Runner) { r.Left("i-1") },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/runner/lives.go
+++ b/internal/runner/lives.go
@@ -15,9 +15,23 @@
 
 // lives are the lives of the worker that the agent has heard of.
 type lives struct {
-	// claimant is a life that reported itself and is not known to be the present one, past are the lives that are over.
-	claimant *life
-	past     []string
+	// claimants are lives that reported themselves and are not known to be the present one, in the order in which the worker is
+	// asked for them; past are the lives that are over.
+	claimants []*life
+	past      []string
+}
+
+// mostClaimants bounds the claims that wait: each takes one call, and a life that is left out reports again within about a second.
+const mostClaimants = 16
+
+// claimant returns the claim of a life, nil where there is none.
+func (l *lives) claimant(instance string) *life {
+	for _, c := range l.claimants {
+		if c.instance == instance {
+			return c
+		}
+	}
+	return nil
 }
 
 // isOver reports whether a life is known to be over; it never returns.
@@ -34,13 +48,15 @@
 // claim takes note of a life that reported itself beside the one that is known. Reports may have been held up until their
 // sender was gone, so which of the two is there is asked of the worker.
 func (r *Runner) claim(report host.Report, now time.Time) {
-	c := r.lives.claimant
-	if c != nil && c.instance == report.Instance {
+	if c := r.lives.claimant(report.Instance); c != nil {
 		c.renew(report)
 		return
 	}
+	if len(r.lives.claimants) == mostClaimants {
+		return
+	}
 	r.logger.Info("another life of the worker reports; instance=%s known=%s", report.Instance, r.life.instance)
-	r.lives.claimant = newLife(report, now)
+	r.lives.claimants = append(r.lives.claimants, newLife(report, now))
 	wait.Wake(r.claimed)
 }
 
@@ -69,23 +85,24 @@
 func (r *Runner) nextClaim() (*life, host.Hold) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lives.claimant, host.Hold{Fence: r.epoch}
+	if len(r.lives.claimants) == 0 {
+		return nil, host.Hold{}
+	}
+	return r.lives.claimants[0], host.Hold{Fence: r.epoch}
 }
 
-// decide takes note of whether a claimant is there; the known life is over if it is.
+// decide takes note of whether a claimant is there; the known life is over if it is. Each is decided by its own answer, so that
+// claims of strangers, however many, do not hold the true one up.
 func (r *Runner) decide(claimant *life, there bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.lives.claimant != claimant {
-		return
-	}
+	r.lives.claimants = slices.DeleteFunc(r.lives.claimants, func(c *life) bool { return c == claimant })
 	if there {
 		r.succeed(claimant)
 		return
 	}
 	r.logger.Warn("report of an earlier life is ignored; instance=%s known=%s", claimant.instance, r.life.instance)
 	r.lives.end(claimant.instance)
-	r.lives.claimant = nil
 }
 
 // succeed makes a life the known one in place of another.
@@ -93,7 +110,6 @@
 	r.logger.Info("worker has a new life; instance=%s earlier=%s", l.instance, r.life.instance)
 	r.crashed(r.life)
 	r.lives.end(r.life.instance)
-	r.lives.claimant = nil
 	r.life = l
 	wait.Wake(r.heard)
 	wait.Wake(r.changed)
--- a/internal/runner/lives_test.go
+++ b/internal/runner/lives_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,3 +106,42 @@
 	assert.Equal(t, len(report.Running), 1)
 	assert.Equal(t, report.Running[0].Number, 2)
 }
+
+// TestStrangersDoNotHoldUpTheLifeThatIsThere: claims came in one place, where the next one took the place of the true one before
+// the worker was asked; it was decided only if nobody else claimed meanwhile.
+func TestStrangersDoNotHoldUpTheLifeThatIsThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{there: "i-1", slow: 20 * time.Millisecond}
+		r := newTest(worker)
+		held(t, r)
+		worker.revive("i-2")
+		for n := range 200 {
+			if n%100 == 50 {
+				r.Heard(host.Report{Instance: "i-2", Service: "s", Sequence: uint64(n)})
+			}
+			r.Heard(host.Report{Instance: fmt.Sprintf("stranger-%d", n%7), Service: "other", Sequence: uint64(n)})
+			time.Sleep(10 * time.Millisecond)
+		}
+		report, _ := r.compose()
+		assert.Equal(t, report.Instance, "i-2")
+		assert.Assert(t, !report.Silent)
+	})
+}
+
+// TestReportOfAnotherServiceChangesNothing of the life under whose name it comes, and is not acknowledged.
+func TestReportOfAnotherServiceChangesNothing(t *testing.T) {
+	r := newTest(&fakeWorker{})
+	before := r.life.report
+	assert.Assert(t, !r.Heard(host.Report{Instance: "i-1", Service: "other", Sequence: 9, Draining: true}))
+	assert.DeepEqual(t, r.life.report, before)
+	assert.Assert(t, r.Heard(host.Report{Instance: "i-1", Service: "s", Sequence: 2, Capacity: before.Capacity}))
+}
+
+// TestClaimsAreBounded: those that are left out come again with the next report.
+func TestClaimsAreBounded(t *testing.T) {
+	r := newTest(&fakeWorker{})
+	for n := range 3 * mostClaimants {
+		r.Heard(host.Report{Instance: fmt.Sprint(n), Service: "s"})
+	}
+	assert.Equal(t, len(r.lives.claimants), mostClaimants)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/host"
@@ -46,6 +47,8 @@
 	heard   chan struct{}
 	// claimed wakes what finds out which life of the worker is there.
 	claimed chan struct{}
+	// unusable bounds the log lines about reports that cannot be used.
+	unusable rate.Sometimes
 	// patience goes by how long starts usually take to be answered.
 	patience *wait.Patience
 
@@ -66,7 +69,7 @@
 	r := &Runner{
 		config: config, logger: config.Logger, changed: make(chan struct{}, 1),
 		settled: make(chan struct{}, 1), heard: make(chan struct{}, 1), claimed: make(chan struct{}, 1),
-		patience: wait.NewPatience(startLeast, startMost),
+		patience: wait.NewPatience(startLeast, startMost), unusable: rate.Sometimes{Interval: unusableEvery},
 	}
 	r.mux = rpc.NewMux(config.Clock)
 	rpc.Handle(r.mux, link.MethodOrders, r.takeOrders)
@@ -82,7 +85,7 @@
 	return group.Wait()
 }
 
-// Heard takes the worker's report of itself and acknowledges it.
+// Heard takes the worker's report of itself and reports whether it is acknowledged.
 func (r *Runner) Heard(report host.Report) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -99,16 +102,42 @@
 	case r.life.instance != report.Instance:
 		r.claim(report, now)
 		return true
+	case r.life.report.Service != report.Service:
+		r.unusable.Do(func() {
+			r.logger.Warn("report of another service under the worker's name is ignored; instance=%s service=%s known=%s",
+				report.Instance, report.Service, r.life.report.Service)
+		})
+		return false
 	}
-	if report.Draining && !r.life.report.Draining {
+	r.renew(report)
+	return true
+}
+
+// renew takes a newer report of the life that stands.
+func (r *Runner) renew(report host.Report) {
+	before := r.life.report
+	if !r.life.renew(report) {
+		return
+	}
+	if report.Draining && !before.Draining {
 		r.logger.Info("worker drains; instance=%s remaining_ms=%d", report.Instance, report.Remaining.Milliseconds())
 		wait.Wake(r.changed)
 	}
-	if before := r.life.report.Capacity; r.life.renew(report) && report.Capacity != before {
-		r.logger.Info("worker has another room; instance=%s before=%v now=%v", report.Instance, before, report.Capacity)
+	if report.Capacity != before.Capacity {
+		r.logger.Info("worker has another room; instance=%s before=%v now=%v", report.Instance, before.Capacity, report.Capacity)
 		wait.Wake(r.changed)
 	}
-	return true
+}
+
+// unusableEvery is how often reports that cannot be used are logged at the most; the others are counted.
+const unusableEvery = 2 * time.Second
+
+// Unusable takes note of a report that names no worker to use; whatever stands under its name stays as it is.
+func (r *Runner) Unusable(instance string, reason error) {
+	r.config.Metrics.Counter("agent.unusable_reports").Inc(1)
+	r.unusable.Do(func() {
+		r.logger.Warn("report that cannot be used is ignored; instance=%q reason=%v", instance, reason)
+	})
 }
 
 // Left takes note that the worker has ended by plan.
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -28,8 +28,9 @@
 	starts []host.Start
 	stops  []host.Run
 	start  func() (host.Refusal, error)
-	// there is the life that is there, empty for any.
+	// there is the life that is there, empty for any; slow is how long a refusal to another life takes.
 	there string
+	slow  time.Duration
 }
 
 func (f *fakeWorker) Start(_ context.Context, _ string, order host.Start) (host.Refusal, error) {
@@ -57,6 +58,7 @@
 	there := f.there
 	f.mu.Unlock()
 	if there != "" && there != instance {
+		wait.For(ctx, f.slow)
 		return host.View{}, host.RefusedWrong, fault.New(fault.Stale, "another life answers")
 	}
 	wait.For(ctx, h.Wait)
@@ -163,12 +165,12 @@
 func TestNothingStartsOnAWorkerThatDrains(t *testing.T) {
 	worker := &fakeWorker{start: accept}
 	r := newTest(worker)
-	r.Heard(host.Report{Instance: "i-1", Draining: true, Sequence: 2})
+	r.Heard(host.Report{Instance: "i-1", Service: "s", Draining: true, Sequence: 2})
 	_, err := r.takeOrders(context.Background(), nil, startOrders())
 	assert.NilError(t, err)
 	assert.Equal(t, len(worker.started()), 0)
 	// A late report of before does not open it again.
-	r.Heard(host.Report{Instance: "i-1", Sequence: 1})
+	r.Heard(host.Report{Instance: "i-1", Service: "s", Sequence: 1})
 	assert.Assert(t, r.life.report.Draining)
 }
 
--- a/proving/fleet/orders.go
+++ b/proving/fleet/orders.go
@@ -95,7 +95,7 @@
 	if crashesWorker(o.Text, id) {
 		w.crashSoon(l, id)
 	}
-	if used := l.used(); known && !used.Fits(w.room) {
+	if used := l.used(); known && !w.bears(used) {
 		w.books.overfull(l.instance, id)
 	}
 	return ""
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -52,6 +52,7 @@
 // disturb begins a fault every so often; each ends by itself some time later.
 func (f *Fleet) disturb(s Soak) {
 	random, more := rand.New(rand.NewPCG(s.Seed, 11)), rand.New(rand.NewPCG(s.Seed, 12))
+	newer := rand.New(rand.NewPCG(s.Seed, 13))
 	var ends sync.WaitGroup
 	for began := time.Now(); time.Since(began) < s.Length; {
 		next := disturbances[random.IntN(len(disturbances))]
@@ -64,6 +65,11 @@
 			s.Say("%v %s besides", time.Since(began).Round(time.Millisecond), next.name)
 			ends.Go(func() { next.play(f, target, lasts) })
 		}
+		if newer.IntN(laterEvery) == 0 {
+			next := newDisturbances[newer.IntN(len(newDisturbances))]
+			s.Say("%v %s as well", time.Since(began).Round(time.Millisecond), next.name)
+			ends.Go(func() { next.play(f, target, lasts) })
+		}
 		<-time.After(time.Duration(leastApart+random.IntN(moreApart)) * time.Millisecond)
 	}
 	ends.Wait()
--- a/proving/fleet/worker.go
+++ b/proving/fleet/worker.go
@@ -17,11 +17,14 @@
 	name  string
 	books *Books
 	agent string
-	room  job.Size
 	hall  string
 
-	mu   sync.Mutex
-	life *life
+	mu sync.Mutex
+	// room is what the worker says it has, larger what it had before its room shrank, which counts until counts.
+	room   job.Size
+	larger job.Size
+	counts time.Time
+	life   *life
 	// silent makes it answer nothing, late does orders without an answer some time later.
 	silent bool
 	late   time.Duration
@@ -92,6 +95,23 @@
 // away reports whether the worker neither answers nor reports; w.mu is held.
 func (w *Worker) away() bool { return w.silent || time.Now().Before(w.back) }
 
+// shrunkCounts is how long after a room has shrunk a start may still take the worker over it: the platform's bound of being in
+// touch and one report.
+const shrunkCounts = 3*time.Second + heartbeatEvery
+
+// SetRoom shrinks the worker's room, or lets it grow; what runs goes on.
+func (w *Worker) SetRoom(size job.Size) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.larger, w.counts = w.room, time.Now().Add(shrunkCounts)
+	w.room = size
+}
+
+// bears reports whether a use of the room is no fault of who started it; w.mu is held.
+func (w *Worker) bears(used job.Size) bool {
+	return used.Fits(w.room) || time.Now().Before(w.counts) && used.Fits(w.larger)
+}
+
 // SetSilent makes the worker answer and report nothing; what it runs goes on.
 func (w *Worker) SetSilent(silent bool) {
 	w.mu.Lock()
