--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -89,6 +89,7 @@
 	if l == nil {
 		return "", host.Hold{}, false
 	}
+	r.quit(l)
 	hold := host.Hold{Fence: r.epoch, Seen: l.seen, Until: r.until(l), Wait: holdWait}
 	if l.fenced < r.epoch {
 		hold.Wait = 0
@@ -96,6 +97,24 @@
 	return l.report.Instance, hold, true
 }
 
+// quitAfter is how long after the end of the permission the worker's runs are stopped: its own reckoning ends them before, unless
+// its clock stood still.
+const quitAfter = 200 * time.Millisecond
+
+// quit stops what the worker still shows some time after the permission is over: a worker that was suspended with its VM would run it
+// on for up to holdTime after waking, beside the run that the lead has placed elsewhere.
+func (r *Runner) quit(l *life) {
+	if r.permitted.IsZero() || l.silent || r.config.Uptime.Now().Sub(r.permitted) < quitAfter {
+		return
+	}
+	for _, running := range l.view.Running {
+		if l.orders[running.Run] == nil {
+			r.logger.Warn("run is stopped after the permission was over; task=%s run=%d", running.Run.Task, running.Run.Number)
+			r.end(l, running.Run)
+		}
+	}
+}
+
 // until returns up to when the worker's runs may go on, on its clock, and notes the same on this one. A worker that does
 // not answer is not renewed, so that the end of its runs comes into sight.
 func (r *Runner) until(l *life) host.Clock {
--- a/internal/runner/suspended_test.go
+++ b/internal/runner/suspended_test.go
@@ -68,3 +68,22 @@
 		})
 	}
 }
+
+// TestWorkerThatWasSuspendedWithItsAgentIsStopped failed with the run going on for 3.5 s after both woke, by a worker's clock that had
+// stood still.
+func TestWorkerThatWasSuspendedWithItsAgentIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{start: accept}
+		r := newTest(worker)
+		r.held(t.Context(), "i-1", host.Hold{}, host.View{Clock: 1, Running: []host.Running{{Run: testRun(1)}}})
+		_, _, ok := r.nextHold()
+		assert.Assert(t, ok)
+		synctest.Wait()
+		assert.Equal(t, len(worker.stopped()), 0, "it is permitted")
+		suspend(t, r, 20*time.Second)
+		_, hold, _ := r.nextHold()
+		assert.Equal(t, hold.Until, host.Clock(0))
+		synctest.Wait()
+		assert.DeepEqual(t, worker.stopped(), []host.Run{testRun(1)})
+	})
+}
