A crash that is told late counts, and what never started takes no room

Read anew: a lead took a crash for one that it had judged if any task in it had crashed another worker since; all others were cleared by that. And a start that was given up with its lead stayed in the agent's books, where it now takes room.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -69,6 +69,35 @@
 	})
 }
 
+// TestCrashThatIsToldLateCountsForTheOthers failed with nobody held responsible: a task that lay in the worker had crashed another one
+// since, and what was counted for that run was taken for the same crash.
+func TestCrashThatIsToldLateCountsForTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lead := testTerm(t, kvtest.New())
+		spec := job.Spec{Steps: []job.Step{{Count: 2}}}
+		known := newTracked(job.New(lateJob, spec, job.Queue{Service: testService}, time.Now()))
+		lead.jobs[lateJob] = known
+		first, second := job.TaskID{Job: lateJob}, job.TaskID{Job: lateJob, Index: 1}
+		for range 2 {
+			known.job.Place(first, job.Host{}, 0)
+			known.job.Ended(first, known.job.Task(first).Run(), job.EndLapsed, "")
+		}
+		known.job.Place(second, job.Host{}, 0)
+		needed := make(map[*tracked]uint64)
+		under := func(runs ...link.Run) link.Crash {
+			c := link.Crash{Number: 1}
+			for _, run := range runs {
+				c.Runs = append(c.Runs, link.CrashedRun{Run: run, Answered: true})
+			}
+			return c
+		}
+		lead.takeCrashes("a", []link.Crash{under(link.NewRun(first, 2))}, needed)
+		lead.takeCrashes("b", []link.Crash{under(link.NewRun(first, 1), link.NewRun(second, 1))}, needed)
+		assert.Equal(t, known.job.Suspicion(first).Weight(), 1)
+		assert.Equal(t, known.job.Suspicion(second).Weight(), 1)
+	})
+}
+
 // TestSuspectsWaitForAWorkerOfTheirOwnNotForLong: then they start as all others do.
 func TestSuspectsWaitForAWorkerOfTheirOwnNotForLong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/job/crashes.go
+++ b/internal/job/crashes.go
@@ -49,5 +49,5 @@
 // Suspicion returns what is held against a task for crashes of workers.
 func (j *Job) Suspicion(t TaskID) crash.Suspicion { return j.Task(j.Unit(t)).suspicion }
 
-// Judged reports whether a crash under a run of a task was counted already.
-func (j *Job) Judged(t TaskID, run int) bool { return run <= j.Task(j.Unit(t)).judged }
+// Judged reports whether the latest crash that was counted was under this run of a task.
+func (j *Job) Judged(t TaskID, run int) bool { return run == j.Task(j.Unit(t)).judged }
--- a/internal/runner/begun.go
+++ b/internal/runner/begun.go
@@ -22,12 +22,12 @@
 // age is how long the worker is known to have had the run.
 func (b *begun) age() time.Duration { return max(b.shown.Sub(b.asked), 0) }
 
-// begunRuns are the runs that one life of the worker may have.
-type begunRuns map[host.Run]*begun
-
 // ageAt returns for how long the worker had the run when its calls broke off, where that is known.
 func (b *begun) ageAt(broken time.Time) time.Duration { return max(b.age(), broken.Sub(b.asked)) }
 
+// begunRuns are the runs that one life of the worker may have.
+type begunRuns map[host.Run]*begun
+
 // fresh reports whether a run has not outlived its start as far as was seen.
 func (b begunRuns) fresh(run host.Run) bool { return b[run] != nil && b[run].age() < crash.Soon }
 
@@ -45,7 +45,8 @@
 	}
 }
 
-// show takes note of what the worker lists.
+// show takes note of what the worker lists. What it does not list once a start for it no longer counts is not there: a start that was
+// given up with the lead that ordered it would take room for ever.
 func (b begunRuns) show(view host.View, now time.Time) {
 	for _, running := range view.Running {
 		b.ask(running.Run)
@@ -54,6 +55,11 @@
 	for _, e := range view.Ended {
 		delete(b, e.Run)
 	}
+	for run, known := range b {
+		if known.shown.Before(now) && now.Sub(known.asked) >= holdTime {
+			delete(b, run)
+		}
+	}
 }
 
 // drop takes note that a start did not reach the worker, or was refused. What an earlier start of the run was answered stands:
--- a/internal/runner/begun_test.go
+++ b/internal/runner/begun_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,7 +14,8 @@
 	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
-// TestRunsThatALifeMayHaveHad: what the worker accepted or listed, and what was asked for of late; not what ended.
+// TestRunsThatALifeMayHaveHad: what the worker accepted or listed, and what was asked for of late; not what ended, nor what it does
+// not list once a start for it no longer counts.
 func TestRunsThatALifeMayHaveHad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		runs := make(begunRuns)
@@ -21,20 +23,37 @@
 			runs.ask(testRun(number))
 		}
 		runs.answer(testRun(1))
-		time.Sleep(holdTime)
+		time.Sleep(time.Second)
+		runs.ask(testRun(4))
 		runs.show(host.View{
 			Running: []host.Running{{Run: testRun(2)}, {Run: testRun(7)}}, Ended: []host.Ended{{Run: testRun(3)}},
 		}, time.Now())
-		left := runs.left(time.Now())
-		assert.Equal(t, len(left), 3, "run 0 was asked for too long ago, run 3 has ended: %v", left)
+		assert.Equal(t, len(runs.left(time.Now())), 5, "all but run 3, which has ended: %v", runs.left(time.Now()))
 		assert.Equal(t, runs[testRun(1)].age(), time.Duration(0), "it was never listed")
 		assert.Equal(t, runs[testRun(1)].ageAt(time.Time{}), time.Duration(0))
-		assert.Equal(t, runs[testRun(1)].ageAt(time.Now().Add(-time.Second)), holdTime-time.Second, "the worker crashed a second ago")
-		assert.Equal(t, runs[testRun(2)].age(), holdTime)
+		assert.Equal(t, runs[testRun(1)].ageAt(time.Now().Add(-100*time.Millisecond)), 900*time.Millisecond, "the worker crashed just before")
+		assert.Equal(t, runs[testRun(2)].age(), time.Second)
 		assert.Equal(t, runs[testRun(7)].age(), time.Duration(0), "when it began is not known")
+		time.Sleep(holdTime - time.Second)
+		assert.Equal(t, len(runs.left(time.Now())), 4, "run 0 was asked for too long ago")
+		runs.show(host.View{Running: []host.Running{{Run: testRun(2)}}}, time.Now())
+		assert.DeepEqual(t, numbers(runs), []int{2, 4, 7})
+		time.Sleep(holdTime)
+		runs.show(host.View{Running: []host.Running{{Run: testRun(2)}}}, time.Now())
+		assert.DeepEqual(t, numbers(runs), []int{2})
 	})
 }
 
+// numbers returns the numbers of the runs that a life may have had, in order.
+func numbers(runs begunRuns) []int {
+	var found []int
+	for _, run := range runs.left(time.Now()) {
+		found = append(found, run.Number)
+	}
+	slices.Sort(found)
+	return found
+}
+
 // TestStartThatWasNotSentIsNotHeldAgainstItsTask: the worker was gone before the start left.
 func TestStartThatWasNotSentIsNotHeldAgainstItsTask(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
