--- a/internal/crash/suspicion.go
+++ b/internal/crash/suspicion.go
@@ -8,8 +8,8 @@
 	// since fewer of them are suspected, and each holds a worker up for less.
 	Soon = 200 * time.Millisecond
 	// Long is how long a run must be seen to live for all that was held against its task to be dropped: longer than a worker
-	// took to come back after a crash (3.1 s at the most). Where a third of the workers crashes every four seconds by itself,
-	// 10 s once gave up a lasting task that had lived for 9.9 s, 0.5 s, 0.4 s and 4.9 s.
+	// took to come back after a crash (3.1 s at the most). With 10 s, where a third of the workers crashes every four seconds
+	// by itself, a lasting task is given up that lives for 9.9 s, 0.5 s, 0.4 s and 4.9 s.
 	Long = 5 * time.Second
 	// enoughAlone is how many crashes give a task up where the last had no other explanation. The platform allows two; a
 	// bystander of the first is given up only if another crash strikes within Soon of its start alone.
--- a/internal/runner/begun_test.go
+++ b/internal/runner/begun_test.go
@@ -74,29 +74,41 @@
 // and the worker, which is gone, takes no connection; that the start then was not sent says nothing of the first time.
 func TestRunThatIsOrderedAgainAfterTheCrashIsStillNamed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		worker := &fakeWorker{there: "i-1", start: accept}
-		r := newTest(worker)
-		held(t, r)
-		_, err := r.takeOrders(t.Context(), nil, startOrders())
-		assert.NilError(t, err)
-		synctest.Wait()
+		r, worker := startedTest(t)
 		worker.mu.Lock()
 		worker.start = func() (host.Refusal, error) {
 			return host.RefusedWrong, fault.New(fault.Unavailable, "connection refused")
 		}
 		worker.mu.Unlock()
-		_, err = r.takeOrders(t.Context(), nil, startOrders())
+		_, err := r.takeOrders(t.Context(), nil, startOrders())
 		assert.NilError(t, err)
 		time.Sleep(time.Second)
-		worker.revive("i-3")
-		r.Heard(host.Report{Instance: "i-3", Sequence: 1})
-		time.Sleep(time.Second)
+		returnAnew(r, worker)
 		told := crashedUnder(r)
 		assert.Equal(t, len(told), 1)
 		assert.DeepEqual(t, told[0].Runs, []link.CrashedRun{{Run: wireRun(testRun(1)), Answered: true}})
 	})
 }
 
+// startedTest returns an agent that holds a worker which has accepted the test's run.
+func startedTest(t *testing.T) (*Runner, *fakeWorker) {
+	t.Helper()
+	worker := &fakeWorker{there: "i-1", start: accept}
+	r := newTest(worker)
+	held(t, r)
+	_, err := r.takeOrders(t.Context(), nil, startOrders())
+	assert.NilError(t, err)
+	synctest.Wait()
+	return r, worker
+}
+
+// returnAnew ends the life of a worker, and lets its agent find the next one.
+func returnAnew(r *Runner, worker *fakeWorker) {
+	worker.revive("i-3")
+	r.Heard(host.Report{Instance: "i-3", Service: "s", Sequence: 1})
+	time.Sleep(time.Second)
+}
+
 // crashedUnder returns what a report tells of crashes.
 func crashedUnder(r *Runner) []link.Crash {
 	report, _ := r.compose()
@@ -106,15 +118,8 @@
 // TestCrashIsToldUntilALeadHasCommittedIt, also to the next lead.
 func TestCrashIsToldUntilALeadHasCommittedIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		worker := &fakeWorker{there: "i-1", start: accept}
-		r := newTest(worker)
-		held(t, r)
-		_, err := r.takeOrders(t.Context(), nil, startOrders())
-		assert.NilError(t, err)
-		synctest.Wait()
-		worker.revive("i-3")
-		r.Heard(host.Report{Instance: "i-3", Sequence: 1})
-		time.Sleep(time.Second)
+		r, worker := startedTest(t)
+		returnAnew(r, worker)
 		told := crashedUnder(r)
 		assert.Equal(t, len(told), 1)
 		assert.Equal(t, told[0].Instance, "i-1")
@@ -136,16 +141,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				worker := &fakeWorker{there: "i-1", start: accept}
-				r := newTest(worker)
-				held(t, r)
-				_, err := r.takeOrders(t.Context(), nil, startOrders())
-				assert.NilError(t, err)
-				synctest.Wait()
+				r, worker := startedTest(t)
 				leave(r)
-				worker.revive("i-3")
-				r.Heard(host.Report{Instance: "i-3", Sequence: 1})
-				time.Sleep(time.Second)
+				returnAnew(r, worker)
 				assert.Equal(t, len(crashedUnder(r)), 0)
 			})
 		})
--- /dev/null
+++ b/internal/runner/crashes.go
@@ -0,0 +1,56 @@
+package runner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// crashed takes note that a life of the worker is over: a crash, unless the worker had told that it would leave.
+func (r *Runner) crashed(l *life) {
+	if l.crashed || l.left || l.report.Draining {
+		return
+	}
+	l.crashed = true
+	runs := l.begun.left(time.Now())
+	told := link.Crash{Instance: l.instance, Runs: make([]link.CrashedRun, 0, len(runs))}
+	for _, run := range runs {
+		b := l.begun[run]
+		r.logger.Info("the worker crashed under a run; task=%s run=%d instance=%s answered=%t age_ms=%d",
+			run.Task, run.Number, l.instance, b.answered, b.ageAt(l.broken).Milliseconds())
+		told.Runs = append(told.Runs, link.CrashedRun{
+			Run: wireRun(run), Answered: b.answered, AgeMillis: b.ageAt(l.broken).Milliseconds(),
+		})
+	}
+	if len(runs) == 0 {
+		return
+	}
+	r.logger.Warn("the worker crashed; instance=%s runs=%d", l.instance, len(runs))
+	r.crashes.add(told)
+}
+
+// mostCrashes is how many crashes an agent keeps for the lead: as many lives as a worker had in a minute in which each was
+// crashed as it began.
+const mostCrashes = 20
+
+// crashes are those that no lead has committed yet.
+type crashes struct {
+	untold []link.Crash
+	number uint64
+}
+
+// add keeps a crash until a lead has committed it.
+func (c *crashes) add(told link.Crash) {
+	c.number++
+	told.Number = c.number
+	c.untold = append(c.untold, told)
+	if extra := len(c.untold) - mostCrashes; extra > 0 {
+		c.untold = slices.Delete(c.untold, 0, extra)
+	}
+}
+
+// committed forgets what a lead has committed.
+func (c *crashes) committed(number uint64) {
+	c.untold = slices.DeleteFunc(c.untold, func(told link.Crash) bool { return told.Number <= number })
+}
