Workers that crash at one moment have a cause in common

Agents tell when the calls to their workers broke off; where two others broke off within 100 ms, what had just begun is a possible cause only.

--- a/internal/crash/judge.go
+++ b/internal/crash/judge.go
@@ -52,7 +52,10 @@
 // are suspected most; what has run for a while beside them is cleared. Other runs that have just begun, and starts that got no
 // answer, are possible causes: were they cleared, work that always starts beside worse suspects would start for ever. Where
 // nothing has just begun, any run may be the cause.
-func Judge(runs []Run) []Finding {
+//
+// Workers that crash together, at one moment, have a cause in common, which is likely none of the runs: then what had just begun is
+// a possible cause at the most.
+func Judge(runs []Run, together bool) []Finding {
 	fresh, unanswered, worst := 0, 0, 0
 	for _, r := range runs {
 		switch {
@@ -68,6 +71,9 @@
 	findings := make([]Finding, len(runs))
 	for i, r := range runs {
 		switch {
+		case together && (r.fresh() || !r.answered):
+			findings[i] = Finding{blame: Possible}
+		case together:
 		case r.fresh() && r.before.Weight() == worst:
 			findings[i] = Finding{blame: Likely, alone: alone}
 		case r.fresh(), !r.answered, !explained:
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -16,6 +16,9 @@
 	for _, c := range told {
 		latest = max(latest, c.Number)
 		if suspects := t.suspectsOf(c); !t.judgedBefore(suspects) {
+			if a := t.agents[vm]; a != nil {
+				a.noteBroken(c.BrokenMillis)
+			}
 			t.judgeCrash(vm, c.Instance, suspects)
 		}
 		for _, run := range c.Runs {
@@ -27,6 +30,37 @@
 	return latest
 }
 
+const (
+	// sameMoment is how far apart crashes of one cause may look: agents tell to the millisecond when calls broke off, and their
+	// messages take some more.
+	sameMoment = 100 * time.Millisecond
+	// leastOthers is how many other workers crash at the same moment where the cause is likely in common: two that are crashed by
+	// tasks of one plan do so as well.
+	leastOthers = 2
+)
+
+// noteBroken takes note of how long ago the calls to the worker broke off, 0 where they did not.
+func (a *agent) noteBroken(millis int64) {
+	if millis > 0 {
+		a.broken = time.Now().Add(-time.Duration(millis) * time.Millisecond)
+	}
+}
+
+// together reports whether several other workers broke off at the moment at which a VM's worker last did.
+func (t *term) together(vm string) bool {
+	own := t.agents[vm]
+	if own == nil || own.broken.IsZero() {
+		return false
+	}
+	others := 0
+	for _, a := range t.agents {
+		if a != own && !a.broken.IsZero() && a.broken.Sub(own.broken).Abs() <= sameMoment {
+			others++
+		}
+	}
+	return others >= leastOthers
+}
+
 // suspected is a run that a worker had when it crashed; the runs of a gang count as one.
 type suspected struct {
 	known    *tracked
@@ -86,7 +120,7 @@
 	for _, s := range suspects {
 		runs = append(runs, crash.NewRun(s.answered, s.age, s.known.job.Suspicion(s.id)))
 	}
-	for i, finding := range crash.Judge(runs) {
+	for i, finding := range crash.Judge(runs, t.together(vm)) {
 		s := suspects[i]
 		if !s.known.job.Crashed(s.id, s.run, finding) {
 			continue
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,6 +99,31 @@
 	})
 }
 
+// TestWorkersThatCrashAtOneMomentHaveACauseInCommon: what had just begun there does not wait for a worker of its own.
+func TestWorkersThatCrashAtOneMomentHaveACauseInCommon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for others, crashes := range map[int]int{leastOthers - 1: 1, leastOthers: 0} {
+			a := &fakeAgent{vm: "vm"}
+			lead := placedTerm(t, kvtest.New(), a)
+			for n := range others + 1 {
+				silent := reportOf("i1")
+				silent.VM, silent.Silent, silent.BrokenMillis = fmt.Sprint(n), true, 1000
+				if n == others {
+					silent.BrokenMillis = 1000 + 2*sameMoment.Milliseconds()
+				}
+				_, err := lead.report(mailbox{&fakeAgent{vm: silent.VM}}, silent)
+				assert.NilError(t, err)
+			}
+			r := crashReport(1, 1)
+			r.Crashes[0].BrokenMillis = 1000
+			_, err := lead.report(mailbox{a}, r)
+			assert.NilError(t, err)
+			assert.Equal(t, lead.jobs[lateJob].job.Suspicion(job.TaskID{Job: lateJob}), crash.NewSuspicion(crashes, 1-crashes))
+			work(t, lead)
+		}
+	})
+}
+
 // TestSuspectsWaitForAWorkerOfTheirOwnNotForLong: then they start as all others do.
 func TestSuspectsWaitForAWorkerOfTheirOwnNotForLong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -19,6 +19,8 @@
 	heard   time.Time
 	host    job.Host
 	seen    uint64
+	// broken is when the calls to the worker last broke off, zero where they never did.
+	broken time.Time
 	// orders are gathered until they are sent.
 	orders *link.Orders
 }
@@ -87,6 +89,7 @@
 		t.agents[r.VM] = a
 	}
 	a.session, a.heard, a.hall = s, time.Now(), r.Hall
+	a.noteBroken(r.BrokenMillis)
 	if r.Instance == "" || !r.Fenced {
 		return a
 	}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -59,6 +59,8 @@
 	// Number counts the crashes that an agent tells of.
 	Number   uint64 `json:"n"`
 	Instance string `json:"instance"`
+	// BrokenMillis is how long before the report the calls to the worker broke off, 0 where that is not known.
+	BrokenMillis int64 `json:"broken_ms,omitempty"`
 	// Runs are those that it had or may have had.
 	Runs []CrashedRun `json:"runs"`
 }
@@ -89,6 +91,8 @@
 	// Silent says that the worker does not answer, Lapsed that the time of all that it runs is surely over.
 	Silent bool `json:"silent,omitempty"`
 	Lapsed bool `json:"lapsed,omitempty"`
+	// BrokenMillis is for how long the calls to the worker have been breaking off, 0 while they do not.
+	BrokenMillis int64 `json:"broken_ms,omitempty"`
 	// Fenced says that the worker has seen this epoch, so that Running, Ended and Pending are all there is.
 	Fenced   bool       `json:"fenced,omitempty"`
 	Running  []Running  `json:"running,omitempty"`
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -27,7 +27,7 @@
 		return
 	}
 	r.logger.Warn("the worker crashed; instance=%s runs=%d", l.instance, len(runs))
-	r.crashes.add(told)
+	r.crashes.add(told, l.broken)
 }
 
 // mostCrashes is how many crashes an agent keeps for the lead: as many lives as a worker had in a minute in which each was
@@ -36,15 +36,39 @@
 
 // crashes are those that no lead has committed yet.
 type crashes struct {
-	untold []link.Crash
+	untold []untold
 	number uint64
 }
 
+// untold is a crash with when the calls to the worker broke off, zero where that is not known.
+type untold struct {
+	crash  link.Crash
+	broken time.Time
+}
+
+// brokenMillis returns how long ago calls broke off, 0 where they did not.
+func brokenMillis(broken time.Time) int64 {
+	if broken.IsZero() {
+		return 0
+	}
+	return max(time.Since(broken).Milliseconds(), 1)
+}
+
+// tell returns all of them as of now.
+func (c *crashes) tell() []link.Crash {
+	var told []link.Crash
+	for _, u := range c.untold {
+		u.crash.BrokenMillis = brokenMillis(u.broken)
+		told = append(told, u.crash)
+	}
+	return told
+}
+
 // add keeps a crash until a lead has committed it.
-func (c *crashes) add(told link.Crash) {
+func (c *crashes) add(told link.Crash, broken time.Time) {
 	c.number++
 	told.Number = c.number
-	c.untold = append(c.untold, told)
+	c.untold = append(c.untold, untold{crash: told, broken: broken})
 	if extra := len(c.untold) - mostCrashes; extra > 0 {
 		c.untold = slices.Delete(c.untold, 0, extra)
 	}
@@ -52,5 +76,5 @@
 
 // committed forgets what a lead has committed.
 func (c *crashes) committed(number uint64) {
-	c.untold = slices.DeleteFunc(c.untold, func(told link.Crash) bool { return told.Number <= number })
+	c.untold = slices.DeleteFunc(c.untold, func(u untold) bool { return u.crash.Number <= number })
 }
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
@@ -178,7 +177,7 @@
 func (r *Runner) compose() (link.Report, *life) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	report := link.Report{VM: r.config.VM, Hall: r.config.Hall, Epoch: r.epoch, Crashes: slices.Clone(r.crashes.untold)}
+	report := link.Report{VM: r.config.VM, Hall: r.config.Hall, Epoch: r.epoch, Crashes: r.crashes.tell()}
 	l := r.life
 	if l == nil {
 		return report, nil
@@ -187,7 +186,7 @@
 	report.Instance, report.Service, report.Labels = w.Instance, w.Service, w.Labels
 	report.CPU, report.Memory, report.GPU = w.Capacity.CPU, w.Capacity.Memory, w.Capacity.GPU
 	report.Draining, report.RemainingMillis = w.Draining, w.Remaining.Milliseconds()
-	report.Silent = l.silent
+	report.Silent, report.BrokenMillis = l.silent, brokenMillis(l.broken)
 	report.Lapsed = l.silent && (l.gone || time.Now().After(l.until))
 	report.Fenced = l.views > 0 && l.fenced == r.epoch
 	l.describe(&report)
