A run's job, room and age at a crash are reckoned in one place each

Read once more: the lead looked up the job of a run twice by the same lines (profiles, jobOf); the agent had the rule that what fills takes no processors a second time beside job.Step.Room; the age of a run at a crash was reckoned twice. Behaviour as before.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -142,9 +142,8 @@
 func (t *term) profiles(runs []link.Run) []link.Profile {
 	var found []link.Profile
 	for _, r := range runs {
-		id, ok := r.TaskID()
-		known := t.jobs[id.Job]
-		if ok && known != nil && known.job.Task(id) != nil {
+		if known := t.jobOf(r); known != nil {
+			id, _ := r.TaskID()
 			found = append(found, profileOf(&known.job.Spec().Steps[id.Step], r))
 		}
 	}
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -17,11 +17,10 @@
 	told := link.Crash{Instance: l.instance, Runs: make([]link.CrashedRun, 0, len(runs))}
 	for _, run := range runs {
 		b := l.begun[run]
+		age := b.ageAt(l.broken).Milliseconds()
 		r.logger.Info("the worker crashed under a run; task=%s run=%d instance=%s answered=%t age_ms=%d",
-			run.Task, run.Number, l.instance, b.answered, b.ageAt(l.broken).Milliseconds())
-		told.Runs = append(told.Runs, link.CrashedRun{
-			Run: wireRun(run), Answered: b.answered, AgeMillis: b.ageAt(l.broken).Milliseconds(),
-		})
+			run.Task, run.Number, l.instance, b.answered, age)
+		told.Runs = append(told.Runs, link.CrashedRun{Run: wireRun(run), Answered: b.answered, AgeMillis: age})
 	}
 	if len(runs) == 0 {
 		return
--- a/internal/runner/room.go
+++ b/internal/runner/room.go
@@ -8,11 +8,8 @@
 
 // roomOf returns what a run takes of its worker's room.
 func roomOf(p link.Profile) job.Size {
-	size := job.Size{CPU: p.CPU, Memory: p.Memory, GPU: p.GPU}
-	if p.Fills {
-		size.CPU = 0
-	}
-	return size
+	step := job.Step{Size: job.Size{CPU: p.CPU, Memory: p.Memory, GPU: p.GPU}, Fills: p.Fills}
+	return step.Room()
 }
 
 // taken returns the room of all that the worker may have: what runs, what is being stopped, and what is on its way there.
