What is said of a crash, and crashes of which nothing is said, can be told apart by logs

Of a task that starts again and again, the logs showed neither whether its crashes were told and cleared nor whether nobody told of them. Agents now log a crash that they forget before a lead has committed it; the lead logs each crash with how many tasks it cleared, and a life that is over without a word (lead.untold_crashes). Nothing is decided differently.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -30,6 +30,16 @@
 	return latest
 }
 
+// noteUntold takes note of a life that is over without its agent telling how, as where the agent is new as well.
+func (t *term) noteUntold(h *hosted, told []link.Crash) {
+	lost := h.worker.Host
+	if len(h.runs) == 0 || h.draining || slices.ContainsFunc(told, func(c link.Crash) bool { return c.Instance == lost.Instance }) {
+		return
+	}
+	t.d.config.Metrics.Counter("lead.untold_crashes").Inc(1)
+	t.logger.Warn("a worker's life is over and nobody tells how; vm=%s instance=%s runs=%d", lost.VM, lost.Instance, len(h.runs))
+}
+
 const (
 	// sameMoment is how far apart crashes of one cause may look: agents tell to the millisecond when calls broke off, and their
 	// messages take some more.
@@ -120,8 +130,12 @@
 	for _, s := range suspects {
 		runs = append(runs, crash.NewRun(s.answered, s.age, s.known.job.Suspicion(s.id)))
 	}
-	for i, finding := range crash.Judge(runs, t.together(vm)) {
+	together, cleared := t.together(vm), 0
+	for i, finding := range crash.Judge(runs, together) {
 		s := suspects[i]
+		if finding.Blame() == crash.Cleared {
+			cleared++
+		}
 		if !s.known.job.Crashed(s.id, s.run, finding) {
 			continue
 		}
@@ -136,5 +150,6 @@
 		}
 		t.conclude(s.known)
 	}
+	t.logger.Info("crash judged; vm=%s instance=%s tasks=%d cleared=%d together=%t", vm, instance, len(suspects), cleared, together)
 	t.wakeUp()
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -99,6 +99,7 @@
 		a.host, a.seen, a.orders = current, 0, nil
 		for _, earlier := range t.hostsInOrder() {
 			if other := earlier.worker.Host; other.VM == r.VM && other != current {
+				t.noteUntold(earlier, r.Crashes)
 				t.lose(earlier, "the worker has a new life")
 			}
 		}
--- a/internal/runner/begun_test.go
+++ b/internal/runner/begun_test.go
@@ -168,9 +168,11 @@
 // TestCrashesThatNoLeadHearsOfAreBounded: the latest are kept.
 func TestCrashesThatNoLeadHearsOfAreBounded(t *testing.T) {
 	var c crashes
+	forgotten := 0
 	for range 3 * mostCrashes {
-		c.add(link.Crash{}, time.Time{})
+		forgotten += len(c.add(link.Crash{}, time.Time{}))
 	}
+	assert.Equal(t, forgotten, 2*mostCrashes)
 	assert.Equal(t, len(c.untold), mostCrashes)
 	assert.Equal(t, c.untold[mostCrashes-1].crash.Number, uint64(3*mostCrashes))
 }
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -26,7 +26,9 @@
 		return
 	}
 	r.logger.Warn("the worker crashed; instance=%s runs=%d", l.instance, len(runs))
-	r.crashes.add(told, l.broken)
+	for _, forgotten := range r.crashes.add(told, l.broken) {
+		r.logger.Warn("a crash is forgotten that no lead has committed; instance=%s runs=%d", forgotten.crash.Instance, len(forgotten.crash.Runs))
+	}
 }
 
 // mostCrashes is how many crashes an agent keeps for the lead: as many lives as a worker had in a minute in which each was
@@ -63,14 +65,15 @@
 	return told
 }
 
-// add keeps a crash until a lead has committed it.
-func (c *crashes) add(told link.Crash, broken time.Time) {
+// add keeps a crash until a lead has committed it, and returns those that are forgotten for it.
+func (c *crashes) add(told link.Crash, broken time.Time) []untold {
 	c.number++
 	told.Number = c.number
 	c.untold = append(c.untold, untold{crash: told, broken: broken})
-	if extra := len(c.untold) - mostCrashes; extra > 0 {
-		c.untold = slices.Delete(c.untold, 0, extra)
-	}
+	extra := max(len(c.untold)-mostCrashes, 0)
+	forgotten := c.untold[:extra:extra]
+	c.untold = slices.Clone(c.untold[extra:])
+	return forgotten
 }
 
 // committed forgets what a lead has committed.
