--- a/internal/dispatch/storm_test.go
+++ b/internal/dispatch/storm_test.go
@@ -92,15 +92,21 @@
 
 // submit hands in a job, of which the first task may crash its workers.
 func (s *storm) submit(crashes bool) {
+	id := s.handIn(job.Step{Count: stormTasks, Size: job.Size{CPU: 500, Memory: 100}, Estimate: stormWork})
+	s.crashing[id] = crashes
+}
+
+// handIn hands in a job of one step.
+func (s *storm) handIn(step job.Step) job.ID {
 	id := job.ID(fmt.Sprintf("%016x", len(s.jobs)+1))
-	step := job.Step{Count: stormTasks, Size: job.Size{CPU: 500, Memory: 100}, Estimate: stormWork}
 	value, err := job.Encode(job.Spec{Text: "x", Steps: []job.Step{step}}, job.Queue{Service: testService, Attempts: 2, Stretch: 2}, time.Now())
 	assert.NilError(s.t, err)
 	_, err = s.store.Commit(s.t.Context(), kv.Txn{Puts: []kv.Put{{Key: record.JobKey(id), Value: value}}})
 	assert.NilError(s.t, err)
-	s.jobs, s.crashing[id] = append(s.jobs, id), crashes
+	s.jobs = append(s.jobs, id)
 	_, err = s.lead.inputsFollower().Next(s.t.Context(), 0)
 	assert.NilError(s.t, err)
+	return id
 }
 
 // step lets each worker and its agent work, and the lead answer them.
@@ -179,17 +185,7 @@
 
 // report tells the lead what the worker has.
 func (s *storm) report(w *stormWorker) {
-	r := link.Report{
-		VM: w.agent.vm, Epoch: s.lead.epoch, Instance: w.instance(), Service: testService, CPU: 32000, Memory: 128000, Fenced: true,
-		Ended: w.ended,
-	}
-	for _, c := range w.told {
-		c.BrokenMillis = max(time.Since(w.broken).Milliseconds(), 1)
-		r.Crashes = append(r.Crashes, c)
-	}
-	for run, had := range w.running {
-		r.Running = append(r.Running, link.Running{Run: run, Pace: 100, Fresh: time.Since(had.began) < crash.Soon})
-	}
+	r := w.reportTo(s.lead)
 	answered := make(chan link.ReportAnswer, 1)
 	go func() {
 		answer, _ := s.lead.report(mailbox{w.agent}, r)
@@ -206,6 +202,22 @@
 	}
 }
 
+// reportTo returns a report of what the worker has.
+func (w *stormWorker) reportTo(lead *term) link.Report {
+	r := link.Report{
+		VM: w.agent.vm, Epoch: lead.epoch, Instance: w.instance(), Service: testService, CPU: 32000, Memory: 128000, Fenced: true,
+		Ended: w.ended,
+	}
+	for _, c := range w.told {
+		c.BrokenMillis = max(time.Since(w.broken).Milliseconds(), 1)
+		r.Crashes = append(r.Crashes, c)
+	}
+	for run, had := range w.running {
+		r.Running = append(r.Running, link.Running{Run: run, Pace: 100, Fresh: time.Since(had.began) < crash.Soon})
+	}
+	return r
+}
+
 // deliver starts what the lead ordered.
 func (s *storm) deliver(w *stormWorker) {
 	for _, orders := range w.agent.mail {
--- a/proving/fleet/caller.go
+++ b/proving/fleet/caller.go
@@ -212,11 +212,14 @@
 }
 
 // workOf returns how long a task works, which callers write into its text as "work=800ms".
-func workOf(text string) time.Duration {
-	_, rest, _ := strings.Cut(text, "work=")
-	d, err := time.ParseDuration(strings.Fields(rest + " 0s")[0])
+func workOf(text string) time.Duration { return durationOf(text, "work=", 0) }
+
+// durationOf returns the duration that stands in a text behind a name, another where there is none.
+func durationOf(text, name string, other time.Duration) time.Duration {
+	_, rest, _ := strings.Cut(text, name)
+	d, err := time.ParseDuration(strings.Fields(rest + " -")[0])
 	if err != nil {
-		return 0
+		return other
 	}
 	return d
 }
--- a/proving/fleet/crash_test.go
+++ b/proving/fleet/crash_test.go
@@ -46,3 +46,35 @@
 	assert.Equal(t, rightly, 2)
 	assert.Equal(t, wrongly, 0)
 }
+
+// TestTaskThatTakesItsAgentAlongIsGivenUp plays what was left of that: a VM on which a task crashed the worker, and the agent with
+// it, began anew with the same task.
+//
+// Order of events: a worker accepts the start and crashes 10 ms later, or 400 ms later beside work that begins all the time; its
+// agent ends at that moment, so that the next one finds the next life and knows of no other.
+func TestTaskThatTakesItsAgentAlongIsGivenUp(t *testing.T) {
+	t.Parallel()
+	f, err := New(Size{Entries: 3, Agents: 5}, binaries, t.TempDir())
+	assert.NilError(t, err)
+	defer f.Close()
+	for n, w := range f.workers {
+		w.OnCrash(func() { f.agent(n).Signal(syscall.SIGKILL) })
+	}
+	c, stop := NewCaller(f, 1), make(chan struct{})
+	var others sync.WaitGroup
+	others.Go(func() { c.Play(150*time.Millisecond, stop) })
+	for _, after := range []string{"", " after=400ms"} {
+		crashes := c.submit(job.Spec{Text: crashing + after + " work=800ms", Steps: []job.Step{demoStep(3, 800*time.Millisecond)}})
+		assert.NilError(t, f.await(finishedWithin, func() bool { return c.send(crashes) }))
+	}
+	<-time.After(20 * time.Second)
+	close(stop)
+	others.Wait()
+	finished := f.awaitFinished(c, finishedWithin)
+	rightly, wrongly := f.books.GivenUp()
+	t.Logf("%s; %d workers crashed, %d jobs given up that crash workers, %d others", f.books.Counts(), f.books.Crashes(), rightly, wrongly)
+	assert.NilError(t, f.books.judge())
+	assert.NilError(t, finished)
+	assert.Equal(t, rightly, 2)
+	assert.Equal(t, wrongly, 0)
+}
--- a/proving/fleet/crashes.go
+++ b/proving/fleet/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
 )
@@ -15,6 +16,9 @@
 	return id.Step == 0 && id.Index == 0 && strings.Contains(text, crashing)
 }
 
+// crashAfterOf returns how long such a task takes to crash its worker, which callers may write into its text as "after=300ms".
+func crashAfterOf(text string) time.Duration { return durationOf(text, "after=", crashAfter) }
+
 const (
 	// mostCrashes is how many workers a task may crash before its starts are counted, mostAfter how many starts more there may be.
 	mostCrashes = 3
--- a/proving/fleet/orders.go
+++ b/proving/fleet/orders.go
@@ -93,7 +93,7 @@
 	l.running[id] = &run{number: o.Run, step: step, left: takes, looked: time.Now(), percent: 100}
 	w.books.started(l.instance, w.hall, id, o.Run, o.Text)
 	if crashesWorker(o.Text, id) {
-		w.crashSoon(l, id)
+		w.crashSoon(l, id, crashAfterOf(o.Text))
 	}
 	if used := l.used(); known && !w.bears(used) {
 		w.books.overfull(l.instance, id)
--- a/proving/fleet/worker.go
+++ b/proving/fleet/worker.go
@@ -32,11 +32,13 @@
 	// back is when the worker answers and reports again after a task crashed it; meanwhile its door is shut.
 	back time.Time
 	door *relay.Relay
+	// crashed is called when a task crashes the worker.
+	crashed func()
 }
 
 // NewWorker returns a worker that reports to an agent; Run lets it live.
 func NewWorker(name, hall, agent string, room job.Size, books *Books) *Worker {
-	w := &Worker{name: name, books: books, agent: agent, room: room, hall: hall}
+	w := &Worker{name: name, books: books, agent: agent, room: room, hall: hall, crashed: func() {}}
 	w.revive()
 	return w
 }
@@ -64,14 +66,22 @@
 }
 
 const (
-	// crashAfter is how long after its start a task that crashes its worker does so, downFor how long the worker is away then.
+	// crashAfter is how long after its start a task that crashes its worker does so where its text says nothing else, downFor how
+	// long the worker is away then.
 	crashAfter = 10 * time.Millisecond
 	downFor    = 2500 * time.Millisecond
 )
 
-// crashSoon lets a task that has just been started crash this life of the worker.
-func (w *Worker) crashSoon(l *life, id job.TaskID) {
-	time.AfterFunc(crashAfter, func() {
+// OnCrash has something done whenever a task crashes the worker.
+func (w *Worker) OnCrash(crashed func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashed = crashed
+}
+
+// crashSoon lets a task that has just been started crash this life of the worker after a time.
+func (w *Worker) crashSoon(l *life, id job.TaskID, after time.Duration) {
+	time.AfterFunc(after, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.life != l {
@@ -79,6 +89,7 @@
 		}
 		w.books.crashed(id)
 		w.revive()
+		w.crashed()
 		w.back = time.Now().Add(downFor)
 		w.door.Refuse()
 		time.AfterFunc(downFor, w.open)
