A run that is lost with its worker counts, whoever tells of it and whoever is held responsible

Callers saw their jobs run for ever while a task crashed worker after worker: its crashes counted only where an agent lived to tell them, a lead had committed them, and nothing else explained them. Cause: the bound hung on a witness and on its word.

Each run that is lost with its worker now counts by itself, in the record that lets its task wait again, so no later run can be committed without it: the fifth that lived about as long as the others gives the job up if two workers surely crashed, the eighth in any case. What is lost with an agent or a lead is the pardon, not the charge: a worker that is seen again, an end that it lists, a life that never had the run, many workers at one moment, or a run that lives twice as long as any that was lost. The mend holds since no word is needed for a loss to count, and none but a longer life undoes all of them.

A crash that an agent tells ends that life at once. A crash under no run is told too.

The passages were mended with it: a word told late was told by the wrong worker, and not at all; tasks got on by nothing, so that their worker was taken for faulty; a word that is still to come is not known.

--- a/internal/crash/suspicion.go
+++ b/internal/crash/suspicion.go
@@ -3,13 +3,11 @@
 import "time"
 
 const (
-	// Soon is how long a run must live to have outlived its start: twenty times as long as work that crashes its worker was seen
-	// to take. Played loads (20 of 60 jobs crash their workers, 12 seeds): 400 ms gives 2.6 of the 40 others up, 200 ms none,
-	// since fewer of them are suspected, and each holds a worker up for less.
+	// Soon is how long a run must live to have outlived its start: many times as long as work that fails as it starts takes, and
+	// short, since a suspect holds a worker up for that long.
 	Soon = 200 * time.Millisecond
-	// Long is how long a run must be seen to live for all that was held against its task to be dropped: longer than a worker
-	// took to come back after a crash (3.1 s at the most). With 10 s, where a third of the workers crashes every four seconds
-	// by itself, a lasting task is given up that lives for 9.9 s, 0.5 s, 0.4 s and 4.9 s.
+	// Long is how long a run must be seen to live for what was held against its task by name to be dropped: longer than a worker
+	// takes to come back after a crash.
 	Long = 5 * time.Second
 	// enoughAlone is how many crashes give a task up where the last had no other explanation. The platform allows two; a
 	// bystander of the first is given up only if another crash strikes within Soon of its start alone.
@@ -25,18 +23,28 @@
 type Suspicion struct {
 	crashes int
 	doubts  int
+	losses  Losses
 }
 
 // NewSuspicion returns the suspicion after so many crashes of which the task is a likely cause, and so many of which it is a
 // possible one.
 func NewSuspicion(crashes, doubts int) Suspicion { return Suspicion{crashes: crashes, doubts: doubts} }
 
+// With returns the suspicion with losses in place of its own.
+func (s Suspicion) With(l Losses) Suspicion {
+	s.losses = l
+	return s
+}
+
 // Crashes returns how many crashes the task is a likely cause of.
 func (s Suspicion) Crashes() int { return s.crashes }
 
 // Doubts returns how many crashes the task is a possible cause of.
 func (s Suspicion) Doubts() int { return s.doubts }
 
+// Losses returns the runs that were lost with their workers, whoever is held responsible.
+func (s Suspicion) Losses() Losses { return s.losses }
+
 // Suspect reports whether the task is to start alone, so that what follows tells.
 func (s Suspicion) Suspect() bool { return s.crashes > 0 || s.doubts >= doubtsToSuspect }
 
@@ -58,10 +66,12 @@
 // Outlived returns what is left of the suspicion once a run was seen to live for a time.
 func (s Suspicion) Outlived(age time.Duration) Suspicion {
 	switch {
-	case age >= Long:
+	case age >= s.losses.forgivenAfter():
 		return Suspicion{}
+	case age >= Long:
+		return Suspicion{losses: s.losses}
 	case age >= Soon:
-		return Suspicion{doubts: s.doubts}
+		return Suspicion{doubts: s.doubts, losses: s.losses}
 	}
 	return s
 }
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -10,34 +10,32 @@
 )
 
 // takeCrashes takes note of what the crashes that an agent tells of say of the tasks that ran there. It returns up to which
-// number it has, and adds the jobs that must be saved before the agent may forget them.
-func (t *term) takeCrashes(vm string, told []link.Crash, needed map[*tracked]uint64) uint64 {
+// number it has.
+func (t *term) takeCrashes(a *agent, told []link.Crash) uint64 {
 	latest := uint64(0)
 	for _, c := range told {
 		latest = max(latest, c.Number)
 		if suspects := t.suspectsOf(c); !t.judgedBefore(suspects) {
-			if a := t.agents[vm]; a != nil {
-				a.noteBroken(c.BrokenMillis)
-			}
-			t.judgeCrash(vm, c.Instance, suspects)
+			a.noteBroken(c.BrokenMillis)
+			t.judgeCrash(a, c.Instance, suspects)
 		}
-		for _, run := range c.Runs {
-			if known := t.jobOf(run.Run); known != nil {
-				needed[known] = known.version
-			}
+		t.settleTold(a.vm, c)
+		if h := t.hosts[job.Host{VM: a.vm, Instance: c.Instance}]; h != nil {
+			t.over(a, h, &c, "the worker crashed")
 		}
 	}
 	return latest
 }
 
-// noteUntold takes note of a life that is over without its agent telling how, as where the agent is new as well.
-func (t *term) noteUntold(h *hosted, told []link.Crash) {
-	lost := h.worker.Host
-	if len(h.runs) == 0 || h.draining || slices.ContainsFunc(told, func(c link.Crash) bool { return c.Instance == lost.Instance }) {
-		return
+// needCrashed adds the jobs that must be saved before the agent may forget the crashes that it tells of.
+func (t *term) needCrashed(told []link.Crash, needed map[*tracked]uint64) {
+	for _, c := range told {
+		for _, run := range c.Runs {
+			if known := t.jobOf(run.Run); known != nil {
+				needed[known] = known.version
+			}
+		}
 	}
-	t.d.config.Metrics.Counter("lead.untold_crashes").Inc(1)
-	t.logger.Warn("a worker's life is over and nobody tells how; vm=%s instance=%s runs=%d", lost.VM, lost.Instance, len(h.runs))
 }
 
 const (
@@ -47,6 +45,8 @@
 	// leastOthers is how many other workers crash at the same moment where the cause is likely in common: two that are crashed by
 	// tasks of one plan do so as well.
 	leastOthers = 2
+	// manyOthers is how many there must be for a run that was lost there to be lost by chance.
+	manyOthers = 3
 )
 
 // noteBroken takes note of how long ago the calls to the worker broke off, 0 where they did not.
@@ -56,11 +56,10 @@
 	}
 }
 
-// together reports whether several other workers broke off at the moment at which a VM's worker last did.
-func (t *term) together(vm string) bool {
-	own := t.agents[vm]
-	if own == nil || own.broken.IsZero() {
-		return false
+// crashedWith returns how many other workers broke off at the moment at which an agent's own last did.
+func (t *term) crashedWith(own *agent) int {
+	if own.broken.IsZero() {
+		return 0
 	}
 	others := 0
 	for _, a := range t.agents {
@@ -68,7 +67,7 @@
 			others++
 		}
 	}
-	return others >= leastOthers
+	return others
 }
 
 // suspected is a run that a worker had when it crashed; the runs of a gang count as one.
@@ -124,13 +123,13 @@
 }
 
 // judgeCrash takes note of who is held responsible for a crash, and gives up jobs of which a task has crashed enough.
-func (t *term) judgeCrash(vm, instance string, suspects []suspected) {
+func (t *term) judgeCrash(a *agent, instance string, suspects []suspected) {
 	t.d.config.Metrics.Counter("lead.worker_crashes").Inc(1)
 	runs := make([]crash.Run, 0, len(suspects))
 	for _, s := range suspects {
 		runs = append(runs, crash.NewRun(s.answered, s.age, s.known.job.Suspicion(s.id)))
 	}
-	together, cleared := t.together(vm), 0
+	together, cleared := t.crashedWith(a) >= leastOthers, 0
 	for i, finding := range crash.Judge(runs, together) {
 		s := suspects[i]
 		if finding.Blame() == crash.Cleared {
@@ -141,7 +140,7 @@
 		}
 		held := s.known.job.Suspicion(s.id)
 		t.logger.Info("worker crashed under a task; task=%s run=%d vm=%s instance=%s cause=%s alone=%t age_ms=%d crashes=%d doubts=%d",
-			s.id, s.run, vm, instance, finding.Blame(), finding.Alone(), s.age.Milliseconds(), held.Crashes(), held.Doubts())
+			s.id, s.run, a.vm, instance, finding.Blame(), finding.Alone(), s.age.Milliseconds(), held.Crashes(), held.Doubts())
 		t.touch(s.known)
 		if s.known.job.State() == job.Failed {
 			t.logger.Warn("job is given up, since a task of it crashes its workers; task=%s crashes=%d doubts=%d",
@@ -150,6 +149,6 @@
 		}
 		t.conclude(s.known)
 	}
-	t.logger.Info("crash judged; vm=%s instance=%s tasks=%d cleared=%d together=%t", vm, instance, len(suspects), cleared, together)
+	t.logger.Info("crash judged; vm=%s instance=%s tasks=%d cleared=%d together=%t", a.vm, instance, len(suspects), cleared, together)
 	t.wakeUp()
 }
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -84,7 +84,6 @@
 			known.job.Ended(first, known.job.Task(first).Run(), job.EndLapsed, "")
 		}
 		known.job.Place(second, job.Host{}, 0)
-		needed := make(map[*tracked]uint64)
 		under := func(runs ...link.Run) link.Crash {
 			c := link.Crash{Number: 1}
 			for _, run := range runs {
@@ -92,8 +91,8 @@
 			}
 			return c
 		}
-		lead.takeCrashes("a", []link.Crash{under(link.NewRun(first, 2))}, needed)
-		lead.takeCrashes("b", []link.Crash{under(link.NewRun(first, 1), link.NewRun(second, 1))}, needed)
+		lead.takeCrashes(&agent{vm: "a"}, []link.Crash{under(link.NewRun(first, 2))})
+		lead.takeCrashes(&agent{vm: "b"}, []link.Crash{under(link.NewRun(first, 1), link.NewRun(second, 1))})
 		assert.Equal(t, known.job.Suspicion(first).Weight(), 1)
 		assert.Equal(t, known.job.Suspicion(second).Weight(), 1)
 	})
@@ -118,7 +117,9 @@
 			r.Crashes[0].BrokenMillis = 1000
 			_, err := lead.report(mailbox{a}, r)
 			assert.NilError(t, err)
-			assert.Equal(t, lead.jobs[lateJob].job.Suspicion(job.TaskID{Job: lateJob}), crash.NewSuspicion(crashes, 1-crashes))
+			held := lead.jobs[lateJob].job.Suspicion(job.TaskID{Job: lateJob})
+			assert.Equal(t, held.Crashes(), crashes)
+			assert.Equal(t, held.Doubts(), 1-crashes)
 			work(t, lead)
 		}
 	})
--- /dev/null
+++ b/internal/dispatch/losses.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/crash"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// unseenLife is a life of a worker that was lost sight of, with the runs for which that was counted as a loss.
+type unseenLife struct {
+	since time.Time
+	runs  []link.Run
+}
+
+// over takes back the runs of a life that is over, as its agent tells or, with no crash told, since another life is on its VM.
+func (t *term) over(a *agent, h *hosted, told *link.Crash, reason string) {
+	if told == nil && len(h.runs) > 0 && !h.draining {
+		t.d.config.Metrics.Counter("lead.untold_crashes").Inc(1)
+		t.logger.Warn("a worker's life is over and nobody tells how; vm=%s instance=%s runs=%d",
+			h.worker.Host.VM, h.worker.Host.Instance, len(h.runs))
+	}
+	ages, shared := agesOf(told), t.crashedWith(a) >= manyOthers
+	t.charge(h, func(run link.Run) (crash.Loss, bool) {
+		if told == nil {
+			return crash.UntoldLoss(), true
+		}
+		age, had := ages[run]
+		return crash.ToldLoss(age, shared), had
+	})
+	t.lose(h, reason)
+}
+
+// loseSight takes back the runs of a life that surely run no more, whether its worker crashed or not.
+func (t *term) loseSight(h *hosted, reason string) {
+	runs := t.charge(h, func(link.Run) (crash.Loss, bool) { return crash.UnseenLoss(), true })
+	if len(runs) > 0 {
+		t.unseen[h.worker.Host] = unseenLife{since: time.Now(), runs: runs}
+	}
+	t.lose(h, reason)
+}
+
+// charge counts the runs of a life as lost, so that a task is not started for ever of whose crashes nobody tells, or which is cleared of
+// each. It returns those that were counted; lost tells how a run was, if the life had it. What leaves by plan and what was never
+// ordered is not lost so.
+func (t *term) charge(h *hosted, lost func(link.Run) (crash.Loss, bool)) []link.Run {
+	if h.draining {
+		return nil
+	}
+	var counted []link.Run
+	for _, id := range h.runsInOrder() {
+		p, known := h.runs[id], t.jobs[id.Job]
+		run := link.NewRun(id, p.run)
+		loss, had := lost(run)
+		if known == nil || !p.committed || !had || !known.job.Lost(id, p.run, loss) {
+			continue
+		}
+		counted = append(counted, run)
+		t.charged(known, id)
+	}
+	t.d.config.Metrics.Counter("lead.lost_runs").Inc(int64(len(counted)))
+	return counted
+}
+
+// charged ends a job whose losses are spent.
+func (t *term) charged(known *tracked, id job.TaskID) {
+	if known.job.State() == job.Failed {
+		losses := known.job.Suspicion(id).Losses()
+		t.logger.Warn("job is given up, since the workers of a task of it are lost each time; task=%s lost=%d crashed=%d alike=%d blind=%d",
+			id, losses.All(), losses.Over(), losses.Alike(), losses.Blind())
+		t.d.config.Metrics.Counter("lead.given_up").Inc(1)
+	}
+	t.conclude(known)
+	t.touch(known)
+}
+
+// settleUnseen takes note of what became of the lives of a VM's worker that were lost sight of, now that its agent reports: the
+// one that is there has not crashed, and another one has.
+func (t *term) settleUnseen(current job.Host) {
+	for host, life := range t.unseen {
+		if host.VM == current.VM {
+			delete(t.unseen, host)
+			t.settleRuns(life.runs, func(link.Run) bool { return host != current })
+		}
+	}
+}
+
+// settleTold takes note that a worker has crashed of which an agent tells, also where an earlier lead lost sight of it.
+func (t *term) settleTold(vm string, told link.Crash) {
+	host, ages := job.Host{VM: vm, Instance: told.Instance}, agesOf(&told)
+	runs := t.unseen[host].runs
+	delete(t.unseen, host)
+	for _, r := range told.Runs {
+		runs = append(runs, r.Run)
+	}
+	t.settleRuns(runs, func(run link.Run) bool {
+		_, had := ages[run]
+		return had
+	})
+}
+
+// settleRuns takes note of which runs that were lost sight of were lost by a crash, and which were not lost.
+func (t *term) settleRuns(runs []link.Run, crashed func(link.Run) bool) {
+	for _, run := range runs {
+		known := t.jobOf(run)
+		if id, _ := run.TaskID(); known != nil && known.job.Settled(id, run.Number, crashed(run)) {
+			t.charged(known, id)
+		}
+	}
+}
+
+// settleEnded takes note that a worker lists the end of a run, so that it has not crashed under it.
+func (t *term) settleEnded(id job.TaskID, run int) {
+	if known := t.jobs[id.Job]; known != nil && known.job.Settled(id, run, false) {
+		t.touch(known)
+	}
+}
+
+// forgetUnseen forgets the lives of VMs that never came back.
+func (t *term) forgetUnseen(now time.Time) {
+	for host, life := range t.unseen {
+		if now.Sub(life.since) > keepEnded {
+			delete(t.unseen, host)
+		}
+	}
+}
+
+// agesOf returns the runs that a life had by what its agent tells, with for how long.
+func agesOf(told *link.Crash) map[link.Run]time.Duration {
+	ages := make(map[link.Run]time.Duration)
+	if told == nil {
+		return ages
+	}
+	for _, r := range told.Runs {
+		ages[r.Run] = time.Duration(r.AgeMillis) * time.Millisecond
+	}
+	return ages
+}
--- /dev/null
+++ b/internal/dispatch/losses_test.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/kvtest"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// lossesAfter returns how many runs of a task count as lost, and with how many of them a worker surely crashed, after its agent was
+// away for a time and has then reported.
+func lossesAfter(t *testing.T, before link.Report, away time.Duration, after link.Report) (all, over int) {
+	t.Helper()
+	a := &fakeAgent{vm: "vm"}
+	lead := placedTerm(t, kvtest.New(), a)
+	_, err := lead.report(mailbox{a}, before)
+	assert.NilError(t, err)
+	time.Sleep(away)
+	assert.NilError(t, lead.closures.Load(t.Context()))
+	work(t, lead)
+	_, err = lead.report(mailbox{a}, after)
+	assert.NilError(t, err)
+	losses := lead.jobs[lateJob].job.Suspicion(job.TaskID{Job: lateJob}).Losses()
+	work(t, lead)
+	return losses.All(), losses.Over()
+}
+
+// TestWhatCountsAsLost with a worker: a run that it had, or may have had, when it crashed or was lost sight of.
+func TestWhatCountsAsLost(t *testing.T) {
+	const outOfSight = permission + 2*margin
+	draining := lateReport()
+	draining.Draining = true
+	otherRun := crashReport(1, 9)
+	listed := reportOf("i1")
+	listed.Ended = []link.Ended{{Run: link.NewRun(job.TaskID{Job: lateJob}, 1), Sequence: 1, End: int(job.EndLapsed)}}
+	silent := reportOf("i1")
+	silent.Silent = true
+	for name, c := range map[string]struct {
+		before    link.Report
+		away      time.Duration
+		after     link.Report
+		all, over int
+	}{
+		"its crash is told":                      {lateReport(), 0, crashReport(1, 1), 1, 1},
+		"its crash is not told":                  {lateReport(), 0, reportOf("i2"), 1, 1},
+		"its life never had the run":             {lateReport(), 0, otherRun, 0, 0},
+		"it left by plan":                        {draining, 0, reportOf("i2"), 0, 0},
+		"out of sight, and still there":          {lateReport(), outOfSight, listed, 0, 0},
+		"out of sight, and still silent":         {lateReport(), outOfSight, silent, 1, 0},
+		"out of sight, and crashed":              {lateReport(), outOfSight, crashReport(1, 1), 1, 1},
+		"out of sight, and crashed without word": {lateReport(), outOfSight, reportOf("i2"), 1, 1},
+		"out of sight, crashed without the run":  {lateReport(), outOfSight, otherRun, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all, over := lossesAfter(t, c.before, c.away, c.after)
+				assert.Equal(t, all, c.all)
+				assert.Equal(t, over, c.over)
+			})
+		})
+	}
+}
+
+// TestLivesOutOfSightAreForgotten, so that VMs that never come back leave nothing behind.
+func TestLivesOutOfSightAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &fakeAgent{vm: "vm"}
+		lead := placedTerm(t, kvtest.New(), a)
+		time.Sleep(permission + 2*margin)
+		work(t, lead)
+		assert.Equal(t, len(lead.unseen), 1)
+		time.Sleep(keepEnded + time.Second)
+		work(t, lead)
+		assert.Equal(t, len(lead.unseen), 0)
+	})
+}
+
+// TestCrashThatIsToldBeforeTheNextLifeIsHeardIsNotForgotten failed with each run of the life counted as one of which nothing is known,
+// also those that never reached the worker: the word came, and was acknowledged, with a report of the old life.
+func TestCrashThatIsToldBeforeTheNextLifeIsHeardIsNotForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &fakeAgent{vm: "vm"}
+		lead := placedTerm(t, kvtest.New(), a)
+		told := crashReport(1, 1)
+		told.Instance, told.Silent, told.Lapsed = "i1", true, true
+		told.Crashes[0].Runs[0].AgeMillis = 700
+		for _, r := range []link.Report{lateReport(), told, reportOf("i2")} {
+			_, err := lead.report(mailbox{a}, r)
+			assert.NilError(t, err)
+			losses := lead.jobs[lateJob].job.Suspicion(job.TaskID{Job: lateJob}).Losses()
+			assert.Equal(t, losses.Blind(), 0)
+			if r.Instance == "i2" {
+				assert.Equal(t, losses.Alike(), 1)
+				assert.Equal(t, losses.Longest(), 700*time.Millisecond)
+			}
+			work(t, lead)
+		}
+	})
+}
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -24,6 +24,7 @@
 // expire gives up the workers whose permission is over.
 func (t *term) expire() {
 	now := time.Now()
+	t.forgetUnseen(now)
 	for _, h := range t.hostsInOrder() {
 		host := h.worker.Host
 		a := t.agents[host.VM]
@@ -31,10 +32,10 @@
 		case a != nil && a.host == host:
 			h.worker.Open = h.worker.Open && now.Sub(a.heard) < openFor
 			if now.Sub(a.heard) > permission+margin {
-				t.lose(h, "its agent was not heard")
+				t.loseSight(h, "its agent was not heard")
 			}
 		case now.Sub(t.started) > trust+margin:
-			t.lose(h, "its agent never reported to this lead")
+			t.loseSight(h, "its agent never reported to this lead")
 		}
 	}
 }
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -24,6 +24,7 @@
 	}
 	for _, e := range r.Ended {
 		if id, ok := e.TaskID(); ok {
+			t.settleEnded(id, e.Number)
 			t.apply(id, e.Number, job.End(e.End), e.Checkpoint, a.host)
 			if known := t.jobs[id.Job]; known != nil {
 				needed[known] = known.version
@@ -38,7 +39,7 @@
 		t.compare(h, r)
 		t.sample(h, r)
 	case r.Lapsed:
-		t.lose(h, "the worker is silent and its time is over")
+		t.loseSight(h, "the worker is silent and its time is over")
 	}
 	return true
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -37,9 +37,11 @@
 		return link.ReportAnswer{}, fault.New(fault.Stale, "%s has reported by a newer connection", r.VM)
 	}
 	answer := link.ReportAnswer{Epoch: t.epoch}
-	a := t.hear(s, r)
+	a := t.agentOf(r.VM)
+	crashes := t.takeCrashes(a, r.Crashes)
+	t.hear(a, s, r)
 	needed := make(map[*tracked]uint64)
-	crashes := t.takeCrashes(r.VM, r.Crashes, needed)
+	t.needCrashed(r.Crashes, needed)
 	taken := t.reconcile(a, r, needed)
 	answer.Profiles = t.profiles(r.Unknown)
 	answer.Presses, answer.Swing = t.presses(a.host), round(t.pressure.Swing(), swingSteps)
@@ -81,17 +83,22 @@
 	return a != nil && a.session != nil && s.number() < a.session.number()
 }
 
-// hear takes note of the agent and of the life of its worker; an earlier life has lost all that it ran.
-func (t *term) hear(s session, r link.Report) *agent {
-	a := t.agents[r.VM]
+// agentOf returns what is known of the agent of a VM, with an empty record of one that is new.
+func (t *term) agentOf(vm string) *agent {
+	a := t.agents[vm]
 	if a == nil {
-		a = &agent{vm: r.VM}
-		t.agents[r.VM] = a
+		a = &agent{vm: vm}
+		t.agents[vm] = a
 	}
+	return a
+}
+
+// hear takes note of the agent and of the life of its worker; an earlier life has lost all that it ran.
+func (t *term) hear(a *agent, s session, r link.Report) {
 	a.session, a.heard, a.hall = s, time.Now(), r.Hall
 	a.noteBroken(r.BrokenMillis)
 	if r.Instance == "" || !r.Fenced {
-		return a
+		return
 	}
 	current := job.Host{VM: r.VM, Instance: r.Instance}
 	if a.host != current {
@@ -99,11 +106,13 @@
 		a.host, a.seen, a.orders = current, 0, nil
 		for _, earlier := range t.hostsInOrder() {
 			if other := earlier.worker.Host; other.VM == r.VM && other != current {
-				t.noteUntold(earlier, r.Crashes)
-				t.lose(earlier, "the worker has a new life")
+				t.over(a, earlier, nil, "the worker has a new life")
 			}
 		}
 	}
+	if !r.Silent {
+		t.settleUnseen(current)
+	}
 	w := &t.host(current).worker
 	if open := !r.Draining && !r.Silent; open != w.Open {
 		t.wakeUp()
@@ -112,7 +121,6 @@
 	w.Capacity = job.Size{CPU: r.CPU, Memory: r.Memory, GPU: r.GPU}
 	w.Open = !r.Draining && !r.Silent
 	t.hosts[current].draining = r.Draining
-	return a
 }
 
 // awaitSaved waits until jobs are saved at given versions and reports whether they are.
--- a/internal/dispatch/storm_test.go
+++ b/internal/dispatch/storm_test.go
@@ -28,7 +28,9 @@
 	stormCrash = 10 * time.Millisecond
 	stormDown  = 3 * time.Second
 	stormTasks = 6
-	stormBurst = 4 * time.Second
+	// stormLongest is how long a task works at the most; it gets on for as long.
+	stormLongest = 20 * time.Second
+	stormBurst   = 4 * time.Second
 )
 
 // storm is a load in which some tasks crash each worker that starts them, and some workers crash by themselves.
@@ -213,7 +215,10 @@
 		r.Crashes = append(r.Crashes, c)
 	}
 	for run, had := range w.running {
-		r.Running = append(r.Running, link.Running{Run: run, Pace: 100, Fresh: time.Since(had.began) < crash.Soon})
+		lived := time.Since(had.began)
+		r.Running = append(r.Running, link.Running{
+			Run: run, Pace: 100, Percent: int(100 * lived / stormLongest), Fresh: lived < crash.Soon,
+		})
 	}
 	return r
 }
--- a/internal/dispatch/witness_test.go
+++ b/internal/dispatch/witness_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -53,6 +55,9 @@
 	leastKnown = 2
 )
 
+// reportStep is how often the agent of a task that lives for long reports.
+const reportStep = 600 * time.Millisecond
+
 // passage is one order of deaths and of lost words while a task crashes each worker that starts it.
 type passage struct {
 	*storm
@@ -69,9 +74,15 @@
 // had just crashed, since a crash counted only where its agent lived to tell it, where the lead had committed it before the next,
 // and where nothing else explained it.
 //
+// Cause: the bound hung on a witness and on its word. An agent that died with its worker took the word along, and what a task had lived
+// for, or what had begun beside it, cleared it each time; nothing counted that its runs were lost with their workers, one after the
+// other. Evidence: on the code as it was, each of the seven ways came to a sixth start, four of them with every crash told.
+//
 // All orders of what may become of the word of each crash are played, each with work that takes 10 ms to 6 s to crash its worker, beside
-// work that begins all the time, or with other workers at the same moment.
+// work that begins all the time, or with other workers at the same moment. What follows from a state that another passage came to is
+// played once, or each time where ALL_PASSAGES is set.
 func TestNoPassageStartsWorkThatCrashesItsWorkersWithoutBound(t *testing.T) {
+	every := os.Getenv("ALL_PASSAGES") != ""
 	for _, w := range []way{
 		{name: "at_once", age: 10 * time.Millisecond},
 		{name: "at_once_with_others", age: 10 * time.Millisecond, together: true},
@@ -83,9 +94,12 @@
 	} {
 		t.Run(w.name, func(t *testing.T) {
 			t.Parallel()
-			played := 0
+			played, met := 0, make(map[string]bool)
+			if every {
+				met = nil
+			}
 			for choices, more := []fate(nil), true; more; choices, more = following(choices) {
-				synctest.Test(t, func(t *testing.T) { choices = playPassage(t, w, choices) })
+				synctest.Test(t, func(t *testing.T) { choices = playPassage(t, w, choices, met) })
 				played++
 				if t.Failed() {
 					break
@@ -108,8 +122,8 @@
 	return nil, false
 }
 
-// playPassage plays a passage that begins with some fates, and returns all that it chose.
-func playPassage(t *testing.T, w way, choices []fate) []fate {
+// playPassage plays a passage that begins with some fates, until it comes to a state that was met, and returns all that it chose.
+func playPassage(t *testing.T, w way, choices []fate, met map[string]bool) []fate {
 	t.Helper()
 	p := &passage{storm: newStorm(t, 1, 0), way: w}
 	for i := range p.strange {
@@ -134,7 +148,33 @@
 		}
 		p.fates = append(p.fates, next)
 		here = p.end(here, next)
+		if len(p.fates) < len(choices) {
+			continue
+		}
+		state := p.state()
+		if met[state] {
+			return p.fates
+		}
+		if met != nil {
+			met[state] = true
+		}
+	}
+}
+
+// state tells apart what may follow: what is held against the task and what of that is still open.
+func (p *passage) state() string {
+	id, _ := p.task.TaskID()
+	j := p.lead.jobs[id.Job].job
+	return fmt.Sprint(p.starts, j.Task(id).Run(), j.Suspicion(id), j.State(), len(p.lead.unseen), len(p.late), p.known(), p.lead.suspicions())
+}
+
+// suspicions returns how much is held against other tasks.
+func (t *term) suspicions() (held []string) {
+	for name, known := range t.jobs {
+		held = append(held, fmt.Sprint(name, known.job.Suspicion(job.TaskID{Job: name})))
 	}
+	slices.Sort(held)
+	return held
 }
 
 func (p *passage) String() string {
@@ -147,16 +187,21 @@
 
 // mostStarts returns how often the task may start after what became of it so far.
 func (p *passage) mostStarts() int {
+	if p.known() < leastKnown {
+		return mostUnseen
+	}
+	return mostStarts
+}
+
+// known returns how many of its workers are known to have crashed so far.
+func (p *passage) known() int {
 	known := 0
-	for _, f := range p.fates {
-		if f != vmGone {
+	for i, f := range p.fates {
+		if f != vmGone && (f != toldLate || i < len(p.fates)-1) {
 			known++
 		}
 	}
-	if known < leastKnown {
-		return mostUnseen
-	}
-	return max(mostStarts, len(p.fates)-known+leastKnown)
+	return known
 }
 
 // newWorker adds a worker on a VM of its own.
@@ -190,7 +235,7 @@
 func (p *passage) live(w *stormWorker) {
 	const fresh = 10 * time.Millisecond
 	for began := time.Now(); time.Since(began) < p.way.age-fresh; {
-		time.Sleep(min(stormStep, p.way.age-fresh-time.Since(began)))
+		time.Sleep(min(reportStep, p.way.age-fresh-time.Since(began)))
 		assert.NilError(p.t, p.lead.closures.Load(p.t.Context()))
 		p.report(w)
 	}
@@ -232,7 +277,7 @@
 		p.report(w)
 	case toldLate:
 		time.Sleep(permission)
-		defer func() { p.late = append(p.late, w) }()
+		defer func(held *stormWorker) { p.late = append(p.late, held) }(w)
 		w = p.newWorker()
 	case vmGone:
 		time.Sleep(permission)
--- a/internal/job/crashes.go
+++ b/internal/job/crashes.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/crash"
@@ -34,6 +35,46 @@
 	return true
 }
 
+// Lost takes note that a run was lost with its worker, and reports whether that was counted. The count is stored with the record that lets the task wait again: no later run can be committed without it.
+func (j *Job) Lost(t TaskID, run int, l crash.Loss) bool {
+	task := j.Task(t)
+	if task == nil || j.State().Final() || task.phase != Placed || run != task.run {
+		return false
+	}
+	unit := j.Task(j.Unit(t))
+	if run <= unit.lost {
+		return false
+	}
+	unit.lost = run
+	if !l.Over() {
+		unit.unseen = append(unit.unseen, run)
+	}
+	j.setLosses(unit, unit.suspicion.Losses().Lost(l))
+	return true
+}
+
+// Settled takes note of whether a worker that was lost sight of under a run has crashed, and reports whether anything changed.
+func (j *Job) Settled(t TaskID, run int, crashed bool) bool {
+	task := j.Task(t)
+	if task == nil || j.State().Final() || task.phase == Done {
+		return false
+	}
+	unit := j.Task(j.Unit(t))
+	at := slices.Index(unit.unseen, run)
+	if at < 0 {
+		return false
+	}
+	unit.unseen = slices.Delete(unit.unseen, at, at+1)
+	j.setLosses(unit, unit.suspicion.Losses().Settled(crashed))
+	return true
+}
+
+// setLosses changes the losses of a task, and gives the job up where they are spent.
+func (j *Job) setLosses(unit *Task, l crash.Losses) {
+	unit.suspicion = unit.suspicion.With(l)
+	j.failed = j.failed || l.Spent()
+}
+
 // Outlived takes note that a run was seen to live for a time, and reports whether less is held against its task now.
 func (j *Job) Outlived(t TaskID, run int, age time.Duration) bool {
 	task := j.Task(t)
@@ -43,6 +84,9 @@
 	unit := j.Task(j.Unit(t))
 	before := unit.suspicion
 	unit.suspicion = before.Outlived(age)
+	if unit.suspicion.Losses() == (crash.Losses{}) {
+		unit.unseen = nil
+	}
 	return unit.suspicion != before
 }
 
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -15,14 +15,14 @@
 	Tasks []storedTask
 }
 
-// storedSuspects is the progress of a job of which tasks are suspected of crashing their workers. Jobs without any are stored
-// as before, so that leads of both kinds read them while a release is rolled out.
-type storedSuspects struct {
+// storedHeld is the progress of a job against tasks of which something is held. Jobs without any are stored as above, which leads of
+// earlier releases read as well while one is rolled out.
+type storedHeld[T storedSuspect | earlierSuspect] struct {
 	_        struct{} `cbor:",toarray"`
 	State    int
 	Hosts    []storedHost
 	Tasks    []storedTask
-	Suspects []storedSuspect
+	Suspects []T
 }
 
 type storedSuspect struct {
@@ -33,6 +33,26 @@
 	Crashes int
 	Doubts  int
 	Judged  int
+	// Lost is the latest run that was counted as lost, Unseen are those that were with a worker out of sight.
+	Lost   int
+	Unseen []int
+	All    int
+	Over   int
+	Alike  int
+	Blind  int
+	// Longest is in milliseconds.
+	Longest int64
+}
+
+// earlierSuspect is a suspect as leads of the release before stored it.
+type earlierSuspect struct {
+	_       struct{} `cbor:",toarray"`
+	Time    int
+	Step    int
+	Index   int
+	Crashes int
+	Doubts  int
+	Judged  int
 }
 
 type storedHost struct {
@@ -74,28 +94,46 @@
 			row.Host = hosts[t.host]
 		}
 		stored.Tasks = append(stored.Tasks, row)
-		if t.judged > 0 {
-			suspects = append(suspects, storedSuspect{
-				Time: id.Time, Step: id.Step, Index: id.Index, Judged: t.judged,
-				Crashes: t.suspicion.Crashes(), Doubts: t.suspicion.Doubts(),
-			})
+		if t.judged > 0 || t.lost > 0 {
+			suspects = append(suspects, t.suspect(id))
 		}
 	})
 	if len(suspects) == 0 {
 		return cbor.Marshal(stored)
 	}
-	return cbor.Marshal(storedSuspects{State: stored.State, Hosts: stored.Hosts, Tasks: stored.Tasks, Suspects: suspects})
+	return cbor.Marshal(storedHeld[storedSuspect]{State: stored.State, Hosts: stored.Hosts, Tasks: stored.Tasks, Suspects: suspects})
+}
+
+// suspect returns what is held against the task, as it is stored.
+func (t *Task) suspect(id TaskID) storedSuspect {
+	losses := t.suspicion.Losses()
+	return storedSuspect{
+		Time: id.Time, Step: id.Step, Index: id.Index, Judged: t.judged,
+		Crashes: t.suspicion.Crashes(), Doubts: t.suspicion.Doubts(),
+		Lost: t.lost, Unseen: t.unseen, All: losses.All(), Over: losses.Over(),
+		Alike: losses.Alike(), Blind: losses.Blind(), Longest: losses.Longest().Milliseconds(),
+	}
 }
 
-// decodeProgress reads a stored progress, with or without suspects.
-func decodeProgress(data []byte) (storedSuspects, error) {
-	var full storedSuspects
+// decodeProgress reads a stored progress, with suspects of this release or the one before, or without any.
+func decodeProgress(data []byte) (storedHeld[storedSuspect], error) {
+	var full storedHeld[storedSuspect]
 	if cbor.Unmarshal(data, &full) == nil {
 		return full, nil
 	}
+	var earlier storedHeld[earlierSuspect]
+	if cbor.Unmarshal(data, &earlier) == nil {
+		full = storedHeld[storedSuspect]{State: earlier.State, Hosts: earlier.Hosts, Tasks: earlier.Tasks}
+		for _, e := range earlier.Suspects {
+			full.Suspects = append(full.Suspects, storedSuspect{
+				Time: e.Time, Step: e.Step, Index: e.Index, Crashes: e.Crashes, Doubts: e.Doubts, Judged: e.Judged,
+			})
+		}
+		return full, nil
+	}
 	var plain storedProgress
 	err := cbor.Unmarshal(data, &plain)
-	return storedSuspects{State: plain.State, Hosts: plain.Hosts, Tasks: plain.Tasks}, err
+	return storedHeld[storedSuspect]{State: plain.State, Hosts: plain.Hosts, Tasks: plain.Tasks}, err
 }
 
 // DecodeState returns the state of a stored progress.
@@ -130,7 +168,9 @@
 	}
 	for _, row := range stored.Suspects {
 		if task := j.Task(TaskID{Job: j.id, Time: row.Time, Step: row.Step, Index: row.Index}); task != nil {
-			task.suspicion, task.judged = crash.NewSuspicion(row.Crashes, row.Doubts), row.Judged
+			losses := crash.NewLosses(row.All, row.Over, row.Alike, row.Blind, millis(row.Longest))
+			task.suspicion = crash.NewSuspicion(row.Crashes, row.Doubts).With(losses)
+			task.judged, task.lost, task.unseen = row.Judged, row.Lost, row.Unseen
 		}
 	}
 	j.failed = State(stored.State) == Failed
--- a/internal/job/script_test.go
+++ b/internal/job/script_test.go
@@ -112,6 +112,10 @@
 	case "crash":
 		blame := map[string]crash.Blame{"cleared": crash.Cleared, "possible": crash.Possible, "likely": crash.Likely}[words[3]]
 		assert.Equal(t, j.Crashed(task(), number(2), crash.NewFinding(blame, words[4] == "alone")), yes(5), where)
+	case "lost":
+		assert.Equal(t, j.Lost(task(), number(2), lossOf(words[3], time.Duration(number(4))*time.Millisecond)), yes(5), where)
+	case "settled":
+		assert.Equal(t, j.Settled(task(), number(2), words[3] == "crashed"), yes(4), where)
 	case "outlived":
 		assert.Equal(t, j.Outlived(task(), number(2), time.Duration(number(3))*time.Millisecond), yes(4), where)
 	case "open":
@@ -129,6 +133,16 @@
 	}
 }
 
+func lossOf(name string, lived time.Duration) crash.Loss {
+	switch name {
+	case "told":
+		return crash.ToldLoss(lived, false)
+	case "untold":
+		return crash.UntoldLoss()
+	}
+	return crash.UnseenLoss()
+}
+
 func endOf(t *testing.T, name string) End {
 	t.Helper()
 	for e := EndDone; e <= EndAlone; e++ {
--- a/internal/job/spec_test.go
+++ b/internal/job/spec_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -59,6 +60,19 @@
 	assert.Equal(t, j.Work(0), 8.0)
 }
 
+// TestSuspectsOfTheReleaseBeforeAreRead, so that a release is rolled out while jobs have some.
+func TestSuspectsOfTheReleaseBeforeAreRead(t *testing.T) {
+	const id ID = "00000000000000aa"
+	data, err := cbor.Marshal(storedHeld[earlierSuspect]{
+		State: int(Running), Tasks: []storedTask{{Run: 2}}, Suspects: []earlierSuspect{{Crashes: 1, Doubts: 2, Judged: 2}},
+	})
+	assert.NilError(t, err)
+	j := New(id, Spec{Steps: []Step{{Count: 1}}}, Queue{}, time.Unix(1, 0))
+	assert.NilError(t, j.ApplyProgress(data))
+	assert.Equal(t, j.Suspicion(TaskID{Job: id}), crash.NewSuspicion(1, 2))
+	assert.Assert(t, j.Judged(TaskID{Job: id}, 2))
+}
+
 // FuzzStored: whatever the store holds under a job's keys, it is read or refused.
 func FuzzStored(f *testing.F) {
 	spec := Spec{Steps: []Step{{Count: 2}}}
@@ -67,6 +81,7 @@
 	for _, suspected := range []bool{false, true} {
 		if suspected {
 			j.Crashed(TaskID{Job: j.id}, 1, crash.NewFinding(crash.Likely, true))
+			j.Lost(TaskID{Job: j.id}, 1, crash.UnseenLoss())
 		}
 		progress, err := j.EncodeProgress()
 		if err != nil {
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -102,9 +102,13 @@
 	failures   int
 	host       Host
 	checkpoint string
-	// suspicion is what is held against the task for crashes of workers, judged the latest run for which that was counted.
+	// suspicion is what is held against the task for crashes of workers; judged is the latest run for which a crash was counted by
+	// what was told of it, lost the latest that was counted as lost, unseen are those that were while it was not known whether the
+	// worker had crashed.
 	suspicion crash.Suspicion
 	judged    int
+	lost      int
+	unseen    []int
 }
 
 // Phase returns where the task stands.
--- a/internal/runner/begun_test.go
+++ b/internal/runner/begun_test.go
@@ -176,3 +176,16 @@
 	assert.Equal(t, len(c.untold), mostCrashes)
 	assert.Equal(t, c.untold[mostCrashes-1].crash.Number, uint64(3*mostCrashes))
 }
+
+// TestCrashUnderNoRunIsTold, so that a lead does not hold it against what it had only placed there.
+func TestCrashUnderNoRunIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{there: "i-1", start: accept}
+		r := newTest(worker)
+		held(t, r)
+		returnAnew(r, worker)
+		told := crashedUnder(r)
+		assert.Equal(t, len(told), 1)
+		assert.Equal(t, len(told[0].Runs), 0)
+	})
+}
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -22,9 +22,7 @@
 			run.Task, run.Number, l.instance, b.answered, age)
 		told.Runs = append(told.Runs, link.CrashedRun{Run: wireRun(run), Answered: b.answered, AgeMillis: age})
 	}
-	if len(runs) == 0 {
-		return
-	}
+	// A crash under no run is told too: the lead may have placed work there that never arrived, which is not lost with it then.
 	r.logger.Warn("the worker crashed; instance=%s runs=%d", l.instance, len(runs))
 	for _, forgotten := range r.crashes.add(told, l.broken) {
 		r.logger.Warn("a crash is forgotten that no lead has committed; instance=%s runs=%d", forgotten.crash.Instance, len(forgotten.crash.Runs))
--- a/proving/fleet/crash_test.go
+++ b/proving/fleet/crash_test.go
@@ -52,6 +52,9 @@
 //
 // Order of events: a worker accepts the start and crashes 10 ms later, or 400 ms later beside work that begins all the time; its
 // agent ends at that moment, so that the next one finds the next life and knows of no other.
+//
+// Cause: only an agent's word of a crash was counted. Evidence: 24 workers crashed in 37 s and neither job ended; since each run that is
+// lost with its worker counts by itself, ten crash, and both are given up.
 func TestTaskThatTakesItsAgentAlongIsGivenUp(t *testing.T) {
 	t.Parallel()
 	f, err := New(Size{Entries: 3, Agents: 5}, binaries, t.TempDir())
