A batch task that takes its VM along each time is given up, on the product's own interface too

Operators saw a job run for ever while one VM after the other was lost under it. The loss of a run counts now with the task in the cell's document, by the same decision as on the platform (crash.Losses), the fifth on end gives it up; an eviction with progress from a VM that outlives it starts the count anew, replicas are never given up. The event task_failed says why. A document in which nothing was lost is stored as before, so that both releases read it while one is rolled out.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -119,6 +119,9 @@
 	_, _ = d.Assign(task.NewID("job", 0), "vm-1", size)
 	value, _ := Encode(d)
 	f.Add(value)
+	d.Lose("vm-1")
+	value, _ = Encode(d)
+	f.Add(value)
 	f.Add([]byte{0x87, 0, 0x60, 0, 0x80, 0x80, 0x80, 0x80})
 	f.Fuzz(func(t *testing.T, value []byte) {
 		d, err := Decode(value)
--- a/internal/cell/change.go
+++ b/internal/cell/change.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/resource"
 	"github.com/saffronpulley/saffronpulley/internal/task"
@@ -138,6 +139,8 @@
 	case task.Checkpointed:
 		t.evictions++
 		j.evictions++
+		// The task got on, and its VM outlived it.
+		t.losses = crash.Losses{}
 	}
 	if j.canceled {
 		delete(d.tasks, t.id)
@@ -165,19 +168,49 @@
 	return false
 }
 
-// Lose takes note that a VM instance is gone for good: what it ran waits again, from the last checkpoint.
-func (d *Document) Lose(instance string) []task.Run {
-	var lost []task.Run
+// Loss is a run that was lost with its VM.
+type Loss struct {
+	run     task.Run
+	givenUp bool
+}
+
+// Run returns the run.
+func (l Loss) Run() task.Run { return l.run }
+
+// GivenUp reports whether the task does not start again.
+func (l Loss) GivenUp() bool { return l.givenUp }
+
+// Lose takes note that a VM instance is gone for good: what it ran waits again, from the last checkpoint. A batch task of which run after
+// run is lost so is given up, or it would take along one VM after the other for ever.
+func (d *Document) Lose(instance string) []Loss {
+	var lost []Loss
 	for _, t := range d.Tasks() {
 		if t.instance != instance {
 			continue
 		}
-		lost = append(lost, t.Run())
 		d.Report(NewReport(t.Run(), task.Stopped, ""), 0)
+		lost = append(lost, Loss{run: t.Run(), givenUp: d.countLoss(t.id)})
 	}
 	return lost
 }
 
+// countLoss counts a lost run of a batch task, and reports whether the task is given up for it.
+func (d *Document) countLoss(id task.ID) bool {
+	t, ok := d.tasks[id]
+	if !ok || t.service {
+		return false
+	}
+	t.losses = t.losses.Lost(crash.UntoldLoss())
+	j, ok := d.jobs[id.Job()]
+	if !ok || !t.losses.Spent() {
+		return false
+	}
+	j.failed++
+	delete(d.tasks, id)
+	d.endIfDone(j)
+	return true
+}
+
 // Scale gives a service a number of replicas in the cell; those above it retire.
 func (d *Document) Scale(workload string, replicas int) {
 	for i := range replicas {
--- a/internal/cell/codec.go
+++ b/internal/cell/codec.go
@@ -5,12 +5,15 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/resource"
 	"github.com/saffronpulley/saffronpulley/internal/task"
 )
 
-type documentWire struct {
+// documentWire is a document. One in which no run was lost is stored as the release before did, which reads it while this one is rolled
+// out.
+type documentWire[T taskWire | earlierTaskWire] struct {
 	_     struct{} `cbor:",toarray"`
 	Epoch uint64
 	Lead  string
@@ -20,7 +23,7 @@
 	Ended  []jobWire
 	// Names holds each workload and VM instance once; tasks refer to them by place.
 	Names []string
-	Tasks []taskWire
+	Tasks []T
 }
 
 type jobWire struct {
@@ -37,7 +40,15 @@
 	Millis    int64
 }
 
+// taskWire is a task with its runs that were lost on end.
 type taskWire struct {
+	_      struct{} `cbor:",toarray"`
+	Task   earlierTaskWire
+	Losses int
+}
+
+// earlierTaskWire is a task as the release before stored it.
+type earlierTaskWire struct {
 	_            struct{} `cbor:",toarray"`
 	Job          int
 	Index        int
@@ -70,8 +81,34 @@
 
 // Encode returns the bytes of the document as the store keeps them.
 func Encode(d *Document) ([]byte, error) {
+	value, err := d.encode()
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "the cell's document cannot be encoded")
+	}
+	return value, nil
+}
+
+func (d *Document) encode() ([]byte, error) {
+	if d.hasLosses() {
+		return cbor.Marshal(wireOf(d, func(t Task, table *names) taskWire {
+			return taskWire{Task: encodeTask(t, table), Losses: t.losses.All()}
+		}))
+	}
+	return cbor.Marshal(wireOf(d, encodeTask))
+}
+
+func (d *Document) hasLosses() bool {
+	for _, t := range d.tasks {
+		if t.losses.All() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func wireOf[T taskWire | earlierTaskWire](d *Document, encode func(Task, *names) T) documentWire[T] {
 	table := &names{places: make(map[string]int)}
-	wire := documentWire{Epoch: d.epoch, Lead: d.lead, Starts: uint64(d.starts)}
+	wire := documentWire[T]{Epoch: d.epoch, Lead: d.lead, Starts: uint64(d.starts)}
 	for _, j := range d.Jobs() {
 		wire.Jobs = append(wire.Jobs, encodeJob(j))
 	}
@@ -79,14 +116,10 @@
 		wire.Ended = append(wire.Ended, encodeJob(j))
 	}
 	for _, t := range d.Tasks() {
-		wire.Tasks = append(wire.Tasks, encodeTask(t, table))
+		wire.Tasks = append(wire.Tasks, encode(t, table))
 	}
 	wire.Names = table.list
-	value, err := cbor.Marshal(wire)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "the cell's document cannot be encoded")
-	}
-	return value, nil
+	return wire
 }
 
 func encodeJob(j Job) jobWire {
@@ -96,8 +129,8 @@
 	}
 }
 
-func encodeTask(t Task, table *names) taskWire {
-	return taskWire{
+func encodeTask(t Task, table *names) earlierTaskWire {
+	return earlierTaskWire{
 		Job: table.place(t.id.Job()), Index: t.id.Index(), Workload: table.place(t.workload),
 		Service: t.service, Retired: t.retired, Incarnation: uint64(t.incarnation), Instance: table.place(t.instance),
 		Processors: t.size.Processors(), Memory: t.size.Memory(), Accelerators: t.size.Accelerators(),
@@ -105,26 +138,34 @@
 	}
 }
 
-// Decode returns the document of a stored value; no bytes are a new document.
+// Decode returns the document of a stored value, of this release or the one before; no bytes are a new document.
 func Decode(value []byte) (*Document, error) {
-	d := New()
 	if len(value) == 0 {
-		return d, nil
+		return New(), nil
+	}
+	var wire documentWire[taskWire]
+	if err := cbor.Unmarshal(value, &wire); err == nil {
+		return wire.document(taskWire.decode)
 	}
-	var wire documentWire
-	if err := cbor.Unmarshal(value, &wire); err != nil {
+	var earlier documentWire[earlierTaskWire]
+	if err := cbor.Unmarshal(value, &earlier); err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "the stored document of the cell cannot be read")
 	}
-	d.epoch, d.lead, d.starts = wire.Epoch, wire.Lead, task.Incarnation(wire.Starts)
-	for _, w := range wire.Jobs {
-		j := decodeJob(w)
+	return earlier.document(earlierTaskWire.decode)
+}
+
+func (w documentWire[T]) document(decode func(T, []string) (*Task, error)) (*Document, error) {
+	d := New()
+	d.epoch, d.lead, d.starts = w.Epoch, w.Lead, task.Incarnation(w.Starts)
+	for _, stored := range w.Jobs {
+		j := decodeJob(stored)
 		d.jobs[j.id] = &j
 	}
-	for _, w := range wire.Ended {
-		d.ended = append(d.ended, decodeJob(w))
+	for _, stored := range w.Ended {
+		d.ended = append(d.ended, decodeJob(stored))
 	}
-	for _, w := range wire.Tasks {
-		t, err := decodeTask(w, wire.Names)
+	for _, stored := range w.Tasks {
+		t, err := decode(stored, w.Names)
 		if err != nil {
 			return nil, err
 		}
@@ -140,7 +181,16 @@
 	}
 }
 
-func decodeTask(w taskWire, table []string) (*Task, error) {
+func (w taskWire) decode(table []string) (*Task, error) {
+	t, err := w.Task.decode(table)
+	if err != nil {
+		return nil, err
+	}
+	t.losses = crash.NewLosses(w.Losses, w.Losses, 0, w.Losses, 0)
+	return t, nil
+}
+
+func (w earlierTaskWire) decode(table []string) (*Task, error) {
 	for _, place := range []int{w.Job, w.Workload, w.Instance} {
 		if place < 0 || place >= len(table) {
 			return nil, fault.New(fault.Internal, "the stored document of the cell names place %d of %d", place, len(table))
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/resource"
 	"github.com/saffronpulley/saffronpulley/internal/task"
 )
@@ -17,6 +18,7 @@
 	checkpoint  string
 	failures    int
 	evictions   int
+	losses      crash.Losses
 }
 
 // ID returns the name of the task.
@@ -52,5 +54,8 @@
 // Failures returns how often the task has failed.
 func (t Task) Failures() int { return t.failures }
 
+// Losses returns its runs that were lost with their VMs on end.
+func (t Task) Losses() crash.Losses { return t.losses }
+
 // Evictions returns how often the task was evicted.
 func (t Task) Evictions() int { return t.evictions }
--- a/internal/lead/list.go
+++ b/internal/lead/list.go
@@ -9,7 +9,6 @@
 	"github.com/saffronpulley/saffronpulley/internal/cell"
 	"github.com/saffronpulley/saffronpulley/internal/scheduling"
 	"github.com/saffronpulley/saffronpulley/internal/store"
-	"github.com/saffronpulley/saffronpulley/internal/task"
 	"github.com/saffronpulley/saffronpulley/internal/timeline"
 	"github.com/saffronpulley/saffronpulley/internal/vmlist"
 )
@@ -94,14 +93,17 @@
 }
 
 func (l *Lead) lose(instance string) {
-	var lost []task.Run
+	var lost []cell.Loss
 	o := newOperation(func(d *cell.Document) (bool, error) {
 		lost = d.Lose(instance)
 		return len(lost) > 0, nil
 	})
 	o.after = func() {
-		for _, run := range lost {
-			l.Recorder.Record(timeline.TaskLost, subjectOf(run, instance), "the platform says that the VM is gone")
+		for _, loss := range lost {
+			l.Recorder.Record(timeline.TaskLost, subjectOf(loss.Run(), instance), "the platform says that the VM is gone")
+			if loss.GivenUp() {
+				l.Recorder.Record(timeline.TaskFailed, subjectOf(loss.Run(), instance), "run after run of the task was lost with its VM")
+			}
 		}
 	}
 	l.enqueue(o)
