--- a/internal/cell/losses_test.go
+++ b/internal/cell/losses_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/task"
 )
 
@@ -68,6 +69,8 @@
 func TestReplicasAreNeverGivenUp(t *testing.T) {
 	d := New()
 	d.Scale("lookups", 1)
-	_, runs := loseRuns(t, d, task.NewID("lookups", 0), 40)
+	d, runs := loseRuns(t, d, task.NewID("lookups", 0), 40)
 	assert.Equal(t, runs, 40)
+	replica, _ := d.Task(task.NewID("lookups", 0))
+	assert.Equal(t, replica.Losses(), crash.Losses{}, "nothing is counted that nothing follows from")
 }
--- a/proving/fleet/crashes.go
+++ b/proving/fleet/crashes.go
@@ -2,6 +2,8 @@
 
 import (
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -83,6 +85,18 @@
 	return rightly, wrongly
 }
 
+// crashAgentsAlong lets every other worker that is crashed by a task take its agent along.
+func (f *Fleet) crashAgentsAlong() {
+	var crashes atomic.Int64
+	for n, w := range f.workers {
+		w.OnCrash(func() {
+			if crashes.Add(1)%2 == 0 {
+				f.agent(n).Signal(syscall.SIGKILL)
+			}
+		})
+	}
+}
+
 // Crashes returns how many workers were crashed by tasks.
 func (b *Books) Crashes() int {
 	b.mu.Lock()
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -13,7 +13,7 @@
 	// Length is how long faults come, JobEvery how often a job is handed in.
 	Length   time.Duration
 	JobEvery time.Duration
-	// Crashes lets some of the jobs crash their workers.
+	// Crashes lets some of the jobs crash their workers, every other time with the agent.
 	Crashes bool
 	// Say tells of each fault as it begins.
 	Say func(format string, args ...any)
@@ -37,6 +37,9 @@
 func (f *Fleet) Play(s Soak) error {
 	caller, stop := NewCaller(f, s.Seed), make(chan struct{})
 	caller.Crashes = s.Crashes
+	if s.Crashes {
+		f.crashAgentsAlong()
+	}
 	var calls sync.WaitGroup
 	calls.Go(func() { caller.Play(s.JobEvery, stop) })
 	calls.Go(func() { f.closeHalls(s, stop) })
