Reports name a run once on each connection, and agents are told a list of entries once

What the lead gives out first is bytes.

The list of entries has a number and is left out where the agent has it. An agent sends rows only to a lead that numbers its list, so that both releases understand each other while one is rolled out.

Ruled out for now: rows that are left out where nothing changed (figures and percents change with nearly each report).

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 fuzz:
 	for target in ./internal/cell:FuzzDecode ./internal/table:FuzzParse ./internal/settings:FuzzParse \
 		./internal/rpc:FuzzReadObject ./internal/gate:FuzzReadCall ./internal/job:FuzzStored \
-		./platform:FuzzReport ./platform:FuzzView ./platform:FuzzPolicy; do \
+		./internal/link:FuzzRow ./platform:FuzzReport ./platform:FuzzView ./platform:FuzzPolicy; do \
 		go test $${target%%:*} -run xxx -fuzz $${target##*:} -fuzztime $(FUZZTIME) || exit 1; \
 	done
 
--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/link"
@@ -25,7 +26,7 @@
 	return t.entryList()
 }
 
-// entryList returns the addresses of this entry and of all that were heard of lately.
+// entryList returns the addresses of this entry and of all that were heard of lately, in order.
 func (t *term) entryList() []string {
 	list := []string{t.d.config.Address}
 	for address, e := range t.entries {
@@ -33,9 +34,22 @@
 			list = append(list, address)
 		}
 	}
+	slices.Sort(list)
 	return list
 }
 
+// entriesFor returns the addresses of the entries for an agent that has a list already, nil where that is the latest, and the number of
+// the latest. The list hardly ever changes, and would be most of what an agent is answered.
+func (t *term) entriesFor(has uint64) ([]string, uint64) {
+	if list := t.entryList(); !slices.Equal(list, t.told) {
+		t.told, t.toldList = list, t.toldList+1
+	}
+	if has == t.toldList {
+		return nil, has
+	}
+	return t.told, t.toldList
+}
+
 // tellEntries tells all entries at once when the store goes away, or is back; each then pings to learn more.
 func (t *term) tellEntries() {
 	away := t.d.config.Health.Down()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -19,47 +19,76 @@
 	heard   time.Time
 	host    job.Host
 	seen    uint64
+	// rows reads the reports of the session.
+	rows *link.RowReader
 	// broken is when the calls to the worker last broke off, zero where they never did.
 	broken time.Time
 	// orders are gathered until they are sent.
 	orders *link.Orders
 }
 
+// taken is a report that was taken, and what must be saved before its ends and crashes may go.
+type taken struct {
+	agent   *agent
+	report  link.Report
+	answer  link.ReportAnswer
+	needed  map[*tracked]uint64
+	crashes uint64
+	// ends says that the reported ends were looked at.
+	ends bool
+}
+
 // report takes what an agent and its worker have, and answers with the permission to go on.
 func (t *term) report(s session, r link.Report) (link.ReportAnswer, error) {
 	if r.Epoch > t.epoch {
 		return link.ReportAnswer{}, fault.New(fault.Stale, "epoch %d is newer than this lead's %d", r.Epoch, t.epoch)
 	}
+	known, err := t.take(s, r)
+	if err != nil {
+		t.logger.Warn("report is refused; vm=%s instance=%s reason=%v", r.VM, r.Instance, err)
+		return link.ReportAnswer{}, err
+	}
+	return t.permit(known, t.awaitSaved(known.needed)), nil
+}
+
+// take takes note of what an agent and its worker have.
+func (t *term) take(s session, r link.Report) (*taken, error) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.overtaken(s, r) {
-		t.mu.Unlock()
-		t.logger.Warn("report by an earlier connection is ignored; vm=%s instance=%s", r.VM, r.Instance)
-		return link.ReportAnswer{}, fault.New(fault.Stale, "%s has reported by a newer connection", r.VM)
+		return nil, fault.New(fault.Stale, "%s has reported by a newer connection", r.VM)
 	}
-	answer := link.ReportAnswer{Epoch: t.epoch}
 	a := t.agentOf(r.VM)
-	crashes := t.takeCrashes(a, r.Crashes)
+	if err := a.readRows(s, &r); err != nil {
+		return nil, err
+	}
+	known := &taken{agent: a, report: r, needed: make(map[*tracked]uint64)}
+	known.crashes = t.takeCrashes(a, r.Crashes)
 	t.hear(a, s, r)
-	needed := make(map[*tracked]uint64)
-	t.needCrashed(r.Crashes, needed)
-	taken := t.reconcile(a, r, needed)
+	t.needCrashed(r.Crashes, known.needed)
+	known.ends = t.reconcile(a, r, known.needed)
+	answer := &known.answer
+	answer.Epoch = t.epoch
 	answer.Profiles = t.profiles(r.Unknown)
 	answer.Presses, answer.Swing = t.presses(a.host), round(t.pressure.Swing(), swingSteps)
 	answer.Loads = t.loads(a.host)
 	answer.Starved = round(t.starvation.level, starvedSteps)
 	answer.Hall = t.hallStatus(r.Hall)
-	changed := len(t.dirty) > 0
-	t.mu.Unlock()
-	if changed {
+	if len(t.dirty) > 0 {
 		t.wakeUp()
 	}
-	saved := t.awaitSaved(needed)
+	return known, nil
+}
+
+// permit completes the answer to a report, by whether what follows from it is saved.
+func (t *term) permit(known *taken, saved bool) link.ReportAnswer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	a, r, answer := known.agent, known.report, known.answer
 	if saved {
-		answer.Crashes = crashes
+		answer.Crashes = known.crashes
 	}
-	if saved && taken && a.host == (job.Host{VM: r.VM, Instance: r.Instance}) {
+	if saved && known.ends && a.host == (job.Host{VM: r.VM, Instance: r.Instance}) {
 		for _, e := range r.Ended {
 			a.seen = max(a.seen, e.Sequence)
 		}
@@ -68,11 +97,11 @@
 	answer.Seen = a.seen
 	answer.PermissionMillis = min(permission, max(trust-age, 0)).Milliseconds()
 	answer.Doubtful = age > doubtAfter
-	answer.Entries = t.entryList()
+	answer.Entries, answer.List = t.entriesFor(r.List)
 	if newest := t.d.config.Policies.Newest(); newest != nil {
 		answer.Connections = newest.Connections(r.Service)
 	}
-	return answer, nil
+	return answer
 }
 
 // overtaken reports whether the agent has reported by a newer connection, so that a cut has held this report up. An agent
@@ -83,6 +112,17 @@
 	return a != nil && a.session != nil && s.number() < a.session.number()
 }
 
+// readRows brings the runs of a report back that are told as rows.
+func (a *agent) readRows(s session, r *link.Report) (err error) {
+	if a.session == nil || a.session.number() != s.number() {
+		a.rows = link.NewRowReader()
+	}
+	if r.Running == nil {
+		r.Running, err = a.rows.Read(r.Rows, r.Named)
+	}
+	return err
+}
+
 // agentOf returns what is known of the agent of a VM, with an empty record of one that is new.
 func (t *term) agentOf(vm string) *agent {
 	a := t.agents[vm]
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -94,8 +94,12 @@
 	// BrokenMillis is for how long the calls to the worker have been breaking off, 0 while they do not.
 	BrokenMillis int64 `json:"broken_ms,omitempty"`
 	// Fenced says that the worker has seen this epoch, so that Running, Ended and Pending are all there is.
-	Fenced   bool       `json:"fenced,omitempty"`
+	Fenced bool `json:"fenced,omitempty"`
+	// Running are the runs that the worker has; once the lead numbers its list of entries it reads them from Rows, with Named for the
+	// names that are new there, and Running is left out.
 	Running  []Running  `json:"running,omitempty"`
+	Rows     []Row      `json:"rows,omitempty"`
+	Named    []Named    `json:"named,omitempty"`
 	Ended    []Ended    `json:"ended,omitempty"`
 	Pending  []Run      `json:"pending,omitempty"`
 	Rejected []Rejected `json:"rejected,omitempty"`
@@ -103,6 +107,8 @@
 	Unknown []Run `json:"unknown,omitempty"`
 	// Crashes are the lives that ended without notice; each is told until a lead has committed what follows from it.
 	Crashes []Crash `json:"crashes,omitempty"`
+	// List is which list of entries the agent has by this connection, 0 for none.
+	List uint64 `json:"list,omitempty"`
 }
 
 // ReportAnswer is the lead's answer to a report.
@@ -115,8 +121,10 @@
 	// Crashes is up to which number what follows from crashes is committed.
 	Crashes uint64 `json:"crashes,omitempty"`
 	// Doubtful says that the lead has not confirmed for a while that it leads.
-	Doubtful bool      `json:"doubtful,omitempty"`
+	Doubtful bool `json:"doubtful,omitempty"`
+	// Entries are the addresses of the entries, left out where the agent has them; List numbers them from 1.
 	Entries  []string  `json:"entries,omitempty"`
+	List     uint64    `json:"list,omitempty"`
 	Profiles []Profile `json:"profiles,omitempty"`
 	// Connections is how many connections the worker takes at once, 0 where that is not known.
 	Connections int `json:"connections,omitempty"`
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -68,9 +68,9 @@
 	}
 	r.logger.Info("lead followed; epoch=%d node=%s", lead.Epoch, lead.Node)
 	r.fence(ctx)
-	checked := time.Now()
+	checked, u := time.Now(), &uplink{session: session}
 	for ctx.Err() == nil {
-		doubtful, err := r.tell(ctx, session)
+		doubtful, err := r.tell(ctx, u)
 		if err != nil {
 			return err
 		}
@@ -106,17 +106,46 @@
 	return nil
 }
 
-// tell sends one report and takes the answer.
-func (r *Runner) tell(ctx context.Context, session *rpc.Peer) (bool, error) {
+// uplink is a connection to a lead, with what that knows by it.
+type uplink struct {
+	session *rpc.Peer
+	// rows is nil until the lead has shown that it reads rows, list is which list of entries it told last.
+	rows *link.RowWriter
+	list uint64
+}
+
+// shorten leaves out of a report what the lead has by this connection.
+func (u *uplink) shorten(report *link.Report) {
+	report.List = u.list
+	if u.rows != nil {
+		report.Rows, report.Named = u.rows.Write(report.Running)
+		report.Running = nil
+	}
+}
+
+// answered takes note of what the lead has by this connection.
+func (u *uplink) answered(answer link.ReportAnswer) {
+	u.list = answer.List
+	if u.list > 0 && u.rows == nil {
+		u.rows = link.NewRowWriter()
+	}
+}
+
+// tell sends one report and takes the answer; without one the connection is of no use any more.
+func (r *Runner) tell(ctx context.Context, u *uplink) (bool, error) {
 	sent := r.config.Uptime.Now()
 	report, l := r.compose()
+	u.shorten(&report)
 	bounded, cancel := context.WithTimeout(ctx, reportPatience)
 	defer cancel()
-	answer, err := rpc.Call[link.Report, link.ReportAnswer](bounded, session, link.MethodReport, report)
+	answer, err := rpc.Call[link.Report, link.ReportAnswer](bounded, u.session, link.MethodReport, report)
 	if err != nil {
 		return false, err
 	}
-	r.config.Pool.Learn(answer.Entries)
+	u.answered(answer)
+	if len(answer.Entries) > 0 {
+		r.config.Pool.Learn(answer.Entries)
+	}
 	r.config.Worker.Limit(answer.Connections)
 	r.mu.Lock()
 	defer r.mu.Unlock()
