Workers are kept for suspects by the service that they wait for; strangers change no plan

Callers of a job with a suspect task waited up to 1.5 s for nothing: where a worker of another service is open, the lead kept that one for the suspect, since nothing serves there, and none on which it may start. Cause: the workers to keep were chosen among all. Before, after: the worker kept is the stranger; the one of the service on which least serves.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -144,6 +144,16 @@
 	})
 }
 
+// TestStrangersAreNotKeptForSuspects failed with the stranger kept, on which nothing serves, and none of the workers that the suspect may
+// start on: it waited for a worker of its own until its patience was over.
+func TestStrangersAreNotKeptForSuspects(t *testing.T) {
+	stranger := &plan.Worker{Open: true, Service: "other"}
+	workers := []*plan.Worker{stranger, {Open: true, Service: testService, Serving: 2}, {Open: true, Service: testService, Serving: 1}}
+	keepForSuspects(workers, []*plan.Group{{Service: testService, Indexes: []int{0}, Suspect: 1}})
+	assert.Assert(t, !stranger.Kept && !workers[1].Kept)
+	assert.Assert(t, workers[2].Kept)
+}
+
 // TestHalfOfTheWorkersAreKeptForSuspectsAtMost, those first on which least serves.
 func TestHalfOfTheWorkersAreKeptForSuspectsAtMost(t *testing.T) {
 	workers := []*plan.Worker{{Open: true, Serving: 3}, {Open: true, Serving: 1}, {Open: true, Serving: 2}, {Open: true}, {}}
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -59,21 +59,25 @@
 	}
 }
 
-// keepForSuspects keeps some open workers for the suspects that wait, those first on which least serves: no other task starts
-// there until the suspects have.
+// keepForSuspects keeps some open workers of each service for the suspects that wait for it, those first on which least serves: no
+// other task starts there until the suspects have.
 func keepForSuspects(workers []*plan.Worker, groups []*plan.Group) {
-	wanted := 0
+	wanted := make(map[string]int)
 	for _, g := range groups {
 		if g.Suspect > 0 {
-			wanted += len(g.Indexes)
+			wanted[g.Service] += len(g.Indexes)
 		}
 	}
-	if wanted == 0 {
-		return
+	for service, count := range wanted {
+		keepWorkers(workers, service, count)
 	}
+}
+
+// keepWorkers keeps some open workers of a service.
+func keepWorkers(workers []*plan.Worker, service string, wanted int) {
 	var open []*plan.Worker
 	for _, w := range workers {
-		if w.Open && !w.Closed && !w.Reserved {
+		if w.Open && !w.Closed && !w.Reserved && w.Service == service {
 			open = append(open, w)
 		}
 	}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -183,30 +183,68 @@
 	return groups
 }
 
-// TestNeverBeyondRoom draws plans and checks that no worker is given more than it has, and gangs whole or not at all.
-func TestNeverBeyondRoom(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		var workers []*Worker
-		for i := range rapid.IntRange(1, 5).Draw(t, "workers") {
-			workers = append(workers, &Worker{
-				Host: job.Host{VM: strconv.Itoa(i)}, Service: "s", Open: true, Trials: -1, Labels: []string{"k", "r" + strconv.Itoa(i%2)},
-				Capacity: job.Size{CPU: rapid.IntRange(0, 8).Draw(t, "cpu") * 1000, Memory: rapid.IntRange(0, 8).Draw(t, "memory") * 1000},
-			})
+// drawPlan draws workers and what waits for them.
+func drawPlan(t *rapid.T) ([]*Worker, []*Group) {
+	var workers []*Worker
+	for i := range rapid.IntRange(1, 5).Draw(t, "workers") {
+		workers = append(workers, &Worker{
+			Host: job.Host{VM: strconv.Itoa(i)}, Service: "s", Open: true, Trials: -1, Labels: []string{"k", "r" + strconv.Itoa(i%2)},
+			Capacity: job.Size{CPU: rapid.IntRange(0, 8).Draw(t, "cpu") * 1000, Memory: rapid.IntRange(0, 8).Draw(t, "memory") * 1000},
+		})
+	}
+	var groups []*Group
+	for i := range rapid.IntRange(1, 6).Draw(t, "groups") {
+		step := job.Step{
+			Count: rapid.IntRange(1, 6).Draw(t, "count"), Gang: rapid.Bool().Draw(t, "gang"), Fills: rapid.Bool().Draw(t, "fills"),
+			Size:         job.Size{CPU: rapid.IntRange(0, 4).Draw(t, "asked cpu") * 1000, Memory: rapid.IntRange(0, 4).Draw(t, "asked memory") * 1000},
+			AntiAffinity: rapid.IntRange(0, 2).Draw(t, "apart"), SameRack: rapid.Bool().Draw(t, "same rack"),
 		}
-		var groups []*Group
-		for i := range rapid.IntRange(1, 6).Draw(t, "groups") {
-			step := job.Step{
-				Count: rapid.IntRange(1, 6).Draw(t, "count"), Gang: rapid.Bool().Draw(t, "gang"), Fills: rapid.Bool().Draw(t, "fills"),
-				Size:         job.Size{CPU: rapid.IntRange(0, 4).Draw(t, "asked cpu") * 1000, Memory: rapid.IntRange(0, 4).Draw(t, "asked memory") * 1000},
-				AntiAffinity: rapid.IntRange(0, 2).Draw(t, "apart"), SameRack: rapid.Bool().Draw(t, "same rack"),
-			}
-			j := job.New(job.ID(fmt.Sprintf("%016x", i)), job.Spec{Steps: []job.Step{step}}, job.Queue{}, time.Unix(1, 0))
-			g := &Group{Job: j, Step: &j.Spec().Steps[0], Service: "s", Held: map[job.Host]int{}}
-			for n := range step.Count {
-				g.Indexes = append(g.Indexes, n)
+		j := job.New(job.ID(fmt.Sprintf("%016x", i)), job.Spec{Steps: []job.Step{step}}, job.Queue{}, time.Unix(1, 0))
+		g := &Group{Job: j, Step: &j.Spec().Steps[0], Service: "s", Held: map[job.Host]int{}}
+		for n := range step.Count {
+			g.Indexes = append(g.Indexes, n)
+		}
+		groups = append(groups, g)
+	}
+	return workers, groups
+}
+
+// TestStrangersChangeNoPlan: workers of another service, and such as are not open, whatever else they say, leave each placement as it is.
+func TestStrangersChangeNoPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers, groups := drawPlan(t)
+		var mixed []*Worker
+		for _, w := range workers {
+			for range rapid.IntRange(0, 2).Draw(t, "strangers") {
+				stranger := &Worker{
+					Host: job.Host{VM: fmt.Sprintf("%s-%d", w.Host.VM, len(mixed))}, Trials: -1, Open: rapid.Bool().Draw(t, "open"),
+					Capacity: job.Size{CPU: rapid.IntRange(-9, 99).Draw(t, "stranger's cpu") * 1000, Memory: 99000},
+				}
+				if !stranger.Open {
+					stranger.Service = "s"
+				}
+				mixed = append(mixed, stranger)
 			}
-			groups = append(groups, g)
+			copied := *w
+			mixed = append(mixed, &copied)
+		}
+		again := make([]*Group, len(groups))
+		for i, g := range groups {
+			copied := *g
+			copied.Held = map[job.Host]int{}
+			again[i] = &copied
+		}
+		want := describe(New(workers, pairs{}).Make(again))
+		if got := describe(New(mixed, pairs{}).Make(groups)); got != want {
+			t.Fatalf("with strangers\n%s\nwithout\n%s", got, want)
 		}
+	})
+}
+
+// TestNeverBeyondRoom draws plans and checks that no worker is given more than it has, and gangs whole or not at all.
+func TestNeverBeyondRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers, groups := drawPlan(t)
 		placed := New(workers, pairs{}).Make(groups)
 		used, held, members := make(map[job.Host]job.Size), make(map[string]int), make(map[job.ID]int)
 		for _, p := range placed {
