Agents tell of planned ends of their workers too, so that nothing is charged for them

A lead that did not hear a worker say that it leaves, as one that has just taken over, heard the next life and counted each run as lost with it; callers' jobs came nearer to being given up with each release that rolled over them. Cause: the agent, which knew, said nothing of an end that was no crash, and silence means a crash since losses need no witness. The test of planned ends is as strict as before: it asked for no word, and asks now for one that names no run and says that it was planned; a lead charges nothing then, also where it had lost sight of the worker.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -15,13 +15,13 @@
 	latest := uint64(0)
 	for _, c := range told {
 		latest = max(latest, c.Number)
-		if suspects := t.suspectsOf(c); !t.judgedBefore(suspects) {
+		if suspects := t.suspectsOf(c); !c.Planned && !t.judgedBefore(suspects) {
 			a.noteBroken(c.BrokenMillis)
 			t.judgeCrash(a, c.Instance, suspects)
 		}
 		t.settleTold(a.vm, c)
 		if h := t.hosts[job.Host{VM: a.vm, Instance: c.Instance}]; h != nil {
-			t.over(a, h, &c, "the worker crashed")
+			t.over(a, h, &c, "its agent tells of its end")
 		}
 	}
 	return latest
--- a/internal/dispatch/losses_test.go
+++ b/internal/dispatch/losses_test.go
@@ -38,6 +38,8 @@
 	otherRun := crashReport(1, 9)
 	listed := reportOf("i1")
 	listed.Ended = []link.Ended{{Run: link.NewRun(job.TaskID{Job: lateJob}, 1), Sequence: 1, End: int(job.EndLapsed)}}
+	planned := reportOf("i2")
+	planned.Crashes = []link.Crash{{Number: 1, Instance: "i1", Planned: true}}
 	silent := reportOf("i1")
 	silent.Silent = true
 	for name, c := range map[string]struct {
@@ -50,6 +52,8 @@
 		"its crash is not told":                  {lateReport(), 0, reportOf("i2"), 1, 1},
 		"its life never had the run":             {lateReport(), 0, otherRun, 0, 0},
 		"it left by plan":                        {draining, 0, reportOf("i2"), 0, 0},
+		"it left by plan, of which nobody told":  {lateReport(), 0, planned, 0, 0},
+		"out of sight, and left by plan":         {lateReport(), outOfSight, planned, 0, 0},
 		"out of sight, and still there":          {lateReport(), outOfSight, listed, 0, 0},
 		"out of sight, and still silent":         {lateReport(), outOfSight, silent, 1, 0},
 		"out of sight, and crashed":              {lateReport(), outOfSight, crashReport(1, 1), 1, 1},
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -54,11 +54,13 @@
 	Refusal int `json:"w"`
 }
 
-// Crash tells of a life of the worker that is over without notice.
+// Crash tells of a life of the worker that is over.
 type Crash struct {
-	// Number counts the crashes that an agent tells of.
+	// Number counts the lives that an agent tells of.
 	Number   uint64 `json:"n"`
 	Instance string `json:"instance"`
+	// Planned says that the worker had told that it would leave, which nothing that ran there is blamed for.
+	Planned bool `json:"planned,omitempty"`
 	// BrokenMillis is how long before the report the calls to the worker broke off, 0 where that is not known.
 	BrokenMillis int64 `json:"broken_ms,omitempty"`
 	// Runs are those that it had or may have had.
--- a/internal/runner/begun_test.go
+++ b/internal/runner/begun_test.go
@@ -148,8 +148,8 @@
 	})
 }
 
-// TestPlannedEndOfALifeIsNoCrash: the worker had said that it leaves, or took its leave.
-func TestPlannedEndOfALifeIsNoCrash(t *testing.T) {
+// TestPlannedEndOfALifeIsToldAsSuch: the worker had said that it leaves, or took its leave.
+func TestPlannedEndOfALifeIsToldAsSuch(t *testing.T) {
 	for name, leave := range map[string]func(*Runner){
 		"draining": func(r *Runner) { r.Heard(host.Report{Instance: "i-1", Service: "s", Sequence: 2, Draining: true}) },
 		"left":     func(r *Runner) { r.Left("i-1") },
@@ -159,7 +159,10 @@
 				r, worker := startedTest(t)
 				leave(r)
 				returnAnew(r, worker)
-				assert.Equal(t, len(crashedUnder(r)), 0)
+				told := crashedUnder(r)
+				assert.Equal(t, len(told), 1)
+				assert.Assert(t, told[0].Planned)
+				assert.Equal(t, len(told[0].Runs), 0)
 			})
 		})
 	}
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -7,26 +7,35 @@
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
 
-// crashed takes note that a life of the worker is over: a crash, unless the worker had told that it would leave.
-func (r *Runner) crashed(l *life) {
-	if l.crashed || l.left || l.report.Draining {
+// ended takes note that a life of the worker is over: by a crash, unless the worker had told that it would leave.
+func (r *Runner) ended(l *life) {
+	if l.ended {
 		return
 	}
-	l.crashed = true
+	l.ended = true
+	told := link.Crash{Instance: l.instance, Planned: l.left || l.report.Draining}
+	if !told.Planned {
+		told.Runs = r.crashedUnder(l)
+	}
+	for _, forgotten := range r.crashes.add(told, l.broken) {
+		r.logger.Warn("a crash is forgotten that no lead has committed; instance=%s runs=%d", forgotten.crash.Instance, len(forgotten.crash.Runs))
+	}
+}
+
+// crashedUnder returns the runs that a life may have had when it crashed. A crash under none is told too: the lead may have placed work
+// there that never arrived, which is not lost with it then.
+func (r *Runner) crashedUnder(l *life) []link.CrashedRun {
 	runs := l.begun.left(time.Now())
-	told := link.Crash{Instance: l.instance, Runs: make([]link.CrashedRun, 0, len(runs))}
+	told := make([]link.CrashedRun, 0, len(runs))
 	for _, run := range runs {
 		b := l.begun[run]
 		age := b.ageAt(l.broken).Milliseconds()
 		r.logger.Info("the worker crashed under a run; task=%s run=%d instance=%s answered=%t age_ms=%d",
 			run.Task, run.Number, l.instance, b.answered, age)
-		told.Runs = append(told.Runs, link.CrashedRun{Run: wireRun(run), Answered: b.answered, AgeMillis: age})
+		told = append(told, link.CrashedRun{Run: wireRun(run), Answered: b.answered, AgeMillis: age})
 	}
-	// A crash under no run is told too: the lead may have placed work there that never arrived, which is not lost with it then.
 	r.logger.Warn("the worker crashed; instance=%s runs=%d", l.instance, len(runs))
-	for _, forgotten := range r.crashes.add(told, l.broken) {
-		r.logger.Warn("a crash is forgotten that no lead has committed; instance=%s runs=%d", forgotten.crash.Instance, len(forgotten.crash.Runs))
-	}
+	return told
 }
 
 // mostCrashes is how many crashes an agent keeps for the lead: as many lives as a worker had in a minute in which each was
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -30,11 +30,11 @@
 	views  uint64
 	seen   uint64
 	silent bool
-	// gone says that the worker answered for another life, left that it ended by plan, crashed that its end was told.
-	gone    bool
-	left    bool
-	crashed bool
-	orders  map[host.Run]*order
+	// gone says that the worker answered for another life, left that it ended by plan, ended that its end was told.
+	gone   bool
+	left   bool
+	ended  bool
+	orders map[host.Run]*order
 	// begun are the runs that it may have.
 	begun begunRuns
 	// refused is the highest run of each task that was refused; an order for it that comes again is not carried out.
--- a/internal/runner/lives.go
+++ b/internal/runner/lives.go
@@ -108,7 +108,7 @@
 // succeed makes a life the known one in place of another.
 func (r *Runner) succeed(l *life) {
 	r.logger.Info("worker has a new life; instance=%s earlier=%s", l.instance, r.life.instance)
-	r.crashed(r.life)
+	r.ended(r.life)
 	r.lives.end(r.life.instance)
 	r.life = l
 	wait.Wake(r.heard)
@@ -119,7 +119,7 @@
 func (r *Runner) over(l *life) {
 	if !l.gone {
 		r.logger.Warn("the worker has another life; instance=%s", l.instance)
-		r.crashed(l)
+		r.ended(l)
 		wait.Wake(r.changed)
 	}
 	l.silent, l.gone = true, true
