What ends at once each time is started again ever more seldom

From the second run on that lives for less than a second the task waits, 100 ms at first and 2 s at the most; the platform allows six. The same holds for starts that are refused for good, and for gangs that do not meet.

Ruled out: counting the failures of what lasts towards its job's end (the platform sets no limit there).

--- a/internal/dispatch/groups.go
+++ b/internal/dispatch/groups.go
@@ -42,6 +42,7 @@
 	}
 	for n := range known.job.Spec().Steps {
 		waiting, held := waitingOf(known.job, k, n)
+		waiting = known.ready(job.TaskID{Job: known.job.ID(), Time: k, Step: n}, waiting, now)
 		if len(waiting) == 0 || !known.job.Open(k, n) {
 			continue
 		}
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -29,6 +29,8 @@
 type placed struct {
 	step *job.Step
 	run  int
+	// began is when the run was placed, or became known to this lead.
+	began time.Time
 	// committed says that the store has the run, sent when its order last left.
 	committed bool
 	sent      time.Time
@@ -92,7 +94,7 @@
 
 // add counts a run that the store has.
 func (h *hosted) add(id job.TaskID, step *job.Step, run int) {
-	h.runs[id] = &placed{step: step, run: run, committed: true, moved: time.Now(), pace: pacing.Full}
+	h.runs[id] = &placed{step: step, run: run, began: time.Now(), committed: true, moved: time.Now(), pace: pacing.Full}
 	h.worker.Take(step)
 }
 
@@ -157,13 +159,18 @@
 
 // apply takes note of the end of a run, wherever the task stands now.
 func (t *term) apply(id job.TaskID, run int, end job.End, checkpoint string, host job.Host) {
+	began := time.Time{}
 	if h := t.hosts[host]; h != nil {
+		if p := h.runs[id]; p != nil {
+			began = p.began
+		}
 		h.remove(id, run)
 	}
 	known := t.jobs[id.Job]
 	if known == nil || !known.job.Ended(id, run, end, checkpoint) {
 		return
 	}
+	known.holdBack(id, end, began)
 	t.logger.Info("run ended; task=%s run=%d vm=%s end=%s", id, run, host.VM, end)
 	step := &known.job.Spec().Steps[id.Step]
 	if h := t.hosts[host]; h != nil && !step.Lasting {
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -61,6 +61,7 @@
 func newTracked(j *job.Job) *tracked {
 	return &tracked{
 		job: j, since: sinceAccepted(j.Accepted()), failed: make(map[job.Host]bool), suspects: make(map[job.TaskID]time.Time),
+		backoffs: make(map[job.TaskID]backoff),
 	}
 }
 
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -96,7 +96,7 @@
 	for _, p := range planner.Make(groups) {
 		known := t.jobs[p.Task.Job]
 		run := known.job.Place(p.Task, p.Host, p.Run)
-		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, moved: time.Now(), pace: pacing.Full, suspect: p.Suspect}
+		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, began: time.Now(), moved: time.Now(), pace: pacing.Full, suspect: p.Suspect}
 		delete(known.suspects, p.Task)
 		t.logger.Info("task placed; task=%s run=%d vm=%s waited_ms=%d", p.Task, run, p.Host.VM, time.Since(known.since).Milliseconds())
 		t.touch(known)
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -60,6 +60,7 @@
 		t.forgetAdvice(id)
 	} else {
 		known.failed[h.worker.Host] = true
+		known.refused(id, host.Refusal(r.Refusal))
 	}
 	if known.job.Unplace(id, r.Number) {
 		t.touch(known)
--- a/internal/dispatch/storm_test.go
+++ b/internal/dispatch/storm_test.go
@@ -63,11 +63,13 @@
 	lives   int
 	running map[link.Run]*stormRun
 	ended   []link.Ended
-	last    uint64
-	told    []link.Crash
-	number  uint64
-	broken  time.Time
-	back    time.Time
+	// rejected are told once.
+	rejected []link.Rejected
+	last     uint64
+	told     []link.Crash
+	number   uint64
+	broken   time.Time
+	back     time.Time
 }
 
 type stormRun struct {
@@ -216,8 +218,9 @@
 func (w *stormWorker) reportTo(lead *term) link.Report {
 	r := link.Report{
 		VM: w.agent.vm, Epoch: lead.epoch, Instance: w.instance(), Service: testService, CPU: 32000, Memory: 128000, Fenced: true,
-		Ended: w.ended,
+		Ended: w.ended, Rejected: w.rejected,
 	}
+	w.rejected = nil
 	for _, c := range w.told {
 		c.BrokenMillis = max(time.Since(w.broken).Milliseconds(), 1)
 		r.Crashes = append(r.Crashes, c)
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -23,6 +23,8 @@
 	failed  map[job.Host]bool
 	// suspects are the tasks that wait to start alone, with since when.
 	suspects map[job.TaskID]time.Time
+	// backoffs hold back tasks whose runs end quickly.
+	backoffs map[job.TaskID]backoff
 }
 
 // noteIdle takes note of since when nothing of the job runs.
