A stranger that reports first under the name of a life gives way to the worker

Cause: the first report under the name of a life stood for good. A worker crashed, somebody else reported another service under its next life's name before it did, the worker confirmed the life, and its own reports counted as those of another service from then on, also by their lower sequence. Only the lead can tell which is true, since the configuration names the services: its answer says so, and the agent then takes the next report of another service whole. The mend holds for any number of such strangers, each gives way with the answer after it; one that names a configured service is not told apart (docs/design/0010).

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -100,6 +100,7 @@
 	answer.Entries, answer.List = t.entriesFor(r.List)
 	if newest := t.d.config.Policies.Newest(); newest != nil {
 		answer.Connections = newest.Connections(r.Service)
+		answer.Foreign = r.Instance != "" && !newest.Names(r.Service)
 	}
 	return answer
 }
--- a/internal/dispatch/report_test.go
+++ b/internal/dispatch/report_test.go
@@ -14,6 +14,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
 	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/policy"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
@@ -166,3 +167,28 @@
 	}
 	return nil
 }
+
+// named is a configuration that names the test's service.
+type named struct{ noPolicies }
+
+func (named) Newest() *policy.Policy { return policy.New(1, nil, map[string]int{testService: 3}, 0) }
+
+// TestAgentIsToldOfAServiceThatNoConfigurationNames, so that it gives a report up that somebody else made first.
+func TestAgentIsToldOfAServiceThatNoConfigurationNames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lead := testTerm(t, kvtest.New())
+		a := &fakeAgent{vm: "vm"}
+		for _, configured := range []bool{false, true} {
+			if configured {
+				lead.d.config.Policies = named{}
+			}
+			for service, foreign := range map[string]bool{testService: false, "other": configured} {
+				r := reportOf("i1")
+				r.Service = service
+				answer, err := lead.report(mailbox{a}, r)
+				assert.NilError(t, err)
+				assert.Equal(t, answer.Foreign, foreign, service)
+			}
+		}
+	})
+}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -128,6 +128,8 @@
 	Entries  []string  `json:"entries,omitempty"`
 	List     uint64    `json:"list,omitempty"`
 	Profiles []Profile `json:"profiles,omitempty"`
+	// Foreign says that no configuration names the service that the worker was reported with.
+	Foreign bool `json:"foreign,omitempty"`
 	// Connections is how many connections the worker takes at once, 0 where that is not known.
 	Connections int `json:"connections,omitempty"`
 	// Presses tells, by each image that fills the worker, by how much it lowers the headroom of each serving image there;
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -39,6 +39,12 @@
 // Connections returns how many connections a worker of a service takes at once, 0 where that is not told.
 func (p *Policy) Connections(service string) int { return p.connections[service] }
 
+// Names reports whether the configuration names a service.
+func (p *Policy) Names(service string) bool {
+	_, named := p.connections[service]
+	return named
+}
+
 // MaxBody returns the largest body of a call in bytes.
 func (p *Policy) MaxBody() int { return p.maxBody }
 
--- a/internal/runner/life.go
+++ b/internal/runner/life.go
@@ -15,6 +15,8 @@
 	// instance is the name of the life, which does not change.
 	instance string
 	report   host.Report
+	// foreign says that no configuration names the service of the report, as the lead tells.
+	foreign bool
 	// clock is the worker's clock as of read, a time at which it surely had reached that.
 	clock host.Clock
 	read  time.Time
--- a/internal/runner/lives_test.go
+++ b/internal/runner/lives_test.go
@@ -10,6 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
@@ -145,3 +147,18 @@
 	}
 	assert.Equal(t, len(r.lives.claimants), mostClaimants)
 }
+
+// TestStrangersReportThatComesFirstGivesWay once the lead says that no configuration names its service, with all that it told: its sequence
+// is no bound for the worker's own, nor does it drain for good.
+func TestStrangersReportThatComesFirstGivesWay(t *testing.T) {
+	r := newTest(&fakeWorker{})
+	r.life = newLife(host.Report{Instance: "i-1", Service: "other", Sequence: 4000, Draining: true}, time.Now())
+	own := host.Report{Instance: "i-1", Service: "s", Sequence: 2, Capacity: job.Size{CPU: 8000, Memory: 16000}}
+	assert.Assert(t, !r.Heard(own), "either may be true")
+	r.life.told(link.Report{Service: "s"}, link.ReportAnswer{Foreign: true})
+	assert.Assert(t, !r.Heard(own), "the lead spoke of another report")
+	r.life.told(link.Report{Service: "other"}, link.ReportAnswer{Foreign: true})
+	assert.Assert(t, r.Heard(own))
+	assert.DeepEqual(t, r.life.report, own)
+	assert.Assert(t, !r.Heard(host.Report{Instance: "i-1", Service: "other", Sequence: 4001}))
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -102,6 +102,12 @@
 	case r.life.instance != report.Instance:
 		r.claim(report, now)
 		return true
+	case r.life.report.Service != report.Service && r.life.foreign:
+		// Somebody else may have reported under the name of the life before it did itself.
+		r.logger.Warn("the worker is of another service than was reported first; instance=%s service=%s reported=%s",
+			report.Instance, report.Service, r.life.report.Service)
+		r.life.report, r.life.foreign = report, false
+		wait.Wake(r.changed)
 	case r.life.report.Service != report.Service:
 		r.unusable.Do(func() {
 			r.logger.Warn("report of another service under the worker's name is ignored; instance=%s service=%s known=%s",
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -183,6 +183,7 @@
 	if report.Fenced {
 		l.seen = max(l.seen, answer.Seen)
 	}
+	l.foreign = answer.Foreign && report.Service == l.report.Service
 	l.profile(answer.Profiles)
 	l.presses, l.swing, l.starved = answer.Presses, answer.Swing, answer.Starved
 	l.loads = loadsOf(answer.Loads, time.Now())
