--- a/internal/cell/codec.go
+++ b/internal/cell/codec.go
@@ -186,6 +186,7 @@
 	if err != nil {
 		return nil, err
 	}
+	// Of none of them is it known how long it lived, and all VMs are surely gone.
 	t.losses = crash.NewLosses(w.Losses, w.Losses, 0, w.Losses, 0)
 	return t, nil
 }
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -9,32 +9,34 @@
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
 
-// takeCrashes takes note of what the crashes that an agent tells of say of the tasks that ran there. It returns up to which
-// number it has.
-func (t *term) takeCrashes(a *agent, told []link.Crash) uint64 {
+// takeCrashes takes note of the ends of lives that an agent tells of, and of what crashes among them say of the tasks that ran there. It
+// returns up to which number it has, and adds the jobs that must be saved before the agent may forget them.
+func (t *term) takeCrashes(a *agent, told []link.Crash, concerned map[*tracked]bool) uint64 {
 	latest := uint64(0)
 	for _, c := range told {
 		latest = max(latest, c.Number)
+		for _, run := range c.Runs {
+			t.concern(run.Run, concerned)
+		}
 		if suspects := t.suspectsOf(c); !c.Planned && !t.judgedBefore(suspects) {
 			a.noteBroken(c.BrokenMillis)
 			t.judgeCrash(a, c.Instance, suspects)
 		}
 		t.settleTold(a.vm, c)
 		if h := t.hosts[job.Host{VM: a.vm, Instance: c.Instance}]; h != nil {
+			for id, p := range h.runs {
+				t.concern(link.NewRun(id, p.run), concerned)
+			}
 			t.over(a, h, &c, "its agent tells of its end")
 		}
 	}
 	return latest
 }
 
-// needCrashed adds the jobs that must be saved before the agent may forget the crashes that it tells of.
-func (t *term) needCrashed(told []link.Crash, needed map[*tracked]uint64) {
-	for _, c := range told {
-		for _, run := range c.Runs {
-			if known := t.jobOf(run.Run); known != nil {
-				needed[known] = known.version
-			}
-		}
+// concern adds the job of a run, where there is one.
+func (t *term) concern(run link.Run, concerned map[*tracked]bool) {
+	if known := t.jobOf(run); known != nil {
+		concerned[known] = true
 	}
 }
 
--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -41,13 +41,13 @@
 // entriesFor returns the addresses of the entries for an agent that has a list already, nil where that is the latest, and the number of
 // the latest. The list hardly ever changes, and would be most of what an agent is answered.
 func (t *term) entriesFor(has uint64) ([]string, uint64) {
-	if list := t.entryList(); !slices.Equal(list, t.told) {
-		t.told, t.toldList = list, t.toldList+1
+	if list := t.entryList(); !slices.Equal(list, t.list) {
+		t.list, t.listNumber = list, t.listNumber+1
 	}
-	if has == t.toldList {
+	if has == t.listNumber {
 		return nil, has
 	}
-	return t.told, t.toldList
+	return t.list, t.listNumber
 }
 
 // tellEntries tells all entries at once when the store goes away, or is back; each then pings to learn more.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -63,9 +63,12 @@
 		return nil, err
 	}
 	known := &taken{agent: a, report: r, needed: make(map[*tracked]uint64)}
-	known.crashes = t.takeCrashes(a, r.Crashes)
+	concerned := make(map[*tracked]bool)
+	known.crashes = t.takeCrashes(a, r.Crashes, concerned)
 	t.hear(a, s, r)
-	t.needCrashed(r.Crashes, known.needed)
+	for concerning := range concerned {
+		known.needed[concerning] = concerning.version
+	}
 	known.ends = t.reconcile(a, r, known.needed)
 	answer := &known.answer
 	answer.Epoch = t.epoch
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -74,9 +74,9 @@
 	hosts    map[job.Host]*hosted
 	agents   map[string]*agent
 	entries  map[string]*entry
-	// told is the list of entries that agents are told, toldList its number.
-	told     []string
-	toldList uint64
+	// list is the list of entries that agents are told, listNumber its number.
+	list       []string
+	listNumber uint64
 	// dirty are the jobs to commit, by the order in which they changed; changes counts them.
 	dirty    map[job.ID]uint64
 	changes  uint64
