A job is given up in one place, by its crashes and by its losses alike

Read of the change: what follows from something more that is held against a task (save, log, count, conclude) stood twice, in judgeCrash and in charged. Tests of the package and the linter are green.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -40,6 +41,16 @@
 	}
 }
 
+// held takes note that something more is held against a task, and ends its job where that gives it up.
+func (t *term) held(known *tracked, why string) {
+	t.touch(known)
+	if known.job.State() == job.Failed {
+		t.logger.Warn("job is given up, since %s", why)
+		t.d.config.Metrics.Counter("lead.given_up").Inc(1)
+	}
+	t.conclude(known)
+}
+
 const (
 	// sameMoment is how far apart crashes of one cause may look: agents tell to the millisecond when calls broke off, and their
 	// messages take some more.
@@ -143,13 +154,7 @@
 		held := s.known.job.Suspicion(s.id)
 		t.logger.Info("worker crashed under a task; task=%s run=%d vm=%s instance=%s cause=%s alone=%t age_ms=%d crashes=%d doubts=%d",
 			s.id, s.run, a.vm, instance, finding.Blame(), finding.Alone(), s.age.Milliseconds(), held.Crashes(), held.Doubts())
-		t.touch(s.known)
-		if s.known.job.State() == job.Failed {
-			t.logger.Warn("job is given up, since a task of it crashes its workers; task=%s crashes=%d doubts=%d",
-				s.id, held.Crashes(), held.Doubts())
-			t.d.config.Metrics.Counter("lead.given_up").Inc(1)
-		}
-		t.conclude(s.known)
+		t.held(s.known, fmt.Sprintf("a task of it crashes its workers; task=%s crashes=%d doubts=%d", s.id, held.Crashes(), held.Doubts()))
 	}
 	t.logger.Info("crash judged; vm=%s instance=%s tasks=%d cleared=%d together=%t", a.vm, instance, len(suspects), cleared, together)
 	t.wakeUp()
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/crash"
@@ -86,16 +87,11 @@
 	return counted
 }
 
-// charged ends a job whose losses are spent.
+// charged takes note that the losses of a task have changed, which may be spent.
 func (t *term) charged(known *tracked, id job.TaskID) {
-	if known.job.State() == job.Failed {
-		losses := known.job.Suspicion(id).Losses()
-		t.logger.Warn("job is given up, since the workers of a task of it are lost each time; task=%s lost=%d crashed=%d alike=%d blind=%d",
-			id, losses.All(), losses.Over(), losses.Alike(), losses.Blind())
-		t.d.config.Metrics.Counter("lead.given_up").Inc(1)
-	}
-	t.conclude(known)
-	t.touch(known)
+	losses := known.job.Suspicion(id).Losses()
+	t.held(known, fmt.Sprintf("the workers of a task of it are lost each time; task=%s lost=%d crashed=%d alike=%d blind=%d",
+		id, losses.All(), losses.Over(), losses.Alike(), losses.Blind()))
 }
 
 // settleUnseen takes note of what became of the lives of a VM's worker that were lost sight of, now that its agent reports: the
