--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -170,8 +170,10 @@
 	}
 	if l.views > 0 && view.Clock < l.clock {
 		// A newer answer has overtaken this one.
+		r.logOvertaken("answer", instance, time.Duration(view.Clock).Milliseconds(), time.Duration(l.clock).Milliseconds())
 		return false
 	}
+	r.checkAcknowledged(instance, hold.Seen, view)
 	now := time.Now()
 	if l.silent {
 		r.logger.Info("worker answers again; instance=%s", instance)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -49,6 +49,8 @@
 	claimed chan struct{}
 	// unusable bounds the log lines about reports that cannot be used.
 	unusable rate.Sometimes
+	// overtaken bounds those about what came too late.
+	overtaken rate.Sometimes
 	// patience goes by how long starts usually take to be answered.
 	patience *wait.Patience
 
@@ -70,6 +72,7 @@
 		config: config, logger: config.Logger, changed: make(chan struct{}, 1),
 		settled: make(chan struct{}, 1), heard: make(chan struct{}, 1), claimed: make(chan struct{}, 1),
 		patience: wait.NewPatience(startLeast, startMost), unusable: rate.Sometimes{Interval: unusableEvery},
+		overtaken: rate.Sometimes{Interval: sightEvery},
 	}
 	r.mux = rpc.NewMux(config.Clock)
 	rpc.Handle(r.mux, link.MethodOrders, r.takeOrders)
@@ -123,6 +126,7 @@
 func (r *Runner) renew(report host.Report) {
 	before := r.life.report
 	if !r.life.renew(report) {
+		r.logOvertaken("report", report.Instance, int64(report.Sequence), int64(before.Sequence)) //nolint:gosec // both are counts
 		return
 	}
 	if report.Draining && !before.Draining {
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -16,6 +16,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
+	"github.com/saffronpulley/saffronpulley/internal/metric"
 	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 	"github.com/saffronpulley/saffronpulley/internal/timeline"
@@ -80,7 +81,7 @@
 
 // newTest returns an agent that follows epoch 3 and has a worker's life, permitted for 5 seconds.
 func newTest(worker *fakeWorker) *Runner {
-	r := New(Config{VM: "vm", ClosedWithin: testClosedWithin, Worker: worker, Logger: logging.Discard(), Clock: timeline.NewClock(time.Now), Uptime: &boottimetest.Clock{}})
+	r := New(Config{VM: "vm", ClosedWithin: testClosedWithin, Worker: worker, Logger: logging.Discard(), Clock: timeline.NewClock(time.Now), Uptime: &boottimetest.Clock{}, Metrics: metric.New()})
 	r.Heard(host.Report{Instance: "i-1", Service: "s", Capacity: job.Size{CPU: 4000, Memory: 1000}, Sequence: 1})
 	r.epoch = 3
 	r.permitted = r.config.Uptime.Now().Add(5 * time.Second)
