Add failing tests of workers that return under their id

Callers saw a lasting task that did not run for 11 s with capacity for it, and a task that ran a second time after its acknowledged end. The stand-in's workers can now start again under the id that they had, with a clock ahead of or behind the one before; late orders reach the present incarnation of that id. Both symptoms follow.

--- a/proving/fleet/books.go
+++ b/proving/fleet/books.go
@@ -307,6 +307,19 @@
 // String returns the broken promises, one a line.
 func (b *Books) String() string { return strings.Join(b.Broken(), "\n") }
 
+// running returns how many tasks of a step are on workers.
+func (b *Books) running(id job.ID, step int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for i := range b.jobs[id].spec.Steps[step].Count {
+		if len(b.history(job.TaskID{Job: id, Step: step, Index: i}).alive) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // wasAccepted reports whether a job was accepted.
 func (b *Books) wasAccepted(id job.ID) bool {
 	b.mu.Lock()
--- a/proving/fleet/heartbeat.go
+++ b/proving/fleet/heartbeat.go
@@ -28,11 +28,11 @@
 	defer w.mu.Unlock()
 	w.life.sequence++
 	l := w.life
-	body, _ := json.Marshal(map[string]any{
+	body, _ := json.Marshal(l.describe(map[string]any{
 		"service": service, "address": "", "zone": w.hall, "version": "v1", "slots": 8, "state": "ready",
 		"capacity": map[string]int{"cpu": w.room.CPU, "mem-mb": w.room.Memory}, "labels": []string{"a", "r1-1"},
 		"clock-ms": l.clock(), "sequence": l.sequence,
-	})
+	}))
 	return heartbeat{instance: l.instance, body: body}
 }
 
--- a/proving/fleet/life.go
+++ b/proving/fleet/life.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
@@ -11,7 +13,9 @@
 
 // life is one life of a worker: from its start to a crash.
 type life struct {
-	instance string
+	birth
+	// key tells the incarnations of all workers apart in the books.
+	key      string
 	began    time.Time
 	sequence uint64
 	fence    uint64
@@ -41,8 +45,27 @@
 	lapsed bool
 }
 
-// clock returns the age of the life in milliseconds, by which the lease is told.
-func (l *life) clock() int64 { return time.Since(l.began).Milliseconds() }
+// newLife returns an incarnation that runs nothing.
+func newLife(b birth) *life {
+	return &life{
+		birth: b, key: fmt.Sprintf("%s/%d/%d", b.instance, b.born, births.Add(1)), began: time.Now(),
+		running: make(map[job.TaskID]*run), latest: make(map[job.TaskID]int),
+	}
+}
+
+// births counts the incarnations of all workers.
+var births atomic.Int64
+
+// clock returns the time of the steady clock in milliseconds, by which the lease is told.
+func (l *life) clock() int64 { return (l.clockStart + time.Since(l.began)).Milliseconds() }
+
+// describe adds what all accounts of the incarnation bear.
+func (l *life) describe(account map[string]any) map[string]any {
+	if l.born != 0 {
+		account["born"] = l.born
+	}
+	return account
+}
 
 // used returns the room that all runs take.
 func (l *life) used() job.Size {
@@ -55,7 +78,7 @@
 
 // prolong extends the lease to a time of the clock in milliseconds.
 func (l *life) prolong(until int64) {
-	end := l.began.Add(time.Duration(until) * time.Millisecond)
+	end := l.began.Add(time.Duration(until)*time.Millisecond - l.clockStart)
 	if latest := time.Now().Add(longestHold); end.After(latest) {
 		end = latest
 	}
@@ -73,7 +96,7 @@
 	for _, e := range l.ends {
 		ended = append(ended, []any{e.number, e.task.String(), e.run, e.how.String(), ""})
 	}
-	return map[string]any{"clock-ms": l.clock(), "running": running, "ended": ended}
+	return l.describe(map[string]any{"clock-ms": l.clock(), "running": running, "ended": ended})
 }
 
 // progress returns how far a run is in percent; what lasts is at work at once.
--- a/proving/fleet/orders.go
+++ b/proving/fleet/orders.go
@@ -41,13 +41,23 @@
 	case path == "/hold":
 		w.hold(ctx, l, o)
 	case late > 0 && o.Run%2 == 1:
-		time.AfterFunc(late, func() { w.carryOut(path, l, o) })
+		time.AfterFunc(late, func() { w.carryOut(path, w.present(l), o) })
 		lose(ctx)
 	default:
 		answer(ctx, l, w.carryOut(path, l, o))
 	}
 }
 
+// present returns the incarnation that carries out a late order for an earlier one: a later one under the same id does so too.
+func (w *Worker) present(l *life) *life {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.life.instance == l.instance {
+		return w.life
+	}
+	return l
+}
+
 // carryOut does an order, unless its life is over, and returns why not.
 func (w *Worker) carryOut(path string, l *life, o order) string {
 	w.mu.Lock()
@@ -91,12 +101,12 @@
 	l.latest[id] = o.Run
 	step, takes, known := w.books.step(id)
 	l.running[id] = &run{number: o.Run, step: step, left: takes, looked: time.Now(), percent: 100}
-	w.books.started(l.instance, w.hall, id, o.Run, o.Text)
+	w.books.started(l.key, w.hall, id, o.Run, o.Text)
 	if crashesWorker(o.Text, id) {
 		w.crashSoon(l, id, crashAfterOf(o.Text))
 	}
 	if used := l.used(); known && !w.bears(used) {
-		w.books.overfull(l.instance, id)
+		w.books.overfull(l.key, id)
 	}
 	return ""
 }
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -15,6 +15,8 @@
 	JobEvery time.Duration
 	// Crashes lets some of the jobs crash their workers, every other time with the agent.
 	Crashes bool
+	// Returns lets workers start again under ids that they had.
+	Returns bool
 	// Say tells of each fault as it begins.
 	Say func(format string, args ...any)
 }
@@ -40,6 +42,11 @@
 	if s.Crashes {
 		f.crashAgentsAlong()
 	}
+	if s.Returns {
+		for n, w := range f.workers {
+			w.SetRebirth(anyRebirth(s.Seed + uint64(n)<<32))
+		}
+	}
 	var calls sync.WaitGroup
 	calls.Go(func() { caller.Play(s.JobEvery, stop) })
 	calls.Go(func() { f.closeHalls(s, stop) })
--- a/proving/fleet/worker.go
+++ b/proving/fleet/worker.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
@@ -29,6 +28,8 @@
 	silent bool
 	late   time.Duration
 	lives  int
+	// rebirth says how the next incarnation differs from the one before.
+	rebirth Rebirth
 	// back is when the worker answers and reports again after a task crashed it; meanwhile its door is shut.
 	back time.Time
 	door *relay.Relay
@@ -38,7 +39,7 @@
 
 // NewWorker returns a worker that reports to an agent; Run lets it live.
 func NewWorker(name, hall, agent string, room job.Size, books *Books) *Worker {
-	w := &Worker{name: name, books: books, agent: agent, room: room, hall: hall, crashed: func() {}}
+	w := &Worker{name: name, books: books, agent: agent, room: room, hall: hall, crashed: func() {}, rebirth: Renamed}
 	w.revive()
 	return w
 }
@@ -54,15 +55,20 @@
 func (w *Worker) revive() {
 	if w.life != nil {
 		for id := range w.life.running {
-			w.books.ended(w.life.instance, id, false)
+			w.books.ended(w.life.key, id, false)
 			w.books.lost(id)
 		}
 	}
 	w.lives++
-	w.life = &life{
-		instance: fmt.Sprintf("i-%s-%d", w.name, w.lives), began: time.Now(),
-		running: make(map[job.TaskID]*run), latest: make(map[job.TaskID]int),
-	}
+	w.life = newLife(w.rebirth(w.name, w.lives))
+}
+
+// SetRebirth sets how later incarnations of the worker differ from the ones before, and begins the first of them.
+func (w *Worker) SetRebirth(rebirth Rebirth) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rebirth = rebirth
+	w.revive()
 }
 
 const (
@@ -187,5 +193,5 @@
 	delete(l.running, id)
 	l.next++
 	l.ends = append(l.ends, ending{number: l.next, task: id, run: r.number, how: how})
-	w.books.ended(l.instance, id, how == job.EndDone)
+	w.books.ended(l.key, id, how == job.EndDone)
 }
