--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -5,13 +5,14 @@
 	"slices"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/plan"
 )
 
 // Tickets are the workers that may run a step, each with what the start has to bring.
 type Tickets struct {
-	// ByInstance holds the tickets by the worker's life.
+	// ByInstance holds the tickets by the id of the worker; each is for the incarnation that has the id now.
 	ByInstance map[string]string
 	// Valid is how long they hold from the answer on.
 	Valid time.Duration
@@ -37,7 +38,7 @@
 
 // advice is what is known of one step.
 type advice struct {
-	tickets map[string]string
+	tickets map[incarnation.ID]string
 	until   time.Time
 	asking  bool
 }
@@ -61,43 +62,45 @@
 	}
 	if !known.asking && time.Now().After(known.until) {
 		known.asking, known.tickets = true, nil
-		go t.askAdvice(id, t.instancesOf(service))
+		go t.askAdvice(id, t.incarnationsOf(service))
 	}
 	tickets := make(map[job.Host]string)
 	for host := range t.hosts {
-		if ticket, ok := known.tickets[host.Instance]; ok {
+		if ticket, ok := known.tickets[host.Incarnation]; ok {
 			tickets[host] = ticket
 		}
 	}
 	return tickets
 }
 
-func (t *term) instancesOf(service string) []string {
-	var instances []string
+func (t *term) incarnationsOf(service string) []incarnation.ID {
+	var found []incarnation.ID
 	for _, h := range t.hostsInOrder() {
 		if h.worker.Open && h.worker.Service == service {
-			instances = append(instances, h.worker.Host.Instance)
+			found = append(found, h.worker.Host.Incarnation)
 		}
 	}
-	return instances
+	return found
 }
 
 // askAdvice asks about all workers, in as many calls as it takes; the service takes one at a time.
-func (t *term) askAdvice(id stepID, instances []string) {
+func (t *term) askAdvice(id stepID, workers []incarnation.ID) {
 	t.asks.Lock()
 	defer t.asks.Unlock()
-	tickets := make(map[string]string)
+	tickets := make(map[incarnation.ID]string)
 	valid := adviceRetry
-	for chunk := range slices.Chunk(instances, mostAsked) {
+	for chunk := range slices.Chunk(workers, mostAsked) {
 		ctx, cancel := context.WithTimeout(context.Background(), advicePatience)
-		answer, err := t.d.config.Advisor.Advise(ctx, id.String(), chunk)
+		answer, err := t.d.config.Advisor.Advise(ctx, id.String(), idsOf(chunk))
 		cancel()
 		if err != nil {
 			t.logger.Warn("no advice; step=%s workers=%d reason=%v", id, len(chunk), err)
 			break
 		}
-		for instance, ticket := range answer.ByInstance {
-			tickets[instance] = ticket
+		for _, worker := range chunk {
+			if ticket, ok := answer.ByInstance[worker.Worker()]; ok {
+				tickets[worker] = ticket
+			}
 		}
 		valid = max(adviceRetry, answer.Valid-answer.Valid/adviceReserve)
 	}
@@ -107,6 +110,15 @@
 	t.wakeUp()
 }
 
+// idsOf returns the ids by which the service that advises knows workers.
+func idsOf(workers []incarnation.ID) []string {
+	ids := make([]string, 0, len(workers))
+	for _, w := range workers {
+		ids = append(ids, w.Worker())
+	}
+	return ids
+}
+
 // forgetAdvice drops what is known of a step, after a worker refused its ticket.
 func (t *term) forgetAdvice(id job.TaskID) { delete(t.advised, stepID{id.Job, id.Time, id.Step}) }
 
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -6,29 +6,32 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/crash"
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
 
-// takeCrashes takes note of the ends of lives that an agent tells of, and of what crashes among them say of the tasks that ran there. It
-// returns up to which number it has, and adds the jobs that must be saved before the agent may forget them.
+// takeCrashes records the ends of incarnations that an agent reports, and what crashes among them say of the tasks that ran there. It returns
+// up to which number it has, and adds the jobs that must be saved before the agent may forget them.
 func (t *term) takeCrashes(a *agent, told []link.Crash, concerned map[*tracked]bool) uint64 {
 	latest := uint64(0)
 	for _, c := range told {
+		ended := job.Host{VM: a.vm, Incarnation: c.Incarnation()}
+		t.identify(ended)
 		latest = max(latest, c.Number)
 		for _, run := range c.Runs {
 			t.concern(run.Run, concerned)
 		}
 		if suspects := t.suspectsOf(c); !c.Planned && !t.judgedBefore(suspects) {
 			a.noteBroken(c.BrokenMillis)
-			t.judgeCrash(a, c.Instance, suspects)
+			t.judgeCrash(a, ended.Incarnation, suspects)
 		}
 		t.settleTold(a.vm, c)
-		if h := t.hosts[job.Host{VM: a.vm, Instance: c.Instance}]; h != nil {
+		if h := t.hosts[ended]; h != nil {
 			for id, p := range h.runs {
 				t.concern(link.NewRun(id, p.run), concerned)
 			}
-			t.over(a, h, &c, "its agent tells of its end")
+			t.retire(a, h, &c, "its agent reports its end")
 		}
 	}
 	return latest
@@ -135,8 +138,8 @@
 	return slices.ContainsFunc(suspects, func(s suspected) bool { return s.known.job.Judged(s.id, s.run) })
 }
 
-// judgeCrash takes note of who is held responsible for a crash, and gives up jobs of which a task has crashed enough.
-func (t *term) judgeCrash(a *agent, instance string, suspects []suspected) {
+// judgeCrash records which runs are held responsible for a crash, and gives up jobs of which a task has crashed enough.
+func (t *term) judgeCrash(a *agent, id incarnation.ID, suspects []suspected) {
 	t.d.config.Metrics.Counter("lead.worker_crashes").Inc(1)
 	runs := make([]crash.Run, 0, len(suspects))
 	for _, s := range suspects {
@@ -153,9 +156,9 @@
 		}
 		held := s.known.job.Suspicion(s.id)
 		t.logger.Info("worker crashed under a task; task=%s run=%d vm=%s instance=%s cause=%s alone=%t age_ms=%d crashes=%d doubts=%d",
-			s.id, s.run, a.vm, instance, finding.Blame(), finding.Alone(), s.age.Milliseconds(), held.Crashes(), held.Doubts())
+			s.id, s.run, a.vm, id, finding.Blame(), finding.Alone(), s.age.Milliseconds(), held.Crashes(), held.Doubts())
 		t.held(s.known, fmt.Sprintf("a task of it crashes its workers; task=%s crashes=%d doubts=%d", s.id, held.Crashes(), held.Doubts()))
 	}
-	t.logger.Info("crash judged; vm=%s instance=%s tasks=%d cleared=%d together=%t", a.vm, instance, len(suspects), cleared, together)
+	t.logger.Info("crash judged; vm=%s instance=%s tasks=%d cleared=%d together=%t", a.vm, id, len(suspects), cleared, together)
 	t.wakeUp()
 }
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -11,10 +11,12 @@
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
 
-// hosted is one life of a worker and what is placed there.
+// hosted is one incarnation of a worker and what is placed there.
 type hosted struct {
 	worker plan.Worker
 	runs   map[job.TaskID]*placed
+	// ended says that the incarnation has ended and its runs were counted as lost.
+	ended bool
 	// draining says that the worker leaves, and all that runs there with it.
 	draining bool
 	// sampled is when the figures were last taken into account, used what each image that fills used by them, in shares of
@@ -82,7 +84,7 @@
 	p.looked = now
 }
 
-// host returns what is known of a life of a worker, with an empty record of one that is new.
+// host returns what is known of an incarnation of a worker, with an empty record of one that is new.
 func (t *term) host(name job.Host) *hosted {
 	h := t.hosts[name]
 	if h == nil {
@@ -144,20 +146,22 @@
 	return p
 }
 
-// lose takes all runs of a worker's life back, which surely are no more.
-func (t *term) lose(h *hosted, reason string) {
-	if len(h.runs) > 0 {
+// lose takes back runs of an incarnation that has ended, and forgets the incarnation once none is left.
+func (t *term) lose(h *hosted, runs []job.TaskID, reason string) {
+	if len(runs) > 0 {
 		t.logger.Warn("a worker's runs are lost; vm=%s instance=%s runs=%d reason=%s",
-			h.worker.Host.VM, h.worker.Host.Instance, len(h.runs), reason)
+			h.worker.Host.VM, h.worker.Host.Incarnation, len(runs), reason)
 	}
-	for _, id := range h.runsInOrder() {
+	for _, id := range runs {
 		t.apply(id, h.runs[id].run, job.EndLapsed, "", h.worker.Host)
 	}
-	delete(t.hosts, h.worker.Host)
+	if len(h.runs) == 0 {
+		delete(t.hosts, h.worker.Host)
+	}
 	t.wakeUp()
 }
 
-// apply takes note of the end of a run, wherever the task stands now.
+// apply records the end of a run, wherever the task stands now.
 func (t *term) apply(id job.TaskID, run int, end job.End, checkpoint string, host job.Host) {
 	began := time.Time{}
 	if h := t.hosts[host]; h != nil {
--- /dev/null
+++ b/internal/dispatch/incarnations.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// identify gives a host of which a process of the release before left the time of birth out the identity that its agent reports now. Its runs
+// stay placed: if it was another incarnation, they are missing there and are ordered again under the same numbers.
+func (t *term) identify(host job.Host) {
+	for _, h := range t.hostsInOrder() {
+		known := h.worker.Host
+		if known.VM != host.VM || known == host || !known.Incarnation.MayBe(host.Incarnation) || t.hosts[host] != nil {
+			continue
+		}
+		t.logger.Info("worker incarnation identified; vm=%s instance=%s before=%s", host.VM, host.Incarnation, known.Incarnation)
+		delete(t.hosts, known)
+		t.hosts[host], h.worker.Host = h, host
+		for id, p := range h.runs {
+			t.rehost(id, p, host)
+		}
+		if a := t.agents[host.VM]; a != nil && a.host == known {
+			a.host = host
+		}
+		if lost, unseen := t.unseen[known]; unseen {
+			delete(t.unseen, known)
+			t.unseen[host] = lost
+		}
+	}
+}
+
+// rehost stores that a placed run is on another host.
+func (t *term) rehost(id job.TaskID, p *placed, host job.Host) {
+	if known := t.jobs[id.Job]; known != nil && known.job.Rehost(id, p.run, host) {
+		t.touch(known)
+	}
+}
+
+// retire takes back the runs of an incarnation that has ended, as its agent reports or, with no crash reported, since another one is on its VM.
+//
+// A start that the worker may still carry out is not lost with the incarnation that it was meant for: the next one under the same id would
+// carry it out, beside the run that replaces it. It is kept until that one has reported, and is stopped there first.
+func (t *term) retire(a *agent, h *hosted, told *link.Crash, reason string) {
+	if !h.ended {
+		t.countLost(a, h, told)
+	}
+	ended, present := h.worker.Host.Incarnation, a.host.Incarnation
+	replaced := !present.IsZero() && a.host != h.worker.Host
+	settled := settledOf(told)
+	var lost []job.TaskID
+	for _, id := range h.runsInOrder() {
+		p := h.runs[id]
+		switch {
+		case !p.committed || p.settled(settled, link.NewRun(id, p.run)) || replaced && !present.SameWorker(ended):
+			lost = append(lost, id)
+		case replaced:
+			t.handOver(h, t.host(a.host), id)
+		}
+	}
+	t.lose(h, lost, reason)
+}
+
+// settled reports whether no start of the run may still be carried out, by what the agent reports or else by what the leader has seen.
+func (p *placed) settled(reported map[link.Run]bool, run link.Run) bool {
+	if settled, known := reported[run]; known {
+		return settled
+	}
+	return !p.shown.IsZero()
+}
+
+// settledOf returns the runs of an incarnation that has ended by what its agent reports, with whether no start of them may still be carried out.
+func settledOf(told *link.Crash) map[link.Run]bool {
+	settled := make(map[link.Run]bool)
+	if told == nil {
+		return settled
+	}
+	for _, r := range told.Runs {
+		settled[r.Run] = r.Settled
+	}
+	return settled
+}
+
+// handOver stops a run on the next incarnation of the worker that it was ordered on; its task waits for the end of that.
+func (t *term) handOver(from, to *hosted, id job.TaskID) {
+	p := from.runs[id]
+	from.remove(id, p.run)
+	to.add(id, p.step, p.run)
+	t.rehost(id, p, to.worker.Host)
+	t.logger.Info("start is stopped on the next incarnation; task=%s run=%d vm=%s instance=%s",
+		id, p.run, to.worker.Host.VM, to.worker.Host.Incarnation)
+	t.halt(to.worker.Host, id, to.runs[id])
+}
--- a/internal/dispatch/inorder.go
+++ b/internal/dispatch/inorder.go
@@ -5,16 +5,17 @@
 	"maps"
 	"slices"
 
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 )
 
-// hostsInOrder returns the lives of workers, always in the same order, so that a plan does not hang on chance.
+// hostsInOrder returns the incarnations of workers, always in the same order, so that a plan does not hang on chance.
 func (t *term) hostsInOrder() []*hosted {
 	return slices.SortedFunc(maps.Values(t.hosts), func(a, b *hosted) int { return compareHosts(a.worker.Host, b.worker.Host) })
 }
 
 func compareHosts(a, b job.Host) int {
-	return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Instance, b.Instance))
+	return cmp.Or(cmp.Compare(a.VM, b.VM), incarnation.Compare(a.Incarnation, b.Incarnation))
 }
 
 // runsInOrder returns the tasks that are placed on a worker.
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -9,20 +9,22 @@
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
 
-// unseenLife is a life of a worker that was lost sight of, with the runs for which that was counted as a loss.
+// unseenLife is an incarnation of a worker that is unreachable, with the runs for which that was counted as a loss.
 type unseenLife struct {
 	since time.Time
 	runs  []link.Run
 }
 
-// over takes back the runs of a life that is over, as its agent tells or, with no crash told, since another life is on its VM.
-func (t *term) over(a *agent, h *hosted, told *link.Crash, reason string) {
+// countLost counts the runs of an incarnation that has ended as lost, by what its agent reports or, with no crash reported, by what the leader
+// has seen itself.
+func (t *term) countLost(a *agent, h *hosted, told *link.Crash) {
+	h.ended, h.worker.Open = true, false
 	if told == nil && len(h.runs) > 0 && !h.draining {
 		t.d.config.Metrics.Counter("lead.untold_crashes").Inc(1)
-		t.logger.Warn("a worker's life is over and nobody tells how; vm=%s instance=%s runs=%d",
-			h.worker.Host.VM, h.worker.Host.Instance, len(h.runs))
+		t.logger.Warn("worker incarnation ended without a crash report; vm=%s instance=%s runs=%d",
+			h.worker.Host.VM, h.worker.Host.Incarnation, len(h.runs))
 		seen := h.asSeen()
-		t.judgeCrash(a, seen.Instance, t.suspectsOf(seen))
+		t.judgeCrash(a, seen.Incarnation(), t.suspectsOf(seen))
 	}
 	ages, shared := agesOf(told), t.crashedWith(a) >= manyOthers
 	t.charge(h, func(run link.Run) (crash.Loss, bool) {
@@ -32,7 +34,6 @@
 		age, had := ages[run]
 		return crash.ToldLoss(age, shared), had
 	})
-	t.lose(h, reason)
 }
 
 // untoldLoss returns the loss of a run of which no agent tells: the lead that ordered it has seen for how long it lived.
@@ -43,26 +44,27 @@
 	return crash.ToldLoss(p.lived(), shared)
 }
 
-// asSeen returns what the lead itself saw of the runs of a life that is over: who had not outlived its start is known without a witness.
+// asSeen returns what the leader itself saw of the runs of an incarnation that has ended.
 func (h *hosted) asSeen() link.Crash {
-	seen := link.Crash{Instance: h.worker.Host.Instance}
-	for _, id := range h.runsInOrder() {
-		if p := h.runs[id]; p.committed {
+	id := h.worker.Host.Incarnation
+	seen := link.Crash{Instance: id.Worker(), Born: id.Born()}
+	for _, task := range h.runsInOrder() {
+		if p := h.runs[task]; p.committed {
 			seen.Runs = append(seen.Runs, link.CrashedRun{
-				Run: link.NewRun(id, p.run), Answered: p.proved, AgeMillis: p.lived().Milliseconds(),
+				Run: link.NewRun(task, p.run), Answered: p.proved, AgeMillis: p.lived().Milliseconds(),
 			})
 		}
 	}
 	return seen
 }
 
-// loseSight takes back the runs of a life that surely run no more, whether its worker crashed or not.
-func (t *term) loseSight(h *hosted, reason string) {
+// markUnreachable takes back the runs of an incarnation whose lease has lapsed, whether its worker crashed or not.
+func (t *term) markUnreachable(h *hosted, reason string) {
 	runs := t.charge(h, func(link.Run) (crash.Loss, bool) { return crash.UnseenLoss(), true })
 	if len(runs) > 0 {
 		t.unseen[h.worker.Host] = unseenLife{since: time.Now(), runs: runs}
 	}
-	t.lose(h, reason)
+	t.lose(h, h.runsInOrder(), reason)
 }
 
 // charge counts the runs of a life as lost, so that a task is not started for ever of whose crashes nobody tells, or which is cleared of
@@ -94,8 +96,8 @@
 		id, losses.All(), losses.Over(), losses.Alike(), losses.Blind()))
 }
 
-// settleUnseen takes note of what became of the lives of a VM's worker that were lost sight of, now that its agent reports: the
-// one that is there has not crashed, and another one has.
+// settleUnseen records what became of the unreachable incarnations of a VM's worker, now that its agent reports: the present one has not
+// crashed, and another one has.
 func (t *term) settleUnseen(current job.Host) {
 	for host, life := range t.unseen {
 		if host.VM == current.VM {
@@ -107,7 +109,7 @@
 
 // settleTold takes note that a worker has crashed of which an agent tells, also where an earlier lead lost sight of it.
 func (t *term) settleTold(vm string, told link.Crash) {
-	host, ages := job.Host{VM: vm, Instance: told.Instance}, agesOf(&told)
+	host, ages := job.Host{VM: vm, Incarnation: told.Incarnation()}, agesOf(&told)
 	runs := t.unseen[host].runs
 	delete(t.unseen, host)
 	for _, r := range told.Runs {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -82,7 +82,7 @@
 	}
 	if a.orders == nil {
 		a.orders = &link.Orders{
-			Epoch: t.epoch, Instance: host.Instance, Texts: make(map[string]string), Hall: t.hallStatus(a.hall),
+			Epoch: t.epoch, Instance: host.Incarnation.Worker(), Born: host.Incarnation.Born(), Texts: make(map[string]string), Hall: t.hallStatus(a.hall),
 		}
 	}
 	return a.orders
@@ -136,5 +136,5 @@
 	if known == nil {
 		return ""
 	}
-	return known.tickets[h.Instance]
+	return known.tickets[h.Incarnation]
 }
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -32,10 +32,10 @@
 		case a != nil && a.host == host:
 			h.worker.Open = h.worker.Open && now.Sub(a.heard) < openFor
 			if now.Sub(a.heard) > permission+margin {
-				t.loseSight(h, "its agent was not heard")
+				t.markUnreachable(h, "its agent was not heard")
 			}
 		case now.Sub(t.started) > trust+margin:
-			t.loseSight(h, "its agent never reported to this lead")
+			t.markUnreachable(h, "its agent never reported to this lead")
 		}
 	}
 }
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -18,7 +18,7 @@
 // reconcile compares what the worker has with what is placed there. It adds the jobs that must be saved before the reported
 // ends may go, and reports whether the ends were looked at.
 func (t *term) reconcile(a *agent, r link.Report, needed map[*tracked]uint64) bool {
-	h := t.hosts[job.Host{VM: r.VM, Instance: r.Instance}]
+	h := t.hosts[job.Host{VM: r.VM, Incarnation: r.Incarnation()}]
 	if h == nil || !r.Fenced || r.Epoch != t.epoch {
 		return false
 	}
@@ -39,14 +39,15 @@
 		t.compare(h, r)
 		t.sample(h, r)
 	case r.Lapsed:
-		t.loseSight(h, "the worker is silent and its time is over")
+		t.markUnreachable(h, "the worker is silent and its time is over")
 	}
 	return true
 }
 
 // rejected takes back a run that never started.
 func (t *term) rejected(h *hosted, r link.Rejected) {
-	if h.run(r.Run) == nil {
+	p := h.run(r.Run)
+	if p == nil {
 		return
 	}
 	id, _ := r.TaskID()
@@ -56,9 +57,12 @@
 	if known == nil {
 		return
 	}
-	if host.Refusal(r.Refusal) == host.RefusedAdvice {
+	switch {
+	case p.stopping:
+		// The start was taken back, which says nothing of the worker.
+	case host.Refusal(r.Refusal) == host.RefusedAdvice:
 		t.forgetAdvice(id)
-	} else {
+	default:
 		known.failed[h.worker.Host] = true
 		known.refused(id, host.Refusal(r.Refusal))
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -45,13 +45,13 @@
 	}
 	known, err := t.take(s, r)
 	if err != nil {
-		t.logger.Warn("report is refused; vm=%s instance=%s reason=%v", r.VM, r.Instance, err)
+		t.logger.Warn("report is refused; vm=%s instance=%s reason=%v", r.VM, r.Incarnation(), err)
 		return link.ReportAnswer{}, err
 	}
 	return t.permit(known, t.awaitSaved(known.needed)), nil
 }
 
-// take takes note of what an agent and its worker have.
+// take records what an agent and its worker have.
 func (t *term) take(s session, r link.Report) (*taken, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -65,7 +65,7 @@
 	known := &taken{agent: a, report: r, needed: make(map[*tracked]uint64)}
 	concerned := make(map[*tracked]bool)
 	known.crashes = t.takeCrashes(a, r.Crashes, concerned)
-	t.hear(a, s, r)
+	t.recordReport(a, s, r)
 	for concerning := range concerned {
 		known.needed[concerning] = concerning.version
 	}
@@ -91,7 +91,7 @@
 	if saved {
 		answer.Crashes = known.crashes
 	}
-	if saved && known.ends && a.host == (job.Host{VM: r.VM, Instance: r.Instance}) {
+	if saved && known.ends && a.host == (job.Host{VM: r.VM, Incarnation: r.Incarnation()}) {
 		for _, e := range r.Ended {
 			a.seen = max(a.seen, e.Sequence)
 		}
@@ -137,20 +137,21 @@
 	return a
 }
 
-// hear takes note of the agent and of the life of its worker; an earlier life has lost all that it ran.
-func (t *term) hear(a *agent, s session, r link.Report) {
+// recordReport records the agent and the incarnation of its worker; an earlier incarnation has lost all that it ran.
+func (t *term) recordReport(a *agent, s session, r link.Report) {
 	a.session, a.heard, a.hall = s, time.Now(), r.Hall
 	a.noteBroken(r.BrokenMillis)
 	if r.Instance == "" || !r.Fenced {
 		return
 	}
-	current := job.Host{VM: r.VM, Instance: r.Instance}
+	current := job.Host{VM: r.VM, Incarnation: r.Incarnation()}
+	t.identify(current)
 	if a.host != current {
-		t.logger.Info("worker heard; vm=%s instance=%s labels=%v cpu=%d memory=%d", r.VM, r.Instance, r.Labels, r.CPU, r.Memory)
+		t.logger.Info("worker reports; vm=%s instance=%s labels=%v cpu=%d memory=%d", r.VM, current.Incarnation, r.Labels, r.CPU, r.Memory)
 		a.host, a.seen, a.orders = current, 0, nil
 		for _, earlier := range t.hostsInOrder() {
 			if other := earlier.worker.Host; other.VM == r.VM && other != current {
-				t.over(a, earlier, nil, "the worker has a new life")
+				t.retire(a, earlier, nil, "the worker has another incarnation")
 			}
 		}
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 )
 
@@ -64,7 +65,7 @@
 	Figure int
 }
 
-// Ended is the end of a run, numbered from 1 within a life of the worker.
+// Ended is the end of a run, numbered from 1 within an incarnation of the worker.
 type Ended struct {
 	Number     uint64
 	Run        Run
@@ -74,9 +75,11 @@
 
 // View is what a worker has and had.
 type View struct {
-	Running []Running
-	Ended   []Ended
-	Clock   Clock
+	// Incarnation is the one that answered, which may be a later one than was called.
+	Incarnation incarnation.ID
+	Running     []Running
+	Ended       []Ended
+	Clock       Clock
 }
 
 // Hold renews the time of all that runs, lets ends up to Seen go, and asks for what runs.
@@ -91,9 +94,9 @@
 
 // Report is what a worker tells of itself.
 type Report struct {
-	Instance string
-	Service  string
-	Capacity job.Size
+	Incarnation incarnation.ID
+	Service     string
+	Capacity    job.Size
 	// Labels are the worker's kind and its rack.
 	Labels   []string
 	Draining bool
@@ -105,17 +108,17 @@
 
 // Worker runs tasks beside an agent.
 //
-// Errors are of kind Stale when another life of the worker answers, Unavailable when nothing was sent, and
+// Calls reach any incarnation with the id that they name. Errors are of kind Stale when one with another id answers, Unavailable when nothing was sent, and
 // OutcomeUnknown when the order may have been done or may still be.
 type Worker interface {
 	// Start starts a run; it ends at its time unless a hold renews it.
-	Start(ctx context.Context, instance string, order Start) (Refusal, error)
+	Start(ctx context.Context, id incarnation.ID, order Start) (Refusal, error)
 	// Stop ends a run; one that never started never will.
-	Stop(ctx context.Context, instance string, run Run, fence uint64) (Refusal, error)
+	Stop(ctx context.Context, id incarnation.ID, run Run, fence uint64) (Refusal, error)
 	// Pace sets the part of the processors, in percent, that a run may use of what it asks for.
-	Pace(ctx context.Context, instance string, run Run, percent int, fence uint64) (Refusal, error)
+	Pace(ctx context.Context, id incarnation.ID, run Run, percent int, fence uint64) (Refusal, error)
 	// Limit bounds the connections that the worker is sent orders over, to what it takes at once.
 	Limit(connections int)
 	// Hold renews what runs and returns what the worker has.
-	Hold(ctx context.Context, instance string, hold Hold) (View, Refusal, error)
+	Hold(ctx context.Context, id incarnation.ID, hold Hold) (View, Refusal, error)
 }
--- a/internal/job/advance.go
+++ b/internal/job/advance.go
@@ -13,6 +13,16 @@
 	return run
 }
 
+// Rehost records that a run that was placed on one host is on another now, and reports whether it did.
+func (j *Job) Rehost(t TaskID, run int, host Host) bool {
+	task := j.Task(t)
+	if task == nil || task.phase != Placed || task.run != run {
+		return false
+	}
+	task.host = host
+	return true
+}
+
 // NextGangRun returns a run number above all runs of a step's tasks.
 func (j *Job) NextGangRun(k, step int) int {
 	run := 0
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -1,10 +1,14 @@
 package job
 
 import (
+	"slices"
+	"strconv"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 )
 
 // storedProgress is how far a job is; tasks that never had a run are left out.
@@ -55,12 +59,33 @@
 	Judged  int
 }
 
+// storedHost is a host by the id of its worker. The times of birth follow as further hosts without a VM, in the same order: leaders of the
+// release before read past them.
 type storedHost struct {
 	_        struct{} `cbor:",toarray"`
 	VM       string
 	Instance string
 }
 
+// hostsOf returns the hosts that are stored, with their times of birth where those are stored too.
+func hostsOf(stored []storedHost) []Host {
+	count := slices.IndexFunc(stored, func(h storedHost) bool { return h.VM == "" })
+	if count < 0 {
+		count = len(stored)
+	}
+	births := stored[count:]
+	hosts := make([]Host, count)
+	for i, h := range stored[:count] {
+		born := int64(0)
+		if i < len(births) {
+			// A time that cannot be read is not known.
+			born, _ = strconv.ParseInt(births[i].Instance, 10, 64)
+		}
+		hosts[i] = Host{VM: h.VM, Incarnation: incarnation.New(h.Instance, born)}
+	}
+	return hosts
+}
+
 type storedTask struct {
 	_          struct{} `cbor:",toarray"`
 	Time       int
@@ -77,6 +102,7 @@
 func (j *Job) EncodeProgress() ([]byte, error) {
 	stored := storedProgress{State: int(j.State())}
 	hosts := make(map[Host]int)
+	var births []storedHost
 	var suspects []storedSuspect
 	j.Each(func(id TaskID, t *Task) {
 		if t.run == 0 && t.phase == Waiting {
@@ -88,7 +114,8 @@
 		}
 		if t.phase == Placed {
 			if _, known := hosts[t.host]; !known {
-				stored.Hosts = append(stored.Hosts, storedHost{VM: t.host.VM, Instance: t.host.Instance})
+				stored.Hosts = append(stored.Hosts, storedHost{VM: t.host.VM, Instance: t.host.Incarnation.Worker()})
+				births = append(births, storedHost{Instance: strconv.FormatInt(t.host.Incarnation.Born(), 10)})
 				hosts[t.host] = len(stored.Hosts)
 			}
 			row.Host = hosts[t.host]
@@ -98,6 +125,7 @@
 			suspects = append(suspects, t.suspect(id))
 		}
 	})
+	stored.Hosts = append(stored.Hosts, births...)
 	if len(suspects) == 0 {
 		return cbor.Marshal(stored)
 	}
@@ -151,15 +179,15 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "the progress of job "+string(j.id)+" cannot be read")
 	}
+	hosts := hostsOf(stored.Hosts)
 	for _, row := range stored.Tasks {
 		task := j.Task(TaskID{Job: j.id, Time: row.Time, Step: row.Step, Index: row.Index})
 		if task == nil {
 			return fault.New(fault.Internal, "the progress of job %s names a task that it has not", j.id)
 		}
 		*task = Task{phase: Phase(row.Phase), run: row.Run, failures: row.Failures, checkpoint: row.Checkpoint}
-		if row.Host > 0 && row.Host <= len(stored.Hosts) {
-			host := stored.Hosts[row.Host-1]
-			task.host = Host{VM: host.VM, Instance: host.Instance}
+		if row.Host > 0 && row.Host <= len(hosts) {
+			task.host = hosts[row.Host-1]
 		}
 		if task.phase == Done {
 			j.open--
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/saffronpulley/saffronpulley/internal/crash"
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 )
 
 // TaskID names a task: its job, which of the job's times, its step, and its number in the step.
@@ -39,10 +40,10 @@
 	return TaskID{Job: ID(parts[0]), Time: numbers[0], Step: numbers[1], Index: numbers[2]}, true
 }
 
-// Host is one life of a worker on a VM.
+// Host is one incarnation of a worker on a VM.
 type Host struct {
-	VM       string
-	Instance string
+	VM          string
+	Incarnation incarnation.ID
 }
 
 // Phase says where a task stands.
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -54,12 +54,13 @@
 	Refusal int `json:"w"`
 }
 
-// Crash tells of a life of the worker that is over.
+// Crash reports an incarnation of the worker that has ended.
 type Crash struct {
-	// Number counts the lives that an agent tells of.
+	// Number counts the ends that an agent reports.
 	Number   uint64 `json:"n"`
 	Instance string `json:"instance"`
-	// Planned says that the worker had told that it would leave, which nothing that ran there is blamed for.
+	Born     int64  `json:"born,omitempty"`
+	// Planned says that the worker had reported that it would leave, which is attributed to no run.
 	Planned bool `json:"planned,omitempty"`
 	// BrokenMillis is how long before the report the calls to the worker broke off, 0 where that is not known.
 	BrokenMillis int64 `json:"broken_ms,omitempty"`
@@ -70,8 +71,10 @@
 // CrashedRun is a run under which a worker crashed, or may have.
 type CrashedRun struct {
 	Run
-	// Answered says that the worker surely had the run, AgeMillis for how long it was seen to have it.
-	Answered  bool  `json:"a,omitempty"`
+	// Answered says that the worker had the run, AgeMillis for how long it was seen to have it.
+	Answered bool `json:"a,omitempty"`
+	// Settled says that the incarnation listed the run and no start of it may still be carried out.
+	Settled   bool  `json:"s,omitempty"`
 	AgeMillis int64 `json:"g,omitempty"`
 }
 
@@ -80,8 +83,10 @@
 	VM    string `json:"vm"`
 	Hall  string `json:"hall"`
 	Epoch uint64 `json:"epoch"`
-	// Instance is the life of the worker; empty while the agent knows of none.
+	// Instance and Born name the incarnation of the worker; empty while the agent knows of none. Born is left out by workers that do not
+	// report it, and by agents of the release before.
 	Instance string   `json:"instance,omitempty"`
+	Born     int64    `json:"born,omitempty"`
 	Service  string   `json:"service,omitempty"`
 	CPU      int      `json:"cpu,omitempty"`
 	Memory   int      `json:"memory,omitempty"`
@@ -107,7 +112,7 @@
 	Rejected []Rejected `json:"rejected,omitempty"`
 	// Unknown names runs of which the agent has no profile.
 	Unknown []Run `json:"unknown,omitempty"`
-	// Crashes are the lives that ended without notice; each is told until a lead has committed what follows from it.
+	// Crashes are the incarnations that have ended; each is reported until a leader has committed what follows from it.
 	Crashes []Crash `json:"crashes,omitempty"`
 	// List is which list of entries the agent has by this connection, 0 for none.
 	List uint64 `json:"list,omitempty"`
@@ -181,8 +186,9 @@
 // Orders are the lead's orders to an agent.
 type Orders struct {
 	Epoch uint64 `json:"epoch"`
-	// Instance is the life of the worker that the orders are for.
+	// Instance and Born name the incarnation of the worker that the orders are for.
 	Instance string  `json:"instance"`
+	Born     int64   `json:"born,omitempty"`
 	Starts   []Start `json:"starts,omitempty"`
 	Stops    []Run   `json:"stops,omitempty"`
 	// Texts holds the text of each job that Starts name, by the job's name.
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -13,8 +13,9 @@
 func (p *process) runAgent(ctx context.Context) error {
 	r := runner.New(runner.Config{
 		VM: p.settings.ID(), Hall: p.settings.Hall(), ClosedWithin: p.settings.ClosedWithin(),
-		Worker: platform.NewWorker(p.settings.Worker(), p.logger.Part("worker")),
-		Store:  relay.New(p.store, p.health, p.pool), Pool: p.pool, Clock: p.clock, Uptime: boottime.System{}, Secret: secret,
+		LongestHold: p.settings.LongestHold(),
+		Worker:      platform.NewWorker(p.settings.Worker(), p.logger.Part("worker")),
+		Store:       relay.New(p.store, p.health, p.pool), Pool: p.pool, Clock: p.clock, Uptime: boottime.System{}, Secret: secret,
 		Logger: p.logger.Part("agent"), Metrics: p.metrics,
 	})
 	reports, err := serve(p.settings.Reports(), "listen.reports", platform.HandleReports(r))
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -13,6 +13,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/hall"
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/intake"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 	"github.com/saffronpulley/saffronpulley/internal/relay"
@@ -134,11 +135,11 @@
 // noReports refuses workers' reports, which belong to the agent beside the worker.
 type noReports struct{}
 
-// Heard implements platform.Reports.
-func (noReports) Heard(host.Report) bool { return false }
+// Reported implements platform.Reports.
+func (noReports) Reported(host.Report) bool { return false }
 
 // Left implements platform.Reports.
-func (noReports) Left(string) {}
+func (noReports) Left(incarnation.ID) {}
 
 // Unusable implements platform.Reports.
 func (noReports) Unusable(string, error) {}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -48,7 +48,9 @@
 	GraceSeconds float64 `yaml:"grace_s"`
 	// ClosedMillis is within how many milliseconds nothing starts in a closed hall any more, 0 where the platform tells none.
 	ClosedMillis float64 `yaml:"closed_ms"`
-	Log          string  `yaml:"log"`
+	// LongestHoldMillis is the longest time for which a worker lets itself be held, 0 where the platform tells none.
+	LongestHoldMillis float64 `yaml:"longest_hold_ms"`
+	Log               string  `yaml:"log"`
 }
 
 // Settings are the checked settings of a process.
@@ -89,6 +91,9 @@
 	case f.ClosedMillis < 0:
 		return fault.New(fault.BadInput, "closed_ms is %v; give the milliseconds within which a closed hall gets nothing new, 0 for %v",
 			f.ClosedMillis, defaultClosed)
+	case f.LongestHoldMillis < 0:
+		return fault.New(fault.BadInput, "longest_hold_ms is %v; give the milliseconds for which a worker lets itself be held, 0 for %v",
+			f.LongestHoldMillis, defaultLongestHold)
 	case f.MemoryMB < leastMemoryMB:
 		return fault.New(fault.BadInput, "memory_mb is %d; at least %d are needed", f.MemoryMB, leastMemoryMB)
 	}
@@ -106,6 +111,9 @@
 // defaultClosed is within what time a closed hall gets nothing new where the platform tells no time.
 const defaultClosed = 5 * time.Second
 
+// defaultLongestHold is for how long a worker is taken to let itself be held where the platform tells no time.
+const defaultLongestHold = 10 * time.Second
+
 // leastMemoryMB is what the runtime and a small state take.
 const leastMemoryMB = 32
 
@@ -200,6 +208,14 @@
 	return time.Duration(s.file.ClosedMillis * float64(time.Millisecond))
 }
 
+// LongestHold returns the longest time for which a worker lets itself be held.
+func (s *Settings) LongestHold() time.Duration {
+	if s.file.LongestHoldMillis == 0 {
+		return defaultLongestHold
+	}
+	return time.Duration(s.file.LongestHoldMillis * float64(time.Millisecond))
+}
+
 // Advice returns the address of the service that advises queues, empty where there is none.
 func (s *Settings) Advice() string { return s.file.Advice }
 
--- a/internal/runner/begun.go
+++ b/internal/runner/begun.go
@@ -14,8 +14,9 @@
 	// asked is when the start was first sent, shown when the worker last listed the run.
 	asked time.Time
 	shown time.Time
-	// answered says that the worker surely had the run: it accepted the start, or listed the run.
+	// answered says that the worker had the run: it accepted the start, or listed the run, which listed tells.
 	answered bool
+	listed   bool
 }
 
 // age is how long the worker is known to have had the run.
@@ -24,7 +25,7 @@
 // ageAt returns for how long the worker had the run when its calls broke off, where that is known.
 func (b *begun) ageAt(broken time.Time) time.Duration { return max(b.age(), broken.Sub(b.asked)) }
 
-// begunRuns are the runs that one life of the worker may have.
+// begunRuns are the runs that one incarnation of the worker may have.
 type begunRuns map[host.Run]*begun
 
 // fresh reports whether a run has not outlived its start as far as was seen.
@@ -49,7 +50,7 @@
 func (b begunRuns) show(view host.View, now time.Time) {
 	for _, running := range view.Running {
 		b.ask(running.Run)
-		b[running.Run].answered, b[running.Run].shown = true, now
+		b[running.Run].answered, b[running.Run].listed, b[running.Run].shown = true, true, now
 	}
 	for _, e := range view.Ended {
 		delete(b, e.Run)
@@ -69,15 +70,20 @@
 	}
 }
 
-// unasked takes note that a start has surely not reached the life of the worker.
-func (r *Runner) unasked(l *life, run host.Run) {
+// unanswered records an attempt to start a run that was not accepted: it got no answer, or did not reach the worker.
+func (r *Runner) unanswered(w *workerState, run host.Run, unanswered, doubtful bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l.begun.drop(run)
+	if unanswered {
+		r.late.add(w.id, run, time.Now())
+	}
+	if !doubtful {
+		w.begun.drop(run)
+	}
 }
 
-// left returns the runs that the life may have had when it ended: those that it surely had, and those that were asked for no
-// longer ago than a start counts.
+// left returns the runs that the incarnation may have had when it ended: those that it had, and those that were asked for no longer ago
+// than a start counts.
 func (b begunRuns) left(now time.Time) []host.Run {
 	var runs []host.Run
 	for run, known := range b {
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -7,34 +7,35 @@
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
 
-// ended takes note that a life of the worker is over: by a crash, unless the worker had told that it would leave.
-func (r *Runner) ended(l *life) {
-	if l.ended {
+// recordEnd records the end of an incarnation for the leader: by a crash, unless the worker had reported that it would leave.
+func (r *Runner) recordEnd(w *workerState) {
+	if w.reported {
 		return
 	}
-	l.ended = true
-	told := link.Crash{Instance: l.instance, Planned: l.left || l.report.Draining}
+	w.reported = true
+	told := link.Crash{Instance: w.id.Worker(), Born: w.id.Born(), Planned: w.left || w.report.Draining}
 	if !told.Planned {
-		told.Runs = r.crashedUnder(l)
+		told.Runs = r.crashedUnder(w)
 	}
-	for _, forgotten := range r.crashes.add(told, l.broken) {
+	for _, forgotten := range r.crashes.add(told, w.broken) {
 		r.logger.Warn("a crash is forgotten that no lead has committed; instance=%s runs=%d", forgotten.crash.Instance, len(forgotten.crash.Runs))
 	}
 }
 
-// crashedUnder returns the runs that a life may have had when it crashed. A crash under none is told too: the lead may have placed work
-// there that never arrived, which is not lost with it then.
-func (r *Runner) crashedUnder(l *life) []link.CrashedRun {
-	runs := l.begun.left(time.Now())
+// crashedUnder returns the runs that an incarnation may have had when it crashed. A crash under none is reported too: the leader may have
+// placed work there that never arrived, which is not lost with it then.
+func (r *Runner) crashedUnder(w *workerState) []link.CrashedRun {
+	runs := w.begun.left(time.Now())
 	told := make([]link.CrashedRun, 0, len(runs))
 	for _, run := range runs {
-		b := l.begun[run]
-		age := b.ageAt(l.broken).Milliseconds()
-		r.logger.Info("the worker crashed under a run; task=%s run=%d instance=%s answered=%t age_ms=%d",
-			run.Task, run.Number, l.instance, b.answered, age)
-		told = append(told, link.CrashedRun{Run: wireRun(run), Answered: b.answered, AgeMillis: age})
+		b := w.begun[run]
+		age := b.ageAt(w.broken).Milliseconds()
+		settled := b.listed && w.orders[run] == nil && !r.late.has(w.id, run, time.Now())
+		r.logger.Info("the worker crashed under a run; task=%s run=%d instance=%s answered=%t settled=%t age_ms=%d",
+			run.Task, run.Number, w.id, b.answered, settled, age)
+		told = append(told, link.CrashedRun{Run: wireRun(run), Answered: b.answered, Settled: settled, AgeMillis: age})
 	}
-	r.logger.Warn("the worker crashed; instance=%s runs=%d", l.instance, len(runs))
+	r.logger.Warn("the worker crashed; instance=%s runs=%d", w.id, len(runs))
 	return told
 }
 
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
@@ -17,7 +21,7 @@
 	holdTime = 3500 * time.Millisecond
 	// clockRate is how fast the worker's clock runs at the least beside this one, by the platform's page.
 	clockRate = 0.98
-	// silentAfter is how long a worker may not answer before it is told to be silent.
+	// silentAfter is how long a worker may not answer before it is reported as silent.
 	silentAfter = 1500 * time.Millisecond
 	// fencePatience bounds the hold that shows the worker a new epoch; the next one does so as well.
 	fencePatience = 300 * time.Millisecond
@@ -25,19 +29,19 @@
 	holdPause = 100 * time.Millisecond
 )
 
-// holdOn renews the worker's runs and looks at them, over and over.
-func (r *Runner) holdOn(ctx context.Context) error {
+// renewLoop renews the lease of the worker's runs and looks at them, over and over.
+func (r *Runner) renewLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		instance, hold, ok := r.nextHold()
+		id, hold, ok := r.nextHold()
 		if !ok {
-			r.await(ctx, r.heard)
+			r.await(ctx, r.heartbeat)
 			continue
 		}
 		asked := time.Now()
-		settles, err := r.hold(ctx, instance, hold)
+		settles, err := r.hold(ctx, id, hold)
 		switch {
 		case err != nil:
-			r.unheld(instance, asked, err)
+			r.unheld(id, asked, err)
 			wait.For(ctx, holdPause)
 		case settles:
 			r.await(ctx, r.settled)
@@ -46,28 +50,33 @@
 	return ctx.Err()
 }
 
-// hold sends one hold, and reports whether ends wait to be taken note of.
-func (r *Runner) hold(ctx context.Context, instance string, hold host.Hold) (bool, error) {
-	view, refusal, err := r.config.Worker.Hold(ctx, instance, hold)
-	if err == nil && refusal != host.Accepted {
-		err = fault.New(fault.Conflict, "the worker refuses the hold: %s", refusal)
-	}
-	if err != nil {
+// hold renews the lease once, and reports whether ends wait to be committed.
+func (r *Runner) hold(ctx context.Context, id incarnation.ID, hold host.Hold) (bool, error) {
+	view, refusal, err := r.config.Worker.Hold(ctx, id, hold)
+	switch {
+	case err != nil:
 		return false, err
+	case refusal != host.Accepted:
+		return false, fault.New(fault.Conflict, "the worker refuses the hold: %s", refusal)
+	case view.Incarnation != id:
+		return false, errSameID
 	}
-	return r.held(ctx, instance, hold, view), nil
+	return r.held(ctx, id, hold, view), nil
 }
 
-// fence shows the worker the epoch of a lead that was just found, beside the hold that waits for an end: before that the lead
-// cannot count on what it hears of the worker.
+// errSameID says that a later incarnation answers under the id of the one that was called.
+var errSameID = fault.New(fault.Stale, "another incarnation answers under the same id")
+
+// fence shows the worker the epoch of a leader that was just found, beside the hold that waits for an end: before that the leader
+// cannot rely on what it receives of the worker.
 func (r *Runner) fence(ctx context.Context) {
-	instance, hold, ok := r.nextHold()
+	id, hold, ok := r.nextHold()
 	if !ok || hold.Wait > 0 {
 		return
 	}
 	bounded, cancel := context.WithTimeout(ctx, fencePatience)
 	defer cancel()
-	if _, err := r.hold(bounded, instance, hold); err != nil {
+	if _, err := r.hold(bounded, id, hold); err != nil {
 		r.logger.Debug("the worker has not seen the epoch yet: %v", err)
 	}
 }
@@ -82,19 +91,35 @@
 }
 
 // nextHold returns the hold to send, false while the worker is not known.
-func (r *Runner) nextHold() (string, host.Hold, bool) {
+func (r *Runner) nextHold() (incarnation.ID, host.Hold, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := r.life
-	if l == nil {
-		return "", host.Hold{}, false
+	w := r.worker
+	if w == nil {
+		return incarnation.ID{}, host.Hold{}, false
 	}
-	r.quit(l)
-	hold := host.Hold{Fence: r.epoch, Seen: l.seen, Until: r.until(l), Wait: holdWait}
-	if l.fenced < r.epoch {
+	r.quit(w)
+	hold := host.Hold{Fence: r.epoch, Seen: r.acknowledged(w), Until: r.until(w), Wait: holdWait}
+	if w.fenced < r.epoch || w.refusalWaits() {
 		hold.Wait = 0
 	}
-	return l.report.Instance, hold, true
+	return w.id, hold, true
+}
+
+// provedFor is how long after an answer the worker cannot have crashed and started again.
+const provedFor = 300 * time.Millisecond
+
+// acknowledged returns up to which number the next hold lets ends go, 0 for none. Numbers start anew with each incarnation, and a call meant for
+// this one may reach the next: it acknowledges only what was listed, and only right after an answer.
+func (r *Runner) acknowledged(w *workerState) uint64 {
+	if w.proved.IsZero() || r.config.Uptime.Now().Sub(w.proved) > provedFor {
+		return 0
+	}
+	listed := slices.ContainsFunc(w.view.Ended, func(e host.Ended) bool { return e.Number <= w.seen })
+	if !listed {
+		return 0
+	}
+	return w.seen
 }
 
 // quitAfter is how long after the end of the permission the worker's runs are stopped: its own reckoning ends them before, unless
@@ -103,22 +128,22 @@
 
 // quit stops what the worker still shows some time after the permission is over: a worker that was suspended with its VM would run it
 // on for up to holdTime after waking, beside the run that the lead has placed elsewhere.
-func (r *Runner) quit(l *life) {
-	if r.permitted.IsZero() || l.silent || r.config.Uptime.Now().Sub(r.permitted) < quitAfter {
+func (r *Runner) quit(w *workerState) {
+	if r.permitted.IsZero() || w.silent || r.config.Uptime.Now().Sub(r.permitted) < quitAfter {
 		return
 	}
-	for _, running := range l.view.Running {
-		if l.orders[running.Run] == nil {
+	for _, running := range w.view.Running {
+		if w.orders[running.Run] == nil {
 			r.logger.Warn("run is stopped after the permission was over; task=%s run=%d", running.Run.Task, running.Run.Number)
-			r.end(l, running.Run)
+			r.end(w, running.Run)
 		}
 	}
 }
 
 // until returns up to when the worker's runs may go on, on its clock, and notes the same on this one. A worker that does
 // not answer is not renewed, so that the end of its runs comes into sight.
-func (r *Runner) until(l *life) host.Clock {
-	if l.silent {
+func (r *Runner) until(w *workerState) host.Clock {
+	if w.silent {
 		return 0
 	}
 	left := min(holdTime, r.permitted.Sub(r.config.Uptime.Now()))
@@ -126,66 +151,72 @@
 		return 0
 	}
 	end := time.Now().Add(left)
-	if end.After(l.until) {
-		l.until = end
+	if end.After(w.until) {
+		w.until = end
 	}
 	// The worker's clock shows at least this at end, however slowly it runs, so that its runs are over by then. Since it was
 	// read the steady clock went on; a suspension is left out, in which the worker's may have stood still as well.
-	return l.clock + host.Clock(clockRate*float64(end.Sub(l.read)))
+	return w.clock + host.Clock(clockRate*float64(end.Sub(w.read)))
 }
 
 // brokenWithin is how soon a hold fails that was broken off: one whose worker is silent fails later.
 const brokenWithin = holdWait + 100*time.Millisecond
 
-// unheld takes note of a hold that was asked for at a time and failed. One that was broken off tells when the worker crashed, if
-// it did: to the millisecond, where what the worker showed last is up to half a second old.
-func (r *Runner) unheld(instance string, asked time.Time, err error) {
+// unheld records a hold that was asked for at a time and failed. One that was broken off tells when the worker crashed, if it did: to the
+// millisecond, where what the worker showed last is up to half a second old.
+func (r *Runner) unheld(id incarnation.ID, asked time.Time, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := r.life
-	if l == nil || l.report.Instance != instance {
+	w := r.worker
+	if w == nil || w.id != id {
 		return
 	}
-	if now := time.Now(); l.broken.IsZero() && now.Sub(asked) < brokenWithin {
-		l.broken = now
+	w.proved = 0
+	if now := time.Now(); w.broken.IsZero() && now.Sub(asked) < brokenWithin {
+		w.broken = now
 	}
 	if fault.Is(err, fault.Stale) {
-		r.over(l)
+		r.terminate(w, errors.Is(err, errSameID))
 		return
 	}
-	if !l.silent && time.Since(l.answered) > silentAfter {
-		l.silent = true
-		r.logger.Warn("worker does not answer; instance=%s reason=%v", instance, err)
+	if !w.silent && time.Since(w.answered) > silentAfter {
+		w.silent = true
+		r.logger.Warn("worker does not answer; instance=%s reason=%v", id, err)
 		wait.Wake(r.changed)
 	}
 }
 
-// held takes a view and reports whether ends wait to be taken note of.
-func (r *Runner) held(ctx context.Context, instance string, hold host.Hold, view host.View) bool {
+// held stores a view and reports whether ends wait to be committed.
+func (r *Runner) held(ctx context.Context, id incarnation.ID, hold host.Hold, view host.View) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := r.life
-	if l == nil || l.report.Instance != instance {
+	w := r.worker
+	if w == nil || w.id != id {
 		return false
 	}
-	if l.views > 0 && view.Clock < l.clock {
+	if w.views > 0 && view.Clock < w.clock {
 		// A newer answer has overtaken this one.
-		r.logOvertaken("answer", instance, time.Duration(view.Clock).Milliseconds(), time.Duration(l.clock).Milliseconds())
+		r.logOvertaken("answer", id, time.Duration(view.Clock).Milliseconds(), time.Duration(w.clock).Milliseconds())
 		return false
 	}
-	r.checkAcknowledged(instance, hold.Seen, view)
+	r.checkAcknowledged(id, hold.Seen, view)
 	now := time.Now()
-	if l.silent {
-		r.logger.Info("worker answers again; instance=%s", instance)
-	}
-	l.clock, l.read, l.answered, l.silent = view.Clock, now, now, false
-	l.broken = time.Time{}
-	l.fenced = max(l.fenced, hold.Fence)
-	l.view = view
-	l.views++
-	l.begun.show(view, now)
-	l.prune()
-	r.adjust(ctx, l)
+	if w.terminated {
+		// Orders were no longer carried out; the leader gives them again.
+		w.drop()
+	}
+	if w.silent {
+		r.logger.Info("worker answers again; instance=%s", id)
+	}
+	w.clock, w.read, w.answered, w.silent = view.Clock, now, now, false
+	w.proved = r.config.Uptime.Now()
+	w.broken, w.terminated, w.gone = time.Time{}, false, false
+	w.fenced = max(w.fenced, hold.Fence)
+	w.view = view
+	w.views++
+	w.begun.show(view, now)
+	w.prune()
+	r.adjust(ctx, w)
 	wait.Wake(r.changed)
 	return len(view.Ended) > 0
 }
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
@@ -30,9 +31,9 @@
 	if orders.Epoch != r.epoch || p != r.session {
 		return link.Empty{}, fault.New(fault.Stale, "the agent follows epoch %d", r.epoch)
 	}
-	l := r.life
-	if l == nil || l.report.Instance != orders.Instance {
-		return link.Empty{}, fault.New(fault.Stale, "instance %s of the worker is not there", orders.Instance)
+	w := r.worker
+	if meant := orders.Incarnation(); w == nil || w.terminated || !w.id.MayBe(meant) {
+		return link.Empty{}, fault.New(fault.Stale, "incarnation %s of the worker has ended", meant)
 	}
 	r.hall.learn(orders.Hall, r.hall.followed)
 	for i := range orders.Starts {
@@ -41,55 +42,55 @@
 		if !ok {
 			return link.Empty{}, fault.New(fault.BadInput, "%q names no task", start.Task)
 		}
-		r.begin(l, run, &start, orders.Texts[string(run.Task.Job)])
+		r.begin(w, run, &start, orders.Texts[string(run.Task.Job)])
 	}
 	for _, stop := range orders.Stops {
 		run, ok := parseRun(stop)
 		if !ok {
 			return link.Empty{}, fault.New(fault.BadInput, "%q names no task", stop.Task)
 		}
-		r.end(l, run)
+		r.end(w, run)
 	}
 	return link.Empty{}, nil
 }
 
 // begin carries out a start unless it is under way already.
-func (r *Runner) begin(l *life, run host.Run, start *link.Start, text string) {
-	if l.orders[run] != nil || run.Number <= l.refused[run.Task] {
+func (r *Runner) begin(w *workerState, run host.Run, start *link.Start, text string) {
+	if w.orders[run] != nil || run.Number <= w.refused[run.Task] {
 		return
 	}
-	l.profiles[run] = start.Profile
+	w.profiles[run] = start.Profile
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &order{start: start, text: text, cancel: cancel}
-	refusal := r.refusalOf(l, run, start)
-	l.orders[run] = o
+	refusal := r.refusalOf(w, run, start)
+	w.orders[run] = o
 	if refusal != host.Accepted {
-		o.refuse(l, run, refusal)
+		o.refuse(w, run, refusal)
 		wait.Wake(r.changed)
 		return
 	}
-	go r.start(ctx, l, run, o)
+	go r.start(ctx, w, run, o)
 }
 
 // refusalOf returns why the agent refuses a start for itself, Accepted where it does not.
-func (r *Runner) refusalOf(l *life, run host.Run, start *link.Start) host.Refusal {
+func (r *Runner) refusalOf(w *workerState, run host.Run, start *link.Start) host.Refusal {
 	switch {
-	case l.report.Draining:
+	case w.report.Draining:
 		return host.RefusedBusy
-	case start.Fills && l.overFor(pacing.LongOver):
+	case start.Fills && w.overFor(pacing.LongOver):
 		r.logger.Info("start refused beside a task that is over its target; task=%s run=%d", run.Task, run.Number)
 		return host.RefusedBusy
-	case !l.fits(run, start):
+	case !w.fits(run, start):
 		r.logger.Info("start refused for want of room; task=%s run=%d taken=%v capacity=%v",
-			run.Task, run.Number, l.taken(), l.report.Capacity)
+			run.Task, run.Number, w.taken(), w.report.Capacity)
 		return host.RefusedRoom
 	}
 	return host.Accepted
 }
 
 // end carries out a stop, in place of a start that is under way.
-func (r *Runner) end(l *life, run host.Run) {
-	if o := l.orders[run]; o != nil {
+func (r *Runner) end(w *workerState, run host.Run) {
+	if o := w.orders[run]; o != nil {
 		if o.stop {
 			return
 		}
@@ -97,54 +98,53 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &order{stop: true, cancel: cancel}
-	l.orders[run] = o
-	go r.stop(ctx, l, run, o)
+	w.orders[run] = o
+	go r.stop(ctx, w, run, o)
 }
 
-// current reports whether the order still counts: the same life of the worker, the same epoch, and no newer order.
-func (r *Runner) current(l *life, run host.Run, o *order) bool {
-	return r.life == l && l.orders[run] == o
+// current reports whether the order still counts: the same incarnation of the worker, the same epoch, and no newer order.
+func (r *Runner) current(w *workerState, run host.Run, o *order) bool {
+	return r.worker == w && !w.terminated && w.orders[run] == o
 }
 
 // start tries a start until the worker answers; one that may have been done is taken back by a stop.
-func (r *Runner) start(ctx context.Context, l *life, run host.Run, o *order) {
+func (r *Runner) start(ctx context.Context, w *workerState, run host.Run, o *order) {
 	defer o.cancel()
 	doubtful := false
 	patience := r.patience.First()
 	for range orderAttempts {
-		until, epoch, counts := r.allowed(l, run, o)
+		until, epoch, counts := r.allowed(w, run, o)
 		if !counts || ctx.Err() != nil {
 			return
 		}
 		if until == 0 {
 			break
 		}
-		refusal, err := r.startWithin(ctx, patience, l.instance, host.Start{
+		refusal, err := r.startWithin(ctx, patience, w.id, host.Start{
 			Run: run, Text: o.text, Until: until, Fence: epoch, Checkpoint: o.start.Checkpoint, Ticket: o.start.Ticket,
 		})
 		patience = r.patience.Longer(patience)
-		if err == nil && r.started(l, run, o, refusal, doubtful) {
+		if err == nil && r.started(w, run, o, refusal, doubtful) {
 			return
 		}
 		stale := fault.Is(err, fault.Stale)
-		doubtful = doubtful || !stale && !fault.Is(err, fault.Unavailable)
-		if !doubtful {
-			r.unasked(l, run)
-		}
+		unanswered := err != nil && !stale && !fault.Is(err, fault.Unavailable)
+		doubtful = doubtful || unanswered
+		r.unanswered(w, run, unanswered, doubtful)
 		if stale {
 			return
 		}
 		wait.For(ctx, orderPause)
 	}
-	r.takeBack(l, run, o, doubtful)
+	r.takeBack(w, run, o, doubtful)
 }
 
 // startWithin sends a start that waits for its answer for a time.
-func (r *Runner) startWithin(ctx context.Context, patience time.Duration, instance string, start host.Start) (host.Refusal, error) {
+func (r *Runner) startWithin(ctx context.Context, patience time.Duration, id incarnation.ID, start host.Start) (host.Refusal, error) {
 	bounded, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	asked := time.Now()
-	refusal, err := r.config.Worker.Start(bounded, instance, start)
+	refusal, err := r.config.Worker.Start(bounded, id, start)
 	if err == nil {
 		r.patience.Answered(time.Since(asked))
 	}
@@ -153,48 +153,48 @@
 
 // allowed returns up to when a start may run, 0 where nothing may start any more, the epoch to order it under, and whether the
 // order still counts.
-func (r *Runner) allowed(l *life, run host.Run, o *order) (host.Clock, uint64, bool) {
+func (r *Runner) allowed(w *workerState, run host.Run, o *order) (host.Clock, uint64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	until := r.until(l)
-	if l.report.Draining || !r.hall.mayStart(r.config.Uptime.Now(), r.config.ClosedWithin) {
+	until := r.until(w)
+	if w.report.Draining || !r.hall.mayStart(r.config.Uptime.Now(), r.config.ClosedWithin) {
 		until = 0
 	}
-	counts := r.current(l, run, o)
+	counts := r.current(w, run, o)
 	if counts && until > 0 {
-		l.begun.ask(run)
+		w.begun.ask(run)
 	}
 	return until, r.epoch, counts
 }
 
 // takeBack gives up a start that was not accepted: by a stop, where the worker may have done it.
-func (r *Runner) takeBack(l *life, run host.Run, o *order, doubtful bool) {
+func (r *Runner) takeBack(w *workerState, run host.Run, o *order, doubtful bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.current(l, run, o) {
+	if !r.current(w, run, o) {
 		return
 	}
 	if !doubtful {
-		o.refuse(l, run, host.RefusedBusy)
+		o.refuse(w, run, host.RefusedBusy)
 		wait.Wake(r.changed)
 		return
 	}
 	r.logger.Warn("start without an answer is taken back; task=%s run=%d", run.Task, run.Number)
-	r.end(l, run)
+	r.end(w, run)
 }
 
 // started takes the worker's answer to a start and reports whether the order is at its end.
-func (r *Runner) started(l *life, run host.Run, o *order, refusal host.Refusal, doubtful bool) bool {
+func (r *Runner) started(w *workerState, run host.Run, o *order, refusal host.Refusal, doubtful bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.current(l, run, o) {
+	if !r.current(w, run, o) {
 		return true
 	}
 	switch {
 	case refusal == host.Accepted:
-		l.begun.answer(run)
-		delete(l.orders, run)
-		l.profiles[run] = o.start.Profile
+		w.begun.answer(run)
+		delete(w.orders, run)
+		w.profiles[run] = o.start.Profile
 		return true
 	case refusal == host.RefusedLate:
 		return false
@@ -202,25 +202,25 @@
 		return false
 	}
 	r.logger.Info("start refused; task=%s run=%d refusal=%s", run.Task, run.Number, refusal)
-	o.refuse(l, run, refusal)
+	o.refuse(w, run, refusal)
 	wait.Wake(r.changed)
 	return true
 }
 
 // stop tries a stop until the worker answers; then the run is no more and never will be.
-func (r *Runner) stop(ctx context.Context, l *life, run host.Run, o *order) {
+func (r *Runner) stop(ctx context.Context, w *workerState, run host.Run, o *order) {
 	defer o.cancel()
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		epoch, valid := r.epoch, r.current(l, run, o)
+		epoch, valid := r.epoch, r.current(w, run, o)
 		r.mu.Unlock()
 		if !valid {
 			return
 		}
-		refusal, err := r.config.Worker.Stop(ctx, l.instance, run, epoch)
+		refusal, err := r.config.Worker.Stop(ctx, w.id, run, epoch)
 		if err == nil && (refusal == host.Accepted || refusal == host.RefusedOld) {
 			r.mu.Lock()
-			o.refuse(l, run, host.RefusedOld)
+			o.refuse(w, run, host.RefusedOld)
 			r.mu.Unlock()
 			wait.Wake(r.changed)
 			return
--- a/internal/runner/paces.go
+++ b/internal/runner/paces.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/pacing"
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
@@ -27,39 +28,39 @@
 )
 
 // adjust sets the pace of what fills, by image, from what the tasks that serve show.
-func (r *Runner) adjust(ctx context.Context, l *life) {
-	if now := time.Now(); now.Sub(l.adjusted) >= adjustEvery && l.report.Capacity.CPU > 0 {
-		l.adjusted = now
-		filling, use := l.filling()
-		felt := pressure.Mean(l.used, use)
-		l.used = use
-		l.wanted = pacing.Reckon(l.served(now, felt, filling), filling, l.starved)
-	}
-	for _, running := range l.view.Running {
-		p, known := l.profiles[running.Run]
-		pace, wanted := l.wantedPace(p.Image)
-		if !known || !p.Fills || !wanted || l.paceOf(running.Run) == pace {
+func (r *Runner) adjust(ctx context.Context, w *workerState) {
+	if now := time.Now(); now.Sub(w.adjusted) >= adjustEvery && w.report.Capacity.CPU > 0 {
+		w.adjusted = now
+		filling, use := w.filling()
+		felt := pressure.Mean(w.used, use)
+		w.used = use
+		w.wanted = pacing.Reckon(w.served(now, felt, filling), filling, w.starved)
+	}
+	for _, running := range w.view.Running {
+		p, known := w.profiles[running.Run]
+		pace, wanted := w.wantedPace(p.Image)
+		if !known || !p.Fills || !wanted || w.paceOf(running.Run) == pace {
 			continue
 		}
-		l.paces[running.Run] = pace
-		go r.setPace(ctx, l.report.Instance, running.Run, pace, r.epoch)
+		w.paces[running.Run] = pace
+		go r.setPace(ctx, w.id, running.Run, pace, r.epoch)
 	}
 }
 
 // wantedPace returns the pace of an image in percent, false where none was reckoned yet. What comes while all that fills
 // stands has to stand too.
-func (l *life) wantedPace(image string) (int, bool) {
-	if l.overFor(longerOver) {
+func (w *workerState) wantedPace(image string) (int, bool) {
+	if w.overFor(longerOver) {
 		return pacing.Least, true
 	}
-	pace, wanted := l.wanted[image]
+	pace, wanted := w.wanted[image]
 	return pace, wanted
 }
 
 // overFor reports whether some serving task has been over its target for a time.
-func (l *life) overFor(least time.Duration) bool {
-	for _, since := range l.over {
-		if l.read.Sub(since) > least {
+func (w *workerState) overFor(least time.Duration) bool {
+	for _, since := range w.over {
+		if w.read.Sub(since) > least {
 			return true
 		}
 	}
@@ -67,15 +68,15 @@
 }
 
 // filling returns the images of what fills the worker, and the share of the worker that each uses.
-func (l *life) filling() ([]pacing.Filling, map[string]float64) {
+func (w *workerState) filling() ([]pacing.Filling, map[string]float64) {
 	whole, use := make(map[string]float64), make(map[string]float64)
-	for _, running := range l.view.Running {
-		p := l.profiles[running.Run]
+	for _, running := range w.view.Running {
+		p := w.profiles[running.Run]
 		if !p.Fills {
 			continue
 		}
-		use[p.Image] += l.share(running.Figure)
-		whole[p.Image] += l.share(p.CPU)
+		use[p.Image] += w.share(running.Figure)
+		whole[p.Image] += w.share(p.CPU)
 	}
 	filling := make([]pacing.Filling, 0, len(whole))
 	for _, image := range slices.Sorted(maps.Keys(whole)) {
@@ -85,21 +86,21 @@
 }
 
 // share returns thousandths of a core as a share of the worker.
-func (l *life) share(cpu int) float64 { return float64(cpu) / float64(l.report.Capacity.CPU) }
+func (w *workerState) share(cpu int) float64 { return float64(cpu) / float64(w.report.Capacity.CPU) }
 
 // served returns what the tasks that serve will likely show, after what they show beside what was used.
-func (l *life) served(now time.Time, felt map[string]float64, filling []pacing.Filling) []pacing.Served {
+func (w *workerState) served(now time.Time, felt map[string]float64, filling []pacing.Filling) []pacing.Served {
 	var served []pacing.Served
-	for _, running := range l.view.Running {
-		p := l.profiles[running.Run]
+	for _, running := range w.view.Running {
+		p := w.profiles[running.Run]
 		if p.TargetMillis == 0 || running.Figure == 0 {
 			continue
 		}
-		over := l.noteOver(running)
+		over := w.noteOver(running)
 		s := pacing.Served{Weights: make(map[string]float64), Long: over > pacing.LongOver, Longer: over > longerOver}
-		s.Headroom, s.Deviation = l.ahead(now, running, p, felt)
+		s.Headroom, s.Deviation = w.ahead(now, running, p, felt)
 		for _, f := range filling {
-			s.Weights[f.Image] = l.weight(p.Image, f.Image)
+			s.Weights[f.Image] = w.weight(p.Image, f.Image)
 		}
 		served = append(served, s)
 	}
@@ -108,27 +109,27 @@
 
 // ahead returns the headroom that a serving task likely has soon without neighbors, and its standard deviation: from the load
 // that the lead tells, where it did so of late, and else from the task's own track.
-func (l *life) ahead(now time.Time, running host.Running, p link.Profile, felt map[string]float64) (float64, float64) {
+func (w *workerState) ahead(now time.Time, running host.Running, p link.Profile, felt map[string]float64) (float64, float64) {
 	soon := now.Add(aheadOf)
-	headroom, deviation := l.follow(now, running, p, felt).Ahead(soon)
-	load, known := l.loads[running.Run.Task.StepName()]
+	headroom, deviation := w.follow(now, running, p, felt).Ahead(soon)
+	load, known := w.loads[running.Run.Task.StepName()]
 	if !known || now.Sub(load.Seen) > loadFor {
 		return headroom, deviation
 	}
-	own := entryOf(l.owns, running.Run)
+	own := entryOf(w.owns, running.Run)
 	shown := pressure.Headroom(float64(running.Figure), float64(p.TargetMillis))
-	own.Observe(now, shown-max(load.Ahead(now, l.swing)-l.pressed(p.Image, felt), 0))
-	return load.Ahead(soon, l.swing) + own.Ahead(soon), load.Deviation
+	own.Observe(now, shown-max(load.Ahead(now, w.swing)-w.pressed(p.Image, felt), 0))
+	return load.Ahead(soon, w.swing) + own.Ahead(soon), load.Deviation
 }
 
 // follow takes the headroom that a serving task shows into its track, as it would be without what was used beside it.
-func (l *life) follow(now time.Time, running host.Running, p link.Profile, felt map[string]float64) *pressure.Track {
-	track := entryOf(l.tracks, running.Run)
-	track.Follow(l.swing)
+func (w *workerState) follow(now time.Time, running host.Running, p link.Profile, felt map[string]float64) *pressure.Track {
+	track := entryOf(w.tracks, running.Run)
+	track.Follow(w.swing)
 	target := float64(p.TargetMillis)
 	headroom := pressure.Headroom(float64(running.Figure), target)
 	if headroom >= sureOf || !track.Seen() {
-		track.Observe(now, headroom+l.pressed(p.Image, felt), pressure.Blur(headroom, target))
+		track.Observe(now, headroom+w.pressed(p.Image, felt), pressure.Blur(headroom, target))
 	}
 	return track
 }
@@ -144,58 +145,58 @@
 }
 
 // pressed returns by how much what was used lowers the headroom of a serving image.
-func (l *life) pressed(serving string, use map[string]float64) float64 {
+func (w *workerState) pressed(serving string, use map[string]float64) float64 {
 	sum := 0.0
 	for image, share := range use {
-		sum += l.weight(serving, image) * share
+		sum += w.weight(serving, image) * share
 	}
 	return sum
 }
 
 // noteOver returns for how long a serving task has been over its target. One that is found over, as an agent that was
 // started again finds it, is taken to have been over for long: nobody knows how long it was before.
-func (l *life) noteOver(running host.Running) time.Duration {
-	if int64(running.Figure) <= l.profiles[running.Run].TargetMillis {
-		delete(l.over, running.Run)
+func (w *workerState) noteOver(running host.Running) time.Duration {
+	if int64(running.Figure) <= w.profiles[running.Run].TargetMillis {
+		delete(w.over, running.Run)
 		return 0
 	}
-	since, known := l.over[running.Run]
+	since, known := w.over[running.Run]
 	if !known {
-		since = l.read
-		if l.views == 1 {
-			since = l.read.Add(-pacing.LongOver)
+		since = w.read
+		if w.views == 1 {
+			since = w.read.Add(-pacing.LongOver)
 		}
-		l.over[running.Run] = since
+		w.over[running.Run] = since
 	}
-	return l.read.Sub(since)
+	return w.read.Sub(since)
 }
 
 // weight returns by how much an image lowers the headroom of a serving one, as the lead tells.
-func (l *life) weight(serving, filling string) float64 {
-	if told, known := l.presses[filling][serving]; known {
+func (w *workerState) weight(serving, filling string) float64 {
+	if told, known := w.presses[filling][serving]; known {
 		return told
 	}
 	return pressure.PriorWeight
 }
 
 // paceOf returns the pace in percent that was set last.
-func (l *life) paceOf(run host.Run) int {
-	if pace, known := l.paces[run]; known {
+func (w *workerState) paceOf(run host.Run) int {
+	if pace, known := w.paces[run]; known {
 		return pace
 	}
 	return pacing.Full
 }
 
 // setPace sends a pace to the worker; one that is not set is reckoned and sent again.
-func (r *Runner) setPace(ctx context.Context, instance string, run host.Run, pace int, epoch uint64) {
-	refusal, err := r.config.Worker.Pace(ctx, instance, run, pace, epoch)
+func (r *Runner) setPace(ctx context.Context, id incarnation.ID, run host.Run, pace int, epoch uint64) {
+	refusal, err := r.config.Worker.Pace(ctx, id, run, pace, epoch)
 	if err == nil && refusal == host.Accepted {
 		return
 	}
 	r.logger.Debug("pace not set; task=%s run=%d pace=%d refusal=%s reason=%v", run.Task, run.Number, pace, refusal, err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.life != nil && r.life.report.Instance == instance {
-		delete(r.life.paces, run)
+	if r.worker != nil && r.worker.id == id {
+		delete(r.worker.paces, run)
 	}
 }
--- a/internal/runner/room.go
+++ b/internal/runner/room.go
@@ -13,13 +13,13 @@
 }
 
 // taken returns the room of all that the worker may have: what runs, what is being stopped, and what is on its way there.
-func (l *life) taken() job.Size {
+func (w *workerState) taken() job.Size {
 	var taken job.Size
-	for run := range l.begun {
-		taken = taken.Plus(roomOf(l.profiles[run]))
+	for run := range w.begun {
+		taken = taken.Plus(roomOf(w.profiles[run]))
 	}
-	for run, o := range l.orders {
-		if l.begun[run] == nil && o.start != nil && !o.final {
+	for run, o := range w.orders {
+		if w.begun[run] == nil && o.start != nil && !o.final {
 			taken = taken.Plus(roomOf(o.start.Profile))
 		}
 	}
@@ -28,10 +28,10 @@
 
 // fits reports whether a start leaves the worker within the room that it says it has now. The lead plans by what it was told
 // last; meanwhile the room may have shrunk, and a worker that does not guard it would be brought over it.
-func (l *life) fits(run host.Run, start *link.Start) bool {
-	if l.begun[run] != nil {
+func (w *workerState) fits(run host.Run, start *link.Start) bool {
+	if w.begun[run] != nil {
 		return true
 	}
 	asked := roomOf(start.Profile)
-	return asked == job.Size{} || l.taken().Plus(asked).Fits(l.report.Capacity)
+	return asked == job.Size{} || w.taken().Plus(asked).Fits(w.report.Capacity)
 }
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -98,8 +98,8 @@
 	if lead.Epoch < r.epoch {
 		return fault.New(fault.Stale, "epoch %d is earlier than %d", lead.Epoch, r.epoch)
 	}
-	if lead.Epoch > r.epoch && r.life != nil {
-		r.life.drop()
+	if lead.Epoch > r.epoch && r.worker != nil {
+		r.worker.drop()
 	}
 	r.epoch, r.session = lead.Epoch, session
 	r.hall.followed = r.config.Uptime.Now()
@@ -134,7 +134,7 @@
 // tell sends one report and takes the answer; without one the connection is of no use any more.
 func (r *Runner) tell(ctx context.Context, u *uplink) (bool, error) {
 	sent := r.config.Uptime.Now()
-	report, l := r.compose()
+	report, w := r.compose()
 	u.shorten(&report)
 	bounded, cancel := context.WithTimeout(ctx, reportPatience)
 	defer cancel()
@@ -154,14 +154,14 @@
 	}
 	r.hall.learn(answer.Hall, sent)
 	r.crashes.committed(answer.Crashes)
-	if l != nil && l == r.life && !r.permitted.IsZero() && sent.After(r.permitted) {
-		r.forsake(l)
+	if w != nil && w == r.worker && !r.permitted.IsZero() && sent.After(r.permitted) {
+		r.forsake(w)
 	}
 	if until := sent.Add(time.Duration(answer.PermissionMillis) * time.Millisecond); until.After(r.permitted) {
 		r.permitted = until
 	}
-	if l != nil && l == r.life {
-		l.told(report, answer)
+	if w != nil && w == r.worker {
+		w.learn(report, answer)
 		wait.Wake(r.settled)
 	}
 	return answer.Doubtful, nil
@@ -169,27 +169,27 @@
 
 // forsake takes back all starts under way: the permission was over meanwhile, so that the lead may have given their runs
 // up and placed them elsewhere. A start that is on its way to the worker is late by its own time.
-func (r *Runner) forsake(l *life) {
-	for run, o := range l.orders {
+func (r *Runner) forsake(w *workerState) {
+	for run, o := range w.orders {
 		if o.start != nil && !o.final {
 			r.logger.Warn("start is taken back after the permission was over; task=%s run=%d", run.Task, run.Number)
-			r.end(l, run)
+			r.end(w, run)
 		}
 	}
 }
 
-// told takes note of what the lead has taken note of.
-func (l *life) told(report link.Report, answer link.ReportAnswer) {
+// learn stores what the leader has committed and knows.
+func (w *workerState) learn(report link.Report, answer link.ReportAnswer) {
 	if report.Fenced {
-		l.seen = max(l.seen, answer.Seen)
+		w.seen = max(w.seen, answer.Seen)
 	}
-	l.foreign = answer.Foreign && report.Service == l.report.Service
-	l.profile(answer.Profiles)
-	l.presses, l.swing, l.starved = answer.Presses, answer.Swing, answer.Starved
-	l.loads = loadsOf(answer.Loads, time.Now())
+	w.foreign = answer.Foreign && report.Service == w.report.Service
+	w.profile(answer.Profiles)
+	w.presses, w.swing, w.starved = answer.Presses, answer.Swing, answer.Starved
+	w.loads = loadsOf(answer.Loads, time.Now())
 	for _, rejected := range report.Rejected {
-		if run, ok := parseRun(rejected.Run); ok && l.orders[run] != nil && l.orders[run].final {
-			delete(l.orders, run)
+		if run, ok := parseRun(rejected.Run); ok && w.orders[run] != nil && w.orders[run].final {
+			delete(w.orders, run)
 		}
 	}
 }
@@ -204,50 +204,47 @@
 }
 
 // compose returns the report of what the worker has now.
-func (r *Runner) compose() (link.Report, *life) {
+func (r *Runner) compose() (link.Report, *workerState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := link.Report{VM: r.config.VM, Hall: r.config.Hall, Epoch: r.epoch, Crashes: r.crashes.tell()}
-	l := r.life
-	if l == nil {
+	w := r.worker
+	if w == nil {
 		return report, nil
 	}
-	w := l.report
-	report.Instance, report.Service, report.Labels = w.Instance, w.Service, w.Labels
-	report.CPU, report.Memory, report.GPU = w.Capacity.CPU, w.Capacity.Memory, w.Capacity.GPU
-	report.Draining, report.RemainingMillis = w.Draining, w.Remaining.Milliseconds()
-	report.Silent, report.BrokenMillis = l.silent, brokenMillis(l.broken)
-	report.Lapsed = l.silent && (l.gone || time.Now().After(l.until))
-	report.Fenced = l.views > 0 && l.fenced == r.epoch
-	l.describe(&report)
-	return report, l
+	own := w.report
+	report.Instance, report.Born, report.Service, report.Labels = w.id.Worker(), w.id.Born(), own.Service, own.Labels
+	report.CPU, report.Memory, report.GPU = own.Capacity.CPU, own.Capacity.Memory, own.Capacity.GPU
+	report.Draining, report.RemainingMillis = own.Draining, own.Remaining.Milliseconds()
+	report.Silent, report.BrokenMillis = w.silent, brokenMillis(w.broken)
+	report.Lapsed = w.silent && (w.gone || time.Now().After(w.until))
+	report.Fenced = w.views > 0 && w.fenced == r.epoch
+	w.describe(&report)
+	return report, w
 }
 
 // describe adds the runs of the latest view and the orders that are not settled.
-func (l *life) describe(report *link.Report) {
-	shown := make(map[host.Run]bool, len(l.view.Ended)+len(l.view.Running))
-	for _, e := range l.view.Ended {
+func (w *workerState) describe(report *link.Report) {
+	shown := make(map[host.Run]bool, len(w.view.Ended)+len(w.view.Running))
+	for _, e := range w.view.Ended {
 		shown[e.Run] = true
 		report.Ended = append(report.Ended, link.Ended{
 			Run: wireRun(e.Run), Sequence: e.Number, End: int(e.End), Checkpoint: e.Checkpoint,
 		})
 	}
-	for _, running := range l.view.Running {
+	for _, running := range w.view.Running {
 		shown[running.Run] = true
-		if _, known := l.profiles[running.Run]; !known {
+		if _, known := w.profiles[running.Run]; !known {
 			report.Unknown = append(report.Unknown, wireRun(running.Run))
 		}
 		report.Running = append(report.Running, link.Running{
 			Run: wireRun(running.Run), Percent: running.Percent, Figure: running.Figure,
-			Pace: l.paceOf(running.Run), Checkpoint: running.Checkpoint, Fresh: l.begun.fresh(running.Run),
+			Pace: w.paceOf(running.Run), Checkpoint: running.Checkpoint, Fresh: w.begun.fresh(running.Run),
 		})
 	}
-	for run, o := range l.orders {
+	for run, o := range w.orders {
 		switch {
-		case !o.final:
-			report.Pending = append(report.Pending, wireRun(run))
-		case l.views < o.views+2:
-			// A view asked for before the refusal may not show how the run ended.
+		case !o.final || !o.shownBy(w.views):
 			report.Pending = append(report.Pending, wireRun(run))
 		case !shown[run]:
 			report.Rejected = append(report.Rejected, link.Rejected{Run: wireRun(run), Refusal: int(o.refused)})
--- a/internal/runner/life.go
+++ b/internal/runner/worker.go
@@ -4,20 +4,21 @@
 	"context"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
 
-// life is what the agent knows of one life of the worker.
-type life struct {
-	// instance is the name of the life, which does not change.
-	instance string
-	report   host.Report
+// workerState is all that the agent knows of one incarnation of the worker; it is replaced whole by that of the next.
+type workerState struct {
+	id     incarnation.ID
+	report host.Report
 	// foreign says that no configuration names the service of the report, as the lead tells.
 	foreign bool
-	// clock is the worker's clock as of read, a time at which it surely had reached that.
+	// clock is the worker's clock as of read, by which it had reached that.
 	clock host.Clock
 	read  time.Time
 	// fenced is the highest epoch that the worker has seen from this agent.
@@ -25,6 +26,8 @@
 	// answered is when the worker answered last, until when its runs may go on at the latest by this clock.
 	answered time.Time
 	until    time.Time
+	// proved is when the latest answer of this incarnation came, zero once a call has failed since.
+	proved boottime.Instant
 	// broken is when the calls to the worker began to break off, zero while they do not.
 	broken time.Time
 	// view is what the worker showed last, views counts what it showed, seen is up to which number the lead has its ends.
@@ -32,11 +35,13 @@
 	views  uint64
 	seen   uint64
 	silent bool
-	// gone says that the worker answered for another life, left that it ended by plan, ended that its end was told.
-	gone   bool
-	left   bool
-	ended  bool
-	orders map[host.Run]*order
+	// terminated says that the worker has another incarnation, gone that this one has another id, left that it ended by plan, reported that its
+	// end was recorded for the leader.
+	terminated bool
+	gone       bool
+	left       bool
+	reported   bool
+	orders     map[host.Run]*order
 	// begun are the runs that it may have.
 	begun begunRuns
 	// refused is the highest run of each task that was refused; an order for it that comes again is not carried out.
@@ -74,11 +79,10 @@
 	views   uint64
 }
 
-// newLife returns a life of which no more is known than its first report.
-func newLife(report host.Report, now time.Time) *life {
-	return &life{
-		instance: report.Instance,
-		report:   report, clock: report.Clock, read: now, answered: now,
+// newWorkerState returns an incarnation of which only its first report is known.
+func newWorkerState(report host.Report, now time.Time) *workerState {
+	return &workerState{
+		id: report.Incarnation, report: report, clock: report.Clock, read: now, answered: now,
 		orders: make(map[host.Run]*order), begun: make(begunRuns), refused: make(map[job.TaskID]int),
 		profiles: make(map[host.Run]link.Profile), paces: make(map[host.Run]int),
 		over: make(map[host.Run]time.Time), tracks: make(map[host.Run]*pressure.Track),
@@ -86,61 +90,74 @@
 	}
 }
 
-// renew takes a newer report of the life and reports whether it did; one that was overtaken is left. Draining is never taken back.
-func (l *life) renew(report host.Report) bool {
-	if report.Sequence < l.report.Sequence {
+// renew stores a newer report of the incarnation and reports whether it did. A draining worker never becomes ready again.
+func (w *workerState) renew(report host.Report) bool {
+	if report.Sequence < w.report.Sequence {
 		return false
 	}
-	report.Draining = report.Draining || l.report.Draining
-	l.report = report
+	report.Draining = report.Draining || w.report.Draining
+	w.report = report
 	return true
 }
 
 // prune forgets refused orders of which the view shows how their runs ended, and profiles of runs that are no more.
-func (l *life) prune() {
-	for _, e := range l.view.Ended {
-		if o := l.orders[e.Run]; o != nil && o.final {
-			delete(l.orders, e.Run)
+func (w *workerState) prune() {
+	for _, e := range w.view.Ended {
+		if o := w.orders[e.Run]; o != nil && o.final {
+			delete(w.orders, e.Run)
 		}
 	}
-	present := make(map[host.Run]bool, len(l.view.Running))
-	for _, running := range l.view.Running {
+	present := make(map[host.Run]bool, len(w.view.Running))
+	for _, running := range w.view.Running {
 		present[running.Run] = true
 	}
-	for run := range l.profiles {
-		if !present[run] && l.orders[run] == nil {
-			delete(l.profiles, run)
-			delete(l.over, run)
-			delete(l.tracks, run)
-			delete(l.owns, run)
-			delete(l.paces, run)
+	for run := range w.profiles {
+		if !present[run] && w.orders[run] == nil {
+			delete(w.profiles, run)
+			delete(w.over, run)
+			delete(w.tracks, run)
+			delete(w.owns, run)
+			delete(w.paces, run)
 		}
 	}
 }
 
-// drop forgets the orders of an earlier lead; the worker refuses them once it has seen the new epoch.
-func (l *life) drop() {
-	for run, o := range l.orders {
+// shownBy reports whether the latest view was asked for after the refusal, so that it shows how the run ended if it did.
+func (o *order) shownBy(views uint64) bool { return views >= o.views+2 }
+
+// refusalWaits reports whether a refusal is not reported yet because a view is missing.
+func (w *workerState) refusalWaits() bool {
+	for _, o := range w.orders {
+		if o.final && !o.shownBy(w.views) {
+			return true
+		}
+	}
+	return false
+}
+
+// drop forgets the orders of an earlier leader; the worker refuses them once it has seen the new epoch.
+func (w *workerState) drop() {
+	for run, o := range w.orders {
 		o.cancel()
-		delete(l.orders, run)
+		delete(w.orders, run)
 	}
 }
 
 // profile keeps what the lead tells of runs.
-func (l *life) profile(profiles []link.Profile) {
+func (w *workerState) profile(profiles []link.Profile) {
 	for _, p := range profiles {
 		if run, ok := parseRun(p.Run); ok {
-			l.profiles[run] = p
+			w.profiles[run] = p
 		}
 	}
 }
 
-// refuse takes note that the worker will never run what the order starts.
-func (o *order) refuse(l *life, run host.Run, why host.Refusal) {
+// refuse marks that the worker will never run what the order starts.
+func (o *order) refuse(w *workerState, run host.Run, why host.Refusal) {
 	if why == host.RefusedOld {
-		delete(l.begun, run)
+		delete(w.begun, run)
 	}
-	l.begun.drop(run)
-	l.refused[run.Task] = max(l.refused[run.Task], run.Number)
-	o.refused, o.final, o.views = why, true, l.views
+	w.begun.drop(run)
+	w.refused[run.Task] = max(w.refused[run.Task], run.Number)
+	o.refused, o.final, o.views = why, true, w.views
 }
