Test incarnations in agent, leader, records and adapter

Each layer is tested alone: nothing that is known of an incarnation holds for the next, starts that may be carried out late are stopped first, and births that are left out by the release before lose nothing.

--- a/internal/job/spec_test.go
+++ b/internal/job/spec_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 )
 
 func TestCheckRefusesWithASentence(t *testing.T) {
@@ -73,6 +74,38 @@
 	assert.Assert(t, j.Judged(TaskID{Job: id}, 2))
 }
 
+// TestBirthsOfWorkersAreStored, in a form that leaders of the release before read past.
+func TestBirthsOfWorkersAreStored(t *testing.T) {
+	const id ID = "00000000000000aa"
+	spec := Spec{Steps: []Step{{Count: 3}}}
+	hosts := []Host{
+		{VM: "a", Incarnation: incarnation.New("i-1", 1_700_000_000_000)}, {VM: "b", Incarnation: incarnation.New("i-2", 0)},
+		{VM: "c", Incarnation: incarnation.New("i-3", 7)},
+	}
+	j := New(id, spec, Queue{}, time.Unix(1, 0))
+	for i, h := range hosts {
+		j.Place(TaskID{Job: id, Index: i}, h, 0)
+	}
+	data, err := j.EncodeProgress()
+	assert.NilError(t, err)
+	read := New(id, spec, Queue{}, time.Unix(1, 0))
+	assert.NilError(t, read.ApplyProgress(data))
+	var before storedProgress
+	assert.NilError(t, cbor.Unmarshal(data, &before))
+	for i, h := range hosts {
+		assert.Equal(t, read.Task(TaskID{Job: id, Index: i}).Host(), h)
+		earlier := before.Hosts[before.Tasks[i].Host-1]
+		assert.Equal(t, earlier.VM, h.VM)
+		assert.Equal(t, earlier.Instance, h.Incarnation.Worker())
+	}
+	before.Hosts = before.Hosts[:len(hosts)]
+	data, err = cbor.Marshal(before)
+	assert.NilError(t, err)
+	read = New(id, spec, Queue{}, time.Unix(1, 0))
+	assert.NilError(t, read.ApplyProgress(data))
+	assert.Equal(t, read.Task(TaskID{Job: id, Index: 0}).Host(), Host{VM: "a", Incarnation: incarnation.New("i-1", 0)}, "as the release before stored it")
+}
+
 // FuzzStored: whatever the store holds under a job's keys, it is read or refused.
 func FuzzStored(f *testing.F) {
 	spec := Spec{Steps: []Step{{Count: 2}}}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -30,8 +30,10 @@
 	mu     sync.Mutex
 	starts []host.Start
 	stops  []host.Run
-	holds  []host.Hold
-	start  func() (host.Refusal, error)
+	// seen is up to which number each incarnation's ends were let go.
+	seen  map[incarnation.ID]uint64
+	view  host.View
+	start func() (host.Refusal, error)
 	// present is the incarnation that answers, zero for any; slow is how long a refusal under another id takes.
 	present incarnation.ID
 	slow    time.Duration
@@ -60,7 +62,6 @@
 func (f *fakeWorker) Hold(ctx context.Context, id incarnation.ID, h host.Hold) (host.View, host.Refusal, error) {
 	f.mu.Lock()
 	present := f.present
-	f.holds = append(f.holds, h)
 	f.mu.Unlock()
 	if present.IsZero() {
 		present = id
@@ -69,8 +70,32 @@
 		wait.For(ctx, f.slow)
 		return host.View{}, host.RefusedWrong, fault.New(fault.Stale, "another instance answers")
 	}
+	f.mu.Lock()
+	if f.seen == nil {
+		f.seen = make(map[incarnation.ID]uint64)
+	}
+	f.seen[present] = max(f.seen[present], h.Seen)
+	f.mu.Unlock()
 	wait.For(ctx, h.Wait)
-	return host.View{Incarnation: present}, host.Accepted, nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	view := f.view
+	view.Incarnation = present
+	return view, host.Accepted, nil
+}
+
+// show sets what the worker lists.
+func (f *fakeWorker) show(view host.View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view = view
+}
+
+// acknowledged returns up to which number the ends of an incarnation were let go.
+func (f *fakeWorker) acknowledged(id incarnation.ID) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seen[id]
 }
 
 // restart gives the worker another incarnation.
