Check all orders of worker restarts with real agents and leaders

Two VMs are played in fake time, with the real leader and agents over pipes, and workers by the users' rules. ALL_PASSAGES=1 adds a second restart.

Found by it: a start that got no answer was carried out when the worker came back under an id of long ago, while its task ran elsewhere. The leader remembers such starts for 15 s and has them stopped there, as the agent does where it lives. An agent that ends gives up its orders.

--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -1,31 +1,34 @@
 package dispatch
 
 import (
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
 
 // identify gives a host of which a process of the release before left the time of birth out the identity that its agent reports now. Its runs
 // stay placed: if it was another incarnation, they are missing there and are ordered again under the same numbers.
-func (t *term) identify(host job.Host) {
+func (t *term) identify(reported job.Host) {
 	for _, h := range t.hostsInOrder() {
 		known := h.worker.Host
-		if known.VM != host.VM || known == host || !known.Incarnation.MayBe(host.Incarnation) || t.hosts[host] != nil {
+		if known.VM != reported.VM || known == reported || !known.Incarnation.MayBe(reported.Incarnation) || t.hosts[reported] != nil {
 			continue
 		}
-		t.logger.Info("worker incarnation identified; vm=%s instance=%s before=%s", host.VM, host.Incarnation, known.Incarnation)
+		t.logger.Info("worker incarnation identified; vm=%s instance=%s before=%s", reported.VM, reported.Incarnation, known.Incarnation)
 		delete(t.hosts, known)
-		t.hosts[host], h.worker.Host = h, host
+		t.hosts[reported], h.worker.Host = h, reported
 		for id, p := range h.runs {
-			t.rehost(id, p, host)
+			t.rehost(id, p, reported)
 		}
-		if a := t.agents[host.VM]; a != nil && a.host == known {
+		if a := t.agents[reported.VM]; a != nil && a.host == known {
 			// The numbers of ends may be those of another incarnation.
-			a.host, a.seen = host, 0
+			a.host, a.seen = reported, 0
 		}
 		if lost, unseen := t.unseen[known]; unseen {
 			delete(t.unseen, known)
-			t.unseen[host] = lost
+			t.unseen[reported] = lost
 		}
 	}
 }
@@ -52,7 +55,10 @@
 	for _, id := range h.runsInOrder() {
 		p := h.runs[id]
 		switch {
-		case !p.committed || p.settled(settled, link.NewRun(id, p.run)) || replaced && !present.SameWorker(ended):
+		case !p.committed || p.settled(settled, link.NewRun(id, p.run)):
+			lost = append(lost, id)
+		case replaced && !present.SameWorker(ended):
+			t.late.add(h.worker.Host, link.NewRun(id, p.run))
 			lost = append(lost, id)
 		case replaced:
 			t.handOver(h, t.host(a.host), id)
@@ -81,6 +87,37 @@
 	return settled
 }
 
+// lateOrder is a start that a worker may still carry out, by the id that it was sent to.
+type lateOrder struct {
+	vm, worker string
+	run        link.Run
+}
+
+// lateOrders are starts whose tasks were placed anew though a later incarnation under the same id may carry them out, with since when.
+type lateOrders map[lateOrder]time.Time
+
+// add records a start that was ordered on a host.
+func (l lateOrders) add(h job.Host, run link.Run) {
+	l[lateOrder{vm: h.VM, worker: h.Incarnation.Worker(), run: run}] = time.Now()
+	for order, since := range l {
+		if time.Since(since) > host.LateFor {
+			delete(l, order)
+		}
+	}
+}
+
+// stopLate orders the stop of starts that an incarnation which has just reported may still carry out.
+func (t *term) stopLate(present job.Host) {
+	for order, since := range t.late {
+		switch id, known := order.run.TaskID(); {
+		case time.Since(since) > host.LateFor:
+			delete(t.late, order)
+		case known && order.vm == present.VM && order.worker == present.Incarnation.Worker():
+			t.orderStop(present, id, order.run.Number)
+		}
+	}
+}
+
 // handOver stops a run on the next incarnation of the worker that it was ordered on; its task waits for the end of that.
 func (t *term) handOver(from, to *hosted, id job.TaskID) {
 	p := from.runs[id]
--- a/internal/dispatch/incarnations_test.go
+++ b/internal/dispatch/incarnations_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,6 +140,22 @@
 	})
 }
 
+// TestStartThatMayBeCarriedOutLateIsStoppedUnderAnIdOfLongAgo: its task was placed anew, on a worker with another id meanwhile.
+func TestStartThatMayBeCarriedOutLateIsStoppedUnderAnIdOfLongAgo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &fakeAgent{vm: "vm"}
+		lead := bornTerm(t, kvtest.New(), a)
+		receive(t, lead, a, reportOf("i2"))
+		assert.Equal(t, taskOf(lead).Run(), 2)
+		_, stops := receive(t, lead, a, bornReport(3))
+		assert.DeepEqual(t, stops[0], link.NewRun(job.TaskID{Job: lateJob}, 1))
+		time.Sleep(host.LateFor + time.Second)
+		assert.NilError(t, lead.closures.Load(t.Context()))
+		_, stops = receive(t, lead, a, bornReport(4))
+		assert.Assert(t, !slices.Contains(stops, link.NewRun(job.TaskID{Job: lateJob}, 1)))
+	})
+}
+
 // TestNextLeaderStopsWhatItDoesNotKnowToHaveStarted, by the births that are stored with the hosts.
 func TestNextLeaderStopsWhatItDoesNotKnowToHaveStarted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -61,6 +61,9 @@
 // markUnreachable takes back the runs of an incarnation whose lease has lapsed, whether its worker crashed or not.
 func (t *term) markUnreachable(h *hosted, reason string) {
 	runs := t.charge(h, func(link.Run) (crash.Loss, bool) { return crash.UnseenLoss(), true })
+	for _, id := range h.runsWhich(func(p *placed) bool { return p.committed && p.shown.IsZero() }) {
+		t.late.add(h.worker.Host, link.NewRun(id, h.runs[id].run))
+	}
 	if len(runs) > 0 {
 		t.unseen[h.worker.Host] = unseenLife{since: time.Now(), runs: runs}
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -154,6 +154,7 @@
 				t.retire(a, earlier, nil, "the worker has another incarnation")
 			}
 		}
+		t.stopLate(current)
 	}
 	if !r.Silent {
 		t.settleUnseen(current)
--- /dev/null
+++ b/internal/dispatch/restarts_test.go
@@ -0,0 +1,209 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+)
+
+// rebirth is how a worker comes back after a crash.
+type rebirth int
+
+const (
+	// clockBehind and clockAhead are under the same id, birthEarlier too, with a time of birth before the last one.
+	clockBehind rebirth = iota
+	clockAhead
+	birthEarlier
+	// newID is under another id, without a birth; oldID is under the id of long ago.
+	newID
+	oldID
+	rebirths
+)
+
+// beside is what goes with the crash.
+type beside int
+
+const (
+	alone beside = iota
+	leaderGoes
+	agentGoes
+	bothGo
+	besides
+)
+
+// restart is a crash of the worker that has the task, some time after the job was accepted.
+type restart struct {
+	at     time.Duration
+	how    rebirth
+	beside beside
+}
+
+func (r restart) String() string {
+	return fmt.Sprintf("at %v %s %s", r.at, [...]string{"clock-behind", "clock-ahead", "birth-earlier", "new-id", "old-id"}[r.how],
+		[...]string{"alone", "leader-goes", "agent-goes", "both-go"}[r.beside])
+}
+
+// replayCase is one passage: what the task is, how starts are answered, and the crashes.
+type replayCase struct {
+	lasting  bool
+	late     time.Duration
+	restarts []restart
+}
+
+func (c replayCase) String() string {
+	return fmt.Sprintf("lasting=%t late=%v %v", c.lasting, c.late, c.restarts)
+}
+
+const (
+	// findOut bounds the time in which a task with room runs again after the last crash: the lease that a call may have prolonged has to end
+	// first where the leader and the agent know nothing of the incarnation.
+	findOut = 20 * time.Second
+	// firstRestart is before the start has reached the worker; the others are spread over start, end, report, commit and acknowledgement.
+	firstRestart = 1 * time.Millisecond
+)
+
+// restartsAt are the times of crashes: each few milliseconds around the start and the end of the task, where all is under way.
+func restartsAt() []time.Duration {
+	at := []time.Duration{firstRestart}
+	for _, around := range []time.Duration{15 * time.Millisecond, 415 * time.Millisecond} {
+		for d := range 10 {
+			at = append(at, around+time.Duration(d)*3*time.Millisecond)
+		}
+	}
+	return append(at, 150*time.Millisecond, 700*time.Millisecond, 1500*time.Millisecond)
+}
+
+// TestNoRestartRunsATaskTwiceOrLosesIt plays what users saw: after a worker had started again under its id, a lasting task did not run though there
+// was room for it, and a task ran again after its acknowledged end.
+//
+// Cause: a worker was known by its id alone; nothing told the answers, ends and leases of two incarnations apart.
+//
+// The real leader and agents are played with workers that follow the users' rules: crashes at each point between acceptance, start, view, end,
+// report, commit and acknowledgement; under the same id with any clock, under a new id or one of long ago; with the leader or the agent
+// gone at that moment; with starts that get no answer and are carried out later, also by the next incarnation. Two crashes follow each
+// other where ALL_PASSAGES is set.
+func TestNoRestartRunsATaskTwiceOrLosesIt(t *testing.T) {
+	for _, lasting := range []bool{false, true} {
+		for _, late := range []time.Duration{0, 250 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprintf("lasting=%t/late=%v", lasting, late), func(t *testing.T) {
+				t.Parallel()
+				played := 0
+				for _, c := range casesOf(lasting, late) {
+					synctest.Test(t, func(t *testing.T) { playRestarts(t, c) })
+					played++
+					if t.Failed() {
+						break
+					}
+				}
+				t.Logf("%d passages", played)
+			})
+		}
+	}
+}
+
+// casesOf returns the passages of one kind of task.
+func casesOf(lasting bool, late time.Duration) []replayCase {
+	var cases []replayCase
+	for _, at := range restartsAt() {
+		for how := range rebirths {
+			for with := range besides {
+				first := restart{at, how, with}
+				cases = append(cases, replayCase{lasting, late, []restart{first}})
+				if os.Getenv("ALL_PASSAGES") == "" {
+					continue
+				}
+				for _, after := range []time.Duration{10 * time.Millisecond, 620 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond} {
+					for again := range rebirths {
+						cases = append(cases, replayCase{lasting, late, []restart{first, {at + after, again, alone}}})
+					}
+				}
+			}
+		}
+	}
+	return cases
+}
+
+// playRestarts plays one passage on two VMs.
+func playRestarts(t *testing.T, c replayCase) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	p := newReplay(ctx, t, 2, c.lasting)
+	time.Sleep(2 * time.Second)
+	for _, w := range p.workers {
+		w.late = c.late
+	}
+	began := time.Now()
+	p.handIn()
+	for n, r := range c.restarts {
+		time.Sleep(r.at - time.Since(began))
+		p.crash(r, n)
+	}
+	for _, w := range p.workers {
+		w.late = 0
+	}
+	p.await(c)
+	cancel()
+	p.depose()
+	synctest.Wait()
+	if len(p.broken) > 0 {
+		t.Errorf("%s: %s", c, strings.Join(p.broken, "; "))
+	}
+}
+
+// crash lets the worker that has the task crash, or the first one.
+func (p *replay) crash(r restart, n int) {
+	vm := 0
+	for i, w := range p.workers {
+		if w.run != nil {
+			vm = i
+		}
+	}
+	w := p.workers[vm]
+	if r.beside == agentGoes || r.beside == bothGo {
+		p.killAgent[vm]()
+		defer p.startAgent(vm)
+	}
+	step := int64(n + 1)
+	switch r.how {
+	case clockBehind:
+		w.restart(incarnation.New(w.id.Worker(), births+step), time.Minute)
+	case clockAhead:
+		w.restart(incarnation.New(w.id.Worker(), births+step), time.Duration(step+1)*time.Hour)
+	case birthEarlier:
+		w.restart(incarnation.New(w.id.Worker(), births-step), time.Second)
+	case newID:
+		w.restart(incarnation.New(fmt.Sprintf("i-new-%d-%d", vm, n), 0), time.Second)
+	case oldID:
+		w.restart(incarnation.New(fmt.Sprintf("i-%d", vm), births+step), time.Second)
+	}
+	if r.beside == leaderGoes || r.beside == bothGo {
+		p.elect()
+	}
+}
+
+// await waits until the job is completed, or its lasting task runs and goes on running.
+func (p *replay) await(c replayCase) {
+	for began := time.Now(); time.Since(began) < findOut; time.Sleep(5 * time.Millisecond) {
+		state := p.state()
+		if state == job.Failed && len(c.restarts) >= leastKnown {
+			// A task whose workers crash right after its start may be given up after two crashes.
+			return
+		}
+		if !c.lasting && state == job.Completed {
+			// What was carried out late shows itself.
+			time.Sleep(3 * time.Second)
+			return
+		}
+		if c.lasting && time.Since(began) > 6*time.Second && p.running() == 1 {
+			return
+		}
+	}
+	p.fail("the task neither runs nor is done; running=%d", p.running())
+}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -5,6 +5,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/admin"
 	"github.com/saffronpulley/saffronpulley/internal/boottime"
+	"github.com/saffronpulley/saffronpulley/internal/httpclient"
 	"github.com/saffronpulley/saffronpulley/internal/relay"
 	"github.com/saffronpulley/saffronpulley/internal/runner"
 	"github.com/saffronpulley/saffronpulley/platform"
@@ -13,9 +14,9 @@
 func (p *process) runAgent(ctx context.Context) error {
 	r := runner.New(runner.Config{
 		VM: p.settings.ID(), Hall: p.settings.Hall(), ClosedWithin: p.settings.ClosedWithin(),
-		LongestHold: p.settings.LongestHold(),
-		Worker:      platform.NewWorker(p.settings.Worker(), p.logger.Part("worker")),
-		Store:       relay.New(p.store, p.health, p.pool), Pool: p.pool, Clock: p.clock, Uptime: boottime.System{}, Secret: secret,
+		LongestHold: p.settings.LongestHold(), Dial: httpclient.Dial,
+		Worker: platform.NewWorker(p.settings.Worker(), p.logger.Part("worker")),
+		Store:  relay.New(p.store, p.health, p.pool), Pool: p.pool, Clock: p.clock, Uptime: boottime.System{}, Secret: secret,
 		Logger: p.logger.Part("agent"), Metrics: p.metrics,
 	})
 	reports, err := serve(p.settings.Reports(), "listen.reports", platform.HandleReports(r))
--- a/internal/rpc/peer.go
+++ b/internal/rpc/peer.go
@@ -33,9 +33,17 @@
 	Secret string `json:"secret"`
 }
 
+// Dialer connects to an address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
 // Dial connects to an address of the form host:port and proves the shared secret.
 func Dial(ctx context.Context, address, secret string, m *Mux) (*Peer, error) {
-	stream, err := httpclient.Dial(ctx, address)
+	return DialWith(ctx, httpclient.Dial, address, secret, m)
+}
+
+// DialWith connects to an address by a dialer and proves the shared secret.
+func DialWith(ctx context.Context, dial Dialer, address, secret string, m *Mux) (*Peer, error) {
+	stream, err := dial(ctx, address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "cannot connect")
 	}
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -127,7 +127,7 @@
 		assert.Equal(t, len(worker.stopped()), 1, "it is taken back where it was sent")
 		startAgain(r, worker)
 		assert.DeepEqual(t, worker.stopped(), []host.Run{testRun(1), testRun(1)})
-		time.Sleep(lateFor)
+		time.Sleep(host.LateFor)
 		worker.restart(firstBirth)
 		r.Reported(reportFrom(incarnation.New("i-1", 7), 1))
 		time.Sleep(time.Second)
--- a/internal/runner/late.go
+++ b/internal/runner/late.go
@@ -9,9 +9,6 @@
 	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 )
 
-// lateFor is how long after a start without an answer the worker may still carry it out.
-const lateFor = 15 * time.Second
-
 // lateStart is a start that got no answer, by the id of the worker that it was sent to.
 type lateStart struct {
 	worker string
@@ -25,7 +22,7 @@
 func (l lateStarts) add(id incarnation.ID, run host.Run, now time.Time) {
 	l[lateStart{worker: id.Worker(), run: run}] = now
 	for s, sent := range l {
-		if now.Sub(sent) > lateFor {
+		if now.Sub(sent) > host.LateFor {
 			delete(l, s)
 		}
 	}
@@ -34,7 +31,7 @@
 // has reports whether a start of a run may still be carried out.
 func (l lateStarts) has(id incarnation.ID, run host.Run, now time.Time) bool {
 	sent, known := l[lateStart{worker: id.Worker(), run: run}]
-	return known && now.Sub(sent) <= lateFor
+	return known && now.Sub(sent) <= host.LateFor
 }
 
 // starts returns the runs that an incarnation may still be given by late starts, in order.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -32,6 +32,8 @@
 	Store       *relay.Store
 	Pool        *relay.Pool
 	Clock       *timeline.Clock
+	// Dial connects to the leader.
+	Dial rpc.Dialer
 	// Uptime is the clock of what the agent was permitted and told, which counts suspensions.
 	Uptime  boottime.Clock
 	Secret  string
@@ -88,6 +90,7 @@
 
 // Run keeps the worker until ctx ends; what runs there goes on for as long as it is held.
 func (r *Runner) Run(ctx context.Context) error {
+	defer r.abandon()
 	group, bounded := errgroup.WithContext(ctx)
 	group.Go(func() error { return r.renewLoop(bounded) })
 	group.Go(func() error { return r.verify(bounded) })
@@ -95,6 +98,16 @@
 	return group.Wait()
 }
 
+// abandon ends all orders under way.
+func (r *Runner) abandon() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.worker != nil {
+		r.worker.drop()
+	}
+	r.worker = nil
+}
+
 // Reported takes the worker's report of itself and reports whether it is acknowledged.
 func (r *Runner) Reported(report host.Report) bool {
 	r.mu.Lock()
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -57,7 +57,7 @@
 // follow reports to one lead until it does not answer or another leads.
 func (r *Runner) follow(ctx context.Context, lead record.Lead) error {
 	bounded, cancel := context.WithTimeout(ctx, dialPatience)
-	session, err := rpc.Dial(bounded, lead.Address, r.config.Secret, r.mux)
+	session, err := rpc.DialWith(bounded, r.config.Dial, lead.Address, r.config.Secret, r.mux)
 	cancel()
 	if err != nil {
 		return err
