Keep soak seeds of returning workers; a test of all power lost

All processes and workers go within milliseconds after acceptances and return under the ids that they had: what was accepted is done once, what lasts runs again.

--- a/internal/dispatch/restarts_test.go
+++ b/internal/dispatch/restarts_test.go
@@ -87,20 +87,27 @@
 //
 // The real leader and agents are played with workers that follow the users' rules: crashes at each point between acceptance, start, view, end,
 // report, commit and acknowledgement; under the same id with any clock, under a new id or one of long ago; with the leader or the agent
-// gone at that moment; with starts that get no answer and are carried out later, also by the next incarnation. Two crashes follow each
-// other where ALL_PASSAGES is set.
-func TestNoRestartRunsATaskTwiceOrLosesIt(t *testing.T) {
+// gone at that moment; with starts that get no answer and are carried out later, also by the next incarnation.
+func TestNoRestartRunsATaskTwiceOrLosesIt(t *testing.T) { playCases(t, casesOf) }
+
+// TestTwoRestartsRunNoTaskTwiceNorLoseIt plays a second crash some time after each first one, where ALL_PASSAGES is set: minutes on all cores.
+func TestTwoRestartsRunNoTaskTwiceNorLoseIt(t *testing.T) {
+	if os.Getenv("ALL_PASSAGES") != "" {
+		playCases(t, twiceOf)
+	}
+}
+
+// playCases plays the passages of each kind of task, and tells of all that fail.
+func playCases(t *testing.T, cases func(lasting bool, late time.Duration) []replayCase) {
+	t.Helper()
 	for _, lasting := range []bool{false, true} {
 		for _, late := range []time.Duration{0, 250 * time.Millisecond, 2 * time.Second} {
 			t.Run(fmt.Sprintf("lasting=%t/late=%v", lasting, late), func(t *testing.T) {
 				t.Parallel()
 				played := 0
-				for _, c := range casesOf(lasting, late) {
+				for _, c := range cases(lasting, late) {
 					synctest.Test(t, func(t *testing.T) { playRestarts(t, c) })
 					played++
-					if t.Failed() {
-						break
-					}
 				}
 				t.Logf("%d passages", played)
 			})
@@ -108,22 +115,28 @@
 	}
 }
 
-// casesOf returns the passages of one kind of task.
+// casesOf returns the passages of one kind of task with one crash.
 func casesOf(lasting bool, late time.Duration) []replayCase {
 	var cases []replayCase
 	for _, at := range restartsAt() {
 		for how := range rebirths {
 			for with := range besides {
-				first := restart{at, how, with}
-				cases = append(cases, replayCase{lasting, late, []restart{first}})
-				if os.Getenv("ALL_PASSAGES") == "" {
-					continue
-				}
-				for _, after := range []time.Duration{10 * time.Millisecond, 620 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond} {
-					for again := range rebirths {
-						cases = append(cases, replayCase{lasting, late, []restart{first, {at + after, again, alone}}})
-					}
-				}
+				cases = append(cases, replayCase{lasting, late, []restart{{at, how, with}}})
+			}
+		}
+	}
+	return cases
+}
+
+// twiceOf returns the passages of one kind of task with two crashes: the second while the worker is away, as it is back, before it reports
+// and after that.
+func twiceOf(lasting bool, late time.Duration) []replayCase {
+	var cases []replayCase
+	for _, c := range casesOf(lasting, late) {
+		first := c.restarts[0]
+		for _, after := range []time.Duration{10 * time.Millisecond, 620 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond} {
+			for again := range rebirths {
+				cases = append(cases, replayCase{lasting, late, []restart{first, {first.at + after, again, alone}}})
 			}
 		}
 	}
--- a/proving/fleet/fleet_test.go
+++ b/proving/fleet/fleet_test.go
@@ -35,7 +35,18 @@
 
 // TestSoak plays the seeds of testdata/seeds.txt for a few seconds each: some that stand for all, and each that ever failed.
 func TestSoak(t *testing.T) {
-	file, err := os.Open("testdata/seeds.txt")
+	playSeeds(t, "testdata/seeds.txt", Size{Entries: 3, Agents: 4}, Soak{Length: 8 * time.Second})
+}
+
+// TestSoakOfReturningWorkers plays seeds in which workers crash by tasks and start again under ids that they had.
+func TestSoakOfReturningWorkers(t *testing.T) {
+	playSeeds(t, "testdata/seeds_returning.txt", Size{Entries: 3, Agents: 6}, Soak{Length: 12 * time.Second, Crashes: true, Returns: true})
+}
+
+// playSeeds plays the seeds of a file, one a line with why it is there.
+func playSeeds(t *testing.T, name string, size Size, s Soak) {
+	t.Helper()
+	file, err := os.Open(name)
 	assert.NilError(t, err)
 	defer func() { _ = file.Close() }()
 	for lines := bufio.NewScanner(file); lines.Scan(); {
@@ -48,10 +59,12 @@
 		t.Run(number, func(t *testing.T) {
 			t.Parallel()
 			t.Log(why)
-			f, err := New(Size{Entries: 3, Agents: 4}, binaries, t.TempDir())
+			f, err := New(size, binaries, t.TempDir())
 			assert.NilError(t, err)
 			defer f.Close()
-			assert.NilError(t, f.Play(Soak{Seed: seed, Length: 8 * time.Second, JobEvery: 120 * time.Millisecond, Say: t.Logf}))
+			play := s
+			play.Seed, play.JobEvery, play.Say = seed, 120*time.Millisecond, t.Logf
+			assert.NilError(t, f.Play(play))
 			t.Log(f.Books().Counts())
 		})
 	}
--- /dev/null
+++ b/proving/fleet/power_test.go
@@ -0,0 +1,45 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+)
+
+// TestAllPowerLostAtOnce: every process and every worker goes within milliseconds, right after acceptances, and only the store stays; the workers
+// return under the ids that they had. What was accepted is done once, and what lasts runs again.
+func TestAllPowerLostAtOnce(t *testing.T) {
+	t.Parallel()
+	f, err := New(Size{Entries: 3, Agents: 3}, binaries, t.TempDir())
+	assert.NilError(t, err)
+	defer f.Close()
+	for _, w := range f.workers {
+		w.SetRebirth(SameIDClockBehind)
+	}
+	c := NewCaller(f, 1)
+	step := demoStep(3, time.Second)
+	step.Lasting = true
+	lasting := c.submit(job.Spec{Text: "work=1s", Steps: []job.Step{step}})
+	assert.NilError(t, f.await(finishedWithin, func() bool { return c.send(lasting) }))
+	runs := func() bool { return f.books.running(lasting, 0) == step.Count }
+	assert.NilError(t, f.await(finishedWithin, runs))
+	var batch []job.ID
+	for range 6 {
+		id := c.submit(job.Spec{Text: "work=700ms", Steps: []job.Step{demoStep(2, 700*time.Millisecond)}})
+		assert.NilError(t, f.await(finishedWithin, func() bool { return c.send(id) }))
+		batch = append(batch, id)
+	}
+	f.killAll()
+	for _, w := range f.workers {
+		w.Crash()
+	}
+	assert.NilError(t, f.await(2*finishedWithin, runs), "what lasts")
+	assert.NilError(t, f.await(2*finishedWithin, func() bool {
+		c.AskAll()
+		return len(f.books.Unfinished()) == 1
+	}), "%d batch jobs", len(batch))
+	assert.NilError(t, f.books.judge())
+}
