Mutants of incarnations, each red

Each guard of the mend turned off in turn turns a test red. Three stayed green at first: two tests are sharper now, one mutant was none. Unreachable incarnations are called that.

--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -26,9 +26,9 @@
 			// The numbers of ends may be those of another incarnation.
 			a.host, a.seen = reported, 0
 		}
-		if lost, unseen := t.unseen[known]; unseen {
-			delete(t.unseen, known)
-			t.unseen[reported] = lost
+		if lost, unseen := t.unreachable[known]; unseen {
+			delete(t.unreachable, known)
+			t.unreachable[reported] = lost
 		}
 	}
 }
--- a/internal/dispatch/incarnations_test.go
+++ b/internal/dispatch/incarnations_test.go
@@ -137,6 +137,7 @@
 		assert.Equal(t, len(starts), 1)
 		losses := lead.jobs[lateJob].job.Suspicion(job.TaskID{Job: lateJob}).Losses()
 		assert.Equal(t, losses.All(), 1, "it counts once")
+		assert.Equal(t, lead.d.config.Metrics.Counter("lead.untold_crashes").Count(), int64(0), "its crash was reported")
 	})
 }
 
@@ -235,7 +236,7 @@
 			time.Sleep(permission + 2*margin)
 			assert.NilError(t, lead.closures.Load(t.Context()))
 			work(t, lead)
-			assert.Equal(t, len(lead.unseen), 1)
+			assert.Equal(t, len(lead.unreachable), 1)
 			receive(t, lead, a, bornReport(born))
 			losses := lead.jobs[lateJob].job.Suspicion(job.TaskID{Job: lateJob}).Losses()
 			assert.Equal(t, losses.Over(), lost)
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -9,8 +9,8 @@
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
 
-// unseenLife is an incarnation of a worker that is unreachable, with the runs for which that was counted as a loss.
-type unseenLife struct {
+// unreachable is an incarnation of a worker that is unreachable, with the runs for which that was counted as a loss.
+type unreachable struct {
 	since time.Time
 	runs  []link.Run
 }
@@ -65,7 +65,7 @@
 		t.late.add(h.worker.Host, link.NewRun(id, h.runs[id].run))
 	}
 	if len(runs) > 0 {
-		t.unseen[h.worker.Host] = unseenLife{since: time.Now(), runs: runs}
+		t.unreachable[h.worker.Host] = unreachable{since: time.Now(), runs: runs}
 	}
 	t.lose(h, h.runsInOrder(), reason)
 }
@@ -99,12 +99,12 @@
 		id, losses.All(), losses.Over(), losses.Alike(), losses.Blind()))
 }
 
-// settleUnseen records what became of the unreachable incarnations of a VM's worker, now that its agent reports: the present one has not
+// settleUnreachable records what became of the unreachable incarnations of a VM's worker, now that its agent reports: the present one has not
 // crashed, and another one has.
-func (t *term) settleUnseen(current job.Host) {
-	for host, life := range t.unseen {
+func (t *term) settleUnreachable(current job.Host) {
+	for host, life := range t.unreachable {
 		if host.VM == current.VM {
-			delete(t.unseen, host)
+			delete(t.unreachable, host)
 			t.settleRuns(life.runs, func(link.Run) bool { return host != current })
 		}
 	}
@@ -113,8 +113,8 @@
 // settleTold takes note that a worker has crashed of which an agent tells, also where an earlier lead lost sight of it.
 func (t *term) settleTold(vm string, told link.Crash) {
 	host, ages := job.Host{VM: vm, Incarnation: told.Incarnation()}, agesOf(&told)
-	runs := t.unseen[host].runs
-	delete(t.unseen, host)
+	runs := t.unreachable[host].runs
+	delete(t.unreachable, host)
 	for _, r := range told.Runs {
 		runs = append(runs, r.Run)
 	}
@@ -141,11 +141,11 @@
 	}
 }
 
-// forgetUnseen forgets the lives of VMs that never came back.
-func (t *term) forgetUnseen(now time.Time) {
-	for host, life := range t.unseen {
+// forgetUnreachable forgets the lives of VMs that never came back.
+func (t *term) forgetUnreachable(now time.Time) {
+	for host, life := range t.unreachable {
 		if now.Sub(life.since) > keepEnded {
-			delete(t.unseen, host)
+			delete(t.unreachable, host)
 		}
 	}
 }
--- a/internal/dispatch/losses_test.go
+++ b/internal/dispatch/losses_test.go
@@ -77,10 +77,10 @@
 		lead := placedTerm(t, kvtest.New(), a)
 		time.Sleep(permission + 2*margin)
 		work(t, lead)
-		assert.Equal(t, len(lead.unseen), 1)
+		assert.Equal(t, len(lead.unreachable), 1)
 		time.Sleep(keepEnded + time.Second)
 		work(t, lead)
-		assert.Equal(t, len(lead.unseen), 0)
+		assert.Equal(t, len(lead.unreachable), 0)
 	})
 }
 
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -24,7 +24,7 @@
 // expire gives up the workers whose permission is over.
 func (t *term) expire() {
 	now := time.Now()
-	t.forgetUnseen(now)
+	t.forgetUnreachable(now)
 	for _, h := range t.hostsInOrder() {
 		host := h.worker.Host
 		a := t.agents[host.VM]
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -157,7 +157,7 @@
 		t.stopLate(current)
 	}
 	if !r.Silent {
-		t.settleUnseen(current)
+		t.settleUnreachable(current)
 	}
 	w := &t.host(current).worker
 	if open := !r.Draining && !r.Silent; open != w.Open {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -89,9 +89,9 @@
 	unconfirmed bool
 	relock      bool
 	starvation  starvation
-	// unseen are the lives of workers that were lost sight of.
-	unseen map[job.Host]unseenLife
-	late   lateOrders
+	// unreachable are the incarnations whose leases have lapsed out of reach, late the starts that may be carried out late.
+	unreachable map[job.Host]unreachable
+	late        lateOrders
 	// elsewhere is when the lead last heard that the store answers an entry, though not the lead.
 	elsewhere time.Time
 	committed chan struct{}
@@ -103,9 +103,9 @@
 		wake: make(chan struct{}, 1), done: make(chan struct{}), committed: make(chan struct{}),
 		jobs: make(map[job.ID]*tracked), hosts: make(map[job.Host]*hosted), agents: make(map[string]*agent),
 		entries: make(map[string]*entry), dirty: make(map[job.ID]uint64), advised: make(map[stepID]*advice),
-		unseen:   make(map[job.Host]unseenLife),
-		late:     make(lateOrders),
-		pressure: pressure.NewModel(), closures: d.config.Closures,
+		unreachable: make(map[job.Host]unreachable),
+		late:        make(lateOrders),
+		pressure:    pressure.NewModel(), closures: d.config.Closures,
 		patience: wait.NewPatience(patienceFirst, patienceLast),
 		proven:   make(chan struct{}, 1), yielded: make(chan struct{}),
 	}
--- a/internal/dispatch/witness_test.go
+++ b/internal/dispatch/witness_test.go
@@ -165,7 +165,7 @@
 func (p *passage) state() string {
 	id, _ := p.task.TaskID()
 	j := p.lead.jobs[id.Job].job
-	return fmt.Sprint(p.starts, j.Task(id).Run(), j.Suspicion(id), j.State(), len(p.lead.unseen), len(p.late), p.known(), p.lead.suspicions())
+	return fmt.Sprint(p.starts, j.Task(id).Run(), j.Suspicion(id), j.State(), len(p.lead.unreachable), len(p.late), p.known(), p.lead.suspicions())
 }
 
 // suspicions returns how much is held against other tasks.
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -215,7 +215,9 @@
 		_, err := r.takeOrders(t.Context(), nil, orders)
 		assert.NilError(t, err)
 		r.late.add(firstBirth, testRun(4), time.Now())
-		r.worker.begun.show(host.View{Running: []host.Running{{Run: testRun(4)}}}, time.Now())
+		for range viewsToShow {
+			r.worker.begun.show(host.View{Running: []host.Running{{Run: testRun(3)}, {Run: testRun(4)}}}, time.Now())
+		}
 		startAgain(r, worker)
 		settled := make(map[int]bool)
 		for _, run := range crashedUnder(r)[0].Runs {
