Place starts anew at once where another worker id reports

A call that names the old id reaches no worker with another one, so a start that may be carried out late needs no stop there; it was kept until the next fenced report, some 100 ms.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -13,9 +13,9 @@
 
 // takeCrashes records the ends of incarnations that an agent reports, and what crashes among them say of the tasks that ran there. It returns
 // up to which number it has, and adds the jobs that must be saved before the agent may forget them.
-func (t *term) takeCrashes(a *agent, told []link.Crash, concerned map[*tracked]bool) uint64 {
+func (t *term) takeCrashes(a *agent, r link.Report, concerned map[*tracked]bool) uint64 {
 	latest := uint64(0)
-	for _, c := range told {
+	for _, c := range r.Crashes {
 		ended := job.Host{VM: a.vm, Incarnation: c.Incarnation()}
 		if ended.Incarnation.Born() != 0 {
 			t.identify(ended)
@@ -33,7 +33,7 @@
 			for id, p := range h.runs {
 				t.concern(link.NewRun(id, p.run), concerned)
 			}
-			t.retire(a, h, &c, "its agent reports its end")
+			t.retire(a, h, &c, r.Incarnation(), "its agent reports its end")
 		}
 	}
 	return latest
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -93,8 +93,8 @@
 			return c
 		}
 		concerned := make(map[*tracked]bool)
-		lead.takeCrashes(&agent{vm: "a"}, []link.Crash{under(link.NewRun(first, 2))}, concerned)
-		lead.takeCrashes(&agent{vm: "b"}, []link.Crash{under(link.NewRun(first, 1), link.NewRun(second, 1))}, concerned)
+		lead.takeCrashes(&agent{vm: "a"}, link.Report{Crashes: []link.Crash{under(link.NewRun(first, 2))}}, concerned)
+		lead.takeCrashes(&agent{vm: "b"}, link.Report{Crashes: []link.Crash{under(link.NewRun(first, 1), link.NewRun(second, 1))}}, concerned)
 		assert.Equal(t, known.job.Suspicion(first).Weight(), 1)
 		assert.Equal(t, known.job.Suspicion(second).Weight(), 1)
 	})
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
@@ -43,24 +44,23 @@
 // retire takes back the runs of an incarnation that has ended, as its agent reports or, with no crash reported, since another one is on its VM.
 //
 // A start that the worker may still carry out is not lost with the incarnation that it was meant for: the next one under the same id would
-// carry it out, beside the run that replaces it. It is kept until that one has reported, and is stopped there first.
-func (t *term) retire(a *agent, h *hosted, told *link.Crash, reason string) {
+// carry it out, beside the run that replaces it. It is kept until that one has reported, and is stopped there first. present is the incarnation
+// that the agent reports now, which the worker may not have fenced yet, zero where it knows of none.
+func (t *term) retire(a *agent, h *hosted, told *link.Crash, present incarnation.ID, reason string) {
 	if !h.ended {
 		t.countLost(a, h, told)
 	}
-	ended, present := h.worker.Host.Incarnation, a.host.Incarnation
-	replaced := !present.IsZero() && a.host != h.worker.Host
-	settled := settledOf(told)
+	ended, settled := h.worker.Host.Incarnation, settledOf(told)
 	var lost []job.TaskID
 	for _, id := range h.runsInOrder() {
 		p := h.runs[id]
 		switch {
 		case !p.committed || p.settled(settled, link.NewRun(id, p.run)):
 			lost = append(lost, id)
-		case replaced && !present.SameWorker(ended):
+		case !present.IsZero() && !present.SameWorker(ended):
 			t.late.add(h.worker.Host, link.NewRun(id, p.run))
 			lost = append(lost, id)
-		case replaced:
+		case present != ended && a.host.Incarnation == present:
 			t.handOver(h, t.host(a.host), id)
 		}
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -64,7 +64,7 @@
 	}
 	known := &taken{agent: a, report: r, needed: make(map[*tracked]uint64)}
 	concerned := make(map[*tracked]bool)
-	known.crashes = t.takeCrashes(a, r.Crashes, concerned)
+	known.crashes = t.takeCrashes(a, r, concerned)
 	t.recordReport(a, s, r)
 	for concerning := range concerned {
 		known.needed[concerning] = concerning.version
@@ -151,7 +151,7 @@
 		a.host, a.seen, a.orders = current, 0, nil
 		for _, earlier := range t.hostsInOrder() {
 			if other := earlier.worker.Host; other.VM == r.VM && other != current {
-				t.retire(a, earlier, nil, "the worker has another incarnation")
+				t.retire(a, earlier, nil, current.Incarnation, "the worker has another incarnation")
 			}
 		}
 		t.stopLate(current)
