--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -38,7 +38,9 @@
 	sent      time.Time
 	stopping  bool
 	stopSent  time.Time
-	percent   int
+	// handedOver says that the run was ordered on an earlier incarnation of the worker, and is only to be refused here.
+	handedOver bool
+	percent    int
 	// figure is the latest: the tail in milliseconds of a task that serves, else the thousandths of a core in use.
 	figure int
 	// moved is when the task last got on, or stood still for its pace; still counts the figures since, looked is when the
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -123,6 +123,7 @@
 	p := from.runs[id]
 	from.remove(id, p.run)
 	to.add(id, p.step, p.run)
+	to.runs[id].handedOver = true
 	t.rehost(id, p, to.worker.Host)
 	t.logger.Info("start is stopped on the next incarnation; task=%s run=%d vm=%s instance=%s",
 		id, p.run, to.worker.Host.VM, to.worker.Host.Incarnation)
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -58,8 +58,8 @@
 		return
 	}
 	switch {
-	case p.stopping:
-		// The start was taken back, which says nothing of the worker.
+	case p.handedOver:
+		// It was never ordered there, and its refusal says nothing of the worker.
 	case host.Refusal(r.Refusal) == host.RefusedAdvice:
 		t.forgetAdvice(id)
 	default:
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -100,7 +100,7 @@
 	}
 	r.quit(w)
 	hold := host.Hold{Fence: r.epoch, Seen: r.acknowledged(w), Until: r.until(w), Wait: holdWait}
-	if w.fenced < r.epoch || w.refusalWaits() {
+	if w.fenced < r.epoch || w.stopWaits() {
 		hold.Wait = 0
 	}
 	return w.id, hold, true
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -126,10 +126,10 @@
 // shownBy reports whether the latest view was asked for after the refusal, so that it shows how the run ended if it did.
 func (o *order) shownBy(views uint64) bool { return views >= o.views+viewsToShow }
 
-// refusalWaits reports whether a refusal is not reported yet because a view is missing.
-func (w *workerState) refusalWaits() bool {
+// stopWaits reports whether the end of a stop is not reported yet because a view is missing. A task that waits for it runs nowhere.
+func (w *workerState) stopWaits() bool {
 	for _, o := range w.orders {
-		if o.final && !o.shownBy(w.views) {
+		if o.stop && o.final && !o.shownBy(w.views) {
 			return true
 		}
 	}
