Choose ports of test fleets apart from each other

Ports came from the range that the system gives out, by short listens on all addresses; fleets that start at the same time take each other's between choice and use, and there are more of them now. A process counts its ports from now on, below the range of outgoing connections.

--- a/proving/fleet/addresses.go
+++ b/proving/fleet/addresses.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
 )
 
@@ -32,16 +33,33 @@
 // at joins an IP number and a port.
 func at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
+const (
+	// firstPort and portCount bound the ports of fleets: below those that the system gives to outgoing connections, which may take any of its own
+	// between the choice of a port and its use.
+	firstPort = 10000
+	portCount = 20000
+	// portStride sets processes apart that choose at the same time.
+	portStride = 487
+)
+
+// chosen counts the ports that this process has chosen, so that no two of its fleets choose the same.
+var chosen atomic.Int32
+
 // freePorts returns ports that nothing on the machine listens on.
 func freePorts(n int) ([]int, error) {
 	ports := make([]int, 0, n)
-	for range n {
-		l, err := net.Listen("tcp4", "0.0.0.0:0")
+	var failed error
+	for range portCount {
+		port := firstPort + (os.Getpid()*portStride+int(chosen.Add(1)))%portCount
+		l, err := net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", port))
 		if err != nil {
-			return nil, err
+			failed = err
+			continue
+		}
+		_ = l.Close()
+		if ports = append(ports, port); len(ports) == n {
+			return ports, nil
 		}
-		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	return ports, nil
+	return nil, failed
 }
