--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -58,6 +58,7 @@
 		"grace_s: 6>grace_s: 0":                         "grace_s is 0",
 		"listen: {>listen: { peers: there,":             "listen.peers is \"there\"",
 		"grace_s: 6>grace_s: 6\nclosed_ms: -1":          "closed_ms is -1",
+		"grace_s: 6>grace_s: 6\nlongest_hold_ms: -1":    "longest_hold_ms is -1",
 		"log: info>log: info\nfuture: 1":                "not in their form",
 		"strength: 0.24>strength: much":                 "not in their form",
 		"reports: \"10.1.0.14:8166\">reports: \"8166\"": "listen.reports is \"8166\"",
