Blame no run for a crash that the next incarnation has

Starts meant for an incarnation that had just crashed reached the next one under the same id, which accepted them; what had been accepted last was taken for the cause of the crash, twice. The first answer of the next incarnation lists what it has: that did not crash the one before.

--- a/internal/runner/candidates.go
+++ b/internal/runner/candidates.go
@@ -72,7 +72,7 @@
 			wait.For(ctx, holdPause)
 			continue
 		}
-		r.decide(candidate, err == nil && view.Incarnation == candidate.id)
+		r.decide(candidate, err == nil && view.Incarnation == candidate.id, view)
 	}
 	return ctx.Err()
 }
@@ -89,11 +89,14 @@
 
 // decide replaces the present incarnation by a candidate that answered, or drops the candidate. Each is decided by its own answer, so that
 // reports of unknown senders, however many, do not hold the true one up.
-func (r *Runner) decide(candidate *workerState, answered bool) {
+func (r *Runner) decide(candidate *workerState, answered bool, view host.View) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.candidates = slices.DeleteFunc(r.candidates, func(c *workerState) bool { return c == candidate })
 	if answered {
+		if candidate.id.SameWorker(r.worker.id) {
+			r.worker.onNext = runsOf(view)
+		}
 		r.replace(candidate)
 		return
 	}
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -29,6 +29,10 @@
 	runs := w.begun.left(time.Now())
 	told := make([]link.CrashedRun, 0, len(runs))
 	for _, run := range runs {
+		if w.onNext[run] {
+			// The crash was before it began.
+			continue
+		}
 		b := w.begun[run]
 		age := b.ageAt(w.broken).Milliseconds()
 		settled := b.listed() && w.orders[run] == nil && !r.late.has(w.id, run, time.Now())
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -59,6 +59,7 @@
 	case refusal != host.Accepted:
 		return false, fault.New(fault.Conflict, "the worker refuses the hold: %s", refusal)
 	case view.Incarnation != id:
+		r.recordNext(id, view)
 		return false, errSameID
 	}
 	return r.held(ctx, id, hold, view), nil
@@ -67,6 +68,15 @@
 // errSameID says that a later incarnation answers under the id of the one that was called.
 var errSameID = fault.New(fault.Stale, "another incarnation answers under the same id")
 
+// recordNext records what the next incarnation under the id of the present one has.
+func (r *Runner) recordNext(id incarnation.ID, view host.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w := r.worker; w != nil && w.id == id && view.Incarnation.SameWorker(id) {
+		w.onNext = runsOf(view)
+	}
+}
+
 // fence shows the worker the epoch of a leader that was just found, beside the hold that waits for an end: before that the leader
 // cannot rely on what it receives of the worker.
 func (r *Runner) fence(ctx context.Context) {
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -190,6 +190,29 @@
 	})
 }
 
+// TestRunThatReachedTheNextIncarnationIsNotBlamedForTheCrash plays what callers saw in a test: a job was given up though no two workers had crashed
+// under a task of it.
+//
+// Order of events: a worker crashes and is back under its id; a start that is meant for the old incarnation reaches the next one, which accepts it;
+// the agent finds the next incarnation. Cause: what had been accepted last was taken for what had crashed the worker, and twice gives a job up.
+func TestRunThatReachedTheNextIncarnationIsNotBlamedForTheCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{start: accept}
+		r := bornTest(t, worker)
+		worker.restart(secondBirth)
+		worker.show(host.View{Clock: host.Clock(time.Millisecond), Running: []host.Running{{Run: testRun(1)}}})
+		orders := startOrders()
+		orders.Born = firstBirth.Born()
+		_, err := r.takeOrders(t.Context(), nil, orders)
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		crashes := crashedUnder(r)
+		assert.Equal(t, len(crashes), 1)
+		assert.Equal(t, len(crashes[0].Runs), 1)
+		assert.Equal(t, crashes[0].Runs[0].Number, 3, "it was listed by the one that crashed")
+	})
+}
+
 // TestIncarnationThatNeverAnsweredHasNotCrashed: an unknown sender reported it before the worker did.
 func TestIncarnationThatNeverAnsweredHasNotCrashed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -40,9 +40,11 @@
 	// end was recorded for the leader.
 	terminated bool
 	gone       bool
-	left       bool
-	reported   bool
-	orders     map[host.Run]*order
+	// onNext are runs that the next incarnation under the same id has: their starts reached that one.
+	onNext   map[host.Run]bool
+	left     bool
+	reported bool
+	orders   map[host.Run]*order
 	// begun are the runs that it may have.
 	begun begunRuns
 	// refused is the highest run of each task that was refused; an order for it that comes again is not carried out.
@@ -141,6 +143,18 @@
 	return slices.ContainsFunc(w.view.Running, func(r host.Running) bool { return r.Run == run })
 }
 
+// runsOf returns the runs that a view shows, at work or ended.
+func runsOf(view host.View) map[host.Run]bool {
+	runs := make(map[host.Run]bool, len(view.Running)+len(view.Ended))
+	for _, running := range view.Running {
+		runs[running.Run] = true
+	}
+	for _, e := range view.Ended {
+		runs[e.Run] = true
+	}
+	return runs
+}
+
 // drop forgets the orders of an earlier leader; the worker refuses them once it has seen the new epoch.
 func (w *workerState) drop() {
 	for run, o := range w.orders {
