Keep late calls in one container, and record the next view once

Agent and leader each had a map of starts that may be carried out late, with the same expiry written three times; both use host.Late now. What the next incarnation shows is recorded by one method. Behaviour as before.

--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
@@ -58,7 +57,7 @@
 		case !p.committed || p.settled(settled, link.NewRun(id, p.run)):
 			lost = append(lost, id)
 		case !present.IsZero() && !present.SameWorker(ended):
-			t.late.add(h.worker.Host, link.NewRun(id, p.run))
+			t.recordLate(h.worker.Host, link.NewRun(id, p.run))
 			lost = append(lost, id)
 		case present != ended && a.host.Incarnation == present:
 			t.handOver(h, t.host(a.host), id)
@@ -93,26 +92,17 @@
 	run        link.Run
 }
 
-// lateOrders are starts whose tasks were placed anew though a later incarnation under the same id may carry them out, with since when.
-type lateOrders map[lateOrder]time.Time
-
-// add records a start that was ordered on a host.
-func (l lateOrders) add(h job.Host, run link.Run) {
-	l[lateOrder{vm: h.VM, worker: h.Incarnation.Worker(), run: run}] = time.Now()
-	for order, since := range l {
-		if time.Since(since) > host.LateFor {
-			delete(l, order)
-		}
-	}
+// recordLate records a start whose task is placed anew, though a later incarnation under the same id may carry it out.
+func (t *term) recordLate(h job.Host, run link.Run) {
+	t.late.Add(lateOrder{vm: h.VM, worker: h.Incarnation.Worker(), run: run}, time.Now())
 }
 
 // stopLate orders the stop of starts that an incarnation which has just reported may still carry out.
 func (t *term) stopLate(present job.Host) {
-	for order, since := range t.late {
-		switch id, known := order.run.TaskID(); {
-		case time.Since(since) > host.LateFor:
-			delete(t.late, order)
-		case known && order.vm == present.VM && order.worker == present.Incarnation.Worker():
+	for order := range t.late {
+		id, known := order.run.TaskID()
+		reached := order.vm == present.VM && order.worker == present.Incarnation.Worker()
+		if known && reached && t.late.Has(order, time.Now()) {
 			t.orderStop(present, id, order.run.Number)
 		}
 	}
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -62,7 +62,7 @@
 func (t *term) markUnreachable(h *hosted, reason string) {
 	runs := t.charge(h, func(link.Run) (crash.Loss, bool) { return crash.UnseenLoss(), true })
 	for _, id := range h.runsWhich(func(p *placed) bool { return p.committed && p.shown.IsZero() }) {
-		t.late.add(h.worker.Host, link.NewRun(id, h.runs[id].run))
+		t.recordLate(h.worker.Host, link.NewRun(id, h.runs[id].run))
 	}
 	if len(runs) > 0 {
 		t.unreachable[h.worker.Host] = unreachable{since: time.Now(), runs: runs}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -10,6 +10,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/hall"
+	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
@@ -91,7 +92,7 @@
 	starvation  starvation
 	// unreachable are the incarnations whose leases have lapsed out of reach, late the starts that may be carried out late.
 	unreachable map[job.Host]unreachable
-	late        lateOrders
+	late        host.Late[lateOrder]
 	// elsewhere is when the lead last heard that the store answers an entry, though not the lead.
 	elsewhere time.Time
 	committed chan struct{}
@@ -104,7 +105,7 @@
 		jobs: make(map[job.ID]*tracked), hosts: make(map[job.Host]*hosted), agents: make(map[string]*agent),
 		entries: make(map[string]*entry), dirty: make(map[job.ID]uint64), advised: make(map[stepID]*advice),
 		unreachable: make(map[job.Host]unreachable),
-		late:        make(lateOrders),
+		late:        make(host.Late[lateOrder]),
 		pressure:    pressure.NewModel(), closures: d.config.Closures,
 		patience: wait.NewPatience(patienceFirst, patienceLast),
 		proven:   make(chan struct{}, 1), yielded: make(chan struct{}),
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -106,9 +106,6 @@
 	Clock     Clock
 }
 
-// LateFor is how long after a call without an answer the worker may still carry it out.
-const LateFor = 15 * time.Second
-
 // Worker runs tasks beside an agent.
 //
 // Calls reach any incarnation with the id that they name. Errors are of kind Stale when one with another id answers, Unavailable when nothing was sent, and
--- a/internal/runner/begun.go
+++ b/internal/runner/begun.go
@@ -87,7 +87,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if unanswered {
-		r.late.add(w.id, run, time.Now())
+		r.recordLate(w.id, run, time.Now())
 	}
 	if !doubtful {
 		w.begun.drop(run)
--- a/internal/runner/candidates.go
+++ b/internal/runner/candidates.go
@@ -94,9 +94,7 @@
 	defer r.mu.Unlock()
 	r.candidates = slices.DeleteFunc(r.candidates, func(c *workerState) bool { return c == candidate })
 	if answered {
-		if candidate.id.SameWorker(r.worker.id) {
-			r.worker.onNext = runsOf(view)
-		}
+		r.worker.recordNext(view)
 		r.replace(candidate)
 		return
 	}
@@ -110,13 +108,13 @@
 	r.logger.Info("worker has a new incarnation; instance=%s previous=%s", next.id, r.worker.id)
 	r.recordEnd(r.worker)
 	r.ended.add(r.worker.id)
-	r.recordLate(r.worker, now)
+	r.recordUnderWay(r.worker, now)
 	if next.id.SameWorker(r.worker.id) {
 		// A call meant for the one before may have set its lease, by a time of another clock.
 		next.until = now.Add(r.config.LongestHold)
 	}
 	r.worker = next
-	for _, run := range r.late.starts(next.id, now) {
+	for _, run := range r.lateRuns(next.id, now) {
 		r.logger.Info("late start of an earlier incarnation is stopped; task=%s run=%d instance=%s", run.Task, run.Number, next.id)
 		r.end(next, run)
 	}
@@ -124,11 +122,11 @@
 	wait.Wake(r.changed)
 }
 
-// recordLate records the starts that are under way on an incarnation that has ended.
-func (r *Runner) recordLate(w *workerState, now time.Time) {
+// recordUnderWay records the starts that are under way on an incarnation that has ended.
+func (r *Runner) recordUnderWay(w *workerState, now time.Time) {
 	for run, o := range w.orders {
 		if o.start != nil && !o.final {
-			r.late.add(w.id, run, now)
+			r.recordLate(w.id, run, now)
 		}
 	}
 }
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -35,7 +35,7 @@
 		}
 		b := w.begun[run]
 		age := b.ageAt(w.broken).Milliseconds()
-		settled := b.listed() && w.orders[run] == nil && !r.late.has(w.id, run, time.Now())
+		settled := b.listed() && w.orders[run] == nil && !r.late.Has(lateStart{worker: w.id.Worker(), run: run}, time.Now())
 		r.logger.Info("the worker crashed under a run; task=%s run=%d instance=%s answered=%t settled=%t age_ms=%d",
 			run.Task, run.Number, w.id, b.answered, settled, age)
 		told = append(told, link.CrashedRun{Run: wireRun(run), Answered: b.answered, Settled: settled, AgeMillis: age})
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -72,8 +72,8 @@
 func (r *Runner) recordNext(id incarnation.ID, view host.View) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if w := r.worker; w != nil && w.id == id && view.Incarnation.SameWorker(id) {
-		w.onNext = runsOf(view)
+	if w := r.worker; w != nil && w.id == id {
+		w.recordNext(view)
 	}
 }
 
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -237,7 +237,7 @@
 		orders.Born = firstBirth.Born()
 		_, err := r.takeOrders(t.Context(), nil, orders)
 		assert.NilError(t, err)
-		r.late.add(firstBirth, testRun(4), time.Now())
+		r.recordLate(firstBirth, testRun(4), time.Now())
 		for range viewsToShow {
 			r.worker.begun.show(host.View{Running: []host.Running{{Run: testRun(3)}, {Run: testRun(4)}}}, time.Now())
 		}
--- a/internal/runner/late.go
+++ b/internal/runner/late.go
@@ -15,30 +15,16 @@
 	run    host.Run
 }
 
-// lateStarts are the starts that may still be carried out, with when each was sent last. A later incarnation under the same id would do so too.
-type lateStarts map[lateStart]time.Time
-
-// add records a start that got no answer.
-func (l lateStarts) add(id incarnation.ID, run host.Run, now time.Time) {
-	l[lateStart{worker: id.Worker(), run: run}] = now
-	for s, sent := range l {
-		if now.Sub(sent) > host.LateFor {
-			delete(l, s)
-		}
-	}
-}
-
-// has reports whether a start of a run may still be carried out.
-func (l lateStarts) has(id incarnation.ID, run host.Run, now time.Time) bool {
-	sent, known := l[lateStart{worker: id.Worker(), run: run}]
-	return known && now.Sub(sent) <= host.LateFor
+// recordLate records a start that got no answer. A later incarnation under the same id may carry it out too.
+func (r *Runner) recordLate(id incarnation.ID, run host.Run, now time.Time) {
+	r.late.Add(lateStart{worker: id.Worker(), run: run}, now)
 }
 
-// starts returns the runs that an incarnation may still be given by late starts, in order.
-func (l lateStarts) starts(id incarnation.ID, now time.Time) []host.Run {
+// lateRuns returns the runs that an incarnation may still be given by late starts, in order.
+func (r *Runner) lateRuns(id incarnation.ID, now time.Time) []host.Run {
 	var runs []host.Run
-	for s := range l {
-		if l.has(id, s.run, now) && s.worker == id.Worker() {
+	for s := range r.late {
+		if s.worker == id.Worker() && r.late.Has(s, now) {
 			runs = append(runs, s.run)
 		}
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -70,7 +70,7 @@
 	worker     *workerState
 	candidates []*workerState
 	ended      endedIncarnations
-	late       lateStarts
+	late       host.Late[lateStart]
 	crashes    crashes
 }
 
@@ -82,7 +82,7 @@
 		patience: wait.NewPatience(startLeast, startMost), unusable: rate.Sometimes{Interval: unusableEvery},
 		overtaken: rate.Sometimes{Interval: sightEvery},
 	}
-	r.late = make(lateStarts)
+	r.late = make(host.Late[lateStart])
 	r.mux = rpc.NewMux(config.Clock)
 	rpc.Handle(r.mux, link.MethodOrders, r.takeOrders)
 	return r
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -143,16 +143,18 @@
 	return slices.ContainsFunc(w.view.Running, func(r host.Running) bool { return r.Run == run })
 }
 
-// runsOf returns the runs that a view shows, at work or ended.
-func runsOf(view host.View) map[host.Run]bool {
-	runs := make(map[host.Run]bool, len(view.Running)+len(view.Ended))
+// recordNext records the runs that the next incarnation shows, at work or ended, where calls meant for this one reach it.
+func (w *workerState) recordNext(view host.View) {
+	if !view.Incarnation.SameWorker(w.id) {
+		return
+	}
+	w.onNext = make(map[host.Run]bool, len(view.Running)+len(view.Ended))
 	for _, running := range view.Running {
-		runs[running.Run] = true
+		w.onNext[running.Run] = true
 	}
 	for _, e := range view.Ended {
-		runs[e.Run] = true
+		w.onNext[e.Run] = true
 	}
-	return runs
 }
 
 // drop forgets the orders of an earlier leader; the worker refuses them once it has seen the new epoch.
