Index worker incarnations by VM and cache the list of entries

Callers of an 800-agent fleet saw their work planned late: the leader spent its core on reports, not on plans.

Cause: each fenced report sorted all known hosts twice (identify, recordReport) and the list of all entries once (entriesFor), under the leader's lock, some 1,600 times a second at 800 agents. Ruled out: rows and JSON, which cost the same at each size.

Now the hosts are kept in order and by VM as they change, the list of entries has a version, and a process is told 32 entries at most, by a hash that changes few of them when an entry joins. Entries are told the list once as well, not with each ping. A batch collects its runs from the jobs that it writes, not from all hosts.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -65,7 +65,8 @@
 		go t.askAdvice(id, t.incarnationsOf(service))
 	}
 	tickets := make(map[job.Host]string)
-	for host := range t.hosts {
+	for _, h := range t.hosts.all() {
+		host := h.worker.Host
 		if ticket, ok := known.tickets[host.Incarnation]; ok {
 			tickets[host] = ticket
 		}
@@ -75,7 +76,7 @@
 
 func (t *term) incarnationsOf(service string) []incarnation.ID {
 	var found []incarnation.ID
-	for _, h := range t.hostsInOrder() {
+	for _, h := range t.hosts.all() {
 		if h.worker.Open && h.worker.Service == service {
 			found = append(found, h.worker.Host.Incarnation)
 		}
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -110,14 +111,19 @@
 
 // collect notes the runs that the batch commits for the first time.
 func (b *batch) collect(t *term) {
-	for _, h := range t.hostsInOrder() {
-		for _, id := range h.runsInOrder() {
-			p := h.runs[id]
-			if known := t.jobs[id.Job]; !p.committed && b.has(known) {
-				b.runs = append(b.runs, batchedRun{id: id, host: h.worker.Host, run: p.run})
+	for known := range b.versions {
+		known.job.Each(func(id job.TaskID, task *job.Task) {
+			if task.Phase() != job.Placed {
+				return
 			}
-		}
+			h := t.hosts.get(task.Host())
+			if h == nil || h.runs[id] == nil || h.runs[id].committed {
+				return
+			}
+			b.runs = append(b.runs, batchedRun{id: id, host: task.Host(), run: h.runs[id].run})
+		})
 	}
+	slices.SortFunc(b.runs, func(x, y batchedRun) int { return cmp.Or(compareHosts(x.host, y.host), compareTasks(x.id, y.id)) })
 }
 
 func (b *batch) has(known *tracked) bool {
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -18,7 +18,6 @@
 
 // Sizes of the benchmark: a grown deployment of the users.
 const (
-	benchWorkers = 62
 	benchServing = 5
 	benchFilling = 5
 	benchImages  = 16
@@ -27,16 +26,22 @@
 	benchTasks   = 20
 )
 
+// benchSizes are the numbers of workers: a grown deployment of the users, and fleets.
+var benchSizes = []int{62, 400, 1600}
+
+// benchEntries is how many workers there are for each entry.
+const benchEntries = 4
+
 // crowdedTerm returns a term whose workers are busy and for which jobs wait that fit nowhere well.
-func crowdedTerm() *term {
+func crowdedTerm(workers int) *term {
 	store := kvtest.New()
 	t := newTerm(entryOf("e", store), 1, 1)
 	t.closures = openHalls(store)
 	serving := t.benchJob(0, job.Step{
-		Count: benchWorkers * benchServing, Size: job.Size{CPU: 6000, Memory: 9000}, Lasting: true, Image: "serve", Target: 18 * time.Millisecond,
+		Count: workers * benchServing, Size: job.Size{CPU: 6000, Memory: 9000}, Lasting: true, Image: "serve", Target: 18 * time.Millisecond,
 	})
 	filling := t.benchJob(1, job.Step{
-		Count: benchWorkers * benchFilling, Size: job.Size{CPU: 3000, Memory: 6000}, Fills: true, Image: "fill-0", Estimate: time.Second,
+		Count: workers * benchFilling, Size: job.Size{CPU: 3000, Memory: 6000}, Fills: true, Image: "fill-0", Estimate: time.Second,
 	})
 	for n := range benchWaiting {
 		t.benchJob(2+n, job.Step{
@@ -46,7 +51,10 @@
 	for n := range benchEnded {
 		t.benchJob(100+n, job.Step{Count: benchTasks, Size: job.Size{CPU: 500}}).job.Cancel()
 	}
-	for v := range benchWorkers {
+	for e := range workers / benchEntries {
+		t.recordPing(link.Ping{Address: fmt.Sprintf("10.0.0.%d:7720", e)}, nil)
+	}
+	for v := range workers {
 		host := t.benchWorker(fmt.Sprintf("vm-%02d", v))
 		for i := range benchServing {
 			t.benchPlace(serving, v*benchServing+i, host)
@@ -85,12 +93,16 @@
 
 // BenchmarkDecide measures what the lead reckons between two commits.
 func BenchmarkDecide(b *testing.B) {
-	t := crowdedTerm()
-	for b.Loop() {
-		for _, a := range t.agents {
-			a.heard = time.Now()
-		}
-		t.decide()
+	for _, workers := range benchSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			t := crowdedTerm(workers)
+			for b.Loop() {
+				for _, a := range t.agents {
+					a.heard = time.Now()
+				}
+				t.decide()
+			}
+		})
 	}
 }
 
@@ -108,17 +120,24 @@
 
 // BenchmarkReport measures what the lead does with one report of an agent.
 func BenchmarkReport(b *testing.B) {
-	t := crowdedTerm()
+	for _, workers := range benchSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) { benchReports(b, crowdedTerm(workers)) })
+	}
+}
+
+func benchReports(b *testing.B, t *term) {
 	vm := "vm-07"
-	h := t.hosts[job.Host{VM: vm, Incarnation: incarnation.New(vm, 0)}]
+	h := t.hosts.get(job.Host{VM: vm, Incarnation: incarnation.New(vm, 0)})
 	report := link.Report{VM: vm, Epoch: 1, Instance: vm, Service: testService, CPU: 32000, Memory: 128000, Fenced: true}
 	for _, id := range h.runsInOrder() {
 		report.Running = append(report.Running, link.Running{Run: link.NewRun(id, h.runs[id].run), Figure: 7, Pace: 100})
 	}
 	for b.Loop() {
 		h.sampled = time.Time{}
-		if _, err := t.report(mailbox{&fakeAgent{vm: vm}}, report); err != nil {
+		answer, err := t.report(mailbox{&fakeAgent{vm: vm}}, report)
+		if err != nil {
 			b.Fatal(err)
 		}
+		report.List = answer.List
 	}
 }
--- a/internal/dispatch/closures.go
+++ b/internal/dispatch/closures.go
@@ -60,8 +60,8 @@
 	for name, since := range t.closures.Closed() {
 		left[name] = &closedLoad{since: since}
 	}
-	for host, h := range t.hosts {
-		if l := left[t.hallOf(host)]; l != nil {
+	for _, h := range t.hosts.all() {
+		if l := left[t.hallOf(h.worker.Host)]; l != nil {
 			l.add(h)
 		}
 	}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -29,7 +29,7 @@
 			t.judgeCrash(a, ended.Incarnation, suspects)
 		}
 		t.settleTold(a.vm, c)
-		if h := t.hosts[ended]; h != nil {
+		if h := t.hosts.get(ended); h != nil {
 			for id, p := range h.runs {
 				t.concern(link.NewRun(id, p.run), concerned)
 			}
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -67,7 +67,7 @@
 		assert.NilError(t, err)
 		work(t, lead)
 		assert.Equal(t, lead.jobs[lateJob].job.State(), job.Failed)
-		assert.Equal(t, len(lead.hosts[job.Host{VM: "vm", Incarnation: incarnation.New("i3", 0)}].runs), 0)
+		assert.Equal(t, len(lead.hosts.get(job.Host{VM: "vm", Incarnation: incarnation.New("i3", 0)}).runs), 0)
 	})
 }
 
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -124,7 +124,7 @@
 
 // release orders a run that is committed, or takes it back where its job has ended or its hall was closed meanwhile.
 func (t *term) release(r batchedRun) {
-	h := t.hosts[r.host]
+	h := t.hosts.get(r.host)
 	if h == nil || h.runs[r.id] == nil || h.runs[r.id].run != r.run {
 		return
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -140,7 +140,8 @@
 	if err != nil {
 		return link.PingAnswer{}, err
 	}
-	answer := link.PingAnswer{Entries: t.hearEntry(p.Address, peer)}
+	var answer link.PingAnswer
+	answer.Entries, answer.List = t.recordPing(p, peer)
 	switch t.judge(p) {
 	case storeAway:
 		answer.StoreDown = true
--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -9,8 +11,14 @@
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
 )
 
-// tellPatience bounds how long an entry may take to hear of the store; its next ping tells it as well.
-const tellPatience = 500 * time.Millisecond
+const (
+	// tellPatience bounds how long an entry may take to hear of the store; its next ping tells it as well.
+	tellPatience = 500 * time.Millisecond
+	// expireEvery lies between two searches for entries that ping no more.
+	expireEvery = time.Second
+	// mostNamed is how many entries one process is told: enough to reach some of them after any loss, whatever the size of the fleet.
+	mostNamed = 32
+)
 
 // entry is an entry as its latest ping tells.
 type entry struct {
@@ -18,36 +26,84 @@
 	peer  *rpc.Peer
 }
 
-// hearEntry takes note of an entry and returns the addresses of all that were heard of.
-func (t *term) hearEntry(address string, peer *rpc.Peer) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.entries[address] = &entry{heard: time.Now(), peer: peer}
-	return t.entryList()
+// roster holds the entries that ping the leader, and numbers each version of their list from 1.
+type roster struct {
+	entries map[string]*entry
+	// list has the addresses of the leader and of the entries, in order.
+	list    []string
+	number  uint64
+	expired time.Time
 }
 
-// entryList returns the addresses of this entry and of all that were heard of lately, in order.
-func (t *term) entryList() []string {
-	list := []string{t.d.config.Address}
-	for address, e := range t.entries {
-		if time.Since(e.heard) < trust {
-			list = append(list, address)
-		}
+func newRoster(self string) *roster {
+	return &roster{entries: make(map[string]*entry), list: []string{self}, number: 1}
+}
+
+// record stores that an entry has just pinged.
+func (r *roster) record(address string, peer *rpc.Peer, now time.Time) {
+	known := r.entries[address] != nil
+	r.entries[address] = &entry{heard: now, peer: peer}
+	if at, listed := slices.BinarySearch(r.list, address); !known && !listed {
+		r.list = slices.Insert(r.list, at, address)
+		r.number++
 	}
-	slices.Sort(list)
-	return list
 }
 
-// entriesFor returns the addresses of the entries for an agent that has a list already, nil where that is the latest, and the number of
-// the latest. The list hardly ever changes, and would be most of what an agent is answered.
-func (t *term) entriesFor(has uint64) ([]string, uint64) {
-	if list := t.entryList(); !slices.Equal(list, t.list) {
-		t.list, t.listNumber = list, t.listNumber+1
+// expire removes the entries whose last ping is older than trust, at most once in expireEvery.
+func (r *roster) expire(self string, now time.Time) {
+	if now.Sub(r.expired) < expireEvery {
+		return
 	}
-	if has == t.listNumber {
+	r.expired = now
+	for address, e := range r.entries {
+		if now.Sub(e.heard) < trust {
+			continue
+		}
+		delete(r.entries, address)
+		if at, listed := slices.BinarySearch(r.list, address); listed && address != self {
+			r.list = slices.Delete(r.list, at, at+1)
+			r.number++
+		}
+	}
+}
+
+// namedFor returns the addresses that a process is told which has a version of the list already, nil where that is the latest, and the
+// number of the latest. The list hardly ever changes, and would be most of what a process is answered.
+func (r *roster) namedFor(process string, has uint64) ([]string, uint64) {
+	if has == r.number {
 		return nil, has
 	}
-	return t.list, t.listNumber
+	return sampleOf(r.list, process, mostNamed), r.number
+}
+
+// sampleOf returns at most so many addresses, others for each process, of which few change when the list does.
+func sampleOf(list []string, process string, most int) []string {
+	if len(list) <= most {
+		return slices.Clone(list)
+	}
+	weights := make(map[string]uint64, len(list))
+	for _, address := range list {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(process + " " + address))
+		weights[address] = h.Sum64()
+	}
+	sample := slices.SortedFunc(slices.Values(list), func(a, b string) int { return cmp.Compare(weights[a], weights[b]) })[:most]
+	slices.Sort(sample)
+	return sample
+}
+
+// recordPing stores that an entry has pinged, and returns the entries that it is told.
+func (t *term) recordPing(p link.Ping, peer *rpc.Peer) ([]string, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.roster.record(p.Address, peer, time.Now())
+	return t.entriesFor(p.Entry, p.List)
+}
+
+// entriesFor returns the entries that a process is told, see roster.namedFor.
+func (t *term) entriesFor(process string, has uint64) ([]string, uint64) {
+	t.roster.expire(t.d.config.Address, time.Now())
+	return t.roster.namedFor(process, has)
 }
 
 // tellEntries tells all entries at once when the store goes away, or is back; each then pings to learn more.
@@ -60,7 +116,7 @@
 	t.logger.Warn("the entries are told of the store; away=%t", away)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range t.entries {
+	for _, e := range t.roster.entries {
 		if e.peer != nil && time.Since(e.heard) < trust {
 			go tell(e.peer)
 		}
--- a/internal/dispatch/figures.go
+++ b/internal/dispatch/figures.go
@@ -92,7 +92,7 @@
 
 // presses returns by how much each image that fills a worker lowers the headroom of each serving image there.
 func (t *term) presses(host job.Host) map[string]map[string]float64 {
-	h := t.hosts[host]
+	h := t.hosts.get(host)
 	if h == nil {
 		return nil
 	}
@@ -118,7 +118,7 @@
 
 // loads returns what is known of the loads of the tasks that serve on a worker, by their steps.
 func (t *term) loads(host job.Host) map[string]link.Load {
-	h := t.hosts[host]
+	h := t.hosts.get(host)
 	if h == nil {
 		return nil
 	}
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -88,10 +88,10 @@
 
 // host returns what is known of an incarnation of a worker, with an empty record of one that is new.
 func (t *term) host(name job.Host) *hosted {
-	h := t.hosts[name]
+	h := t.hosts.get(name)
 	if h == nil {
 		h = &hosted{worker: plan.Worker{Host: name, Trials: plan.AnyNumber}, runs: make(map[job.TaskID]*placed)}
-		t.hosts[name] = h
+		t.hosts.add(h)
 	}
 	return h
 }
@@ -114,7 +114,7 @@
 
 // stop asks for the end of a run; its room stays taken until the end is known.
 func (t *term) stop(id job.TaskID, task *job.Task) {
-	h := t.hosts[task.Host()]
+	h := t.hosts.get(task.Host())
 	if h == nil || h.runs[id] == nil || h.runs[id].run != task.Run() {
 		return
 	}
@@ -158,7 +158,7 @@
 		t.apply(id, h.runs[id].run, job.EndLapsed, "", h.worker.Host)
 	}
 	if len(h.runs) == 0 {
-		delete(t.hosts, h.worker.Host)
+		t.hosts.remove(h.worker.Host)
 	}
 	t.wakeUp()
 }
@@ -166,7 +166,7 @@
 // apply records the end of a run, wherever the task stands now.
 func (t *term) apply(id job.TaskID, run int, end job.End, checkpoint string, host job.Host) {
 	began := time.Time{}
-	if h := t.hosts[host]; h != nil {
+	if h := t.hosts.get(host); h != nil {
 		if p := h.runs[id]; p != nil {
 			began = p.began
 		}
@@ -179,7 +179,7 @@
 	known.holdBack(id, end, began)
 	t.logger.Info("run ended; task=%s run=%d vm=%s end=%s", id, run, host.VM, end)
 	step := &known.job.Spec().Steps[id.Step]
-	if h := t.hosts[host]; h != nil && !step.Lasting {
+	if h := t.hosts.get(host); h != nil && !step.Lasting {
 		h.judge(end)
 	}
 	if step.Gang && end == job.EndDone {
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -11,14 +11,13 @@
 // identify gives a host of which a process of the release before left the time of birth out the identity that its agent reports now. Its runs
 // stay placed: if it was another incarnation, they are missing there and are ordered again under the same numbers.
 func (t *term) identify(reported job.Host) {
-	for _, h := range t.hostsInOrder() {
+	for _, h := range t.hosts.onVM(reported.VM) {
 		known := h.worker.Host
-		if known.VM != reported.VM || known == reported || !known.Incarnation.MayBe(reported.Incarnation) || t.hosts[reported] != nil {
+		if known == reported || !known.Incarnation.MayBe(reported.Incarnation) || t.hosts.get(reported) != nil {
 			continue
 		}
 		t.logger.Info("worker incarnation identified; vm=%s instance=%s before=%s", reported.VM, reported.Incarnation, known.Incarnation)
-		delete(t.hosts, known)
-		t.hosts[reported], h.worker.Host = h, reported
+		t.hosts.rename(h, reported)
 		for id, p := range h.runs {
 			t.rehost(id, p, reported)
 		}
--- a/internal/dispatch/incarnations_test.go
+++ b/internal/dispatch/incarnations_test.go
@@ -188,7 +188,7 @@
 				assert.Equal(t, len(starts)+len(stops), 0)
 				assert.Equal(t, taskOf(lead).Run(), 1)
 				assert.Equal(t, taskOf(lead).Host(), job.Host{VM: "vm", Incarnation: incarnation.New("i1", births[1])})
-				assert.Equal(t, len(lead.hosts), 1)
+				assert.Equal(t, lead.hosts.len(), 1)
 			})
 		})
 	}
--- a/internal/dispatch/inorder.go
+++ b/internal/dispatch/inorder.go
@@ -9,11 +9,6 @@
 	"github.com/saffronpulley/saffronpulley/internal/job"
 )
 
-// hostsInOrder returns the incarnations of workers, always in the same order, so that a plan does not hang on chance.
-func (t *term) hostsInOrder() []*hosted {
-	return slices.SortedFunc(maps.Values(t.hosts), func(a, b *hosted) int { return compareHosts(a.worker.Host, b.worker.Host) })
-}
-
 func compareHosts(a, b job.Host) int {
 	return cmp.Or(cmp.Compare(a.VM, b.VM), incarnation.Compare(a.Incarnation, b.Incarnation))
 }
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -39,7 +39,7 @@
 func (t *term) lonely() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.entries) == 0 {
+	if len(t.roster.entries) == 0 {
 		return false
 	}
 	latest := t.started
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -28,7 +28,7 @@
 // currentLoad returns the load, without what waits.
 func (t *term) currentLoad() load {
 	var l load
-	for _, h := range t.hosts {
+	for _, h := range t.hosts.all() {
 		l.addWorker(h)
 	}
 	return l
@@ -44,7 +44,7 @@
 	l.addWaiting(groups)
 	t.logger.Info("load; workers=%d waiting_short=%d waiting_lasting=%d waiting_batch=%d of_jobs=%d cores=%d serving=%d "+
 		"filling_tasks=%d slowed=%d asked=%d used=%d served=%d over=%d starved=%.1f",
-		len(t.hosts), l.waitingShort, l.waitingLasting, l.waitingBatch, l.batchJobs, l.capacity/thousandths, l.serving/thousandths,
+		t.hosts.len(), l.waitingShort, l.waitingLasting, l.waitingBatch, l.batchJobs, l.capacity/thousandths, l.serving/thousandths,
 		l.filling, l.slowed, l.asked/thousandths, l.used/thousandths, l.served, l.over, t.starvation.level)
 }
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -114,7 +114,7 @@
 func (t *term) unsend(host job.Host, orders link.Orders) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := t.hosts[host]
+	h := t.hosts.get(host)
 	if h == nil {
 		return
 	}
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -25,7 +25,7 @@
 func (t *term) expire() {
 	now := time.Now()
 	t.forgetUnreachable(now)
-	for _, h := range t.hostsInOrder() {
+	for _, h := range t.hosts.all() {
 		host := h.worker.Host
 		a := t.agents[host.VM]
 		switch {
@@ -42,7 +42,7 @@
 
 // unstick stops tasks that stand still, so that they start again elsewhere.
 func (t *term) unstick() {
-	for _, h := range t.hostsInOrder() {
+	for _, h := range t.hosts.all() {
 		host := h.worker.Host
 		for _, id := range h.runsWhich((*placed).standsStill) {
 			p := h.runs[id]
@@ -73,8 +73,8 @@
 // plan places what waits; the placements count once they are committed.
 func (t *term) plan() {
 	groups := t.groups()
-	workers := make([]*plan.Worker, 0, len(t.hosts))
-	for _, h := range t.hostsInOrder() {
+	workers := make([]*plan.Worker, 0, t.hosts.len())
+	for _, h := range t.hosts.all() {
 		h.worker.Trials = h.trials()
 		h.worker.Closed = t.closed(h.worker.Host)
 		h.worker.Served = t.serving(h)
@@ -96,7 +96,7 @@
 	for _, p := range planner.Make(groups) {
 		known := t.jobs[p.Task.Job]
 		run := known.job.Place(p.Task, p.Host, p.Run)
-		t.hosts[p.Host].runs[p.Task] = &placed{step: p.Step, run: run, began: time.Now(), moved: time.Now(), pace: pacing.Full, suspect: p.Suspect}
+		t.hosts.get(p.Host).runs[p.Task] = &placed{step: p.Step, run: run, began: time.Now(), moved: time.Now(), pace: pacing.Full, suspect: p.Suspect}
 		delete(known.suspects, p.Task)
 		t.logger.Info("task placed; task=%s run=%d vm=%s waited_ms=%d", p.Task, run, p.Host.VM, time.Since(known.since).Milliseconds())
 		t.touch(known)
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -18,7 +18,7 @@
 // reconcile compares what the worker has with what is placed there. It adds the jobs that must be saved before the reported
 // ends may go, and reports whether the ends were looked at.
 func (t *term) reconcile(a *agent, r link.Report, needed map[*tracked]uint64) bool {
-	h := t.hosts[job.Host{VM: r.VM, Incarnation: r.Incarnation()}]
+	h := t.hosts.get(job.Host{VM: r.VM, Incarnation: r.Incarnation()})
 	if h == nil || !r.Fenced || r.Epoch != t.epoch {
 		return false
 	}
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -47,7 +47,7 @@
 // relocate stops some tasks that are paced down and save their progress, where another worker would suit them.
 func (t *term) relocate(planner *plan.Planner) {
 	moves := 0
-	for _, h := range t.hostsInOrder() {
+	for _, h := range t.hosts.all() {
 		host := h.worker.Host
 		for _, id := range h.runsWhich((*placed).stuckSlow) {
 			if moves == mostMoves {
@@ -84,7 +84,7 @@
 
 // moveFromLeaving stops what loses nothing by it on workers that leave, so that it starts elsewhere before they are gone.
 func (t *term) moveFromLeaving() {
-	for _, h := range t.hostsInOrder() {
+	for _, h := range t.hosts.all() {
 		if !h.draining {
 			continue
 		}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -100,7 +100,7 @@
 	answer.Seen = a.seen
 	answer.PermissionMillis = min(permission, max(trust-age, 0)).Milliseconds()
 	answer.Doubtful = age > doubtAfter
-	answer.Entries, answer.List = t.entriesFor(r.List)
+	answer.Entries, answer.List = t.entriesFor(r.VM, r.List)
 	if newest := t.d.config.Policies.Newest(); newest != nil {
 		answer.Connections = newest.Connections(r.Service)
 		answer.Foreign = r.Instance != "" && !newest.Names(r.Service)
@@ -149,8 +149,8 @@
 	if a.host != current {
 		t.logger.Info("worker reports; vm=%s instance=%s labels=%v cpu=%d memory=%d", r.VM, current.Incarnation, r.Labels, r.CPU, r.Memory)
 		a.host, a.seen, a.orders = current, 0, nil
-		for _, earlier := range t.hostsInOrder() {
-			if other := earlier.worker.Host; other.VM == r.VM && other != current {
+		for _, earlier := range t.hosts.onVM(r.VM) {
+			if earlier.worker.Host != current {
 				t.retire(a, earlier, nil, current.Incarnation, "the worker has another incarnation")
 			}
 		}
@@ -166,7 +166,7 @@
 	w.Service, w.Labels = r.Service, r.Labels
 	w.Capacity = job.Size{CPU: r.CPU, Memory: r.Memory, GPU: r.GPU}
 	w.Open = !r.Draining && !r.Silent
-	t.hosts[current].draining = r.Draining
+	t.hosts.get(current).draining = r.Draining
 }
 
 // awaitSaved waits until jobs are saved at given versions and reports whether they are.
--- a/internal/dispatch/report_test.go
+++ b/internal/dispatch/report_test.go
@@ -163,7 +163,7 @@
 
 // hostRuns returns what is placed on a life of a worker.
 func (t *term) hostRuns(vm, instance string) map[job.TaskID]*placed {
-	if h := t.hosts[job.Host{VM: vm, Incarnation: incarnation.New(instance, 0)}]; h != nil {
+	if h := t.hosts.get(job.Host{VM: vm, Incarnation: incarnation.New(instance, 0)}); h != nil {
 		return h.runs
 	}
 	return nil
--- a/internal/dispatch/rows_test.go
+++ b/internal/dispatch/rows_test.go
@@ -40,7 +40,7 @@
 			work(t, lead)
 			assert.Equal(t, len(a.mail), 0, "what runs is not ordered again")
 		}
-		assert.Equal(t, lead.hosts[job.Host{VM: "vm", Incarnation: incarnation.New("i1", 0)}].runs[job.TaskID{Job: lateJob}].percent, 1)
+		assert.Equal(t, lead.hosts.get(job.Host{VM: "vm", Incarnation: incarnation.New("i1", 0)}).runs[job.TaskID{Job: lateJob}].percent, 1)
 	})
 }
 
@@ -74,7 +74,7 @@
 		first := told(0)
 		assert.DeepEqual(t, first.Entries, []string{"e"})
 		assert.Equal(t, len(told(first.List).Entries), 0)
-		lead.hearEntry("f", nil)
+		lead.recordPing(link.Ping{Address: "f"}, nil)
 		second := told(first.List)
 		assert.DeepEqual(t, second.Entries, []string{"e", "f"})
 		assert.Equal(t, len(told(second.List).Entries), 0)
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -39,7 +39,7 @@
 func (t *term) gangProved(known *tracked, member job.TaskID) bool {
 	tasks := known.job.Tasks(member.Time, member.Step)
 	for member.Index = range tasks {
-		h := t.hosts[tasks[member.Index].Host()]
+		h := t.hosts.get(tasks[member.Index].Host())
 		if h == nil || h.runs[member] == nil || !h.runs[member].proved {
 			return false
 		}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -72,12 +72,9 @@
 	// verified is when the lead last asked for what proved that it leads.
 	verified boottime.Instant
 	jobs     map[job.ID]*tracked
-	hosts    map[job.Host]*hosted
+	hosts    *hostSet
 	agents   map[string]*agent
-	entries  map[string]*entry
-	// list is the list of entries that agents are told, listNumber its number.
-	list       []string
-	listNumber uint64
+	roster   *roster
 	// dirty are the jobs to commit, by the order in which they changed; changes counts them.
 	dirty    map[job.ID]uint64
 	changes  uint64
@@ -102,8 +99,8 @@
 	return &term{
 		d: d, epoch: epoch, lease: lease, store: d.config.Store, logger: d.logger, started: time.Now(),
 		wake: make(chan struct{}, 1), done: make(chan struct{}), committed: make(chan struct{}),
-		jobs: make(map[job.ID]*tracked), hosts: make(map[job.Host]*hosted), agents: make(map[string]*agent),
-		entries: make(map[string]*entry), dirty: make(map[job.ID]uint64), advised: make(map[stepID]*advice),
+		jobs: make(map[job.ID]*tracked), hosts: newHostSet(), agents: make(map[string]*agent),
+		roster: newRoster(d.config.Address), dirty: make(map[job.ID]uint64), advised: make(map[stepID]*advice),
 		unreachable: make(map[job.Host]unreachable),
 		late:        make(host.Late[lateOrder]),
 		pressure:    pressure.NewModel(), closures: d.config.Closures,
@@ -157,7 +154,7 @@
 	known.job.Each(func(id job.TaskID, task *job.Task) {
 		if task.Phase() == job.Placed {
 			t.host(task.Host()).add(id, &known.job.Spec().Steps[id.Step], task.Run())
-			t.hosts[task.Host()].runs[id].stopping = known.job.State().Final()
+			t.hosts.get(task.Host()).runs[id].stopping = known.job.State().Final()
 		}
 	})
 	if known.job.State().Final() {
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -52,6 +52,9 @@
 	// entry.
 	sendValue bool
 	probing   bool
+	// list is which list of entries the leader of an epoch has told.
+	list      uint64
+	listEpoch uint64
 }
 
 // Self is what an entry tells of itself: its name, where others reach it, and the processor share of its VM.
@@ -139,6 +142,7 @@
 		return nil, err
 	}
 	config.Pool.Learn(answer.Entries)
+	p.list, p.listEpoch = answer.List, lead.Held.Epoch
 	config.Policies.Take(answer.Offer)
 	p.sendValue = answer.Revision != 0 && answer.Revision < own.Revision
 	p.heed(ctx, lead.Held.Epoch, answer)
@@ -153,6 +157,9 @@
 	if answered := p.desk.config.Health.Answered(); !answered.IsZero() {
 		m.StoreAgeMillis = time.Since(answered).Milliseconds()
 	}
+	if p.listEpoch == epoch {
+		m.List = p.list
+	}
 	if !p.sendValue {
 		m.Value = nil
 	}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -206,6 +206,8 @@
 	Strength float64 `json:"strength"`
 	// StoreAgeMillis is how long ago the store last answered the entry, below 0 where it never did.
 	StoreAgeMillis int64 `json:"store_age_ms"`
+	// List is which list of entries the entry has of this leader, 0 for none.
+	List uint64 `json:"list,omitempty"`
 	Offer
 }
 
@@ -217,7 +219,9 @@
 
 // PingAnswer is the lead's answer to an entry.
 type PingAnswer struct {
-	Entries []string `json:"entries"`
+	// Entries are addresses of entries, left out where the entry has them; List numbers them from 1.
+	Entries []string `json:"entries,omitempty"`
+	List    uint64   `json:"list,omitempty"`
 	// StoreDown says that the store answers neither the lead nor, as far as it knows, any entry; Succeed that the
 	// entry is to lead, since the store answers it and not the lead, or since it is far stronger.
 	StoreDown bool `json:"store_down,omitempty"`
