Bound connections by the VM and refuse those over it aloud

800 agents and 184 entries want a connection to the leader. It took 512 and closed each further one without a word: no log line, no metric, and nothing that told the agent to slow down. A part of the workers was never used.

Cause: maxPeers, a constant that no deployment before had reached, and a refusal that could not be told from a crash.

Now the limit comes from the descriptors and the memory that the settings hand over (0.6 of the descriptors over 500; 32 KiB each of 0.4 of the memory): 2,160 on the smallest VM of an entry (4,100 descriptors, 184 MB), 4,400 and more by memory on larger ones, for the 1,968 processes of twice the fleet. A connection over it is answered Overloaded with when to return, counted (peers.refused) and logged each 2 s at most.

The limit of callers' connections comes from the rest of the descriptors.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -125,7 +125,7 @@
 	if err := a.adopt(ctx); err != nil {
 		return err
 	}
-	server := rpc.Serve(a.Control, a.Secret, a.mux)
+	server := rpc.Serve(a.Control, a.Secret, a.mux, rpc.ProcessLimits())
 	defer server.Close()
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -115,7 +115,7 @@
 	a.lead = lead.New(lead.Config{Cell: "h-0"})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := rpc.Serve(listener, "secret", a.mux)
+	server := rpc.Serve(listener, "secret", a.mux, rpc.ProcessLimits())
 	defer server.Close()
 	peer, err := rpc.Dial(t.Context(), listener.Addr().String(), "secret", rpc.NewMux(a.Clock))
 	assert.NilError(t, err)
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -114,7 +114,7 @@
 	mux := rpc.NewMux(timeline.NewClock(time.Now))
 	d.Register(mux)
 	p.network[name] = make(chan net.Conn)
-	server := rpc.Serve(pipeListener{conns: p.network[name], closed: make(chan struct{})}, "", mux)
+	server := rpc.Serve(pipeListener{conns: p.network[name], closed: make(chan struct{})}, "", mux, rpc.ProcessLimits())
 	ctx, cancel := context.WithCancel(p.ctx)
 	lead, err := d.stand(ctx)
 	assert.NilError(p.t, err)
--- a/internal/intake/pinger_test.go
+++ b/internal/intake/pinger_test.go
@@ -104,7 +104,7 @@
 		l.pings = append(l.pings, p)
 		return l.answer, l.err
 	})
-	server := rpc.Serve(listener, secret, mux)
+	server := rpc.Serve(listener, secret, mux, rpc.ProcessLimits())
 	t.Cleanup(server.Close)
 	return listener.Addr().String(), server.Close
 }
@@ -181,7 +181,7 @@
 	assert.NilError(t, err)
 	mux := rpc.NewMux(timeline.NewClock(time.Now))
 	Register(mux, e.store.Store, &kv.Health{})
-	server := rpc.Serve(listener, secret, mux)
+	server := rpc.Serve(listener, secret, mux, rpc.ProcessLimits())
 	defer server.Close()
 	e.desk.config.Pool.Learn([]string{listener.Addr().String()})
 	e.store.set(true)
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -19,7 +19,7 @@
 		Store:  relay.New(p.store, p.health, p.pool), Pool: p.pool, Clock: p.clock, Uptime: boottime.System{}, Secret: secret,
 		Logger: p.logger.Part("agent"), Metrics: p.metrics,
 	})
-	reports, err := serve(p.settings.Reports(), "listen.reports", platform.HandleReports(r))
+	reports, err := serve(p.settings.Reports(), "listen.reports", mostLocal, platform.HandleReports(r))
 	if err != nil {
 		return err
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"github.com/saffronpulley/saffronpulley/internal/admin"
 	"github.com/saffronpulley/saffronpulley/internal/boottime"
@@ -34,10 +35,12 @@
 	dispatcher *dispatch.Dispatcher
 	pinger     *intake.Pinger
 	stopping   atomic.Bool
+	// refusals bounds the log lines about refused connections.
+	refusals rate.Sometimes
 }
 
 func (p *process) runEntry(ctx context.Context) error {
-	e := &entry{process: p}
+	e := &entry{process: p, refusals: rate.Sometimes{Interval: refusedEvery}}
 	e.policies = intake.NewPolicies(p.store, platform.PolicyKey, platform.DecodePolicy, p.logger.Part("configuration"))
 	e.lead = follow.New(p.store, record.LeadKey, record.DecodeLead, p.logger.Part("lead"))
 	e.desk = intake.New(intake.Config{
@@ -76,7 +79,8 @@
 	if err != nil {
 		return nil, err
 	}
-	rpc.Serve(peers, secret, e.mux)
+	server := rpc.Serve(peers, secret, e.mux, rpc.Limits{Peers: e.settings.Shares().peers, Refused: e.refusedPeer})
+	e.metrics.Gauge("peers.open", func() int64 { return int64(server.Peers()) })
 	var servers []*admin.Server
 	s := e.settings
 	for _, l := range []struct {
@@ -84,11 +88,13 @@
 		start            func() (*admin.Server, error)
 	}{
 		{start: func() (*admin.Server, error) {
-			return serve(s.Callers(), "listen.callers", e.callers())
+			return serve(s.Callers(), "listen.callers", s.Shares().callers, e.callers())
 		}},
-		{start: func() (*admin.Server, error) { return serve(s.Ready(), "listen.ready", platform.HandleReady(e.ready)) }},
 		{start: func() (*admin.Server, error) {
-			return serve(s.Reports(), "listen.reports", platform.HandleReports(noReports{}))
+			return serve(s.Ready(), "listen.ready", mostLocal, platform.HandleReady(e.ready))
+		}},
+		{start: func() (*admin.Server, error) {
+			return serve(s.Reports(), "listen.reports", mostLocal, platform.HandleReports(noReports{}))
 		}},
 		{start: func() (*admin.Server, error) { return e.serveMetrics(e.ready) }},
 	} {
@@ -101,6 +107,18 @@
 	return servers, nil
 }
 
+// refusedEvery is how often refused connections of other processes are logged at most; all are counted.
+const refusedEvery = 2 * time.Second
+
+// refusedPeer counts and logs a connection of another process that was refused since all are taken.
+func (e *entry) refusedPeer() {
+	refused := e.metrics.Counter("peers.refused")
+	refused.Inc(1)
+	e.refusals.Do(func() {
+		e.logger.Warn("connections of other processes are refused; limit=%d refused=%d", e.settings.Shares().peers, refused.Count())
+	})
+}
+
 // ready reports whether new connections should come here.
 func (e *entry) ready() bool { return e.policies.Newest() != nil && !e.stopping.Load() }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,10 +30,11 @@
 	// collectAt lets the heap of the small processes grow before it is collected, which costs processor time.
 	collectAt = 300
 	// bodyLimit is above what the operators' limits allow; a job over the latter is refused with a sentence.
-	bodyLimit      = 4 << 20
-	readTimeout    = 30 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxConnections = 3000
+	bodyLimit   = 4 << 20
+	readTimeout = 30 * time.Second
+	idleTimeout = 2 * time.Minute
+	// mostLocal bounds the connections of those who share the VM or look after it: the worker, the platform's checks, operators.
+	mostLocal = 128
 )
 
 // process is what both roles share.
@@ -104,22 +105,20 @@
 	}
 }
 
-func limits() admin.Limits {
-	return admin.Limits{Body: bodyLimit, Read: readTimeout, Idle: idleTimeout, Connections: maxConnections}
-}
-
-func serve(address, setting string, handler fasthttp.RequestHandler) (*admin.Server, error) {
+// serve serves requests of at most so many connections.
+func serve(address, setting string, connections int, handler fasthttp.RequestHandler) (*admin.Server, error) {
 	listener, err := admin.Listen(address, setting)
 	if err != nil {
 		return nil, err
 	}
-	return admin.Serve(listener, limits(), handler, admin.RefusePlainly), nil
+	limits := admin.Limits{Body: bodyLimit, Read: readTimeout, Idle: idleTimeout, Connections: connections}
+	return admin.Serve(listener, limits, handler, admin.RefusePlainly), nil
 }
 
 // serveMetrics serves the metrics of the process.
 func (p *process) serveMetrics(ready func() bool) (*admin.Server, error) {
 	health := admin.Health{Ready: ready, Metrics: p.metrics}
-	return serve(p.settings.MetricsAddress(), "ports.metrics", func(ctx *fasthttp.RequestCtx) {
+	return serve(p.settings.MetricsAddress(), "ports.metrics", mostLocal, func(ctx *fasthttp.RequestCtx) {
 		if !health.Handle(ctx) {
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -29,7 +29,9 @@
 	Hall     string  `yaml:"hall"`
 	Strength float64 `yaml:"strength"`
 	MemoryMB int     `yaml:"memory_mb"`
-	Ports    struct {
+	// Descriptors is how many the process may have open, 0 where the platform tells none.
+	Descriptors int `yaml:"descriptors"`
+	Ports       struct {
 		Peers   int `yaml:"peers"`
 		Metrics int `yaml:"metrics"`
 	} `yaml:"ports"`
@@ -96,6 +98,9 @@
 			f.LongestHoldMillis, defaultLongestHold)
 	case f.MemoryMB < leastMemoryMB:
 		return fault.New(fault.BadInput, "memory_mb is %d; at least %d are needed", f.MemoryMB, leastMemoryMB)
+	case f.Descriptors != 0 && f.Descriptors < leastDescriptors:
+		return fault.New(fault.BadInput, "descriptors is %d; at least %d are needed, or 0 where the number is not known",
+			f.Descriptors, leastDescriptors)
 	}
 	if _, err := netip.ParseAddr(f.Address); err != nil {
 		return fault.New(fault.BadInput, "address is %q; give the IP number of the VM", f.Address)
@@ -114,6 +119,9 @@
 // defaultLongestHold is for how long a worker is taken to let itself be held where the platform tells no time.
 const defaultLongestHold = 10 * time.Second
 
+// leastDescriptors leaves some connections for others beside what is reserved.
+const leastDescriptors = 2 * reservedDescriptors
+
 // leastMemoryMB is what the runtime and a small state take.
 const leastMemoryMB = 32
 
@@ -153,6 +161,9 @@
 // MemoryBytes returns the memory of the process in bytes.
 func (s *Settings) MemoryBytes() int64 { return int64(s.file.MemoryMB) << 20 }
 
+// Shares returns how many connections of others the process takes.
+func (s *Settings) Shares() shares { return connectionShares(s.file.Descriptors, s.MemoryBytes()) }
+
 // PeerAddress returns where other processes reach this one.
 func (s *Settings) PeerAddress() string { return s.at(s.file.Address, s.file.Ports.Peers) }
 
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -51,6 +51,7 @@
 		"role: agent>role: cook":                        "role is \"cook\"",
 		"strength: 0.24>strength: 0":                    "strength is 0",
 		"memory_mb: 152>memory_mb: 3":                   "memory_mb is 3",
+		"memory_mb: 152>memory_mb: 152\ndescriptors: 9": "descriptors is 9",
 		"address: 10.1.0.14>address: here":              "address is \"here\"",
 		"peers: 7720>peers: 70000":                      "ports.peers is 70000",
 		"worker: \"10.1.0.14:8165\">worker: ''":         "worker is \"\"",
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -39,7 +39,7 @@
 		revision, err := store.Commit(ctx, change)
 		return link.CommitAnswer{Revision: uint64(revision)}, err
 	})
-	server := rpc.Serve(listener, secret, mux)
+	server := rpc.Serve(listener, secret, mux, rpc.ProcessLimits())
 	t.Cleanup(server.Close)
 	return listener.Addr().String()
 }
@@ -174,7 +174,7 @@
 		<-held
 		return link.Item{}, fault.New(fault.Unavailable, "the test is over")
 	})
-	server := rpc.Serve(listener, secret, mux)
+	server := rpc.Serve(listener, secret, mux, rpc.ProcessLimits())
 	defer server.Close()
 	defer close(held)
 	health := &kv.Health{}
--- a/internal/rpc/peer.go
+++ b/internal/rpc/peer.go
@@ -27,6 +27,8 @@
 	connection *jsonrpc2.Conn
 	secret     string
 	trusted    atomic.Bool
+	// refusal is what the greeting is answered with, nil for a peer that is admitted.
+	refusal error
 }
 
 type hello struct {
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "cannot connect")
 	}
-	p := newPeer(stream, secret, m)
+	p := newPeer(stream, secret, m, nil)
 	p.trusted.Store(true)
 	if _, err := Call[hello, struct{}](ctx, p, methodHello, hello{Secret: secret}); err != nil {
 		p.Close()
@@ -56,8 +58,8 @@
 	return p, nil
 }
 
-func newPeer(stream net.Conn, secret string, m *Mux) *Peer {
-	p := &Peer{number: numbers.Add(1), mux: m, secret: secret}
+func newPeer(stream net.Conn, secret string, m *Mux, refusal error) *Peer {
+	p := &Peer{number: numbers.Add(1), mux: m, secret: secret, refusal: refusal}
 	objects := jsonrpc2.NewBufferedStream(countedConn{stream}, boundedCodec{})
 	// The connection reads at once, so the handler waits until the peer is whole.
 	ready := make(chan struct{})
@@ -90,6 +92,9 @@
 	if subtle.ConstantTimeCompare([]byte(greeting.Secret), []byte(p.secret)) != 1 {
 		return nil, encodeError(fault.New(fault.Unauthorized, "the shared secret differs"))
 	}
+	if p.refusal != nil {
+		return nil, encodeError(p.refusal)
+	}
 	p.trusted.Store(true)
 	return envelope{Body: json.RawMessage("{}")}, nil
 }
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -33,7 +33,7 @@
 	Handle(m, "refuse", func(context.Context, *Peer, text) (text, error) {
 		return text{}, fault.New(fault.Overloaded, "later").After(3 * time.Second)
 	})
-	s := Serve(listener, secret, m)
+	s := Serve(listener, secret, m, ProcessLimits())
 	t.Cleanup(s.Close)
 	return s, clock
 }
