Watch the store seldom for what the leader confirms

While the leader confirms configuration and lead with each ping, a watch waits 10 s. A change still ends it at once; the leader's own watches stay short, as nobody vouches for them. An entry whose leader has not answered for 1.5 s reads who leads itself, so that it does not rely on a watch whose connection may be silent. What an entry knows of the store may be older now, so a leader that a far stronger entry would replace first asks it to find out whether the store answers it.

Failed watches pause for a drawn time, up to 0.8 s for entries (0.4 s before, fixed).

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -148,7 +148,11 @@
 		answer.Succeed = true
 		t.yield(p.Entry, "the store answers others and not this lead")
 	case storeWell:
-		if t.outranks(p) {
+		switch {
+		case !t.outranks(p):
+		case !storeAnsweredLately(p):
+			answer.Probe = true
+		default:
 			answer.Succeed = true
 			t.yield(p.Entry, "it is far stronger")
 		}
--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -106,7 +106,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.roster.record(p.Address, peer, time.Now())
-	answer := link.PingAnswer{Agents: len(t.agents)}
+	answer := link.PingAnswer{Agents: len(t.agents), Doubtful: t.age() > doubtAfter}
 	answer.Entries, answer.List = t.entriesFor(p.Entry, p.List)
 	return answer
 }
--- a/internal/dispatch/succession.go
+++ b/internal/dispatch/succession.go
@@ -93,11 +93,15 @@
 	return t.elsewhere.After(since)
 }
 
-// outranks reports whether an entry would lead much better: it is far stronger, the store answers both, and the term has stood
-// long enough for the workers to have been heard.
+// outranks reports whether an entry would lead much better: it is far stronger, and the term has stood long enough for the agents to have
+// reported.
 func (t *term) outranks(p link.Ping) bool {
-	fresh := p.StoreAgeMillis >= 0 && p.StoreAgeMillis < outrankFresh.Milliseconds()
-	return fresh && p.Strength >= outrankBy*t.d.config.Strength && time.Since(t.started) > outrankAfter
+	return p.Strength >= outrankBy*t.d.config.Strength && time.Since(t.started) > outrankAfter
+}
+
+// storeAnsweredLately reports whether the store has just answered an entry.
+func storeAnsweredLately(p link.Ping) bool {
+	return p.StoreAgeMillis >= 0 && p.StoreAgeMillis < outrankFresh.Milliseconds()
 }
 
 // yield ends the term, since another entry takes over.
--- a/internal/fleettest/scale_test.go
+++ b/internal/fleettest/scale_test.go
@@ -57,6 +57,9 @@
 	few, many := calls(100), calls(800)
 	t.Logf("%.1f calls a second with 100 agents, %.1f with 800", few, many)
 	assert.Assert(t, many <= few*1.1+1, "%.1f calls a second with 800 agents, %.1f with 100", many, few)
+	// 184 entries may make 150 calls a second, beside the jobs: that is 10,000 on a day of 67 s.
+	const most = 150.0 * 40 / 184
+	assert.Assert(t, many <= most, "%.1f calls a second by 40 entries", many)
 }
 
 // TestChangeOfLeaderInALargeFleet plays what users saw when a leader was killed: agents looked for the next one until 17 s later, and the leases of
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,8 +10,11 @@
 )
 
 // timing lets each of many processes follow a key with few calls beside the store's rate; an outage's end is noticed within half
-// a second.
-var timing = Timing{Wait: 1500 * time.Millisecond, Retry: 400 * time.Millisecond}
+// a second in the mean.
+var timing = Timing{Wait: 1500 * time.Millisecond, Vouched: 10 * time.Second, Retry: 800 * time.Millisecond}
+
+// vouchedFor is how long after it was vouched for a value is known to be the newest.
+const vouchedFor = time.Second
 
 // Value is a decoded value and the revision at which it was written, 0 where the key is absent.
 type Value[T any] struct {
@@ -31,6 +34,7 @@
 	value    Value[T]
 	known    bool
 	verified time.Time
+	vouched  time.Time
 	changed  chan struct{}
 }
 
@@ -58,6 +62,19 @@
 	return f.verified
 }
 
+// Vouch records that another process that follows the key has confirmed the value just now, so that the store is asked less often.
+func (f *Follower[T]) Vouch() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vouched = time.Now()
+}
+
+func (f *Follower[T]) isVouched() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.vouched) < vouchedFor
+}
+
 // Changed returns a channel that is closed at the next change.
 func (f *Follower[T]) Changed() <-chan struct{} {
 	f.mu.Lock()
@@ -128,7 +145,7 @@
 // Run follows the key until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	defer close(f.done)
-	NewPrefix(f.store, f.key, timing, f.takeChange, f.logger).Run(ctx, 0)
+	NewPrefix(f.store, f.key, timing, f.takeChange, f.logger).VouchedBy(f.isVouched).Run(ctx, 0)
 }
 
 // takeChange takes what a call told of the key, among others that it is the beginning of.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -115,3 +115,35 @@
 		assert.Equal(t, store.ranges, 1)
 	})
 }
+
+// TestVouchedKeyIsWatchedSeldom, since many processes follow one key: 184 entries that each watched two keys each 1.5 s made 245 calls a second.
+func TestVouchedKeyIsWatchedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &failingOnce{Store: kvtest.New(), watches: 1}
+		put(t, store.Store, "other", "x")
+		f := New(store, "key", text, logging.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		// watches returns how many watches begin within a time, in which the key is vouched for or not.
+		watches := func(within time.Duration, vouched bool) int {
+			before, end := store.watches, time.Now().Add(within)
+			for time.Now().Before(end) {
+				if vouched {
+					f.Vouch()
+				}
+				time.Sleep(vouchedFor / 2)
+			}
+			return store.watches - before
+		}
+		watches(timing.Wait, true)
+		assert.Assert(t, watches(4*timing.Vouched, true) <= 4)
+		put(t, store.Store, "key", "one")
+		synctest.Wait()
+		value, _ := f.Value()
+		assert.Equal(t, value.Held, "one", "a change is still seen at once")
+		watches(timing.Vouched, false)
+		assert.Assert(t, watches(4*timing.Wait, false) >= 3, "nobody vouches any more")
+		cancel()
+		<-f.Done()
+	})
+}
--- a/internal/follow/prefix.go
+++ b/internal/follow/prefix.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/boottime"
@@ -11,14 +12,16 @@
 	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
-// retryFirst is the pause after a call that failed; each further one is twice as long, up to Timing.Retry.
-const retryFirst = 50 * time.Millisecond
+// retryFirst bounds the pause after a call that failed; the bound after each further one is twice as long, up to Timing.Retry.
+const retryFirst = 100 * time.Millisecond
 
 // Timing is how a prefix is followed.
 type Timing struct {
 	// Wait is how long a watch waits: one that hears nothing more is noticed after it.
 	Wait time.Duration
-	// Retry is the longest pause after a call that failed: the end of an outage is noticed within it.
+	// Vouched is the same while the keys are known by another way as well, 0 for Wait.
+	Vouched time.Duration
+	// Retry is the longest pause after a call that failed. Pauses are drawn, since many processes may follow one prefix.
 	Retry time.Duration
 }
 
@@ -42,6 +45,8 @@
 	take   func(Change) error
 	logger logging.Logger
 	clock  boottime.Clock
+	// vouched reports whether the keys are known by another way as well, nil where there is none.
+	vouched func() bool
 }
 
 // NewPrefix returns what hands all changes under a prefix to take; what take fails for is read again.
@@ -55,13 +60,28 @@
 	return p
 }
 
+// VouchedBy sets what tells whether the keys are known by another way as well, and returns the prefix.
+func (p *Prefix) VouchedBy(vouched func() bool) *Prefix {
+	p.vouched = vouched
+	return p
+}
+
+// wait returns how long the next watch waits.
+func (p *Prefix) wait() time.Duration {
+	if p.timing.Vouched > 0 && p.vouched != nil && p.vouched() {
+		return p.timing.Vouched
+	}
+	return p.timing.Wait
+}
+
 // Run follows the prefix after a revision until ctx ends; revision 0 stands for none that is known.
 func (p *Prefix) Run(ctx context.Context, after kv.Revision) {
-	pause := retryFirst
+	pause := wait.NewBackoff(min(retryFirst, p.timing.Retry), p.timing.Retry, rand.Float64)
 	for ctx.Err() == nil {
 		next, err := p.Next(ctx, after)
 		if err == nil {
-			after, pause = next, retryFirst
+			after = next
+			pause.Reset()
 			continue
 		}
 		if ctx.Err() != nil {
@@ -73,8 +93,7 @@
 		if fault.Is(err, fault.Stale) {
 			after = 0
 		}
-		wait.For(ctx, pause)
-		pause = min(2*pause, p.timing.Retry)
+		wait.For(ctx, pause.Next())
 	}
 }
 
@@ -88,7 +107,7 @@
 	if change.Whole {
 		change.Events, change.At, err = p.all(ctx)
 	} else {
-		change.Events, change.At, err = p.store.Watch(ctx, p.prefix, after, p.timing.Wait)
+		change.Events, change.At, err = p.store.Watch(ctx, p.prefix, after, p.wait())
 	}
 	if err == nil && change.At == 0 {
 		// A watch cannot go on from there.
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -56,6 +56,8 @@
 	// list is which list of entries the leader of an epoch has told.
 	list      uint64
 	listEpoch uint64
+	// confirmed is when a leader answered last, or was last read from the store.
+	confirmed time.Time
 	// agents is how many agents the leader had.
 	agents atomic.Int64
 }
@@ -89,6 +91,9 @@
 			p.desk.logger.Debug("the lead was not reached: %v", err)
 			p.lost(ctx, err)
 		}
+		if !p.successor.Leads() {
+			p.reconfirm(ctx)
+		}
 		pause := pingEvery
 		if p.probing || time.Since(alert) < alertFor {
 			pause = probeEvery
@@ -150,10 +155,40 @@
 	p.list, p.listEpoch = answer.List, lead.Held.Epoch
 	config.Policies.Take(answer.Offer)
 	p.sendValue = answer.Revision != 0 && answer.Revision < own.Revision
+	p.vouch(answer)
 	p.heed(ctx, lead.Held.Epoch, answer)
 	return peer.Done(), nil
 }
 
+// vouch lets this entry ask the store less often for what its leader has just confirmed.
+func (p *Pinger) vouch(answer link.PingAnswer) {
+	p.confirmed = time.Now()
+	if answer.Doubtful || answer.StoreDown {
+		return
+	}
+	p.desk.config.Lead.Vouch()
+	if !p.sendValue {
+		p.desk.config.Policies.Vouch()
+	}
+}
+
+// unconfirmedFor is how long after the last answer of a leader an entry reads itself who leads: a watch may wait for longer on a connection that
+// has gone silent.
+const unconfirmedFor = 1500 * time.Millisecond
+
+// reconfirm reads who leads where no leader has answered for a while.
+func (p *Pinger) reconfirm(ctx context.Context) {
+	if p.confirmed.IsZero() || time.Since(p.confirmed) < unconfirmedFor {
+		return
+	}
+	p.confirmed = time.Now()
+	bounded, cancel := context.WithTimeout(ctx, askPatience)
+	defer cancel()
+	if _, err := p.desk.config.Lead.Refresh(bounded); err != nil {
+		p.desk.logger.Debug("who leads could not be read: %v", err)
+	}
+}
+
 // message returns what the lead is told.
 func (p *Pinger) message(epoch uint64, own link.Offer) link.Ping {
 	m := link.Ping{
@@ -203,6 +238,11 @@
 		p.back()
 	case answer.StoreDown:
 		p.probe(ctx)
+	case answer.Probe:
+		p.back()
+		if p.ask(ctx) == nil {
+			wait.Wake(p.told)
+		}
 	default:
 		p.back()
 	}
--- a/internal/intake/policies.go
+++ b/internal/intake/policies.go
@@ -44,6 +44,9 @@
 // Run follows the configuration until ctx ends.
 func (p *Policies) Run(ctx context.Context) { p.follower.Run(ctx) }
 
+// Vouch records that the leader has confirmed the configuration just now.
+func (p *Policies) Vouch() { p.follower.Vouch() }
+
 // Newest returns the configuration, nil before the first.
 func (p *Policies) Newest() *policy.Policy {
 	value, _ := p.follower.Value()
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -224,6 +224,10 @@
 	// Entries are addresses of entries, left out where the entry has them; List numbers them from 1.
 	Entries []string `json:"entries,omitempty"`
 	List    uint64   `json:"list,omitempty"`
+	// Doubtful says that the leader has not confirmed for a while that it leads.
+	Doubtful bool `json:"doubtful,omitempty"`
+	// Probe asks the entry to find out whether the store answers it, and to ping again.
+	Probe bool `json:"probe,omitempty"`
 	// Agents is how many agents report to the leader.
 	Agents int `json:"agents,omitempty"`
 	// StoreDown says that the store answers neither the lead nor, as far as it knows, any entry; Succeed that the
