Treat a refusal for the rate as an answer of the store

While the store answered 429 to some calls, entries told callers for 3 s that it was away, though other calls got through.

Cause: kv.Health counted a 429 like a call without an answer, and a refused call went on to three other entries, which share the rate.

For up to a second, over which the store counts, such a refusal is an answer: nobody is refused for it, calls slow down with backoff and jitter and do not go through other entries. One that lasts longer turns this process away and is treated as before. A caller that is refused in the end gets 429 in place of 503.

--- a/internal/fleettest/scale_test.go
+++ b/internal/fleettest/scale_test.go
@@ -8,7 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
 const (
@@ -103,3 +105,37 @@
 		assert.Equal(t, f.agentCalls()-calls, 0)
 	})
 }
+
+// TestStoreThatRefusesForTheRateIsNotAway plays a store that answers 429 to some calls of each second: entries took that for an outage and refused
+// callers for three seconds.
+func TestStoreThatRefusesForTheRateIsNotAway(t *testing.T) {
+	s := size{agents: 50, entries: 40, peers: plenty}
+	play(t, s, func(t *testing.T, f *fleet) {
+		f.await(t, 1, s.agents, toFind)
+		time.Sleep(5 * time.Second)
+		const rate, calls = 45, 200
+		f.store.setRate(rate)
+		answers := make(chan error, calls)
+		for i := range calls {
+			e := f.entries[i%len(f.entries)]
+			go func() {
+				ctx, cancel := context.WithTimeout(f.ctx, 2*time.Second)
+				defer cancel()
+				_, err := e.store.Get(ctx, record.ChainKey)
+				answers <- err
+			}()
+			time.Sleep(25 * time.Millisecond)
+		}
+		served := 0
+		for range calls {
+			err := <-answers
+			assert.Assert(t, err == nil || fault.Is(err, fault.Overloaded), "%v", err)
+			if err == nil {
+				served++
+			}
+		}
+		t.Logf("%d of %d callers were served; %d calls were refused for the rate", served, calls, f.store.refusals())
+		assert.Assert(t, f.store.refusals() > 0)
+		assert.Assert(t, served >= calls*95/100, "%d of %d callers were served", served, calls)
+	})
+}
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -260,7 +260,7 @@
 
 // probe finds out whether the store answers this entry, where it does not answer the lead.
 func (p *Pinger) probe(ctx context.Context) {
-	if err := p.ask(ctx); err != nil {
+	if err := p.ask(ctx); err != nil && !p.desk.config.Health.Limited() {
 		if !p.probing {
 			p.desk.logger.Warn("the store answers neither the lead nor this entry; callers are refused: %v", err)
 		}
--- a/internal/kv/health.go
+++ b/internal/kv/health.go
@@ -11,6 +11,10 @@
 // was silent, the next goes by a new one.
 const downAfter = 2
 
+// rateWindow is the time over which the store counts calls: a refusal that lasts longer is not for the rate of all processes, but turns this one
+// away.
+const rateWindow = time.Second
+
 // Health is what a process knows of its own way to the store, by all its calls.
 type Health struct {
 	mu sync.Mutex
@@ -19,6 +23,8 @@
 	failures int
 	answered time.Time
 	failing  time.Time
+	// limited is since when the store has refused all calls for their rate, zero while it does not.
+	limited time.Time
 }
 
 // Note takes note of how a call ended that was made at a time.
@@ -27,9 +33,10 @@
 	defer h.mu.Unlock()
 	switch {
 	case serves(err):
-		h.answered, h.failures, h.failing = time.Now(), 0, time.Time{}
+		h.answered, h.failures, h.failing, h.limited = time.Now(), 0, time.Time{}, time.Time{}
 	case asked.Before(h.answered):
 		// What hung on an older connection says nothing about the store of now.
+	case fault.Is(err, fault.Overloaded) && h.limitedByRate():
 	default:
 		if h.failures == 0 {
 			h.failing = time.Now()
@@ -38,6 +45,21 @@
 	}
 }
 
+// limitedByRate records a refusal for the rate, and reports whether it may be one; h is locked.
+func (h *Health) limitedByRate() bool {
+	if h.limited.IsZero() {
+		h.limited = time.Now()
+	}
+	return h.failures == 0 && time.Since(h.limited) < rateWindow
+}
+
+// Limited reports whether the store answers that too many calls are made: callers slow down, and no other way is better.
+func (h *Health) Limited() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failures == 0 && !h.limited.IsZero() && time.Since(h.limited) < rateWindow
+}
+
 // Down reports whether the store does not answer, or turns this process away.
 func (h *Health) Down() bool {
 	h.mu.Lock()
--- a/internal/kv/health_test.go
+++ b/internal/kv/health_test.go
@@ -39,3 +39,27 @@
 		assert.Assert(t, !h.Down())
 	})
 }
+
+// TestRefusalForTheRateIsAnAnswer plays a store that answers 429: entries took it for an outage and refused callers for three seconds, while other
+// calls got through. A refusal that lasts longer than the second over which calls are counted turns this process away.
+func TestRefusalForTheRateIsAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h Health
+		refused := fault.New(fault.Overloaded, "refused for its rate")
+		for range 10 {
+			h.Note(time.Now(), refused)
+			time.Sleep(90 * time.Millisecond)
+		}
+		assert.Assert(t, !h.Down())
+		assert.Assert(t, h.Limited())
+		h.Note(time.Now(), nil)
+		assert.Assert(t, !h.Limited())
+
+		for h.Note(time.Now(), refused); !h.Down(); h.Note(time.Now(), refused) {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, time.Since(h.Answered()) < 2*rateWindow)
+		}
+		assert.Assert(t, time.Since(h.Answered()) >= rateWindow)
+		assert.Assert(t, !h.Limited())
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -25,8 +26,10 @@
 	peerPatience = 450 * time.Millisecond
 	// avoidFor is how long the store is not asked first after it was found to be away from this process.
 	avoidFor = time.Second
-	// pause lies between two rounds of attempts.
-	pause = 60 * time.Millisecond
+	// pause lies between two rounds of attempts, and limitedFirst to limitedLast more where the store refuses calls for their rate.
+	pause        = 60 * time.Millisecond
+	limitedFirst = 60 * time.Millisecond
+	limitedLast  = 500 * time.Millisecond
 	// patience bounds all attempts at one call: two slow answers of the store, and the caller is told when to return.
 	patience = 1500 * time.Millisecond
 	// downFor is how long calls are refused at once after no way to the store gave an answer; then one call tries.
@@ -115,22 +118,34 @@
 	defer cancel()
 	defer s.onAway(cancel)()
 	var doubt error
+	slower := wait.NewBackoff(limitedFirst, limitedLast, rand.Float64)
 	for {
 		err := s.round(ctx, direct, peer, &doubt)
-		s.leave(settled(err))
+		limited := s.limited(err)
+		s.leave(settled(err) || limited)
 		if settled(err) {
 			return err
 		}
 		wait.For(ctx, pause)
-		if ctx.Err() != nil {
-			if doubt != nil {
-				return doubt
-			}
-			return fault.Wrap(err, fault.Unavailable, "the store cannot be reached")
+		if limited {
+			wait.For(ctx, slower.Next())
+		}
+		if ctx.Err() == nil {
+			continue
 		}
+		switch {
+		case doubt != nil:
+			return doubt
+		case fault.Is(err, fault.Overloaded):
+			return fault.Wrap(err, fault.Overloaded, "the store takes no more calls at the moment")
+		}
+		return fault.Wrap(err, fault.Unavailable, "the store cannot be reached")
 	}
 }
 
+// limited reports whether the store refused a call for the rate of all processes, so that it is neither away nor better reached through others.
+func (s *Store) limited(err error) bool { return fault.Is(err, fault.Overloaded) && s.health.Limited() }
+
 // round tries each way once, and notes in doubt whether any of them may have done the call.
 func (s *Store) round(ctx context.Context, direct attempt, peer func(*rpc.Peer) attempt, doubt *error) error {
 	last := error(fault.New(fault.Unavailable, "no entry can be reached"))
@@ -145,7 +160,7 @@
 	if !avoided && note(s.straight(ctx, direct)) {
 		return last
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || s.limited(last) {
 		return last
 	}
 	for _, p := range s.pool.Peers(ctx) {
