Let entries stand for the lead one after the other

Once a leader was lost all entries of one strength stood for the lead at one moment: 50 equal ones on the fleet, each with two reads, a grant and a transaction, against a store that all others need in that moment.

The leader ranks the entries that ping it, the strongest first and equals by a hash of the epoch, and tells each its place. The first tries at once (19 to 600 ms later before), each next one 40 ms later unless somebody leads by then; those beyond the 25th after a second, spread. Entries that no leader has ranked wait by their strength as before, by a drawn time.

One literal in succession_test.go gained the new field Rank.

--- a/internal/dispatch/campaign.go
+++ b/internal/dispatch/campaign.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/record"
-	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 const (
@@ -18,20 +18,60 @@
 	renewEvery = 400 * time.Millisecond
 	// campaignPause lies between two attempts to win the lead.
 	campaignPause = 150 * time.Millisecond
-	// standBack is how long an entry with a whole core waits before it stands for the lead; weaker ones wait longer.
+	// standBack is how long an entry with a whole core waits at least before it stands for the lead where no leader has ranked it; weaker ones wait
+	// longer.
 	standBack = 30 * time.Millisecond
 	// leastStrength is the share of a core below which an entry waits no longer.
 	leastStrength = 0.05
+	// rankStep is the time in which a candidate wins that is alive and reaches the store; the next one waits for as long.
+	rankStep = 40 * time.Millisecond
+	// mostSteps bounds that for candidates of which many before them must have failed; they are spread over lastSpread.
+	mostSteps  = 25
+	lastSpread = time.Second
+	// rankedFor is how long a rank holds after a leader told it.
+	rankedFor = 10 * time.Second
 )
 
+// ranking is the place of an entry among those that may lead next, 0 for none.
+type ranking struct {
+	place int
+	told  time.Time
+}
+
+// Rank stores the place of this entry among those that may lead next, 0 for none.
+func (d *Dispatcher) Rank(place int) { d.ranked.Store(&ranking{place: place, told: time.Now()}) }
+
+// place returns the place of this entry among those that may lead next, 0 where it is not known.
+func (d *Dispatcher) place() int {
+	r := d.ranked.Load()
+	if r == nil || time.Since(r.told) > rankedFor {
+		return 0
+	}
+	return r.place
+}
+
+// candidateDelay returns how long an entry waits before it stands for the lead, so that not all of a large fleet try at once. The draw is from 0 up
+// to 1.
+func candidateDelay(place int, strength, draw float64) time.Duration {
+	switch {
+	case place == 0:
+		return time.Duration((1 + draw) * float64(standBack) / max(strength, leastStrength))
+	case place <= mostSteps:
+		return time.Duration(place-1) * rankStep
+	}
+	return mostSteps*rankStep + time.Duration(draw*float64(lastSpread))
+}
+
 // campaign waits until nobody leads, or an earlier life of this process does, and returns the new term.
 func (d *Dispatcher) campaign(ctx context.Context) (*term, error) {
 	for ctx.Err() == nil {
 		changed := d.config.Lead.Changed()
 		value, known := d.config.Lead.Value()
 		if known && (value.Revision == 0 || value.Held.Node == d.config.Node || d.mayReplace(value.Held.Epoch)) && d.rested() {
-			wait.For(ctx, time.Duration(float64(standBack)/max(d.config.Strength, leastStrength)))
-			return d.stand(ctx)
+			if d.awaitTurn(ctx, changed) {
+				return d.stand(ctx)
+			}
+			continue
 		}
 		select {
 		case <-ctx.Done():
@@ -43,6 +83,20 @@
 	return nil, ctx.Err()
 }
 
+// awaitTurn waits until it is this entry's turn to stand for the lead, and reports whether nothing has changed about the lead meanwhile.
+func (d *Dispatcher) awaitTurn(ctx context.Context, changed <-chan struct{}) bool {
+	turn := time.NewTimer(candidateDelay(d.place(), d.config.Strength, rand.Float64()))
+	defer turn.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+		return false
+	case <-turn.C:
+		return true
+	}
+}
+
 func (d *Dispatcher) rested() bool { return time.Now().UnixMilli() >= d.rest.Load() }
 
 // stand tries to win the lead once; the term knows no jobs yet.
--- /dev/null
+++ b/internal/dispatch/candidates_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRankedCandidatesStandOneAfterTheOther: 50 equal entries of a fleet stood for the lead at one moment, each with four calls to the store.
+func TestRankedCandidatesStandOneAfterTheOther(t *testing.T) {
+	assert.Equal(t, candidateDelay(1, 0.2, 0.9), time.Duration(0), "the first tries at once")
+	for place := 2; place <= mostSteps; place++ {
+		assert.Equal(t, candidateDelay(place, 0.2, 0.9)-candidateDelay(place-1, 0.2, 0.9), rankStep)
+	}
+	last := candidateDelay(184, 0.2, 0.99)
+	assert.Assert(t, last > mostSteps*rankStep && last <= mostSteps*rankStep+lastSpread, "%v", last)
+	assert.Assert(t, candidateDelay(0, 1.6, 0) < candidateDelay(0, 0.2, 0), "without a rank the stronger one goes first")
+	assert.Assert(t, candidateDelay(0, 0.2, 0.1) < candidateDelay(0, 0.2, 0.9), "equals do not stand at one moment")
+}
+
+// TestRankOfEntriesIsByStrength and differs among equals from epoch to epoch, so that one that cannot lead is not always the first to try.
+func TestRankOfEntriesIsByStrength(t *testing.T) {
+	r := newRoster("self")
+	const strong, weak = 5, 20
+	for i := range strong + weak {
+		strength := 0.2
+		if i < strong {
+			strength = 1.6
+		}
+		r.record(fmt.Sprintf("entry-%d", i), strength, nil, time.Now())
+	}
+	first := make(map[string]bool)
+	for epoch := range uint64(20) {
+		r.rank(epoch)
+		seen := make(map[int]bool)
+		for address, e := range r.entries {
+			assert.Assert(t, !seen[e.rank] && e.rank >= 1 && e.rank <= strong+weak)
+			seen[e.rank] = true
+			assert.Equal(t, e.strength > 1, e.rank <= strong, "%s has rank %d", address, e.rank)
+			if e.rank == 1 {
+				first[address] = true
+			}
+		}
+	}
+	assert.Assert(t, len(first) > 1, "always %v", first)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -61,6 +61,8 @@
 	// suspected is the lead that this entry may replace before its lease ends.
 	suspected atomic.Pointer[suspicion]
 	suspects  chan struct{}
+	// ranked is the place of this entry among those that may lead next, as a leader told it last.
+	ranked atomic.Pointer[ranking]
 }
 
 // New returns a dispatcher that does not lead yet.
--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -5,6 +5,7 @@
 	"context"
 	"hash/fnv"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/link"
@@ -14,7 +15,7 @@
 const (
 	// tellPatience bounds how long an entry may take to answer; its next ping tells it as well.
 	tellPatience = 500 * time.Millisecond
-	// refreshEvery lies between two looks at which entries ping no more.
+	// refreshEvery lies between two looks at which entries ping no more, and at their order.
 	refreshEvery = time.Second
 	// mostNamed is how many entries one process is told: enough to reach some of them after any loss, whatever the size of the fleet.
 	mostNamed = 32
@@ -24,6 +25,9 @@
 type entry struct {
 	lastPing time.Time
 	peer     *rpc.Peer
+	strength float64
+	// rank is the place of the entry among those that may lead next, 0 before it was ranked.
+	rank int
 }
 
 // roster holds the entries that ping the leader, and numbers each version of their list from 1.
@@ -39,8 +43,8 @@
 	return &roster{entries: make(map[string]*entry), list: []string{self}, number: 1}
 }
 
-// record stores that an entry has just pinged.
-func (r *roster) record(address string, peer *rpc.Peer, now time.Time) {
+// record stores that an entry of a strength has just pinged, and returns it.
+func (r *roster) record(address string, strength float64, peer *rpc.Peer, now time.Time) *entry {
 	e := r.entries[address]
 	if e == nil {
 		e = &entry{}
@@ -50,7 +54,27 @@
 			r.number++
 		}
 	}
-	e.lastPing, e.peer = now, peer
+	e.lastPing, e.peer, e.strength = now, peer, strength
+	return e
+}
+
+// rank orders the entries that may lead next: the strongest first, those of one strength in an order that differs for each epoch, so that one
+// that cannot lead is not always the first to try.
+func (r *roster) rank(epoch uint64) {
+	type candidate struct {
+		entry *entry
+		hash  uint64
+	}
+	candidates := make([]candidate, 0, len(r.entries))
+	for address, e := range r.entries {
+		candidates = append(candidates, candidate{entry: e, hash: hashOf(strconv.FormatUint(epoch, 10), address)})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.entry.strength, a.entry.strength), cmp.Compare(a.hash, b.hash))
+	})
+	for i, c := range candidates {
+		c.entry.rank = i + 1
+	}
 }
 
 // hashOf returns a number that orders addresses differently for each name.
@@ -60,12 +84,13 @@
 	return h.Sum64()
 }
 
-// refresh removes the entries whose last ping is older than trust, at most once in refreshEvery.
-func (r *roster) refresh(self string, now time.Time) {
+// refresh removes the entries whose last ping is older than trust and ranks the others, at most once in refreshEvery.
+func (r *roster) refresh(self string, epoch uint64, now time.Time) {
 	if now.Sub(r.refreshed) < refreshEvery {
 		return
 	}
 	r.refreshed = now
+	defer r.rank(epoch)
 	for address, e := range r.entries {
 		if now.Sub(e.lastPing) < trust {
 			continue
@@ -105,15 +130,16 @@
 func (t *term) recordPing(p link.Ping, peer *rpc.Peer) link.PingAnswer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.roster.record(p.Address, peer, time.Now())
+	e := t.roster.record(p.Address, p.Strength, peer, time.Now())
 	answer := link.PingAnswer{Agents: len(t.agents), Doubtful: t.age() > doubtAfter}
 	answer.Entries, answer.List = t.entriesFor(p.Entry, p.List)
+	answer.Rank = e.rank
 	return answer
 }
 
 // entriesFor returns the entries that a process is told, see roster.namedFor.
 func (t *term) entriesFor(process string, has uint64) ([]string, uint64) {
-	t.roster.refresh(t.d.config.Address, time.Now())
+	t.roster.refresh(t.d.config.Address, t.epoch, time.Now())
 	return t.roster.namedFor(process, has)
 }
 
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -64,7 +64,7 @@
 		time.Sleep(time.Second)
 		d.config.Health.Note(time.Now(), nil)
 		fail()
-		assert.DeepEqual(t, ping(0), link.PingAnswer{Entries: []string{"e", "f"}, List: 2})
+		assert.DeepEqual(t, ping(0), link.PingAnswer{Entries: []string{"e", "f"}, List: 2, Rank: 1})
 		fail()
 		time.Sleep(pickFor / 2)
 		assert.Assert(t, ping(2*time.Second).StoreDown, "what the entry heard is older than the trouble")
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -40,6 +40,8 @@
 	Leads() bool
 	// Suspect says that the lead of an epoch may be replaced.
 	Suspect(epoch uint64, reason string)
+	// Rank stores the place of this entry among those that may lead next, 0 for none.
+	Rank(place int)
 }
 
 // Pinger tells the lead of an entry, and hears from it of the configuration, of other entries and of the store.
@@ -155,6 +157,7 @@
 	p.list, p.listEpoch = answer.List, lead.Held.Epoch
 	config.Policies.Take(answer.Offer)
 	p.sendValue = answer.Revision != 0 && answer.Revision < own.Revision
+	p.successor.Rank(answer.Rank)
 	p.vouch(answer)
 	p.heed(ctx, lead.Held.Epoch, answer)
 	return peer.Done(), nil
--- a/internal/intake/pinger_test.go
+++ b/internal/intake/pinger_test.go
@@ -72,6 +72,8 @@
 
 func (s *suspicions) Leads() bool { return false }
 
+func (s *suspicions) Rank(int) {}
+
 func (s *suspicions) Suspect(epoch uint64, _ string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -226,6 +226,8 @@
 	List    uint64   `json:"list,omitempty"`
 	// Doubtful says that the leader has not confirmed for a while that it leads.
 	Doubtful bool `json:"doubtful,omitempty"`
+	// Rank is the place of the entry among those that may lead next, from 1; 0 where it has none.
+	Rank int `json:"rank,omitempty"`
 	// Probe asks the entry to find out whether the store answers it, and to ping again.
 	Probe bool `json:"probe,omitempty"`
 	// Agents is how many agents report to the leader.
