--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -63,8 +63,8 @@
 // mostPeers is how many entries are tried in one round.
 const mostPeers = 3
 
-// Peers returns open connections to some entries, another first each time.
-func (p *Pool) Peers(ctx context.Context) []*rpc.Peer {
+// Peers returns open connections to at most so many entries, another first each time.
+func (p *Pool) Peers(ctx context.Context, most int) []*rpc.Peer {
 	p.mu.Lock()
 	addresses := slices.Clone(p.addresses)
 	p.turn++
@@ -76,7 +76,7 @@
 		if err == nil {
 			found = append(found, peer)
 		}
-		if len(found) == mostPeers || ctx.Err() != nil {
+		if len(found) == most || ctx.Err() != nil {
 			break
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,8 @@
 	// pause lies between two rounds of attempts, and limitedFirst to limitedLast more where the store refuses calls for their rate.
 	pause        = 60 * time.Millisecond
 	limitedFirst = 60 * time.Millisecond
+	// limitedPause bounds the pause before an entry is asked in place of a store that refused a call for its rate.
+	limitedPause = 30 * time.Millisecond
 	limitedLast  = 500 * time.Millisecond
 	// patience bounds all attempts at one call: two slow answers of the store, and the caller is told when to return.
 	patience = 1500 * time.Millisecond
@@ -143,7 +145,7 @@
 	}
 }
 
-// limited reports whether the store refused a call for the rate of all processes, so that it is neither away nor better reached through others.
+// limited reports whether the store refused a call for the rate of all processes, so that it is not away.
 func (s *Store) limited(err error) bool { return fault.Is(err, fault.Overloaded) && s.health.Limited() }
 
 // round tries each way once, and notes in doubt whether any of them may have done the call.
@@ -160,10 +162,16 @@
 	if !avoided && note(s.straight(ctx, direct)) {
 		return last
 	}
-	if ctx.Err() != nil || s.limited(last) {
+	most := mostPeers
+	if s.limited(last) {
+		// The store may turn only this process away. If it refuses all for their rate, each further entry would add to that.
+		most = 1
+		wait.For(ctx, time.Duration(rand.Float64()*float64(limitedPause)))
+	}
+	if ctx.Err() != nil {
 		return last
 	}
-	for _, p := range s.pool.Peers(ctx) {
+	for _, p := range s.pool.Peers(ctx, most) {
 		bounded, cancel := context.WithTimeout(ctx, peerPatience)
 		err := peer(p)(bounded)
 		cancel()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -214,3 +214,28 @@
 	assert.Assert(t, called[3] != called[0], "the turn has passed to the next")
 	assert.Assert(t, fault.Is(pool().Try(t.Context(), mostPeers, call), fault.Unavailable), "no entry is known")
 }
+
+// TestCallOfAnEntryThatIsTurnedAwayGoesThroughAnother at once, also where the refusal cannot be told from one for the rate of all.
+func TestCallOfAnEntryThatIsTurnedAwayGoesThroughAnother(t *testing.T) {
+	health := &kv.Health{}
+	serving := kvtest.New()
+	s := New(turnedAway{Store: kvtest.New(), health: health}, health, pool(entry(t, serving)))
+	began := time.Now()
+	assert.NilError(t, s.Commit(t.Context(), once()))
+	assert.DeepEqual(t, serving.Keys(""), []string{"key"})
+	assert.Assert(t, health.Limited())
+	assert.Assert(t, time.Since(began) < directLeast, "%v", time.Since(began))
+}
+
+// turnedAway is a store that refuses all calls of this process as over the rate.
+type turnedAway struct {
+	*kvtest.Store
+	health *kv.Health
+}
+
+// Commit implements kv.Store.
+func (s turnedAway) Commit(context.Context, kv.Txn) (kv.Revision, error) {
+	err := fault.New(fault.Overloaded, "refused for its rate")
+	s.health.Note(time.Now(), err)
+	return 0, err
+}
