Let the entry that a leader asks stand at once

Cause: the rank of the asked entry delayed it like one that only suspects its leader. The leader has already yielded then, so the asked entry stands at once. Evidence: TestEntryThatTheLeaderAsksStandsAtOnce.

--- a/internal/dispatch/campaign.go
+++ b/internal/dispatch/campaign.go
@@ -43,6 +43,9 @@
 
 // place returns the place of this entry among those that may lead next, 0 where it is not known.
 func (d *Dispatcher) place() int {
+	if d.asked() {
+		return 1
+	}
 	r := d.ranked.Load()
 	if r == nil || time.Since(r.told) > rankedFor {
 		return 0
--- a/internal/dispatch/candidates_test.go
+++ b/internal/dispatch/candidates_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/kvtest"
 )
 
 // TestRankedCandidatesStandOneAfterTheOther: 50 equal entries of a fleet stood for the lead at one moment, each with four calls to the store.
@@ -20,6 +22,18 @@
 	assert.Assert(t, candidateDelay(0, 0.2, 0.1) < candidateDelay(0, 0.2, 0.9), "equals do not stand at one moment")
 }
 
+// TestEntryThatTheLeaderAsksStandsAtOnce, whatever its place: its leader has already yielded.
+func TestEntryThatTheLeaderAsksStandsAtOnce(t *testing.T) {
+	d := entryOf("e", kvtest.New())
+	d.Rank(17)
+	assert.Equal(t, d.place(), 17)
+	d.Suspect(3, "its VM refuses connections")
+	assert.Equal(t, d.place(), 17)
+	d.Succeed(3)
+	assert.Equal(t, d.place(), 1)
+	assert.Assert(t, d.mayReplace(3))
+}
+
 // TestRankOfEntriesIsByStrength and differs among equals from epoch to epoch, so that one that cannot lead is not always the first to try.
 func TestRankOfEntriesIsByStrength(t *testing.T) {
 	r := newRoster("self")
--- a/internal/dispatch/succession.go
+++ b/internal/dispatch/succession.go
@@ -35,9 +35,11 @@
 type suspicion struct {
 	epoch uint64
 	until time.Time
+	// asked says that the leader itself asks this entry to lead.
+	asked bool
 }
 
-// Suspect lets this entry stand against the lead of an epoch, which is gone or asks for it; the chain of commits keeps a lead
+// Suspect lets this entry stand against the lead of an epoch, which is gone; the chain of commits keeps a lead
 // that is suspected wrongly from doing harm.
 func (d *Dispatcher) Suspect(epoch uint64, reason string) {
 	d.logger.Warn("the lead is suspected; epoch=%d reason=%s", epoch, reason)
@@ -45,6 +47,19 @@
 	wait.Wake(d.suspects)
 }
 
+// Succeed lets this entry lead at once in place of the leader of an epoch, which asks for it.
+func (d *Dispatcher) Succeed(epoch uint64) {
+	d.logger.Info("the leader asks this entry to lead; epoch=%d", epoch)
+	d.suspected.Store(&suspicion{epoch: epoch, until: time.Now().Add(suspectFor), asked: true})
+	wait.Wake(d.suspects)
+}
+
+// asked reports whether the leader itself has just asked this entry to lead.
+func (d *Dispatcher) asked() bool {
+	s := d.suspected.Load()
+	return s != nil && s.asked && time.Now().Before(s.until)
+}
+
 // mayReplace reports whether this entry may stand against the lead of an epoch.
 func (d *Dispatcher) mayReplace(epoch uint64) bool {
 	s := d.suspected.Load()
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -40,6 +40,8 @@
 	Leads() bool
 	// Suspect says that the lead of an epoch may be replaced.
 	Suspect(epoch uint64, reason string)
+	// Succeed says that the leader of an epoch asks this entry to lead.
+	Succeed(epoch uint64)
 	// Rank stores the place of this entry among those that may lead next, 0 for none.
 	Rank(place int)
 }
@@ -237,7 +239,7 @@
 func (p *Pinger) heed(ctx context.Context, epoch uint64, answer link.PingAnswer) {
 	switch {
 	case answer.Succeed:
-		p.successor.Suspect(epoch, "it asks this entry to lead")
+		p.successor.Succeed(epoch)
 		p.back()
 	case answer.StoreDown:
 		p.probe(ctx)
--- a/internal/intake/pinger_test.go
+++ b/internal/intake/pinger_test.go
@@ -74,6 +74,8 @@
 
 func (s *suspicions) Rank(int) {}
 
+func (s *suspicions) Succeed(epoch uint64) { s.Suspect(epoch, "") }
+
 func (s *suspicions) Suspect(epoch uint64, _ string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
