--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -109,19 +109,19 @@
 	if has == r.number {
 		return nil, has
 	}
-	return sampleOf(r.list, process, mostNamed), r.number
+	return sampleOf(r.list, process), r.number
 }
 
-// sampleOf returns at most so many addresses, others for each process, of which few change when the list does.
-func sampleOf(list []string, process string, most int) []string {
-	if len(list) <= most {
+// sampleOf returns at most mostNamed addresses, others for each process, of which few change when the list does.
+func sampleOf(list []string, process string) []string {
+	if len(list) <= mostNamed {
 		return slices.Clone(list)
 	}
 	weights := make(map[string]uint64, len(list))
 	for _, address := range list {
 		weights[address] = hashOf(process, address)
 	}
-	sample := slices.SortedFunc(slices.Values(list), func(a, b string) int { return cmp.Compare(weights[a], weights[b]) })[:most]
+	sample := slices.SortedFunc(slices.Values(list), func(a, b string) int { return cmp.Compare(weights[a], weights[b]) })[:mostNamed]
 	slices.Sort(sample)
 	return sample
 }
--- a/internal/dispatch/hostset_test.go
+++ b/internal/dispatch/hostset_test.go
@@ -80,8 +80,8 @@
 	for i := range 200 {
 		list = append(list, fmt.Sprintf("10.0.%03d.1:7720", i))
 	}
-	before := sampleOf(list, "vm-1", mostNamed)
-	after := sampleOf(append(list, "10.0.999.1:7720"), "vm-1", mostNamed)
+	before := sampleOf(list, "vm-1")
+	after := sampleOf(append(list, "10.0.999.1:7720"), "vm-1")
 	assert.Equal(t, len(before), mostNamed)
 	kept := 0
 	for _, a := range after {
@@ -90,6 +90,6 @@
 		}
 	}
 	assert.Assert(t, kept >= mostNamed-1, "%d of %d kept", kept, mostNamed)
-	assert.Assert(t, !slices.Equal(before, sampleOf(list, "vm-2", mostNamed)))
-	assert.DeepEqual(t, sampleOf(list[:3], "vm-1", mostNamed), list[:3])
+	assert.Assert(t, !slices.Equal(before, sampleOf(list, "vm-2")))
+	assert.DeepEqual(t, sampleOf(list[:3], "vm-1"), list[:3])
 }
