Reach the store through others once it refuses only this entry

An entry that the store turned away by 429 asked it first for each call of the next second, waited, and then asked one other entry: some 100 ms for a call that took 10 before the refusals were taken for the rate.

A call that another entry gets answered right after this one was refused shows that the refusal is not for the rate of all; the store then counts as away from this process at once, until it answers again.

--- a/internal/kv/health.go
+++ b/internal/kv/health.go
@@ -60,6 +60,16 @@
 	return h.failures == 0 && !h.limited.IsZero() && time.Since(h.limited) < rateWindow
 }
 
+// NoteTurnedAway records that the store answered another process right after it had refused this one for the rate: it counts as away until it
+// answers this one again.
+func (h *Health) NoteTurnedAway() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failures == 0 && !h.limited.IsZero() {
+		h.failures, h.failing = downAfter, h.limited
+	}
+}
+
 // Down reports whether the store does not answer, or turns this process away.
 func (h *Health) Down() bool {
 	h.mu.Lock()
--- a/internal/kv/health_test.go
+++ b/internal/kv/health_test.go
@@ -63,3 +63,19 @@
 		assert.Assert(t, !h.Limited())
 	})
 }
+
+// TestRefusalIsNotForTheRateWhereAnotherIsServed: calls of a process that is turned away need not try the store first for a second.
+func TestRefusalIsNotForTheRateWhereAnotherIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h Health
+		h.NoteTurnedAway()
+		assert.Assert(t, !h.Down(), "nothing was refused")
+		h.Note(time.Now(), fault.New(fault.Overloaded, "refused for its rate"))
+		first := h.limited
+		h.NoteTurnedAway()
+		assert.Assert(t, h.Down() && !h.Limited())
+		assert.Equal(t, h.Failing(), first)
+		h.Note(time.Now(), nil)
+		assert.Assert(t, !h.Down())
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -162,8 +162,8 @@
 	if !avoided && note(s.straight(ctx, direct)) {
 		return last
 	}
-	most := mostPeers
-	if s.limited(last) {
+	most, limited := mostPeers, s.limited(last)
+	if limited {
 		// The store may turn only this process away. If it refuses all for their rate, each further entry would add to that.
 		most = 1
 		wait.For(ctx, time.Duration(rand.Float64()*float64(limitedPause)))
@@ -180,6 +180,9 @@
 			p.Close()
 		}
 		if note(err) {
+			if limited {
+				s.health.NoteTurnedAway()
+			}
 			return last
 		}
 		if ctx.Err() != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -223,7 +223,7 @@
 	began := time.Now()
 	assert.NilError(t, s.Commit(t.Context(), once()))
 	assert.DeepEqual(t, serving.Keys(""), []string{"key"})
-	assert.Assert(t, health.Limited())
+	assert.Assert(t, health.Down(), "another one is served, so the refusal is not for the rate")
 	assert.Assert(t, time.Since(began) < directLeast, "%v", time.Since(began))
 }
 
