--- a/proving/cmd/soak/main.go
+++ b/proving/cmd/soak/main.go
@@ -40,6 +40,7 @@
 	onPlatform.Flag("agents", "How many agents with their workers.").Default("6").IntVar(&p.agents)
 	onPlatform.Flag("crashes", "Let some jobs crash the workers that start them.").Default("true").BoolVar(&p.crashes)
 	onPlatform.Flag("returns", "Let workers start again under ids that they had.").Default("true").BoolVar(&p.returns)
+	onPlatform.Flag("rates", "Let the store refuse calls for their rate now and then.").Default("false").BoolVar(&p.rates)
 	onPlatform.Flag("keep", "Where the logs of seeds that fail are kept.").Default("out/soak").StringVar(&p.keep)
 	run := p.run
 	if kingpin.MustParse(app.Parse(os.Args[1:])) == own.FullCommand() {
--- a/proving/cmd/soak/platform.go
+++ b/proving/cmd/soak/platform.go
@@ -19,6 +19,7 @@
 	entries, agents int
 	crashes         bool
 	returns         bool
+	rates           bool
 	keep            string
 }
 
@@ -59,7 +60,7 @@
 	say := func(format string, args ...any) {
 		fmt.Fprintf(faults, "%s "+format+"\n", append([]any{time.Now().UTC().Format(time.RFC3339Nano)}, args...)...)
 	}
-	err = f.Play(fleet.Soak{Seed: seed, Length: p.length, JobEvery: jobEvery, Crashes: p.crashes, Returns: p.returns, Say: say})
+	err = f.Play(fleet.Soak{Seed: seed, Length: p.length, JobEvery: jobEvery, Crashes: p.crashes, Returns: p.returns, Rates: p.rates, Say: say})
 	rightly, wrongly := f.Books().GivenUp()
 	fmt.Printf("seed %d: %s; %d workers crashed by tasks, %d jobs given up that do so, %d others\n",
 		seed, f.Books().Counts(), f.Books().Crashes(), rightly, wrongly)
--- a/proving/fleet/fleet_test.go
+++ b/proving/fleet/fleet_test.go
@@ -43,6 +43,11 @@
 	playSeeds(t, "testdata/seeds_returning.txt", Size{Entries: 3, Agents: 6}, Soak{Length: 12 * time.Second, Crashes: true, Returns: true})
 }
 
+// TestSoakWithRates plays seeds in which the store refuses calls for their rate by turns.
+func TestSoakWithRates(t *testing.T) {
+	playSeeds(t, "testdata/seeds_rates.txt", Size{Entries: 3, Agents: 4}, Soak{Length: 8 * time.Second, Rates: true})
+}
+
 // playSeeds plays the seeds of a file, one a line with why it is there.
 func playSeeds(t *testing.T, name string, size Size, s Soak) {
 	t.Helper()
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -17,6 +17,8 @@
 	Crashes bool
 	// Returns lets workers start again under ids that they had.
 	Returns bool
+	// Rates lets the store refuse calls for their rate now and then.
+	Rates bool
 	// Say tells of each fault as it begins.
 	Say func(format string, args ...any)
 }
@@ -50,6 +52,9 @@
 	var calls sync.WaitGroup
 	calls.Go(func() { caller.Play(s.JobEvery, stop) })
 	calls.Go(func() { f.closeHalls(s, stop) })
+	if s.Rates {
+		calls.Go(func() { f.limitRates(s, stop) })
+	}
 	f.disturb(s)
 	close(stop)
 	calls.Wait()
@@ -59,6 +64,24 @@
 	return f.books.judge()
 }
 
+// fewCalls is a rate of the store that a fleet of a few processes exceeds by its callers and its leader.
+const fewCalls = 40
+
+// limitRates bounds the rate of the store by turns, until stop is closed.
+func (f *Fleet) limitRates(s Soak, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(s.Seed, 14))
+	defer f.store.SetRate(0)
+	for rate := 0; ; rate = fewCalls - rate {
+		f.store.SetRate(rate)
+		s.Say("the store takes %d calls a second, 0 for any number", rate)
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(leastLasts+random.IntN(moreLasts)) * time.Millisecond):
+		}
+	}
+}
+
 // disturb begins a fault every so often; each ends by itself some time later.
 func (f *Fleet) disturb(s Soak) {
 	random, more := rand.New(rand.NewPCG(s.Seed, 11)), rand.New(rand.NewPCG(s.Seed, 12))
--- a/proving/fleet/store.go
+++ b/proving/fleet/store.go
@@ -21,6 +21,9 @@
 	leases map[kv.LeaseID]*lease
 	down   bool
 	delay  time.Duration
+	// rate is how many calls of a second are answered, 0 for all; left are those of the second that began at window.
+	rate, left int
+	window     time.Time
 }
 
 // lease is the length of a lease and the timer by which it runs out.
@@ -48,6 +51,25 @@
 	s.delay = delay
 }
 
+// SetRate makes the store refuse the calls of each second beyond a number, 0 for none.
+func (s *Store) SetRate(rate int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rate, s.left, s.window = rate, rate, time.Now()
+}
+
+// overRate counts a call against the rate, and reports whether it is over it; s is locked.
+func (s *Store) overRate() bool {
+	if s.rate == 0 {
+		return false
+	}
+	if now := time.Now(); now.Sub(s.window) >= time.Second {
+		s.left, s.window = s.rate, now
+	}
+	s.left--
+	return s.left < 0
+}
+
 // SetTrouble makes the store ask what happens to each commit; nil ends that and does what is late.
 func (s *Store) SetTrouble(trouble func() kvtest.Trouble) {
 	s.data.SetTrouble(trouble)
@@ -85,11 +107,15 @@
 // Handle serves the store's protocol.
 func (s *Store) Handle(ctx *fasthttp.RequestCtx) {
 	s.mu.Lock()
-	down, delay := s.down, s.delay
+	down, delay, over := s.down, s.delay, s.overRate()
 	s.mu.Unlock()
-	if down {
+	switch {
+	case down:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
+	case over:
+		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
+		return
 	}
 	if delay > 0 {
 		<-time.After(delay)
