Hold the task of a late start on a worker that returns

Cause: a stop binds the incarnation that acknowledged it. Ruled out: lease, fence, run numbers and X-Expect-Instance, none of which the next incarnation knows. Nothing changes for workers that never returned, nor for lasting tasks.

--- a/internal/runner/candidates.go
+++ b/internal/runner/candidates.go
@@ -20,6 +20,11 @@
 // has reports whether an incarnation is known to have ended.
 func (e endedIncarnations) has(id incarnation.ID) bool { return slices.Contains(e, id) }
 
+// hasWorker reports whether an incarnation under the same id is known to have ended.
+func (e endedIncarnations) hasWorker(id incarnation.ID) bool {
+	return slices.ContainsFunc(e, func(ended incarnation.ID) bool { return ended.SameWorker(id) })
+}
+
 // add marks an incarnation as ended.
 func (e *endedIncarnations) add(id incarnation.ID) {
 	*e = append(*e, id)
@@ -106,6 +111,7 @@
 func (r *Runner) replace(next *workerState) {
 	now := time.Now()
 	r.logger.Info("worker has a new incarnation; instance=%s previous=%s", next.id, r.worker.id)
+	r.returns = r.returns || next.id.SameWorker(r.worker.id) || r.ended.hasWorker(next.id)
 	r.recordEnd(r.worker)
 	r.ended.add(r.worker.id)
 	r.recordUnderWay(r.worker, now)
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -233,6 +233,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		worker := &fakeWorker{start: accept}
 		r := bornTest(t, worker)
+		defer r.abandon()
 		orders := startOrders()
 		orders.Born = firstBirth.Born()
 		_, err := r.takeOrders(t.Context(), nil, orders)
--- a/internal/runner/late.go
+++ b/internal/runner/late.go
@@ -20,6 +20,19 @@
 	r.late.Add(lateStart{worker: id.Worker(), run: run}, now)
 }
 
+// lateFor returns for how long after its stop a run is not reported as refused: the stop binds one incarnation, and a start that got no answer
+// may be carried out by the next. That takes up to host.LateFor, so it is waited for only where the worker has returned under an id before, and not
+// for a lasting task, which would be away for longer than its callers bear.
+func (r *Runner) lateFor(w *workerState, run host.Run) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recorded, late := r.late[lateStart{worker: w.id.Worker(), run: run}]
+	if !late || !r.returns || w.profiles[run].Lasting {
+		return 0
+	}
+	return time.Until(recorded.Add(host.LateFor))
+}
+
 // lateRuns returns the runs that an incarnation may still be given by late starts, in order.
 func (r *Runner) lateRuns(id incarnation.ID, now time.Time) []host.Run {
 	var runs []host.Run
--- /dev/null
+++ b/internal/runner/late_test.go
@@ -0,0 +1,56 @@
+package runner
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// TestLateStartOfAWorkerThatReturnsHoldsItsTask plays seeds 9107 and 8909 of the soak: a task ran again beside its replacement, or after its end
+// had been acknowledged.
+//
+// Order of events: a start gets no answer and is stopped, which the worker acknowledges; the leader places the task elsewhere, where it is done; the
+// worker crashes and is back under its id; the late start is carried out there before the agent knows of the new incarnation. Cause: a stop binds the
+// incarnation that acknowledged it, and the start outlived that.
+func TestLateStartOfAWorkerThatReturnsHoldsItsTask(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		returned, lasting bool
+		held              bool
+	}{
+		{"worker returned before", true, false, true},
+		{"worker never returned", false, false, false},
+		{"lasting task", true, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &fakeWorker{start: noAnswer}
+				r := bornTest(t, worker)
+				defer r.abandon()
+				orders := startOrders()
+				orders.Born, orders.Starts[0].Lasting = firstBirth.Born(), c.lasting
+				if c.returned {
+					startAgain(r, worker)
+					orders.Born = secondBirth.Born()
+					r.permitted, r.hall.told = r.config.Uptime.Now().Add(time.Minute), r.config.Uptime.Now()
+				}
+				_, err := r.takeOrders(t.Context(), nil, orders)
+				assert.NilError(t, err)
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, len(worker.stopped()), 1)
+				report, _ := r.compose()
+				assert.Equal(t, len(report.Pending) == 1, c.held, "%v", report.Pending)
+				assert.Equal(t, len(report.Rejected) == 0, c.held, "%v", report.Rejected)
+				time.Sleep(host.LateFor)
+				report, _ = r.compose()
+				assert.Equal(t, len(report.Pending), 0)
+				assert.DeepEqual(t, report.Rejected, []link.Rejected{{Run: wireRun(testRun(1)), Refusal: int(host.RefusedOld)}})
+			})
+		})
+	}
+}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -228,10 +228,8 @@
 		}
 		refusal, err := r.config.Worker.Stop(ctx, w.id, run, epoch)
 		if err == nil && (refusal == host.Accepted || refusal == host.RefusedOld) {
-			r.mu.Lock()
-			o.refuse(w, run, host.RefusedOld)
-			r.mu.Unlock()
-			wait.Wake(r.changed)
+			wait.For(ctx, r.lateFor(w, run))
+			r.stopped(w, run, o)
 			return
 		}
 		if fault.Is(err, fault.Stale) {
@@ -241,6 +239,17 @@
 	}
 }
 
+// stopped records that a stop was carried out.
+func (r *Runner) stopped(w *workerState, run host.Run, o *order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.current(w, run, o) {
+		return
+	}
+	o.refuse(w, run, host.RefusedOld)
+	wait.Wake(r.changed)
+}
+
 // parseRun reads the name of a run, false where it names no task.
 func parseRun(r link.Run) (host.Run, bool) {
 	id, ok := r.TaskID()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -76,7 +76,9 @@
 	candidates []*workerState
 	ended      endedIncarnations
 	late       host.Late[lateStart]
-	crashes    crashes
+	// returns says that the worker has started again under an id that it had before.
+	returns bool
+	crashes crashes
 }
 
 // New returns an agent that knows neither its worker nor its lead.
