Ask a leader again soon that still reads its jobs

Cause: a leader that was just elected and still reads the jobs answers that it does not lead; the agent took it for failed and let three entries hold the question for a later one.

Test: TestLeaderThatReadsItsJobsIsAskedAgainSoon.

--- a/internal/runner/search_test.go
+++ b/internal/runner/search_test.go
@@ -54,3 +54,10 @@
 	assert.Equal(t, pushedBack(full), 3*time.Second)
 	assert.Equal(t, pushedBack(fault.New(fault.Unavailable, "no answer")), time.Duration(0))
 }
+
+// TestLeaderThatReadsItsJobsIsAskedAgainSoon: agents that came some milliseconds early waited a second and a half for a later leader.
+func TestLeaderThatReadsItsJobsIsAskedAgainSoon(t *testing.T) {
+	assert.Equal(t, failedEpoch(7, false, fault.New(fault.Stale, "this entry does not lead")), uint64(0))
+	assert.Equal(t, failedEpoch(7, true, fault.New(fault.Unavailable, "the lead closed the connection")), uint64(0))
+	assert.Equal(t, failedEpoch(7, false, fault.New(fault.Unavailable, "cannot connect")), uint64(7))
+}
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -33,9 +33,8 @@
 			wait.For(ctx, r.returnPause(leader))
 			var reported bool
 			reported, err = r.follow(ctx, leader.Lead)
-			failed = leader.Epoch
+			failed = failedEpoch(leader.Epoch, reported, err)
 			if reported {
-				failed = 0
 				pause.Reset()
 				r.storePause.Reset()
 			}
@@ -48,6 +47,15 @@
 	return ctx.Err()
 }
 
+// failedEpoch returns the epoch of a leader after which a later one is looked for, 0 where the same may lead on: it has answered reports, or says that it
+// does not lead, as one does that was elected just now and still reads the jobs.
+func failedEpoch(epoch uint64, reported bool, err error) uint64 {
+	if reported || fault.Is(err, fault.Stale) {
+		return 0
+	}
+	return epoch
+}
+
 // pushedBack returns how long a leader that refuses this agent wants it to stay away.
 func pushedBack(err error) time.Duration {
 	if fault.Is(err, fault.Overloaded) {
