Leave a leader that the store turns away by 429 in time

Causes: a leader counted no 429 as trouble for a second, and yielded only after five more.

A leader now yields after five refusals in a row while the store answers another entry, as it does for other refusals.

Evidence: TestLeaderThatIsTurnedAwayFor429Yields, TestQuestionForALaterLeaderIsHeld.

--- a/internal/dispatch/succession.go
+++ b/internal/dispatch/succession.go
@@ -81,13 +81,13 @@
 // judge tells whom the store answers, by the lead's own calls and what an entry tells of its own.
 func (t *term) judge(p link.Ping) reach {
 	health := t.d.config.Health
-	if !health.Down() {
+	if !health.Down() && health.Failures() < yieldAfter {
 		return storeWell
 	}
 	answered := time.Now().Add(-time.Duration(p.StoreAgeMillis) * time.Millisecond)
 	newer := p.StoreAgeMillis >= 0 && answered.After(health.Failing().Add(newerBy))
 	switch {
-	case !newer && t.knownToAnswer(health.Failing()):
+	case !newer && (t.knownToAnswer(health.Failing()) || health.Limited()):
 		return storeWell
 	case !newer:
 		return storeAway
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -114,3 +114,29 @@
 		assert.Equal(t, next.epoch, term.epoch+1)
 	})
 }
+
+// TestLeaderThatIsTurnedAwayFor429Yields plays a fleet whose leader was among the entries that the store turned away: it held on for more than a second,
+// with 63 runs lapsed on workers whose agents had not found the next leader.
+func TestLeaderThatIsTurnedAwayFor429Yields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := entryOf("e", kvtest.New())
+		term, err := d.stand(t.Context())
+		assert.NilError(t, err)
+		d.term.Store(term)
+		time.Sleep(time.Second)
+		d.config.Health.Note(time.Now(), nil)
+		ping := func(age time.Duration) link.PingAnswer {
+			answer, err := d.ping(t.Context(), nil, link.Ping{Entry: "f", Address: "f", Strength: 1, StoreAgeMillis: age.Milliseconds()})
+			assert.NilError(t, err)
+			return answer
+		}
+		for range yieldAfter {
+			d.config.Health.Note(time.Now(), fault.New(fault.Overloaded, "refused for its rate"))
+			answer := ping(time.Second)
+			assert.Assert(t, !answer.StoreDown && !answer.Succeed, "the rate of all may be spent")
+			time.Sleep(2 * newerBy)
+		}
+		assert.Assert(t, d.config.Health.Limited())
+		assert.Assert(t, ping(0).Succeed, "an entry is served since")
+	})
+}
--- a/internal/intake/leader.go
+++ b/internal/intake/leader.go
@@ -19,7 +19,11 @@
 
 // leader answers an agent who leads, by what this entry follows anyway: the store is not asked by each agent of a fleet.
 func (p *Pinger) leader(_ context.Context, _ *rpc.Peer, q link.Leader) (link.LeaderAnswer, error) {
-	held := time.NewTimer(leaderHold)
+	hold := leaderHold
+	if q.AtOnce {
+		hold = 0
+	}
+	held := time.NewTimer(hold)
 	defer held.Stop()
 	lead := p.desk.config.Lead
 	for {
--- a/internal/intake/leader_test.go
+++ b/internal/intake/leader_test.go
@@ -50,6 +50,11 @@
 		answer, err = p.leader(t.Context(), nil, link.Leader{After: 8})
 		assert.NilError(t, err)
 		assert.Equal(t, answer.Epoch, uint64(8), "the same leader leads on")
+
+		asked = time.Now()
+		_, err = p.leader(t.Context(), nil, link.Leader{After: 8, AtOnce: true})
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(asked), time.Duration(0), "an agent that follows a leader in doubt goes on reporting")
 	})
 }
 
--- a/internal/kv/health.go
+++ b/internal/kv/health.go
@@ -23,7 +23,7 @@
 	failures int
 	answered time.Time
 	failing  time.Time
-	// limited is since when the store has refused all calls for their rate, zero while it does not.
+	// limited is when the first of the failures was noticed where all of them are refusals for the rate, else zero.
 	limited time.Time
 }
 
@@ -36,37 +36,41 @@
 		h.answered, h.failures, h.failing, h.limited = time.Now(), 0, time.Time{}, time.Time{}
 	case asked.Before(h.answered):
 		// What hung on an older connection says nothing about the store of now.
-	case fault.Is(err, fault.Overloaded) && h.limitedByRate():
 	default:
 		if h.failures == 0 {
 			h.failing = time.Now()
 		}
 		h.failures++
+		h.noteLimit(err)
 	}
 }
 
-// limitedByRate records a refusal for the rate, and reports whether it may be one; h is locked.
-func (h *Health) limitedByRate() bool {
-	if h.limited.IsZero() {
-		h.limited = time.Now()
+// noteLimit records whether all failures so far were refusals for the rate; h is locked.
+func (h *Health) noteLimit(err error) {
+	switch {
+	case !fault.Is(err, fault.Overloaded):
+		h.limited = time.Time{}
+	case h.failures == 1:
+		h.limited = h.failing
 	}
-	return h.failures == 0 && time.Since(h.limited) < rateWindow
 }
 
-// Limited reports whether the store answers that too many calls are made: callers slow down, and no other way is better.
+// Limited reports whether the store answers that too many calls are made: callers slow down, and none is refused for it.
 func (h *Health) Limited() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.failures == 0 && !h.limited.IsZero() && time.Since(h.limited) < rateWindow
+	return h.isLimited()
 }
 
+func (h *Health) isLimited() bool { return !h.limited.IsZero() && time.Since(h.limited) < rateWindow }
+
 // NoteTurnedAway records that the store answered another process right after it had refused this one for the rate: it counts as away until it
 // answers this one again.
 func (h *Health) NoteTurnedAway() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.failures == 0 && !h.limited.IsZero() {
-		h.failures, h.failing = downAfter, h.limited
+	if h.isLimited() {
+		h.failures, h.limited = max(h.failures, downAfter), time.Time{}
 	}
 }
 
@@ -74,10 +78,10 @@
 func (h *Health) Down() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.failures >= downAfter
+	return h.failures >= downAfter && !h.isLimited()
 }
 
-// Failures returns how many calls went without an answer since the last that had one.
+// Failures returns how many calls in a row were refused or went without an answer.
 func (h *Health) Failures() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -241,9 +241,10 @@
 	Offer
 }
 
-// Leader asks who leads; the answer waits a while for a leader later than the epoch After.
+// Leader asks who leads; the answer waits a while for a leader later than the epoch After, unless it is wanted at once.
 type Leader struct {
-	After uint64 `json:"after,omitempty"`
+	After  uint64 `json:"after,omitempty"`
+	AtOnce bool   `json:"at_once,omitempty"`
 }
 
 // LeaderAnswer is the leader that an entry knows, with how many agents the leader has, 0 where that is not known.
--- a/internal/runner/search.go
+++ b/internal/runner/search.go
@@ -34,7 +34,7 @@
 
 // find returns who leads: a leader later than an epoch where there is one soon. Entries are asked; the store only where none answers.
 func (r *Runner) find(ctx context.Context, after uint64) (found, error) {
-	leader, err := r.askEntries(ctx, after)
+	leader, err := r.askEntries(ctx, link.Leader{After: after})
 	if err == nil || !fault.Is(err, fault.NotFound) {
 		return leader, err
 	}
@@ -45,15 +45,15 @@
 	return r.askStore(ctx)
 }
 
-// askEntries asks some entries for a leader later than an epoch, and returns the latest that any of them knows. The error is of kind NotFound
+// askEntries asks some entries for a leader later than the epoch of a question, and returns the latest that any of them knows. The error is of kind NotFound
 // where none answered, and Unavailable where those that did know of no leader.
-func (r *Runner) askEntries(ctx context.Context, after uint64) (found, error) {
+func (r *Runner) askEntries(ctx context.Context, question link.Leader) (found, error) {
 	var latest found
 	unknown := fault.NotFound
 	err := r.config.Pool.Try(ctx, mostAsked, func(p *rpc.Peer) error {
 		bounded, cancel := context.WithTimeout(ctx, askPatience)
 		defer cancel()
-		answer, err := rpc.Call[link.Leader, link.LeaderAnswer](bounded, p, link.MethodLeader, link.Leader{After: after})
+		answer, err := rpc.Call[link.Leader, link.LeaderAnswer](bounded, p, link.MethodLeader, question)
 		switch {
 		case fault.Is(err, fault.Unavailable):
 			unknown = fault.Unavailable
@@ -65,7 +65,7 @@
 			latest.Lead = record.Lead{Node: answer.Node, Address: answer.Address, Epoch: answer.Epoch}
 			latest.agents = answer.Agents
 		}
-		if answer.Epoch <= after {
+		if answer.Epoch <= question.After {
 			// An entry that the store turns away knows of no later leader, where another one may.
 			return fault.New(fault.Stale, "epoch %d leads", answer.Epoch)
 		}
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -88,7 +88,7 @@
 		reported = true
 		if doubtful && time.Since(checked) > doubtEvery {
 			checked = time.Now()
-			if now, err := r.askEntries(ctx, 0); err == nil && now.Epoch > lead.Epoch {
+			if now, err := r.askEntries(ctx, link.Leader{After: lead.Epoch, AtOnce: true}); err == nil && now.Epoch > lead.Epoch {
 				return reported, fault.New(fault.Stale, "epoch %d leads in place of %d", now.Epoch, lead.Epoch)
 			}
 		}
