Look again soon after a watch was cut

Order of events: an entry is cut from the store and learns of configurations by its leader; the store cuts all watches and forgets its history; the leader watches again at once and hears nothing for a second and a half; by then a job taken at the cut entry runs by the newer configuration.

For two seconds after a failure watches wait 0.3 s at most, but where the leader vouches for the key. An entry that learns that its leader lacks a configuration brings it with a ping at once, not half a second later. Test: TestFollowerLooksAgainSoonAfterACut.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,9 +9,9 @@
 	"github.com/saffronpulley/saffronpulley/internal/logging"
 )
 
-// timing lets each of many processes follow a key with few calls beside the store's rate; an outage's end is noticed within half
-// a second in the mean.
-var timing = Timing{Wait: 1500 * time.Millisecond, Vouched: 10 * time.Second, Retry: 800 * time.Millisecond}
+// timing lets each of many processes follow a key with few calls beside the store's rate. A leader whose watch is cut learns of a configuration by the
+// next attempt, and entries that do not reach the store by the leader.
+var timing = Timing{Wait: 1500 * time.Millisecond, Vouched: 10 * time.Second, Retry: 400 * time.Millisecond}
 
 // vouchedFor is how long after it was vouched for a value is known to be the newest.
 const vouchedFor = time.Second
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -147,3 +147,50 @@
 		<-f.Done()
 	})
 }
+
+// deafOnce is a store whose second watch is cut, after which a watch waits without a word for a change that was made meanwhile.
+type deafOnce struct {
+	*kvtest.Store
+	watches int
+	cut     time.Time
+}
+
+// deafFor is how long watches wait without a word.
+const deafFor = time.Second
+
+// Watch implements kv.Store.
+func (s *deafOnce) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Event, kv.Revision, error) {
+	s.watches++
+	if s.watches == 2 {
+		s.cut = time.Now()
+		return nil, after, fault.New(fault.OutcomeUnknown, "the connection was closed")
+	}
+	if s.watches > 2 && time.Since(s.cut) < deafFor {
+		time.Sleep(wait)
+		return nil, after, nil
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+// TestFollowerLooksAgainSoonAfterACut plays what a caller saw on a hunted day: a request was handled by the configuration of before, after another had
+// been handled by the newer one. The leader's watch had been cut and then waited for a second and a half without a word, and the entry that did not
+// reach the store learned of the configuration by the leader.
+func TestFollowerLooksAgainSoonAfterACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &deafOnce{Store: kvtest.New()}
+		put(t, store.Store, "key", "one")
+		f := New(store, "key", text, logging.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		time.Sleep(timing.Wait + 10*time.Millisecond)
+		for store.cut.IsZero() {
+			time.Sleep(time.Millisecond)
+		}
+		put(t, store.Store, "key", "two")
+		time.Sleep(deafFor + unsettledWait + retryFirst)
+		value, _ := f.Value()
+		assert.Equal(t, value.Held, "two")
+		cancel()
+		<-f.Done()
+	})
+}
--- a/internal/follow/prefix.go
+++ b/internal/follow/prefix.go
@@ -45,6 +45,8 @@
 	take   func(Change) error
 	logger logging.Logger
 	clock  boottime.Clock
+	// failed is when a call failed last.
+	failed time.Time
 	// vouched reports whether the keys are known by another way as well, nil where there is none.
 	vouched func() bool
 }
@@ -71,9 +73,19 @@
 	if p.timing.Vouched > 0 && p.vouched != nil && p.vouched() {
 		return p.timing.Vouched
 	}
+	if !p.failed.IsZero() && time.Since(p.failed) < unsettledFor {
+		return min(p.timing.Wait, unsettledWait)
+	}
 	return p.timing.Wait
 }
 
+const (
+	// unsettledFor is how long after a watch failed the next ones wait for unsettledWait at most: a store that has cut watches may let further ones wait
+	// without a word for what they missed.
+	unsettledFor  = 2 * time.Second
+	unsettledWait = 300 * time.Millisecond
+)
+
 // Run follows the prefix after a revision until ctx ends; revision 0 stands for none that is known.
 func (p *Prefix) Run(ctx context.Context, after kv.Revision) {
 	pause := wait.NewBackoff(min(retryFirst, p.timing.Retry), p.timing.Retry, rand.Float64)
@@ -87,6 +99,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		p.failed = time.Now()
 		if after != 0 {
 			p.logger.Warn("the watch of %s failed; revision=%d reason=%v", p.prefix, after, err)
 		}
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -22,6 +22,8 @@
 	pingEvery = 500 * time.Millisecond
 	// pingPatience bounds the answer.
 	pingPatience = 700 * time.Millisecond
+	// offerPause lies before the ping that brings the leader a configuration that it lacks.
+	offerPause = 10 * time.Millisecond
 	// probeEvery is how often an entry tells the lead of itself, and finds out whether the store answers it, while the store
 	// answers the lead no more; probePatience bounds the answer.
 	probeEvery    = 200 * time.Millisecond
@@ -99,6 +101,9 @@
 			p.reconfirm(ctx)
 		}
 		pause := pingEvery
+		if p.sendValue {
+			pause = offerPause
+		}
 		if p.probing || time.Since(alert) < alertFor {
 			pause = probeEvery
 		}
