--- a/internal/dispatch/campaign.go
+++ b/internal/dispatch/campaign.go
@@ -25,7 +25,7 @@
 	leastStrength = 0.05
 	// rankStep is the time in which a candidate wins that is alive and reaches the store; the next one waits for as long.
 	rankStep = 40 * time.Millisecond
-	// mostSteps bounds that for candidates of which many before them must have failed; they are spread over lastSpread.
+	// mostSteps is how many candidates stand in turn; the others stand after them, spread over lastSpread.
 	mostSteps  = 25
 	lastSpread = time.Second
 	// rankedFor is how long a rank holds after a leader told it.
--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -103,8 +103,8 @@
 	}
 }
 
-// namedFor returns the addresses that a process is told which has a version of the list already, nil where that is the latest, and the
-// number of the latest. The list hardly ever changes, and would be most of what a process is answered.
+// namedFor returns the addresses for a process that has a version of the list, nil where that is the latest, and the number of the latest. The
+// list hardly ever changes, and would be most of each answer.
 func (r *roster) namedFor(process string, has uint64) ([]string, uint64) {
 	if has == r.number {
 		return nil, has
@@ -112,7 +112,7 @@
 	return sampleOf(r.list, process), r.number
 }
 
-// sampleOf returns at most mostNamed addresses, others for each process, of which few change when the list does.
+// sampleOf returns at most mostNamed addresses, a stable sample that differs from process to process.
 func sampleOf(list []string, process string) []string {
 	if len(list) <= mostNamed {
 		return slices.Clone(list)
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -7,7 +7,7 @@
 	peerShare = 0.6
 	// mostCallers bounds the connections of callers where descriptors are plenty.
 	mostCallers = 3000
-	// peerMemoryShare is the part of the process' memory for connections of other processes, of which each takes peerBytes.
+	// peerMemoryShare is the part of the process' memory for connections of other processes; each takes peerBytes at most.
 	peerMemoryShare = 0.4
 	peerBytes       = 32 << 10
 )
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -60,7 +60,7 @@
 	overtaken rate.Sometimes
 	// patience goes by how long starts usually take to be answered.
 	patience *wait.Patience
-	// storePause spreads the reads of the store where no entry answers, the next of which is due at storeNext; only report uses them.
+	// storePause spreads the reads of the store where no entry answers, storeNext is when the next is due; only report uses them.
 	storePause *wait.Backoff
 	storeNext  time.Time
 
