Add settings that switch scheduling features on

Each part is switched on by a deployment's settings, section scheduling, and is off where it is left out, so that deployments without it are scheduled as before. Nothing reads the switches yet.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,6 +29,17 @@
 	Accept(offer link.Offer)
 }
 
+// Features are scheduling features that a deployment's settings switch on; without them decisions need no state about
+// workers, run times or short work beyond the current runs.
+type Features struct {
+	// WorkerHealth excludes workers on which tasks of several jobs fail and protects tasks on their last attempt.
+	WorkerHealth bool
+	// RunTimes replaces the estimates of jobs by learned run times.
+	RunTimes bool
+	// ShortReserve keeps capacity free for short work when long-running tasks could take all of it.
+	ShortReserve bool
+}
+
 // Config holds the identity and the dependencies of a dispatcher.
 type Config struct {
 	Process string
@@ -47,6 +58,8 @@
 	Metrics  *metric.Registry
 	// Advisor decides about the workers of advised queues; it is nil if the platform has no such service.
 	Advisor Advisor
+	// Features are the scheduling features that are switched on.
+	Features Features
 	// Uptime is the clock of agent leases and of leadership; it includes the time that the system was suspended.
 	Uptime boottime.Clock
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -48,7 +48,7 @@
 		advisor = platform.NewAdvice(address, p.logger.Named("advice"))
 	}
 	e.dispatcher = dispatch.New(dispatch.Config{
-		Advisor: advisor,
+		Advisor: advisor, Features: p.settings.Features(),
 		Process: p.settings.ID(), Boot: p.boot, Address: p.settings.PeerAddress(), Strength: p.settings.Strength(),
 		Closures: hall.New(p.store, platform.ClosuresPrefix, p.settings.ClosureDelay(), boottime.System{}, p.logger.Named("closures")),
 		Uptime:   boottime.System{},
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/goccy/go-yaml"
 
+	"github.com/saffronpulley/saffronpulley/internal/dispatch"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 )
 
@@ -55,7 +56,13 @@
 	// MaxRenewalMillis is the longest lease in milliseconds that a worker grants its runs, 0 if the platform does not specify
 	// it.
 	MaxRenewalMillis float64 `yaml:"longest_hold_ms"`
-	Log              string  `yaml:"log"`
+	// Scheduling switches features of the leader on; those that are left out are off.
+	Scheduling struct {
+		WorkerHealth bool `yaml:"worker_health"`
+		RunTimes     bool `yaml:"run_times"`
+		ShortReserve bool `yaml:"short_reserve"`
+	} `yaml:"scheduling"`
+	Log string `yaml:"log"`
 }
 
 // Settings are the validated settings of a process.
@@ -233,5 +240,11 @@
 // Advice returns the address of the service that advises queues, empty for none.
 func (s *Settings) Advice() string { return s.file.Advice }
 
+// Features returns the scheduling features that are switched on.
+func (s *Settings) Features() dispatch.Features {
+	f := s.file.Scheduling
+	return dispatch.Features{WorkerHealth: f.WorkerHealth, RunTimes: f.RunTimes, ShortReserve: f.ShortReserve}
+}
+
 // LogLevel returns the lowest level that is logged.
 func (s *Settings) LogLevel() string { return s.file.Log }
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/saffronpulley/saffronpulley/internal/dispatch"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 )
 
@@ -45,24 +46,41 @@
 	assert.Equal(t, s.PeerAddress(), "10.1.0.14:7720")
 }
 
+// TestSchedulingFeaturesAreOffByDefault guards against a feature that a deployment gets without asking for it.
+func TestSchedulingFeaturesAreOffByDefault(t *testing.T) {
+	for text, features := range map[string]dispatch.Features{
+		"":               {},
+		"scheduling:":    {},
+		"scheduling: {}": {},
+		"scheduling: { worker_health: true, run_times: false }":                     {WorkerHealth: true},
+		"scheduling: { worker_health: true, run_times: true, short_reserve: true }": {WorkerHealth: true, RunTimes: true, ShortReserve: true},
+	} {
+		s, err := Parse([]byte(validSettings + text + "\n"))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, s.Features(), features)
+	}
+}
+
 func TestInvalidSettingsAreRejected(t *testing.T) {
 	for change, message := range map[string]string{
-		"id: side-1>id: ''":                             "id is missing",
-		"role: agent>role: cook":                        "role is \"cook\"",
-		"strength: 0.24>strength: 0":                    "strength is 0",
-		"memory_mb: 152>memory_mb: 3":                   "memory_mb is 3",
-		"memory_mb: 152>memory_mb: 152\ndescriptors: 9": "descriptors is 9",
-		"address: 10.1.0.14>address: here":              "address is \"here\"",
-		"peers: 7720>peers: 70000":                      "ports.peers is 70000",
-		"worker: \"10.1.0.14:8165\">worker: ''":         "worker is \"\"",
-		"store: \"10.200.1.7:8169\">store: somewhere":   "store is \"somewhere\"",
-		"grace_s: 6>grace_s: 0":                         "grace_s is 0",
-		"listen: {>listen: { peers: there,":             "listen.peers is \"there\"",
-		"grace_s: 6>grace_s: 6\nclosed_ms: -1":          "closed_ms is -1",
-		"grace_s: 6>grace_s: 6\nlongest_hold_ms: -1":    "longest_hold_ms is -1",
-		"log: info>log: info\nfuture: 1":                "cannot be parsed",
-		"strength: 0.24>strength: much":                 "cannot be parsed",
-		"reports: \"10.1.0.14:8166\">reports: \"8166\"": "listen.reports is \"8166\"",
+		"id: side-1>id: ''":                                     "id is missing",
+		"role: agent>role: cook":                                "role is \"cook\"",
+		"strength: 0.24>strength: 0":                            "strength is 0",
+		"memory_mb: 152>memory_mb: 3":                           "memory_mb is 3",
+		"memory_mb: 152>memory_mb: 152\ndescriptors: 9":         "descriptors is 9",
+		"address: 10.1.0.14>address: here":                      "address is \"here\"",
+		"peers: 7720>peers: 70000":                              "ports.peers is 70000",
+		"worker: \"10.1.0.14:8165\">worker: ''":                 "worker is \"\"",
+		"store: \"10.200.1.7:8169\">store: somewhere":           "store is \"somewhere\"",
+		"grace_s: 6>grace_s: 0":                                 "grace_s is 0",
+		"listen: {>listen: { peers: there,":                     "listen.peers is \"there\"",
+		"grace_s: 6>grace_s: 6\nclosed_ms: -1":                  "closed_ms is -1",
+		"grace_s: 6>grace_s: 6\nlongest_hold_ms: -1":            "longest_hold_ms is -1",
+		"log: info>log: info\nfuture: 1":                        "cannot be parsed",
+		"strength: 0.24>strength: much":                         "cannot be parsed",
+		"log: info>log: info\nscheduling: { run_times: often }": "cannot be parsed",
+		"log: info>log: info\nscheduling: { later: true }":      "cannot be parsed",
+		"reports: \"10.1.0.14:8166\">reports: \"8166\"":         "listen.reports is \"8166\"",
 	} {
 		from, to, _ := strings.Cut(change, ">")
 		assert.Assert(t, strings.Contains(validSettings, from), from)
