--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/httpclient"
 	"github.com/saffronpulley/saffronpulley/internal/rpc"
 )
@@ -83,30 +82,6 @@
 	return peers
 }
 
-// Try calls at most maxEntries entries one after the other until a call succeeds, starting with the entry that succeeded last. It
-// returns the error of the last call.
-func (p *Pool) Try(ctx context.Context, maxEntries int, call func(*rpc.Peer) error) error {
-	err := error(fault.New(fault.Unavailable, "no entry is known"))
-	for _, address := range p.rotation() {
-		if maxEntries == 0 || ctx.Err() != nil {
-			break
-		}
-		maxEntries--
-		var peer *rpc.Peer
-		if peer, err = p.Peer(ctx, address); err == nil {
-			err = call(peer)
-		}
-		if err == nil {
-			return nil
-		}
-		if peer == nil || unanswered(err) {
-			p.Drop(address)
-		}
-		p.skip(address)
-	}
-	return err
-}
-
 // rotation returns the addresses in the order in which they are tried.
 func (p *Pool) rotation() []string {
 	p.mu.Lock()
@@ -132,12 +107,8 @@
 	p.mu.Lock()
 	peer, known := p.peers[address]
 	p.mu.Unlock()
-	if known {
-		select {
-		case <-peer.Done():
-		default:
-			return peer, nil
-		}
+	if known && isOpen(peer) {
+		return peer, nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -145,13 +116,40 @@
 	if err != nil {
 		return nil, err
 	}
+	return p.keep(address, peer), nil
+}
+
+// keep adds a new connection to the pool and returns it. If another caller has connected meanwhile, it closes the new one and returns
+// that of the other caller, which may be in use.
+func (p *Pool) keep(address string, peer *rpc.Peer) *rpc.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if earlier, raced := p.peers[address]; raced {
-		defer earlier.Close()
+	if earlier, raced := p.peers[address]; raced && isOpen(earlier) {
+		peer.Close()
+		return earlier
 	}
 	p.peers[address] = peer
-	return peer, nil
+	return peer
+}
+
+// isOpen reports whether a connection has not ended.
+func isOpen(peer *rpc.Peer) bool {
+	select {
+	case <-peer.Done():
+		return false
+	default:
+		return true
+	}
+}
+
+// discard closes a connection whose peer did not answer. A later connection to the address remains in the pool.
+func (p *Pool) discard(address string, peer *rpc.Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer.Close()
+	if p.peers[address] == peer {
+		delete(p.peers, address)
+	}
 }
 
 // Drop closes the connection to an address that did not answer.
