Track worker health and let plans depend on it

The planner keeps tasks off ejected workers, chooses degraded ones last, and keeps tasks on their last attempt on healthy ones. No process sets a worker's health yet, so that placements are unchanged: the existing scripted tests of internal/plan pass without a change.

--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/saffronpulley/saffronpulley/internal/health"
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
 
@@ -32,6 +33,8 @@
 	netValueWeight    = 2.0
 	conflictCost      = 2.0
 	emptyWorkerCost   = 0.5
+	// unhealthyWorkerCost exceeds the sum of all other terms: degraded workers and trials are chosen last.
+	unhealthyWorkerCost = 1000.0
 	// bestEffortWeight is the weight of CPU in use by best-effort tasks relative to reserved CPU, for tasks without a
 	// latency target.
 	bestEffortWeight = 0.25
@@ -62,6 +65,9 @@
 	if g.Avoid[w.Host] {
 		cost += avoidedWorkerCost
 	}
+	if w.Health != health.Healthy {
+		cost += unhealthyWorkerCost
+	}
 	if g.Step.Affinity != "" && !slices.Contains(w.Labels, g.Step.Affinity) {
 		cost += remoteDataCost
 	}
--- a/internal/plan/group.go
+++ b/internal/plan/group.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/health"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 )
 
@@ -19,6 +20,13 @@
 	TasksByWorker map[job.Host]int
 	// Avoid contains the workers on which a task of the group recently failed or was rejected.
 	Avoid map[job.Host]bool
+	// Excluded contains the workers on which no task of the group may start, because a run of it has failed there or its
+	// job avoids them.
+	Excluded map[job.Host]bool
+	// LastAttempt is set if another failure of one of the tasks fails the job. They start on workers in a state up to
+	// WorstHealth.
+	LastAttempt bool
+	WorstHealth health.State
 	// Tickets maps each worker that may run the step to the ticket that a start there carries; nil allows all workers.
 	Tickets map[job.Host]string
 	// SuspectScore counts the worker crashes attributed to the tasks; with 0 they may start beside other tasks.
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/saffronpulley/saffronpulley/internal/health"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 )
 
@@ -23,6 +24,8 @@
 	pressure PressureModel
 	// backlog is the batch backlog, from 0 to 1.
 	backlog float64
+	// hasEjected is set if a worker is ejected.
+	hasEjected bool
 	// unplaceable holds, by service and image, the size of the smallest unconstrained best-effort task for which no
 	// worker is suitable any more.
 	unplaceable map[imageKey]job.Size
@@ -36,6 +39,7 @@
 	p := &Planner{workers: workers, pressure: weights, unplaceable: make(map[imageKey]job.Size)}
 	for _, w := range workers {
 		w.suspectGroup = nil
+		p.hasEjected = p.hasEjected || w.Health == health.Ejected
 		for _, image := range slices.Sorted(maps.Keys(w.Shares)) {
 			w.addBestEffort(image, w.Shares[image], weights)
 		}
@@ -91,12 +95,12 @@
 // whole worker.
 func (p *Planner) knownUnplaceable(g *Group) bool {
 	smallest, known := p.unplaceable[imageKey{g.Service, g.Step.Image}]
-	return known && g.isUnconstrained() && smallest.Fits(g.Step.Size)
+	return known && g.isUnconstrained() && !p.constrainedByHealth(g) && smallest.Fits(g.Step.Size)
 }
 
 // recordUnplaceable records that no worker is suitable for a task of the group any more.
 func (p *Planner) recordUnplaceable(g *Group) {
-	if g.isUnconstrained() {
+	if g.isUnconstrained() && !p.constrainedByHealth(g) {
 		p.unplaceable[imageKey{g.Service, g.Step.Image}] = g.Step.Size
 	}
 }
@@ -133,7 +137,7 @@
 // HasSuitableWorker reports whether a worker that the group does not avoid is suitable for one of its tasks.
 func (p *Planner) HasSuitableWorker(g *Group) bool {
 	for _, w := range p.workers {
-		if g.Avoid[w.Host] || !w.admits(g) {
+		if g.Avoid[w.Host] || w.Health != health.Healthy || !w.admits(g) {
 			continue
 		}
 		if _, ok := p.netValue(w, g); ok {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/saffronpulley/saffronpulley/internal/health"
 	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/scripttest"
@@ -111,6 +112,10 @@
 				w.Starting, w.SuspectStarting = 1, true
 			case "kept":
 				w.ReservedForSuspect = true
+			case "degraded":
+				w.Health = health.Degraded
+			case "ejected":
+				w.Health = health.Ejected
 			case "trials":
 				w.Trials = int(parseFloat(t, value))
 			default:
@@ -167,6 +172,12 @@
 				g.Priority = int(parseFloat(t, value))
 			case "starved":
 				g.NoneRunning = true
+			case "last":
+				g.LastAttempt = true
+			case "accepts":
+				g.WorstHealth = map[string]health.State{"degraded": health.Degraded, "ejected": health.Ejected}[value]
+			case "excluded":
+				g.Excluded = map[job.Host]bool{{VM: value, Incarnation: incarnation.New(value, 0)}: true}
 			case "suspect":
 				g.SuspectScore = int(parseFloat(t, value))
 			default:
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"github.com/saffronpulley/saffronpulley/internal/health"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
@@ -30,6 +31,8 @@
 	// Schedulable is set if new tasks may be placed here; Trials bounds their number, Unlimited for as many as fit.
 	Schedulable bool
 	Trials      int
+	// Health is the worker's state by the failures of all jobs; it stays healthy where these are not tracked.
+	Health health.State
 	// HallClosed is set if the operators have closed the worker's hall to new tasks.
 	HallClosed bool
 	// BestEffortBlocked is set if a task here has violated its target for so long that no best-effort task may be
@@ -120,7 +123,7 @@
 		return false
 	case !w.Schedulable || w.HallClosed || w.Trials == 0 || w.Service != g.Service:
 		return false
-	case !w.mayStart(g):
+	case !w.mayStart(g) || !w.healthyEnough(g):
 		return false
 	case step.Requires != "" && !slices.Contains(w.Labels, step.Requires):
 		return false
