Use worker health in placement when the switch is on

With worker_health the leader records ends, stalls and busy refusals as evidence, keeps tasks off ejected workers, gives tasks on their last attempt and restarted tasks groups of their own, and keeps restarts off the workers where runs of the task have failed. Without it the plan is computed as before: the existing tests of internal/dispatch pass without a change.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -114,6 +114,7 @@
 	for _, id := range b.removed {
 		maps.DeleteFunc(t.advice, func(s stepID, _ *advice) bool { return s.job == id })
 		delete(t.jobs, id)
+		t.forgetJob(id)
 	}
 	for _, r := range b.runs {
 		t.startCommitted(r)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -82,6 +82,7 @@
 func New(config Config) *Dispatcher {
 	d := &Dispatcher{config: config, logger: config.Logger, done: make(chan struct{}), suspicionChanged: make(chan struct{}, 1)}
 	d.registerClosures()
+	d.registerHealth()
 	return d
 }
 
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -166,9 +166,13 @@
 // recordEnd records the end of a run, whichever phase its task is in.
 func (t *term) recordEnd(id job.TaskID, run int, end job.End, checkpoint string, host job.Host) {
 	placedAt := time.Time{}
+	var ended *placedRun
 	if h := t.hosts.get(host); h != nil {
 		if p := h.runs[id]; p != nil {
 			placedAt = p.placedAt
+			if p.number == run {
+				ended = p
+			}
 		}
 		h.removeRun(id, run)
 	}
@@ -182,6 +186,7 @@
 	if h := t.hosts.get(host); h != nil && !step.LongRunning {
 		h.updateFailures(end)
 	}
+	t.observeEnd(host, id, ended, end)
 	if step.Gang && end == job.EndDone {
 		t.stopGang(tracked, id)
 	}
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -46,6 +46,7 @@
 // that replaces it. It stays placed until that incarnation has reported, and is stopped there first. current is the incarnation that the agent
 // reports now, which may not have raised its fence yet, zero if the agent has none.
 func (t *term) retireIncarnation(a *agent, h *hostState, reported *link.Crash, current incarnation.ID, reason string) {
+	t.forgetWorker(h.worker.Host)
 	if !h.ended {
 		t.countLosses(a, h, reported)
 	}
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -55,6 +55,7 @@
 			t.logger.Info("stalled task is stopped; task=%s run=%d vm=%s percent=%d", id, p.number, host.VM, p.percent)
 			tracked.failedHosts[host] = true
 			h.consecutiveFailures++
+			t.observeStall(h, id)
 			t.stopRun(host, id, p)
 		}
 	}
@@ -76,8 +77,10 @@
 func (t *term) placeTasks() {
 	groups := t.waitingGroups()
 	workers := make([]*plan.Worker, 0, t.hosts.len())
+	now := time.Now()
+	t.updateHealth(now)
 	for _, h := range t.hosts.all() {
-		h.worker.Trials = h.placementLimit()
+		t.limitPlacements(h, now)
 		h.worker.HallClosed = t.hallClosed(h.worker.Host)
 		h.worker.ServingTasks = t.servingTasks(h)
 		h.worker.BestEffortBlocked = len(h.runsWhere((*placedRun).longOverTarget)) > 0
@@ -85,6 +88,7 @@
 		h.countStarting()
 		workers = append(workers, &h.worker)
 	}
+	groups = t.splitRetries(groups, workers)
 	l := t.currentLoad()
 	t.logLoad(l, groups)
 	t.backlog.update(time.Now(), groups, l.used, l.capacity)
@@ -100,6 +104,7 @@
 		run := tracked.job.Place(p.Task, p.Host, p.Run)
 		t.hosts.get(p.Host).runs[p.Task] = &placedRun{step: p.Step, number: run, placedAt: time.Now(), progressedAt: time.Now(), pace: pacing.Full, startedAlone: p.Suspect}
 		delete(tracked.suspectedSince, p.Task)
+		delete(tracked.lastAttempts, p.Task)
 		t.logger.Info("task placed; task=%s run=%d vm=%s waited_ms=%d", p.Task, run, p.Host.VM, time.Since(tracked.acceptedAt).Milliseconds())
 		t.markDirty(tracked)
 	}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -65,6 +65,7 @@
 	default:
 		tracked.failedHosts[h.worker.Host] = true
 		tracked.backOffAfterRefusal(id, host.Refusal(r.Refusal))
+		t.observeRefusal(h, host.Refusal(r.Refusal))
 	}
 	if tracked.job.Unplace(id, r.Number) {
 		t.markDirty(tracked)
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/crash"
+	"github.com/saffronpulley/saffronpulley/internal/health"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/plan"
 )
@@ -23,6 +24,7 @@
 func (t *term) recordStartupSurvival(h *hostState, id job.TaskID, p *placedRun) {
 	if !p.survivedStart {
 		p.survivedStart, p.survivedStartAt = true, time.Now()
+		t.observeStart(h)
 		t.notifyChange()
 	}
 	tracked := t.jobs[id.Job]
@@ -78,7 +80,7 @@
 func reserveWorkers(workers []*plan.Worker, service string, wanted int) {
 	var candidates []*plan.Worker
 	for _, w := range workers {
-		if w.Schedulable && !w.HallClosed && !w.SuspectStarting && w.Service == service {
+		if w.Schedulable && !w.HallClosed && !w.SuspectStarting && w.Health != health.Ejected && w.Service == service {
 			candidates = append(candidates, w)
 		}
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -10,6 +10,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/hall"
+	"github.com/saffronpulley/saffronpulley/internal/health"
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
@@ -95,10 +96,12 @@
 	// otherAnsweredAt is when an entry last reported a newer answer from the store while the calls of the leader failed.
 	otherAnsweredAt time.Time
 	committed       chan struct{}
+	// health tracks which workers may take new tasks; it is nil if the feature is off.
+	health *health.Tracker
 }
 
 func newTerm(d *Dispatcher, epoch uint64, lease kv.LeaseID) *term {
-	return &term{
+	t := &term{
 		dispatcher: d, epoch: epoch, lease: lease, store: d.config.Store, logger: d.logger, startedAt: time.Now(),
 		changed: make(chan struct{}, 1), done: make(chan struct{}), committed: make(chan struct{}),
 		jobs: make(map[job.ID]*trackedJob), hosts: newHostSet(), agents: make(map[string]*agent),
@@ -109,6 +112,8 @@
 		commitTimeouts: wait.NewTimeout(minCommitTimeout, maxCommitTimeout),
 		storeAnswered:  make(chan struct{}, 1), steppedDown: make(chan struct{}),
 	}
+	t.trackHealth()
+	return t
 }
 
 // load reads all jobs and their progress from the store; from then on only this term changes the progress.
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -25,6 +25,10 @@
 	suspectedSince map[job.TaskID]time.Time
 	// backoffs delay the restart of tasks whose runs end quickly.
 	backoffs map[job.TaskID]backoff
+	// failedOn has the workers on which runs of a finite task have failed, lastAttempts the tasks on their last attempt that wait for a healthy
+	// worker; both are only used where the health of workers is tracked.
+	failedOn     map[job.TaskID][]job.Host
+	lastAttempts map[job.TaskID]lastAttempt
 }
 
 // updateIdle records the time since which no task of the job is placed.
--- a/internal/job/advance.go
+++ b/internal/job/advance.go
@@ -92,6 +92,16 @@
 	}
 }
 
+// OnLastAttempt reports whether another failure of a task fails the job; it never does for long-running tasks, and gangs do
+// not count, since their members share their attempts.
+func (j *Job) OnLastAttempt(t TaskID) bool {
+	task := j.Task(t)
+	if task == nil || j.spec.Steps[t.Step].LongRunning || j.spec.Steps[t.Step].Gang {
+		return false
+	}
+	return task.failures >= max(j.queue.Attempts, 1)-1
+}
+
 // RecordCheckpoint records a checkpoint of a running task and reports whether it is new.
 func (j *Job) RecordCheckpoint(t TaskID, run int, checkpoint string) bool {
 	task := j.Task(t)
