--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -58,7 +58,7 @@
 	now := time.Now()
 	switch {
 	case end == job.EndDone && !p.step.LongRunning:
-		t.health.Done(worker, id, now)
+		t.health.Done(worker, id, p.placedAt, now)
 	case end == job.EndFailed && !p.stopping && p.failureCounts(now):
 		t.health.Failed(worker, id, now)
 	}
@@ -125,12 +125,23 @@
 	h.worker.Health, h.worker.Trials = status.State(), plan.Unlimited
 	if status.State() == health.Ejected {
 		h.worker.Trials = 0
-		if status.AllowsTrial(h.runsFiniteTask()) {
+		if status.AllowsTrial(h.runsTrial(status)) {
 			h.worker.Trials = 1
 		}
 	}
 }
 
+// runsTrial reports whether a trial runs on an ejected worker. Runs from before the ejection do not delay a trial: they may
+// last much longer than a bad phase of the worker.
+func (h *hostState) runsTrial(status health.Status) bool {
+	for _, p := range h.runs {
+		if !p.step.LongRunning && status.IsTrial(p.placedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // logHealth logs and counts the ejections and readmissions since the last call.
 func (t *term) logHealth() {
 	for _, c := range t.health.Changes() {
--- a/internal/health/script_test.go
+++ b/internal/health/script_test.go
@@ -59,12 +59,19 @@
 	return job.TaskID{Job: job.ID(id), Index: n}
 }
 
-// play handles a line like "1.25 failed a j1.4", "0 workers 12" or "3 status a b", where 1.25 is a time in seconds.
-func (s *script) play(words []string) {
-	seconds, err := strconv.ParseFloat(words[0], 64)
+// at returns the time that is some seconds after the start.
+func (s *script) at(text string) time.Time {
+	s.t.Helper()
+	seconds, err := strconv.ParseFloat(text, 64)
 	assert.NilError(s.t, err)
-	now := s.start.Add(time.Duration(seconds * float64(time.Second)))
-	args := words[2:]
+	return s.start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// play handles a line like "1.25 failed a j1.4", "0 workers 12", "3 status a b" or "4 done a j1.4 2.5", where 1.25 is a time in
+// seconds and 2.5 the time of the placement, which is otherwise that of the event.
+func (s *script) play(words []string) {
+	var err error
+	now, args := s.at(words[0]), words[2:]
 	switch words[1] {
 	case "workers":
 		s.fleet.schedulable, err = strconv.Atoi(args[0])
@@ -73,7 +80,11 @@
 	case "update":
 		s.tracker.Update(now)
 	case "done":
-		s.tracker.Done(testHost(args[0]), testTask(args[1]), now)
+		placed := now
+		if len(args) > 2 {
+			placed = s.at(args[2])
+		}
+		s.tracker.Done(testHost(args[0]), testTask(args[1]), placed, now)
 	case "failed":
 		s.tracker.Failed(testHost(args[0]), testTask(args[1]), now)
 	case "stalled":
@@ -116,6 +127,6 @@
 			s.tracker.Failed(worker, task, now)
 			continue
 		}
-		s.tracker.Done(worker, task, now)
+		s.tracker.Done(worker, task, now, now)
 	}
 }
--- a/internal/health/state.go
+++ b/internal/health/state.go
@@ -1,5 +1,7 @@
 package health
 
+import "time"
+
 // State is how far a worker is trusted with new tasks.
 type State int
 
@@ -15,12 +17,19 @@
 // Status is the state of a worker at one time.
 type Status struct {
 	state State
-	// paused is set while an ejected worker takes no trial.
-	paused bool
+	// paused is set while an ejected worker takes no trial, ejectedAt is the time of its ejection.
+	paused    bool
+	ejectedAt time.Time
 }
 
 // State returns the state.
 func (s Status) State() State { return s.state }
 
-// AllowsTrial reports whether an ejected worker may take a finite task as a trial; busy is set if one runs there.
-func (s Status) AllowsTrial(busy bool) bool { return s.state == Ejected && !s.paused && !busy }
+// IsTrial reports whether a finite run that was placed at a time is a trial of an ejected worker, rather than a run from
+// before its ejection.
+func (s Status) IsTrial(placed time.Time) bool {
+	return s.state == Ejected && placed.After(s.ejectedAt)
+}
+
+// AllowsTrial reports whether an ejected worker may take a finite task as a trial; running is set if a trial runs there.
+func (s Status) AllowsTrial(running bool) bool { return s.state == Ejected && !s.paused && !running }
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -39,11 +39,12 @@
 	return &Tracker{fleet: fleet, records: make(map[job.Host]*record), jobs: make(map[job.ID]*jobFailures)}
 }
 
-// Done records that a finite task has succeeded on a worker.
-func (t *Tracker) Done(worker job.Host, _ job.TaskID, now time.Time) {
+// Done records that a finite task has succeeded on a worker on which it was placed at a time. On an ejected worker only a
+// trial counts: a worker that fails all it starts may still complete what ran before.
+func (t *Tracker) Done(worker job.Host, _ job.TaskID, placed, now time.Time) {
 	r := t.records[worker]
 	switch {
-	case r == nil:
+	case r == nil || r.ejected && !placed.After(r.ejectedAt):
 	case r.ejected:
 		r.clear()
 		r.recovering, r.updatedAt = true, now
@@ -105,7 +106,7 @@
 	if r == nil {
 		return Status{}
 	}
-	return Status{state: r.state(), paused: r.ejected && now.Before(r.pausedUntil)}
+	return Status{state: r.state(), paused: r.ejected && now.Before(r.pausedUntil), ejectedAt: r.ejectedAt}
 }
 
 // AllHealthy reports whether no worker is degraded or ejected.
--- a/internal/plan/health.go
+++ b/internal/plan/health.go
@@ -16,8 +16,42 @@
 	return true
 }
 
-// constrainedByHealth reports whether the group's tasks may start on fewer workers than other best-effort tasks of the same
-// size and image: then finding no worker for them says nothing about the others.
-func (p *Planner) constrainedByHealth(g *Group) bool {
-	return g.LastAttempt || len(g.Excluded) > 0 || p.hasEjected && g.Step.LongRunning
+// healthLimit identifies the tasks that may start on the same workers as far as health decides.
+type healthLimit int
+
+// noHealthLimit is the limit of finite tasks that are not on their last attempt. longRunningLimit is that of long-running
+// tasks if a worker is ejected; the others are those of last attempts, by WorstHealth.
+const (
+	noHealthLimit healthLimit = iota
+	longRunningLimit
+	lastAttemptLimit
+)
+
+func (p *Planner) healthLimitOf(g *Group) healthLimit {
+	switch {
+	case g.LastAttempt:
+		return lastAttemptLimit + healthLimit(g.WorstHealth)
+	case p.hasEjected && g.Step.LongRunning:
+		return longRunningLimit
+	}
+	return noHealthLimit
+}
+
+// excludesSuitable reports whether a worker that the group excludes would be suitable for one of its tasks: then finding no
+// other says nothing about groups that do not exclude it.
+func (p *Planner) excludesSuitable(g *Group) bool {
+	if len(g.Excluded) == 0 {
+		return false
+	}
+	open := *g
+	open.Excluded = nil
+	for _, w := range p.workers {
+		if !g.Excluded[w.Host] || !w.admits(&open) {
+			continue
+		}
+		if _, suitable := p.costOf(w, &open); suitable {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -31,8 +31,11 @@
 	unplaceable map[imageKey]job.Size
 }
 
-// imageKey identifies best-effort tasks that differ only in size.
-type imageKey struct{ service, image string }
+// imageKey identifies best-effort tasks that differ only in size and in the workers that their groups exclude.
+type imageKey struct {
+	service, image string
+	limit          healthLimit
+}
 
 // New returns a planner for workers without placements of this plan.
 func New(workers []*Worker, weights PressureModel) *Planner {
@@ -94,19 +97,27 @@
 // only get fuller within a plan, and a larger task causes more target violations for its value until it takes nearly a
 // whole worker.
 func (p *Planner) knownUnplaceable(g *Group) bool {
-	smallest, known := p.unplaceable[imageKey{g.Service, g.Step.Image}]
-	return known && g.isUnconstrained() && !p.constrainedByHealth(g) && smallest.Fits(g.Step.Size)
+	if !g.isUnconstrained() {
+		return false
+	}
+	// A group that is limited by health may start on a part of the workers that others may start on.
+	for _, limit := range [...]healthLimit{noHealthLimit, p.healthLimitOf(g)} {
+		if smallest, known := p.unplaceable[imageKey{g.Service, g.Step.Image, limit}]; known && smallest.Fits(g.Step.Size) {
+			return true
+		}
+	}
+	return false
 }
 
 // recordUnplaceable records that no worker is suitable for a task of the group any more.
 func (p *Planner) recordUnplaceable(g *Group) {
-	if g.isUnconstrained() && !p.constrainedByHealth(g) {
-		p.unplaceable[imageKey{g.Service, g.Step.Image}] = g.Step.Size
+	if g.isUnconstrained() && !p.excludesSuitable(g) {
+		p.unplaceable[imageKey{g.Service, g.Step.Image, p.healthLimitOf(g)}] = g.Step.Size
 	}
 }
 
-// isUnconstrained reports whether only the size and the image of the group's best-effort tasks decide where they can
-// run.
+// isUnconstrained reports whether only the size and the image of the group's best-effort tasks, the health of workers and
+// the excluded ones decide where they can run.
 func (g *Group) isUnconstrained() bool {
 	s := g.Step
 	return s.BestEffort && !g.NoneRunning && g.SuspectScore == 0 && g.Tickets == nil && s.Requires == "" && s.AntiAffinity == 0
