--- /dev/null
+++ b/internal/plan/health.go
@@ -0,0 +1,57 @@
+package plan
+
+import "github.com/saffronpulley/saffronpulley/internal/health"
+
+// healthyEnough reports whether a task of the group may start on the worker by the worker's health and the group's earlier
+// failures. An ejected worker only takes trials: finite tasks that are not members of a gang.
+func (w *Worker) healthyEnough(g *Group) bool {
+	switch {
+	case g.Excluded[w.Host]:
+		return false
+	case g.LastAttempt:
+		return w.Health <= g.WorstHealth
+	case w.Health == health.Ejected:
+		return !g.Step.LongRunning && !g.Step.Gang
+	}
+	return true
+}
+
+// healthLimit identifies the tasks that may start on the same workers as far as health decides.
+type healthLimit int
+
+// noHealthLimit is the limit of finite tasks that are not on their last attempt. longRunningLimit is that of long-running
+// tasks if a worker is ejected; the others are those of last attempts, by WorstHealth.
+const (
+	noHealthLimit healthLimit = iota
+	longRunningLimit
+	lastAttemptLimit
+)
+
+func (p *Planner) healthLimitOf(g *Group) healthLimit {
+	switch {
+	case g.LastAttempt:
+		return lastAttemptLimit + healthLimit(g.WorstHealth)
+	case p.hasEjected && g.Step.LongRunning:
+		return longRunningLimit
+	}
+	return noHealthLimit
+}
+
+// excludesSuitable reports whether a worker that the group excludes would be suitable for one of its tasks: then finding no
+// other says nothing about groups that do not exclude it.
+func (p *Planner) excludesSuitable(g *Group) bool {
+	if len(g.Excluded) == 0 {
+		return false
+	}
+	open := *g
+	open.Excluded = nil
+	for _, w := range p.workers {
+		if !g.Excluded[w.Host] || !w.admits(&open) {
+			continue
+		}
+		if _, suitable := p.costOf(w, &open); suitable {
+			return true
+		}
+	}
+	return false
+}
