Reserve capacity for short work in the leader

With the switch short_reserve, the leader observes in each plan what short work of each service uses and waits for, gives the planner the amount to keep free, and remembers which long-running tasks found no room. The load line ends with reserved=, in cores. Nothing is stored: a new leader starts with 0.

After a restart of all workers with one of two halls closed, long-running tasks of one core take 15 rather than all 17 cores that short work leaves, and two short tasks that arrive are placed in the next plan (TestLongRunningTasksLeaveReserveFreeAfterRestart).

--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -27,11 +27,13 @@
 	// bestEffort counts the best-effort tasks, throttled those below full pace, served the serving tasks, overTarget those above
 	// their latency target.
 	bestEffort, throttled, served, overTarget int
+	// short is the load of short work by service, without its waiting tasks.
+	short shortLoads
 }
 
 // currentLoad returns the load without the waiting tasks.
 func (t *term) currentLoad() load {
-	var l load
+	l := load{short: make(shortLoads)}
 	for _, h := range t.hosts.all() {
 		l.addWorker(h)
 	}
@@ -47,9 +49,10 @@
 	t.logClosures()
 	l.addWaiting(groups)
 	t.logger.Info("load; workers=%d waiting_short=%d waiting_lasting=%d waiting_batch=%d of_jobs=%d cores=%d serving=%d "+
-		"filling_tasks=%d slowed=%d asked=%d used=%d served=%d over=%d starved=%.1f",
+		"filling_tasks=%d slowed=%d asked=%d used=%d served=%d over=%d starved=%.1f reserved=%d",
 		t.hosts.len(), l.waitingShort, l.waitingLongRunning, l.waitingBatch, l.batchJobs, l.capacity/millisPerCore, l.serving/millisPerCore,
-		l.bestEffort, l.throttled, l.requested/millisPerCore, l.used/millisPerCore, l.served, l.overTarget, t.backlog.level)
+		l.bestEffort, l.throttled, l.requested/millisPerCore, l.used/millisPerCore, l.served, l.overTarget, t.backlog.level,
+		t.reserves.total()/millisPerCore)
 }
 
 // addWaiting counts the waiting tasks, and the jobs of the best-effort ones.
@@ -73,7 +76,11 @@
 func (l *load) addWorker(h *hostState) {
 	l.capacity += h.worker.Capacity.CPU
 	l.serving += h.worker.ServingCPU
+	short := shortLoad{open: h.openCapacity()}
 	for _, p := range h.runs {
+		if p.step.IsShort() {
+			short.used += p.step.Size.CPU
+		}
 		switch {
 		case p.step.BestEffort:
 			l.bestEffort++
@@ -89,4 +96,5 @@
 			}
 		}
 	}
+	l.short.add(h.worker.Service, short)
 }
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -86,11 +86,13 @@
 		workers = append(workers, &h.worker)
 	}
 	l := t.currentLoad()
+	t.observeShortWork(l.short, groups)
 	t.logLoad(l, groups)
 	t.backlog.update(time.Now(), groups, l.used, l.capacity)
 	reserveForSuspects(workers, groups)
 	planner := plan.New(workers, t.pressure)
 	planner.SetBacklog(t.backlog.level)
+	t.setReserves(planner)
 	t.moveThrottled(planner)
 	if !t.closuresConfirmed() {
 		return
@@ -103,6 +105,7 @@
 		t.logger.Info("task placed; task=%s run=%d vm=%s waited_ms=%d", p.Task, run, p.Host.VM, time.Since(tracked.acceptedAt).Milliseconds())
 		t.markDirty(tracked)
 	}
+	t.reserves.unplaced = planner.Unplaced()
 }
 
 // placementLimit returns how many more tasks may be placed on a worker: any number, but from probationFailures on one, and none
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -89,6 +89,7 @@
 	closuresUnconfirmed bool
 	leaseReplaced       bool
 	backlog             batchBacklog
+	reserves            shortReserves
 	// unreachable are the incarnations whose leases expired while they were unreachable, lateStarts are the late starts.
 	unreachable map[job.Host]unreachable
 	lateStarts  host.LateCalls[lateStart]
@@ -106,6 +107,7 @@
 		unreachable: make(map[job.Host]unreachable),
 		lateStarts:  make(host.LateCalls[lateStart]),
 		pressure:    pressure.NewModel(), closures: d.config.Closures,
+		reserves:       newShortReserves(),
 		commitTimeouts: wait.NewTimeout(minCommitTimeout, maxCommitTimeout),
 		storeAnswered:  make(chan struct{}, 1), steppedDown: make(chan struct{}),
 	}
