--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -29,6 +29,8 @@
 	// unplaceable holds, by service and image, the size of the smallest unconstrained best-effort task for which no
 	// worker is suitable any more.
 	unplaceable map[imageKey]job.Size
+	// reserves are the reserves for short work, by service.
+	reserves map[string]*serviceReserve
 }
 
 // imageKey identifies best-effort tasks that differ only in size and in the workers that their groups exclude.
@@ -79,6 +81,10 @@
 		w := candidates.best()
 		if w == nil {
 			p.recordUnplaceable(g)
+			p.recordUnplaced(g, len(g.Indexes)-len(placed))
+			break
+		}
+		if p.reserveRefuses(g) {
 			break
 		}
 		placed = append(placed, p.place(w, g, i, 0))
@@ -131,6 +137,7 @@
 	case g.Step.Serves():
 		w.addServing(g.Step.Image, p.pressure)
 	}
+	p.takeFree(g, 1)
 	return g.place(w, index, run)
 }
 
@@ -142,6 +149,7 @@
 	case g.Step.Serves():
 		w.ServingTasks = w.ServingTasks[:len(w.ServingTasks)-1]
 	}
+	p.takeFree(g, -1)
 	g.undo(w)
 }
 
