Count running short work towards the reserve

The reserve was kept free beside the capacity that short work already had, so long-running tasks had to leave it twice. The next short tasks take the place of those that end, so free CPU and the CPU in use by short work now count together.

--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -96,5 +96,8 @@
 			}
 		}
 	}
+	if short.open > 0 {
+		short.usedOpen = short.used
+	}
 	l.short.add(h.worker.Service, short)
 }
--- a/internal/dispatch/shortreserve.go
+++ b/internal/dispatch/shortreserve.go
@@ -10,17 +10,19 @@
 // shortReserves are the reserves for short work, by service.
 type shortReserves struct {
 	byService map[string]*reserve.Reserve
+	// used is the CPU that short work has reserved on open workers, by service, in thousandths of a core.
+	used map[string]int
 	// unplaced are the long-running tasks that the last plan did not place for a reason other than the reserve.
 	unplaced map[string][]plan.WaitingTasks
 }
 
 func newShortReserves() shortReserves {
-	return shortReserves{byService: make(map[string]*reserve.Reserve)}
+	return shortReserves{byService: make(map[string]*reserve.Reserve), used: make(map[string]int)}
 }
 
-// shortLoad is the CPU that short work uses and that its waiting tasks request, and the capacity of open workers, all in
-// thousandths of a core.
-type shortLoad struct{ used, waiting, open int }
+// shortLoad is the CPU that short work uses, the part of it on open workers, the CPU that its waiting tasks request, and the
+// capacity of open workers, all in thousandths of a core.
+type shortLoad struct{ used, usedOpen, waiting, open int }
 
 // shortLoads are the loads by service.
 type shortLoads map[string]shortLoad
@@ -28,7 +30,7 @@
 // add adds a load to that of a service.
 func (s shortLoads) add(service string, l shortLoad) {
 	sum := s[service]
-	s[service] = shortLoad{sum.used + l.used, sum.waiting + l.waiting, sum.open + l.open}
+	s[service] = shortLoad{sum.used + l.used, sum.usedOpen + l.usedOpen, sum.waiting + l.waiting, sum.open + l.open}
 }
 
 // openCapacity returns the capacity of a worker that takes new tasks, in thousandths of a core, 0 if it takes none.
@@ -64,6 +66,7 @@
 			r.byService[service] = &reserve.Reserve{}
 		}
 		r.byService[service].Observe(now, l.used, l.waiting, l.open)
+		r.used[service] = l.usedOpen
 	}
 }
 
@@ -83,7 +86,7 @@
 	}
 	reserves := make(map[string]plan.ShortReserve, len(t.reserves.byService))
 	for service, reserved := range t.reserves.byService {
-		reserves[service] = plan.ShortReserve{CPU: reserved.Amount(), Waiting: t.reserves.unplaced[service]}
+		reserves[service] = plan.ShortReserve{CPU: reserved.Amount(), Used: t.reserves.used[service], Waiting: t.reserves.unplaced[service]}
 	}
 	planner.SetReserves(reserves)
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -137,7 +137,7 @@
 	case g.Step.Serves():
 		w.addServing(g.Step.Image, p.pressure)
 	}
-	p.takeFree(g, 1)
+	p.takeAvailable(g, 1)
 	return g.place(w, index, run)
 }
 
@@ -149,7 +149,7 @@
 	case g.Step.Serves():
 		w.ServingTasks = w.ServingTasks[:len(w.ServingTasks)-1]
 	}
-	p.takeFree(g, -1)
+	p.takeAvailable(g, -1)
 	g.undo(w)
 }
 
--- a/internal/plan/reserve.go
+++ b/internal/plan/reserve.go
@@ -28,18 +28,19 @@
 
 // ShortReserve is what a plan grants the short work of one service.
 type ShortReserve struct {
-	// CPU is what long-running tasks must leave free on the schedulable workers outside closed halls, in thousandths of a
-	// core.
-	CPU int
+	// CPU is what long-running tasks must leave to short work on the schedulable workers outside closed halls, Used what short
+	// work has reserved there before the plan; both are in thousandths of a core.
+	CPU, Used int
 	// Waiting are the long-running tasks that the last plan did not place for a reason other than the reserve.
 	Waiting []WaitingTasks
 }
 
 // serviceReserve is the state of the reserve of one service during a plan.
 type serviceReserve struct {
-	// amount is the CPU to keep free, free the free CPU of the service's open workers, in thousandths of a core.
-	amount, free int
-	waiting      []WaitingTasks
+	// amount is the CPU to leave to short work, available the CPU of the service's open workers that is free or used by short
+	// work, in thousandths of a core.
+	amount, available int
+	waiting           []WaitingTasks
 	// unplaced counts the long-running tasks that this plan cannot place for a reason other than the reserve, by size.
 	unplaced map[job.Size]int
 }
@@ -48,12 +49,12 @@
 func (p *Planner) SetReserves(reserves map[string]ShortReserve) {
 	p.reserves = make(map[string]*serviceReserve, len(reserves))
 	for service, r := range reserves {
-		p.reserves[service] = &serviceReserve{amount: r.CPU, waiting: mostFrequent(r.Waiting), unplaced: make(map[job.Size]int)}
+		p.reserves[service] = &serviceReserve{amount: r.CPU, available: r.Used, waiting: mostFrequent(r.Waiting), unplaced: make(map[job.Size]int)}
 	}
 	for _, w := range p.workers {
 		if r := p.reserves[w.Service]; r != nil && w.Schedulable && !w.HallClosed {
 			// A worker whose capacity has shrunk below its use has nothing free, and takes nothing from others.
-			r.free += max(w.Free().CPU, 0)
+			r.available += max(w.Free().CPU, 0)
 		}
 	}
 }
@@ -87,17 +88,17 @@
 	)
 }
 
-// reserveRefuses reports whether one more task of the group would take capacity that is kept free for short work.
+// reserveRefuses reports whether one more task of the group would take capacity that is left to short work.
 func (p *Planner) reserveRefuses(g *Group) bool {
 	r := p.reserves[g.Service]
 	requested := g.Step.Reservation().CPU
-	return r != nil && g.Step.LongRunning && requested > 0 && r.free-requested < r.amount
+	return r != nil && g.Step.LongRunning && requested > 0 && r.available-requested < r.amount
 }
 
-// takeFree records that tasks of the group take free CPU of their service; a negative number returns it.
-func (p *Planner) takeFree(g *Group, tasks int) {
-	if r := p.reserves[g.Service]; r != nil {
-		r.free -= tasks * g.Step.Reservation().CPU
+// takeAvailable records that tasks of the group take CPU that was available to short work; a negative number returns it.
+func (p *Planner) takeAvailable(g *Group, tasks int) {
+	if r := p.reserves[g.Service]; r != nil && !g.Step.IsShort() {
+		r.available -= tasks * g.Step.Reservation().CPU
 	}
 }
 
