Use learned run times for slack and batch backlog

Cause: slack, cutoff, remaining work and the batch backlog level are computed from estimates that are off by a factor of 2.5. Change: with the switch run_times, a leader learns from the ends of the runs that it started itself, without a checkpoint and at full pace, and uses the predictions for all four; the objective in them is by the same predictions. The model is saved and loaded beside the interference model. Without the switch, the estimates are used and nothing is stored.

--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -35,9 +35,9 @@
 	var work, objective float64
 	for _, g := range groups {
 		if g.Step.BestEffort {
-			seconds := float64(len(g.Indexes)) * float64(g.Step.Size.CPU) / millisPerCore * g.Step.Estimate.Seconds()
+			seconds := float64(len(g.Indexes)) * float64(g.Step.Size.CPU) / millisPerCore * g.RunTime.Seconds()
 			work += seconds
-			objective += seconds * g.Job.Objective().Seconds()
+			objective += seconds * g.Objective.Seconds()
 		}
 	}
 	target := 0.0
--- a/internal/dispatch/backlog_test.go
+++ b/internal/dispatch/backlog_test.go
@@ -16,7 +16,9 @@
 	spec := job.Spec{Steps: []job.Step{{Count: 1, BestEffort: true, Size: job.Size{CPU: 2000}, Estimate: 2 * time.Second}}}
 	waitingJob := job.New("00000000000000aa", spec, job.Queue{Stretch: 5}, time.Unix(0, 0))
 	waiting := func(tasks int) []*plan.Group {
-		return []*plan.Group{{Job: waitingJob, Step: &spec.Steps[0], Indexes: make([]int, tasks)}, {Job: waitingJob, Step: &job.Step{}, Indexes: make([]int, 500)}}
+		return []*plan.Group{{
+			Job: waitingJob, Step: &spec.Steps[0], Indexes: make([]int, tasks), RunTime: spec.Steps[0].Estimate, Objective: waitingJob.Objective(),
+		}, {Job: waitingJob, Step: &job.Step{}, Indexes: make([]int, 500)}}
 	}
 	const capacity, used = 200_000, 40_000
 	var s batchBacklog
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -11,7 +11,7 @@
 )
 
 // maxRecords leaves space in a transaction of kv.MaxEntries for two puts and two conditions, those of the last commit and
-// of the leader record, and for the interference model.
+// of the leader record, and for the models of interference and of run times.
 const maxRecords = kv.MaxEntries - 6
 
 // checkpointInterval is the least time between two writes of a job that are due to checkpoints alone: tasks save a
@@ -68,7 +68,7 @@
 	}
 	b.txn.Conditions = append(b.txn.Conditions, kv.Condition{Key: record.LastCommitKey, Revision: t.lastCommitRevision})
 	b.txn.Puts = append(b.txn.Puts, lastCommit)
-	t.addModel(b)
+	t.addModels(b)
 	b.collectRuns(t)
 	return b, nil
 }
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -130,6 +130,7 @@
 	}
 	p := h.runs[r.id]
 	p.committed, p.progressedAt = true, time.Now()
+	p.timing.placedHere = true
 	if !p.stopping && !t.hallClosed(r.host) {
 		t.orderStart(r.host, r.id, p)
 		return
--- a/internal/dispatch/groups.go
+++ b/internal/dispatch/groups.go
@@ -35,6 +35,7 @@
 
 func (t *term) waitingGroupsOf(tracked *trackedJob, iteration int, now time.Time) []*plan.Group {
 	var groups []*plan.Group
+	var forecast *forecast
 	queue := t.currentQueue(tracked)
 	since := tracked.acceptedAt
 	if tracked.job.Spec().Iterations > 0 {
@@ -46,14 +47,17 @@
 		if len(waiting) == 0 || !tracked.job.DependenciesDone(iteration, step) {
 			continue
 		}
-		expected := now.Sub(since) + tracked.job.RemainingTime(iteration)
-		objective := tracked.job.Objective()
+		if forecast == nil {
+			forecast = t.forecast(tracked, iteration)
+		}
+		expected := now.Sub(since) + forecast.remaining
 		others, suspects, score := tracked.splitSuspects(job.TaskID{Job: tracked.job.ID(), Iteration: iteration, Step: step}, waiting, now)
 		group := &plan.Group{
 			Job: tracked.job, Iteration: iteration, StepIndex: step, Step: &tracked.job.Spec().Steps[step], Service: queue.Service,
 			Indexes: others, TasksByWorker: byWorker, Avoid: tracked.failedHosts, Priority: queue.Priority,
 			NoneRunning: !tracked.idleSince.IsZero() && now.Sub(tracked.idleSince) > starvationDelay,
-			Slack:       objective - expected, CutoffSlack: lateFactor*objective - expected, Work: tracked.job.RemainingWork(iteration),
+			Slack:       forecast.objective - expected, CutoffSlack: lateFactor*forecast.objective - expected,
+			Work: forecast.work, RunTime: forecast.duration(step), Objective: forecast.objective,
 		}
 		t.addTickets(group, queue)
 		if len(suspects) > 0 {
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -62,6 +62,7 @@
 	reportedAt time.Time
 	// headroomOffset is how far the headroom of a serving task differs from what its load and its neighbors explain.
 	headroomOffset pressure.Residual
+	timing         runTiming
 }
 
 // minimumLifetime returns how long the run has lived at least, by the reports of its worker.
@@ -166,9 +167,10 @@
 // recordEnd records the end of a run, whichever phase its task is in.
 func (t *term) recordEnd(id job.TaskID, run int, end job.End, checkpoint string, host job.Host) {
 	placedAt := time.Time{}
+	var ended *placedRun
 	if h := t.hosts.get(host); h != nil {
 		if p := h.runs[id]; p != nil {
-			placedAt = p.placedAt
+			placedAt, ended = p.placedAt, p
 		}
 		h.removeRun(id, run)
 	}
@@ -177,6 +179,9 @@
 		return
 	}
 	tracked.backOffAfterEnd(id, end, placedAt)
+	if end == job.EndDone {
+		t.observeRunTime(tracked, id, run, ended)
+	}
 	t.logger.Info("run ended; task=%s run=%d vm=%s end=%s", id, run, host.VM, end)
 	step := &tracked.job.Spec().Steps[id.Step]
 	if h := t.hosts.get(host); h != nil && !step.LongRunning {
--- a/internal/dispatch/moves.go
+++ b/internal/dispatch/moves.go
@@ -20,6 +20,7 @@
 // recordPace records the pace of a task and since when it is slow.
 func (p *placedRun) recordPace(pace int) {
 	p.pace = pace
+	p.timing.recordPace(pace)
 	switch {
 	case pace > slowPace:
 		p.slowSince = time.Time{}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -58,6 +58,7 @@
 	if !p.step.Checkpoints {
 		checkpoint = ""
 	}
+	p.timing.recordStart(time.Now(), checkpoint)
 	orders.Starts = append(orders.Starts, link.Start{
 		Profile: profileOf(p.step, link.NewRun(id, p.number)), Checkpoint: checkpoint, Ticket: t.ticket(host, id),
 	})
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -87,6 +87,7 @@
 	}
 	l := t.currentLoad()
 	t.logLoad(l, groups)
+	t.logRunTimes()
 	t.backlog.update(time.Now(), groups, l.used, l.capacity)
 	reserveForSuspects(workers, groups)
 	planner := plan.New(workers, t.pressure)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -89,6 +89,8 @@
 	closuresUnconfirmed bool
 	leaseReplaced       bool
 	backlog             batchBacklog
+	// runTimes is nil unless run times are learned.
+	runTimes *runTimes
 	// unreachable are the incarnations whose leases expired while they were unreachable, lateStarts are the late starts.
 	unreachable map[job.Host]unreachable
 	lateStarts  host.LateCalls[lateStart]
@@ -105,7 +107,7 @@
 		roster: newRoster(d.config.Address), dirty: make(map[job.ID]uint64), advice: make(map[stepID]*advice),
 		unreachable: make(map[job.Host]unreachable),
 		lateStarts:  make(host.LateCalls[lateStart]),
-		pressure:    pressure.NewModel(), closures: d.config.Closures,
+		pressure:    pressure.NewModel(), closures: d.config.Closures, runTimes: newRunTimes(d.config.Features),
 		commitTimeouts: wait.NewTimeout(minCommitTimeout, maxCommitTimeout),
 		storeAnswered:  make(chan struct{}, 1), steppedDown: make(chan struct{}),
 	}
@@ -116,7 +118,7 @@
 	if err := t.closures.Load(ctx); err != nil {
 		return err
 	}
-	t.loadModel(ctx)
+	t.loadModels(ctx)
 	inputs, revision, err := t.store.Range(ctx, record.InputPrefix)
 	if err != nil {
 		return err
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/estimate"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 )
 
@@ -25,6 +26,8 @@
 	suspectedSince map[job.TaskID]time.Time
 	// backoffs delay the restart of tasks whose runs end quickly.
 	backoffs map[job.TaskID]backoff
+	// endedTasks has the run times of the ended tasks of each step, as far as they count as evidence.
+	endedTasks map[stepID]*estimate.Step
 }
 
 // updateIdle records the time since which no task of the job is placed.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -117,28 +117,33 @@
 }
 
 // Objective returns the duration within which an iteration must complete to earn its full value, by the job's estimates.
-func (j *Job) Objective() time.Duration {
-	return time.Duration(j.queue.Stretch*float64(j.spec.CriticalPath())) + j.queue.Target
+func (j *Job) Objective() time.Duration { return j.ObjectiveBy(j.spec.Estimate) }
+
+// ObjectiveBy returns the objective for the given durations of the steps.
+func (j *Job) ObjectiveBy(duration func(step int) time.Duration) time.Duration {
+	return time.Duration(j.queue.Stretch*float64(j.spec.longest(duration))) + j.queue.Target
 }
 
-// RemainingTime returns the length of the critical path through the unfinished steps of an iteration, by their estimates.
-func (j *Job) RemainingTime(iteration int) time.Duration {
+// RemainingTime returns the length of the critical path through the unfinished steps of an iteration, for the given durations of the
+// steps.
+func (j *Job) RemainingTime(iteration int, duration func(step int) time.Duration) time.Duration {
 	return j.spec.longest(func(step int) time.Duration {
 		if j.stepDone(iteration, step) {
 			return 0
 		}
-		return j.spec.Steps[step].Estimate
+		return duration(step)
 	})
 }
 
-// RemainingWork returns the work of the unfinished tasks of an iteration, in core seconds by their estimates.
-func (j *Job) RemainingWork(iteration int) float64 {
+// RemainingWork returns the work of the unfinished tasks of an iteration in core seconds, for the given durations of the steps.
+func (j *Job) RemainingWork(iteration int, duration func(step int) time.Duration) float64 {
 	const millicoresPerCore = 1000
 	total := 0.0
 	for n, step := range j.spec.Steps {
+		seconds := duration(n).Seconds()
 		for i := range j.tasks[iteration][n] {
 			if j.tasks[iteration][n][i].phase != Done {
-				total += step.Estimate.Seconds() * float64(step.Size.CPU) / millicoresPerCore
+				total += seconds * float64(step.Size.CPU) / millicoresPerCore
 			}
 		}
 	}
--- a/internal/job/script_test.go
+++ b/internal/job/script_test.go
@@ -128,7 +128,7 @@
 	case "checkpoint":
 		assert.Equal(t, j.Task(task()).Checkpoint(), words[2], line)
 	case "remaining":
-		assert.Equal(t, j.RemainingTime(number(1)), time.Duration(number(2))*time.Second, line)
+		assert.Equal(t, j.RemainingTime(number(1), j.spec.Estimate), time.Duration(number(2))*time.Second, line)
 	case "due":
 		assert.Equal(t, j.Due(number(1)).Unix(), int64(number(2)), line)
 	default:
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -145,12 +145,13 @@
 }
 
 // CriticalPath returns the length of the longest dependency path through the steps, by their estimates.
-func (s Spec) CriticalPath() time.Duration {
-	return s.longest(func(step int) time.Duration { return s.Steps[step].Estimate })
-}
+func (s *Spec) CriticalPath() time.Duration { return s.longest(s.Estimate) }
+
+// Estimate returns the estimated run time of the tasks of a step.
+func (s *Spec) Estimate(step int) time.Duration { return s.Steps[step].Estimate }
 
 // longest returns the length of the longest dependency path through the steps with the given step durations.
-func (s Spec) longest(duration func(step int) time.Duration) time.Duration {
+func (s *Spec) longest(duration func(step int) time.Duration) time.Duration {
 	finish := make([]time.Duration, len(s.Steps))
 	var longest time.Duration
 	for n, step := range s.Steps {
--- a/internal/job/spec_test.go
+++ b/internal/job/spec_test.go
@@ -58,7 +58,7 @@
 	assert.Equal(t, spec.CriticalPath(), 4*time.Second)
 	j := New("00000000000000aa", spec, Queue{Stretch: 1.5, Target: 250 * time.Millisecond}, time.Unix(1, 0))
 	assert.Equal(t, j.Objective(), 6250*time.Millisecond)
-	assert.Equal(t, j.RemainingWork(0), 8.0)
+	assert.Equal(t, j.RemainingWork(0, j.spec.Estimate), 8.0)
 }
 
 // TestDecodesHistoriesOfPreviousRelease guards rolling upgrades while jobs have crash histories.
--- a/internal/plan/group.go
+++ b/internal/plan/group.go
@@ -31,8 +31,11 @@
 	Priority    int
 	Slack       time.Duration
 	CutoffSlack time.Duration
-	// Work is the remaining work of the job in core seconds, by its estimates.
-	Work float64
+	// Work is the remaining work of the job in core seconds, RunTime the run time of a task of the step, and Objective the duration
+	// within which the iteration must complete; like the slacks they are by the estimates or by learned run times.
+	Work      float64
+	RunTime   time.Duration
+	Objective time.Duration
 }
 
 // urgency orders groups, the most urgent first.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -14,7 +14,9 @@
 	LeaderKey     = "saffronpulley/lead"
 	LastCommitKey = "saffronpulley/chain"
 	// PressureKey holds the model of interference between images that the leaders have learned.
-	PressureKey    = "saffronpulley/pressure"
+	PressureKey = "saffronpulley/pressure"
+	// EstimatesKey holds the model of run times that the leaders have learned.
+	EstimatesKey   = "saffronpulley/estimates"
 	InputPrefix    = "saffronpulley/in/"
 	ProgressPrefix = "saffronpulley/run/"
 
