--- a/internal/dispatch/groups.go
+++ b/internal/dispatch/groups.go
@@ -35,7 +35,7 @@
 
 func (t *term) waitingGroupsOf(tracked *trackedJob, iteration int, now time.Time) []*plan.Group {
 	var groups []*plan.Group
-	var forecast *forecast
+	var predicted *forecast
 	queue := t.currentQueue(tracked)
 	since := tracked.acceptedAt
 	if tracked.job.Spec().Iterations > 0 {
@@ -47,17 +47,17 @@
 		if len(waiting) == 0 || !tracked.job.DependenciesDone(iteration, step) {
 			continue
 		}
-		if forecast == nil {
-			forecast = t.forecast(tracked, iteration)
+		if predicted == nil {
+			predicted = t.forecast(tracked, iteration)
 		}
-		expected := now.Sub(since) + forecast.remaining
+		expected := now.Sub(since) + predicted.remaining
 		others, suspects, score := tracked.splitSuspects(job.TaskID{Job: tracked.job.ID(), Iteration: iteration, Step: step}, waiting, now)
 		group := &plan.Group{
 			Job: tracked.job, Iteration: iteration, StepIndex: step, Step: &tracked.job.Spec().Steps[step], Service: queue.Service,
 			Indexes: others, TasksByWorker: byWorker, Avoid: tracked.failedHosts, Priority: queue.Priority,
 			NoneRunning: !tracked.idleSince.IsZero() && now.Sub(tracked.idleSince) > starvationDelay,
-			Slack:       forecast.objective - expected, CutoffSlack: lateFactor*forecast.objective - expected,
-			Work: forecast.work, RunTime: forecast.duration(step), Objective: forecast.objective,
+			Slack:       predicted.objective - expected, CutoffSlack: lateFactor*predicted.objective - expected,
+			Work: predicted.work, RunTime: predicted.duration(step), Objective: predicted.objective,
 		}
 		t.addTickets(group, queue)
 		if len(suspects) > 0 {
--- a/internal/dispatch/runtimes_test.go
+++ b/internal/dispatch/runtimes_test.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,7 +26,7 @@
 	slowTaskTime     = 6 * time.Second
 )
 
-// slowFleet is a leader with one worker, whose tasks all run for slowTaskTime.
+// slowFleet is a leader with one worker, whose tasks run for slowTaskTime or for the time of their job.
 type slowFleet struct {
 	t       *testing.T
 	store   *kvtest.Store
@@ -31,6 +34,7 @@
 	agent   *fakeAgent
 	learn   bool
 	started map[link.Run]time.Time
+	times   map[string]time.Duration
 	ends    uint64
 	// pace is the reported pace of all tasks, silence the age from which running tasks are not reported.
 	pace    int
@@ -69,15 +73,16 @@
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
 		assert.NilError(f.t, f.leader.closures.Load(f.t.Context()))
 		r := testReport("i1")
-		for run, at := range f.started {
-			age := time.Since(at)
+		runs := slices.SortedFunc(maps.Keys(f.started), func(a, b link.Run) int { return cmp.Compare(a.Task, b.Task) })
+		for _, run := range runs {
+			age := time.Since(f.started[run])
 			switch {
-			case age >= slowTaskTime:
+			case age >= f.timeOf(run):
 				f.ends++
 				r.Ended = append(r.Ended, link.Ended{Run: run, Sequence: f.ends, End: int(job.EndDone)})
 				delete(f.started, run)
 			case age < f.silence:
-				r.Running = append(r.Running, link.Running{Run: run, Percent: int(100 * age / slowTaskTime), Pace: f.pace})
+				r.Running = append(r.Running, link.Running{Run: run, Percent: int(100 * age / f.timeOf(run)), Pace: f.pace})
 			}
 		}
 		starts, _ := reportAndRun(f.t, f.leader, f.agent, r)
@@ -89,6 +94,14 @@
 	}
 }
 
+// timeOf returns the run time of a task.
+func (f *slowFleet) timeOf(run link.Run) time.Duration {
+	if took, known := f.times[run.Task]; known {
+		return took
+	}
+	return slowTaskTime
+}
+
 // learned returns the number of ends that the leader has learned from.
 func (f *slowFleet) learned() int64 {
 	return f.leader.dispatcher.config.Metrics.Counter("lead.run_time_ends").Count()
