--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -91,6 +91,8 @@
 	leaseReplaced       bool
 	backlog             batchBacklog
 	reserves            shortReserves
+	// runTimes is nil unless run times are learned.
+	runTimes *runTimes
 	// unreachable are the incarnations whose leases expired while they were unreachable, lateStarts are the late starts.
 	unreachable map[job.Host]unreachable
 	lateStarts  host.LateCalls[lateStart]
@@ -110,7 +112,7 @@
 		unreachable: make(map[job.Host]unreachable),
 		lateStarts:  make(host.LateCalls[lateStart]),
 		pressure:    pressure.NewModel(), closures: d.config.Closures,
-		reserves:       newShortReserves(),
+		runTimes: newRunTimes(d.config.Features), reserves: newShortReserves(),
 		commitTimeouts: wait.NewTimeout(minCommitTimeout, maxCommitTimeout),
 		storeAnswered:  make(chan struct{}, 1), steppedDown: make(chan struct{}),
 	}
@@ -123,7 +125,7 @@
 	if err := t.closures.Load(ctx); err != nil {
 		return err
 	}
-	t.loadModel(ctx)
+	t.loadModels(ctx)
 	inputs, revision, err := t.store.Range(ctx, record.InputPrefix)
 	if err != nil {
 		return err
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/estimate"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 )
 
@@ -29,6 +30,8 @@
 	// worker; both are only used where the health of workers is tracked.
 	failedOn     map[job.TaskID][]job.Host
 	lastAttempts map[job.TaskID]lastAttempt
+	// endedTasks has the run times of the ended tasks of each step, as far as they count as evidence.
+	endedTasks map[stepID]*estimate.Step
 }
 
 // updateIdle records the time since which no task of the job is placed.
