Eject a worker after three failures instead of two

Three failures of two jobs, or four of one, are rare on healthy workers, and refusals within 100 ms count once. Short work takes trials at once, so that a worker that has recovered is readmitted within seconds also while other workers have capacity.

--- a/internal/health/ejection.go
+++ b/internal/health/ejection.go
@@ -137,9 +137,9 @@
 	})
 }
 
-// acquit drops the evidence from a job that has failed on so many workers that it explains its failures, on the workers
+// clearExplained drops the evidence from a job that has failed on so many workers that it explains its failures, on the workers
 // without other evidence. Otherwise three tasks of a faulty job that start on one worker would eject it.
-func (t *Tracker) acquit(id job.ID, failures *jobFailures, now time.Time) {
+func (t *Tracker) clearExplained(id job.ID, failures *jobFailures, now time.Time) {
 	if len(failures.workers) <= explainingWorkers {
 		return
 	}
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -7,11 +7,16 @@
 )
 
 const (
-	// ejectingJobs, ejectingFailures and ejectingRefusals are the numbers of different jobs with a failure, of failures and
-	// of refused starts since the last success from which a worker is ejected.
-	ejectingJobs     = 2
+	// ejectingFailures is the number of failures since the last success from which a worker is ejected if they are of
+	// ejectingJobs different jobs or more, failuresOfOneJob the number if they are all of one job. Where 2 % of the runs of
+	// healthy workers fail, two in a row are common in a large fleet, and three are rare.
 	ejectingFailures = 3
+	ejectingJobs     = 2
+	failuresOfOneJob = 4
+	// ejectingRefusals is the number of refused starts since the last one that was carried out from which a worker is ejected.
 	ejectingRefusals = 4
+	// refusalInterval is the least time between two refusals that count: the starts of one order meet the same state of the worker.
+	refusalInterval = 100 * time.Millisecond
 )
 
 // record is the evidence against a worker since its last success.
@@ -20,6 +25,7 @@
 	failures      int
 	failuresByJob map[job.ID]int
 	refusals      int
+	refusedAt     time.Time
 	// updatedAt is the time of the latest evidence or success.
 	updatedAt time.Time
 	// ejected is set from the ejection at ejectedAt to the readmission; before pausedUntil the worker takes no trial.
@@ -39,7 +45,8 @@
 
 // qualifies reports whether the evidence is sufficient for an ejection.
 func (r *record) qualifies() bool {
-	return r.failures >= ejectingFailures || len(r.failuresByJob) >= ejectingJobs || r.refusals >= ejectingRefusals
+	return r.failures >= ejectingFailures && len(r.failuresByJob) >= ejectingJobs ||
+		r.failures >= failuresOfOneJob || r.refusals >= ejectingRefusals
 }
 
 // onlyFrom reports whether there is no evidence from another job.
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -63,7 +63,7 @@
 	}
 	explained := failures.explain(worker, task)
 	failures.add(worker, task)
-	t.acquit(task.Job, failures, now)
+	t.clearExplained(task.Job, failures, now)
 	r := t.ensure(worker)
 	if explained && r.onlyFrom(task.Job) {
 		t.dropEmpty(worker, r)
@@ -79,10 +79,14 @@
 	t.Failed(worker, task, now)
 }
 
-// Refused records that a worker has refused a start because it is busy.
+// Refused records that a worker has refused a start because it is busy; refusals in quick succession count once.
 func (t *Tracker) Refused(worker job.Host, now time.Time) {
 	r := t.ensure(worker)
+	if r.refusals > 0 && now.Sub(r.refusedAt) < refusalInterval {
+		return
+	}
 	r.refusals++
+	r.refusedAt = now
 	t.assess(worker, r, now)
 }
 
--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -33,7 +33,8 @@
 	netValueWeight    = 2.0
 	conflictCost      = 2.0
 	emptyWorkerCost   = 0.5
-	// unhealthyWorkerCost exceeds the sum of all other terms: degraded workers and trials are chosen last.
+	// unhealthyWorkerCost exceeds the sum of all other terms: degraded workers are chosen last, and trials by all but short
+	// work, of which a failed run costs least and which finds out first that a worker has recovered.
 	unhealthyWorkerCost = 1000.0
 	// bestEffortWeight is the weight of CPU in use by best-effort tasks relative to reserved CPU, for tasks without a
 	// latency target.
@@ -65,7 +66,7 @@
 	if g.Avoid[w.Host] {
 		cost += avoidedWorkerCost
 	}
-	if w.Health != health.Healthy {
+	if w.Health == health.Degraded || w.Health == health.Ejected && !g.Step.IsShort() {
 		cost += unhealthyWorkerCost
 	}
 	if g.Step.Affinity != "" && !slices.Contains(w.Labels, g.Step.Affinity) {
