--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -183,7 +183,7 @@
 	}
 	tracked.backOffAfterEnd(id, end, placedAt)
 	if end == job.EndDone {
-		t.observeRunTime(tracked, id, run, ended)
+		t.observeRunTime(tracked, id, ended)
 	}
 	t.logger.Info("run ended; task=%s run=%d vm=%s end=%s", id, run, host.VM, end)
 	step := &tracked.job.Spec().Steps[id.Step]
--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -59,10 +59,9 @@
 	return now.Sub(r.startedAt), now.Sub(lastSeen) <= maxReportAge
 }
 
-// observeRunTime learns from a run that has ended as done. The placed run is nil, or another run of the task, if the run that has ended
-// was given up before.
-func (t *term) observeRunTime(tracked *trackedJob, id job.TaskID, run int, p *placedRun) {
-	if t.runTimes == nil || p == nil || p.number != run || p.stopping || p.step.LongRunning {
+// observeRunTime learns from a run that has ended as done; it is nil if it was given up before.
+func (t *term) observeRunTime(tracked *trackedJob, id job.TaskID, p *placedRun) {
+	if t.runTimes == nil || p == nil || p.stopping || p.step.LongRunning {
 		return
 	}
 	took, known := p.timing.took(time.Now(), p.reportedAt)
