Reword comments and drop an unused parameter

The success of a task is evidence whichever task it was, so Tracker.Done no longer takes it. Comments that told of measured spreads now give the reason alone; the figures stand in docs/design/0012. No decision changes.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -58,7 +58,7 @@
 	now := time.Now()
 	switch {
 	case end == job.EndDone && !p.step.LongRunning:
-		t.health.Done(worker, id, p.placedAt, now)
+		t.health.Done(worker, p.placedAt, now)
 	case end == job.EndFailed && !p.stopping && p.failureCounts(now):
 		t.health.Failed(worker, id, now)
 	}
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -30,7 +30,7 @@
 	quickFailureTime = 40 * time.Millisecond
 )
 
-// healthFleet plays a load on a leader with workers of which some fail all runs that they start for a while.
+// healthFleet is a leader with workers, some of which fail all runs for a while.
 type healthFleet struct {
 	t       *testing.T
 	store   *kvtest.Store
--- a/internal/estimate/regression.go
+++ b/internal/estimate/regression.go
@@ -3,8 +3,7 @@
 const (
 	// memory is the weight of all ends after many: the last few hundred ends count, which are some minutes of a busy queue.
 	memory = 300.0
-	// slopePrior is the weight of the prior slope of 1, in squares of the logarithm of the estimate: that of about 7 ends whose estimates
-	// spread like those of recorded days.
+	// slopePrior is the weight of the prior slope of 1, in squares of the logarithm of the estimate: a few ends outweigh it.
 	slopePrior = 2.0
 	// offsetPrior is the weight in ends of the prior that the estimate is right on average.
 	offsetPrior = 5.0
@@ -12,7 +11,7 @@
 	// (0.97); priorEnds is its weight in ends.
 	priorDeviation = 0.6
 	priorEnds      = 5.0
-	// withinPrior is the standard deviation of the logarithm within a step without evidence, 0.18 to 0.31 on recorded days;
+	// withinPrior is the standard deviation of the logarithm within a step without evidence: tasks of one step take similar times.
 	// withinPriorEnds is its weight in ends.
 	withinPrior     = 0.25
 	withinPriorEnds = 10.0
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -8,8 +8,8 @@
 
 const (
 	// ejectingFailures is the number of failures since the last success from which a worker is ejected if they are of
-	// ejectingJobs different jobs or more, failuresOfOneJob the number if they are all of one job. Where 2 % of the runs of
-	// healthy workers fail, two in a row are common in a large fleet, and three are rare.
+	// ejectingJobs different jobs or more, failuresOfOneJob the number if they are all of one job. In a large fleet unrelated
+	// failures often hit a healthy worker twice in a row, but rarely three times.
 	ejectingFailures = 3
 	ejectingJobs     = 2
 	failuresOfOneJob = 4
--- a/internal/health/property_test.go
+++ b/internal/health/property_test.go
@@ -34,7 +34,7 @@
 		m.tracker = NewTracker(m.fleet)
 		t.Repeat(map[string]func(*rapid.T){
 			"start":   m.start,
-			"done":    func(t *rapid.T) { w := drawWorker(t); m.tracker.Done(w, drawTask(t), m.end(w), m.now) },
+			"done":    func(t *rapid.T) { w := drawWorker(t); m.tracker.Done(w, m.end(w), m.now) },
 			"failed":  func(t *rapid.T) { w := drawWorker(t); m.end(w); m.tracker.Failed(w, drawTask(t), m.now) },
 			"stalled": func(t *rapid.T) { m.tracker.Stalled(drawWorker(t), drawTask(t), m.now) },
 			"refused": func(t *rapid.T) { m.tracker.Refused(drawWorker(t), m.now) },
--- a/internal/health/script_test.go
+++ b/internal/health/script_test.go
@@ -84,7 +84,7 @@
 		if len(args) > 2 {
 			placed = s.at(args[2])
 		}
-		s.tracker.Done(testHost(args[0]), testTask(args[1]), placed, now)
+		s.tracker.Done(testHost(args[0]), placed, now)
 	case "failed":
 		s.tracker.Failed(testHost(args[0]), testTask(args[1]), now)
 	case "stalled":
@@ -114,7 +114,7 @@
 	}
 }
 
-// series plays the ends of runs of different jobs on the named workers in turn, 100 ms apart, of which every nth fails: "series 400 20 a b".
+// series records ends of runs of different jobs on the named workers in turn, 100 ms apart; every nth run fails: "series 400 20 a b".
 func (s *script) series(now time.Time, args []string) {
 	count, err := strconv.Atoi(args[0])
 	assert.NilError(s.t, err)
@@ -127,6 +127,6 @@
 			s.tracker.Failed(worker, task, now)
 			continue
 		}
-		s.tracker.Done(worker, task, now, now)
+		s.tracker.Done(worker, now, now)
 	}
 }
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -41,7 +41,7 @@
 
 // Done records that a finite task has succeeded on a worker on which it was placed at a time. On an ejected worker only a
 // trial counts: a worker that fails all it starts may still complete what ran before.
-func (t *Tracker) Done(worker job.Host, _ job.TaskID, placed, now time.Time) {
+func (t *Tracker) Done(worker job.Host, placed, now time.Time) {
 	r := t.records[worker]
 	switch {
 	case r == nil || r.ejected && !placed.After(r.ejectedAt):
--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -33,8 +33,8 @@
 	netValueWeight    = 2.0
 	conflictCost      = 2.0
 	emptyWorkerCost   = 0.5
-	// unhealthyWorkerCost exceeds the sum of all other terms: degraded workers are chosen last, and trials by all but short
-	// work, of which a failed run costs least and which finds out first that a worker has recovered.
+	// unhealthyWorkerCost exceeds the sum of all other terms: degraded workers are chosen last. Short work is exempt on
+	// ejected workers, since a failed trial costs it least and a worker that has recovered is readmitted soon.
 	unhealthyWorkerCost = 1000.0
 	// bestEffortWeight is the weight of CPU in use by best-effort tasks relative to reserved CPU, for tasks without a
 	// latency target.
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -46,7 +46,7 @@
 // search connects to entries in parallel, in the order of their addresses. Only one goroutine may use it.
 type search struct {
 	pool *Pool
-	// addresses are those to be dialed at most, the first dialed of which have been dialed; pending counts the dials without a result.
+	// addresses are the candidates; dialed counts those dialed so far, from the first on, pending the dials without a result.
 	addresses       []string
 	dialed, pending int
 	results         chan connected
