--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -62,7 +62,7 @@
 func newTracked(j *job.Job) *trackedJob {
 	return &trackedJob{
 		job: j, acceptedAt: localAcceptTime(j.Accepted()), failedHosts: make(map[job.Host]bool), suspectedSince: make(map[job.TaskID]time.Time),
-		backoffs: make(map[job.TaskID]backoff), failedOn: make(map[job.TaskID][]job.Host), lastAttempts: make(map[job.TaskID]lastAttempt),
+		idleTasks: make(map[job.TaskID]idleTask), backoffs: make(map[job.TaskID]backoff), failedOn: make(map[job.TaskID][]job.Host), lastAttempts: make(map[job.TaskID]lastAttempt),
 	}
 }
 
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -47,6 +47,7 @@
 	}
 	t.loadLoggedAt = time.Now()
 	t.logClosures()
+	t.logIdleTasks(t.loadLoggedAt)
 	l.addWaiting(groups)
 	t.logger.Info("load; workers=%d waiting_short=%d waiting_lasting=%d waiting_batch=%d of_jobs=%d cores=%d serving=%d "+
 		"filling_tasks=%d slowed=%d asked=%d used=%d served=%d over=%d starved=%.1f reserved=%d",
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -13,11 +13,13 @@
 
 // agent is the state of an agent as of its last report.
 type agent struct {
-	vm               string
-	hall             string
-	session          session
-	lastReport       time.Time
-	host             job.Host
+	vm         string
+	hall       string
+	session    session
+	lastReport time.Time
+	host       job.Host
+	// confirmedAt is the time of the last report of this epoch whose worker had accepted a fence of the epoch.
+	confirmedAt      time.Time
 	acknowledgedEnds uint64
 	// rowReader decodes the reports of the session, fences are the fencing tokens granted to it.
 	rowReader *link.RowReader
@@ -142,6 +144,9 @@
 func (t *term) recordAgent(a *agent, s session, r link.Report) {
 	a.session, a.lastReport, a.hall = s, time.Now(), r.Hall
 	a.recordFirstFailure(r.FirstFailureMillis)
+	if r.Epoch == t.epoch && r.Fenced {
+		a.confirmedAt = a.lastReport
+	}
 	if r.Instance == "" || !r.Fenced {
 		return
 	}
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -24,6 +24,8 @@
 	failedHosts        map[job.Host]bool
 	// suspectedSince has the tasks that wait to start alone on a worker, with the start of the wait.
 	suspectedSince map[job.TaskID]time.Time
+	// idleTasks are the long-running tasks that do not run.
+	idleTasks map[job.TaskID]idleTask
 	// backoffs delay the restart of tasks whose runs end quickly.
 	backoffs map[job.TaskID]backoff
 	// failedOn has the workers on which runs of a finite task have failed, lastAttempts the tasks on their last attempt that wait for a healthy
