Reproduce the loss of a task whose worker is gone

Two failing tests. One sends the reports of the record by hand; the other runs real agents and leaders, loses the worker of a long-running task for good and restarts the agent, the leader or both at five times after it.

--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -69,9 +69,12 @@
 	agents  []*runner.Runner
 	leaders int
 	// depose ends the current leader; killAgent ends the agent of each VM.
-	depose             func()
-	killAgent          []func()
-	uptime             *boottimetest.Clock
+	depose    func()
+	killAgent []func()
+	uptime    *boottimetest.Clock
+	// staleLeader is the record of the leader that agents read until staleLeaderUntil.
+	staleLeader        kv.Item
+	staleLeaderUntil   time.Time
 	taskTime           time.Duration
 	longRunning        bool
 	violations         []string
@@ -113,7 +116,9 @@
 	d := newTestEntry(name, s.store)
 	mux := rpc.NewMux(timeline.NewClock(time.Now))
 	d.Register(mux)
-	s.network[name] = make(chan net.Conn)
+	if s.network[name] == nil {
+		s.network[name] = make(chan net.Conn)
+	}
 	server := rpc.Serve(pipeListener{conns: s.network[name], closed: make(chan struct{})}, "", mux, rpc.ProcessLimits())
 	ctx, cancel := context.WithCancel(s.ctx)
 	leader, err := d.tryAcquire(ctx)
@@ -137,7 +142,7 @@
 	pool := relay.NewPool("", "", mux, nil)
 	r := runner.New(runner.Config{
 		VM: fmt.Sprintf("vm%d", n), ClosureDelay: testClosureDelay, MaxRenewal: 6 * time.Second, Worker: s.workers[n],
-		Store: relay.New(s.store, health, pool), Pool: pool, Clock: timeline.NewClock(time.Now), Dial: s.network.dial,
+		Store: relay.New(staleLeaderStore{s.store, s}, health, pool), Pool: pool, Clock: timeline.NewClock(time.Now), Dial: s.network.dial,
 		Uptime: s.uptime, Random: func() float64 { return 0.5 }, Logger: logging.Discard(), Metrics: metric.New(),
 	})
 	ctx, cancel := context.WithCancel(s.ctx)
