Grant agent leases only for a worker that the agent reaches

Cause: the leader gives up the runs of a worker once its agent says that their leases have expired, or once the agent lease has. The first counts only if the worker has accepted a fence of the epoch, which a worker that is gone never does. The second never came to pass: any report extended it, also one under an earlier epoch, one whose worker had not answered in this epoch, and one of a restarted agent that knew no worker. The runs stayed placed until the next leader, and with a restarted agent new tasks were placed there as well.

Change: the leader takes the state of a worker only from reports of its own epoch, and grants no lease in the answer to a report that cannot end the runs: under an earlier epoch, of an agent without a worker for longer than runs outlive their lease, or of one whose worker does not answer and has not in this epoch. A worker is given up when the last lease granted for it has expired. Nothing can extend its runs after that, so the task does not run twice.

--- a/internal/dispatch/lostworker_test.go
+++ b/internal/dispatch/lostworker_test.go
@@ -76,6 +76,8 @@
 
 // lostWorkerCase is the loss of a worker, with other processes that fail at a time after it.
 type lostWorkerCase struct {
+	// silence is how long the worker, whose runs continue, does not answer; 0 stands for a worker that crashes and never returns.
+	silence    time.Duration
 	concurrent concurrentFailure
 	after      time.Duration
 	// inPlace restarts the leader at its address, where agents connect to it under its earlier epoch until they read its record.
@@ -83,27 +85,46 @@
 }
 
 func (c lostWorkerCase) String() string {
-	return fmt.Sprintf("%s in-place=%t after %v", [...]string{"alone", "leader-goes", "agent-goes", "both-go"}[c.concurrent], c.inPlace, c.after)
+	return fmt.Sprintf("silence=%v %s in-place=%t after %v", c.silence,
+		[...]string{"alone", "leader-goes", "agent-goes", "both-go"}[c.concurrent], c.inPlace, c.after)
 }
 
-// TestTaskOfLostWorkerRunsElsewhereAfterRestarts guards against a long-running task that does not run again after its worker was lost and its agent
-// or the leader was restarted.
-func TestTaskOfLostWorkerRunsElsewhereAfterRestarts(t *testing.T) {
+// lostWorkerCases returns all cases of one silence.
+func lostWorkerCases(silence time.Duration) []lostWorkerCase {
+	var cases []lostWorkerCase
 	for concurrent := range concurrentFailures {
-		for _, inPlace := range []bool{false, true} {
-			if inPlace && concurrent != leaderFails && concurrent != bothFail {
-				continue
-			}
-			for _, after := range []time.Duration{0, 300 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
-				c := lostWorkerCase{concurrent: concurrent, after: after, inPlace: inPlace}
-				t.Run(c.String(), func(t *testing.T) {
-					var violations []string
-					synctest.Test(t, func(t *testing.T) { violations = runLostWorkerCase(t, c) })
-					assert.Equal(t, len(violations), 0, "%v", violations)
-				})
+		for _, after := range []time.Duration{0, 300 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
+			cases = append(cases, lostWorkerCase{silence: silence, concurrent: concurrent, after: after})
+			if concurrent == leaderFails || concurrent == bothFail {
+				cases = append(cases, lostWorkerCase{silence: silence, concurrent: concurrent, after: after, inPlace: true})
 			}
 		}
 	}
+	return cases
+}
+
+// TestTaskOfLostWorkerRunsElsewhereAfterRestarts guards against a long-running task that does not run again after its worker was lost and its agent
+// or the leader was restarted.
+func TestTaskOfLostWorkerRunsElsewhereAfterRestarts(t *testing.T) { runLostWorkerCases(t, 0) }
+
+// TestTaskOfSilentWorkerRunsOnceAfterRestarts guards against a task that is placed again while its worker, which does not answer for a while, still
+// runs it.
+func TestTaskOfSilentWorkerRunsOnceAfterRestarts(t *testing.T) {
+	for _, silence := range []time.Duration{time.Second, 2500 * time.Millisecond, 4 * time.Second, 5500 * time.Millisecond, 8 * time.Second, 12 * time.Second} {
+		runLostWorkerCases(t, silence)
+	}
+}
+
+// runLostWorkerCases runs the cases of one silence, each as a test of its own.
+func runLostWorkerCases(t *testing.T, silence time.Duration) {
+	t.Helper()
+	for _, c := range lostWorkerCases(silence) {
+		t.Run(c.String(), func(t *testing.T) {
+			var violations []string
+			synctest.Test(t, func(t *testing.T) { violations = runLostWorkerCase(t, c) })
+			assert.Equal(t, len(violations), 0, "%v", violations)
+		})
+	}
 }
 
 // runLostWorkerCase loses the worker of a long-running task and returns the violations.
@@ -115,7 +136,7 @@
 	s.submitJob()
 	time.Sleep(1500 * time.Millisecond)
 	assert.Equal(t, s.running(), 1)
-	vm := s.loseWorker()
+	vm := s.loseWorker(c.silence)
 	time.Sleep(c.after)
 	if c.concurrent == agentFails || c.concurrent == bothFail {
 		s.killAgent[vm]()
@@ -136,15 +157,19 @@
 	return s.violations
 }
 
-// loseWorker stops the worker that runs the task for the rest of the test and returns the index of its VM.
-func (s *simulation) loseWorker() int {
+// loseWorker makes the worker that runs the task leave calls unanswered for a while, or crash and never return if silence is 0, and returns the
+// index of its VM.
+func (s *simulation) loseWorker(silence time.Duration) int {
 	for vm, w := range s.workers {
 		if w.run == nil {
 			continue
 		}
-		w.restart(w.id, time.Second)
+		if silence == 0 {
+			w.restart(w.id, time.Second)
+			silence = time.Hour
+		}
 		w.lock()
-		w.downUntil = time.Now().Add(time.Hour)
+		w.downUntil = time.Now().Add(silence)
 		w.unlock()
 		return vm
 	}
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -22,8 +22,8 @@
 	stallEstimateShare = 0.05
 )
 
-// expireWorkers marks workers unschedulable after maxReportAge without a report, and unreachable once the agent lease has
-// expired. Without any report in this term the lease counts as expired leaderTimeout after the start of the term.
+// expireWorkers marks workers unschedulable after maxReportAge without an agent lease granted for them, and unreachable once
+// the last one has expired. Leases of earlier leaders have expired leaderTimeout after the start of the term.
 func (t *term) expireWorkers() {
 	now := time.Now()
 	t.expireUnreachable(now)
@@ -32,12 +32,12 @@
 		a := t.agents[host.VM]
 		switch {
 		case a != nil && a.host == host:
-			h.worker.Schedulable = h.worker.Schedulable && now.Sub(a.lastReport) < maxReportAge
-			if now.Sub(a.lastReport) > agentLease+agentLeaseMargin {
-				t.markUnreachable(h, "its agent does not report")
+			h.worker.Schedulable = h.worker.Schedulable && now.Sub(a.leasedAt) < maxReportAge
+			if a.leaseExpired(now) {
+				t.markUnreachable(h, "its agent no longer confirms it")
 			}
-		case now.Sub(t.startedAt) > leaderTimeout+agentLeaseMargin:
-			t.markUnreachable(h, "its agent never reported to this leader")
+		case now.Sub(t.startedAt) > leaderTimeout+agentLeaseMargin && (a == nil || a.leaseExpired(now)):
+			t.markUnreachable(h, "its agent has not confirmed it to this leader")
 		}
 	}
 }
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -19,7 +19,7 @@
 // be acknowledged, and reports whether the ends were recorded.
 func (t *term) reconcile(a *agent, r link.Report, required map[*trackedJob]uint64) bool {
 	h := t.hosts.get(job.Host{VM: r.VM, Incarnation: r.Incarnation()})
-	if h == nil || !r.Fenced || r.Epoch != t.epoch {
+	if h == nil || !t.confirms(r) {
 		return false
 	}
 	for _, e := range r.Ended {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -18,8 +18,11 @@
 	session    session
 	lastReport time.Time
 	host       job.Host
-	// confirmedAt is the time of the last report of this epoch whose worker had accepted a fence of the epoch.
-	confirmedAt      time.Time
+	// confirmedAt is the time of the last report that confirmed the incarnation, leasedAt of the last one whose answer granted a lease.
+	confirmedAt time.Time
+	leasedAt    time.Time
+	// workerlessSince is since when the agent has reported no worker, zero while it reports one.
+	workerlessSince  time.Time
 	acknowledgedEnds uint64
 	// rowReader decodes the reports of the session, fences are the fencing tokens granted to it.
 	rowReader *link.RowReader
@@ -37,8 +40,9 @@
 	answer           link.ReportAnswer
 	requiredVersions map[*trackedJob]uint64
 	lastCrash        uint64
-	// reconciled reports whether the reported ends were recorded.
+	// reconciled reports whether the reported ends were recorded, leased whether the answer grants an agent lease.
 	reconciled bool
+	leased     bool
 }
 
 // report records the report of an agent and returns the answer with the agent lease.
@@ -72,6 +76,9 @@
 	affected := make(map[*trackedJob]bool)
 	received.lastCrash = t.recordCrashes(a, r, affected)
 	t.recordAgent(a, s, r)
+	if received.leased = t.grantsLease(a, r); received.leased {
+		a.leasedAt = a.lastReport
+	}
 	for tracked := range affected {
 		received.requiredVersions[tracked] = tracked.version
 	}
@@ -104,7 +111,9 @@
 	}
 	age := t.verificationAge()
 	answer.AcknowledgedEnds = a.acknowledgedEnds
-	answer.LeaseMillis = min(agentLease, max(leaderTimeout-age, 0)).Milliseconds()
+	if received.leased {
+		answer.LeaseMillis = min(agentLease, max(leaderTimeout-age, 0)).Milliseconds()
+	}
 	answer.Unverified = age > staleVerificationAfter
 	answer.Entries, answer.EntriesVersion = t.entriesFor(r.VM, r.EntriesVersion)
 	if newest := t.dispatcher.config.Policies.Newest(); newest != nil {
@@ -144,12 +153,11 @@
 func (t *term) recordAgent(a *agent, s session, r link.Report) {
 	a.session, a.lastReport, a.hall = s, time.Now(), r.Hall
 	a.recordFirstFailure(r.FirstFailureMillis)
-	if r.Epoch == t.epoch && r.Fenced {
-		a.confirmedAt = a.lastReport
-	}
-	if r.Instance == "" || !r.Fenced {
+	a.recordWorkerless(r.Instance == "")
+	if !t.confirms(r) {
 		return
 	}
+	a.confirmedAt = a.lastReport
 	current := job.Host{VM: r.VM, Incarnation: r.Incarnation()}
 	t.completeIdentity(current)
 	if a.host != current {
