Refuse a repeated order for a refused run again

Cause: the agent withdraws a start without an answer and reports the run as refused. If the leader is replaced before it has committed that, the next one still has the run placed and orders its start; the agent, which remembers the refusal, ignored that order. The run was neither running nor pending nor refused in any report. Finite tasks were freed by the limit for stalled tasks, long-running ones have none.

Change: a repeated order for a refused run is refused again, so every order of a start leads to a reported outcome, whatever leader gave it.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -61,7 +61,11 @@
 
 // startRun carries out a start unless the run was already ordered or refused.
 func (r *Runner) startRun(w *workerState, run host.Run, start *link.Start, text string) {
-	if w.orders[run] != nil || run.Number <= w.refused[run.Task] {
+	if w.orders[run] != nil {
+		return
+	}
+	if run.Number <= w.refused[run.Task] {
+		r.repeatRefusal(w, run)
 		return
 	}
 	w.profiles[run] = start.Profile
@@ -81,6 +85,15 @@
 	r.orderTasks.Go(func() { r.sendStart(ctx, w, run, o) })
 }
 
+// repeatRefusal reports a refused run as refused again: an earlier leader may have lost the refusal before it was committed.
+func (r *Runner) repeatRefusal(w *workerState, run host.Run) {
+	r.logger.Info("start of a refused run is refused again; task=%s run=%d refused_run=%d", run.Task, run.Number, w.refused[run.Task])
+	o := &order{cancel: func() {}}
+	o.refuse(w, run, host.RefusedOld)
+	w.orders[run] = o
+	wait.Notify(r.reportDue)
+}
+
 // checkStart returns why the agent itself refuses a start, Accepted if it does not.
 func (r *Runner) checkStart(w *workerState, run host.Run, start *link.Start) host.Refusal {
 	switch {
--- /dev/null
+++ b/internal/runner/refusal_test.go
@@ -0,0 +1,55 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+)
+
+// TestRefusalIsReportedToTheNextLeader guards against a start that the agent refused for an earlier leader and then ignores for ever when the next
+// one, which never learned of the refusal, orders it.
+func TestRefusalIsReportedToTheNextLeader(t *testing.T) {
+	for name, answered := range map[string]bool{"not reported to the earlier leader": false, "the earlier leader did not commit it": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &fakeWorker{answerStart: noAnswer}
+				r := newTest(worker)
+				_, err := r.handleOrders(t.Context(), nil, startOrders())
+				assert.NilError(t, err)
+				time.Sleep(2 * time.Second)
+				assert.DeepEqual(t, worker.stopped(), []host.Run{testRun(1)})
+				view := func(fence uint64) {
+					r.recordRenewal(context.Background(), testID, host.Renewal{Fence: fence}, host.View{})
+				}
+				if answered {
+					view(3)
+					view(3)
+					report, w := r.compose()
+					assert.Equal(t, len(report.Rejected), 1)
+					w.applyAnswer(report, link.ReportAnswer{Epoch: 3})
+				}
+				assert.NilError(t, r.adoptLeader(nil, record.Leader{Epoch: 4}))
+				r.fences.grant(4, 4, 4)
+				view(4)
+				next := startOrders()
+				next.Epoch = 4
+				_, err = r.handleOrders(t.Context(), nil, next)
+				assert.NilError(t, err)
+				report, _ := r.compose()
+				assert.DeepEqual(t, report.Pending, []link.Run{wireRun(testRun(1))})
+				view(4)
+				view(4)
+				report, _ = r.compose()
+				assert.DeepEqual(t, report.Rejected, []link.Rejected{{Run: wireRun(testRun(1)), Refusal: int(host.RefusedOld)}})
+				assert.Equal(t, len(worker.started()), maxStartAttempts, "the worker is not asked again")
+			})
+		})
+	}
+}
