Reproduce a refused task that never runs after a leader change

An agent reports a refused start once two views of its worker do not list the run. If the leader changes before, or before the earlier leader has committed that the task waits again, the next leader repeats the start. The agent has discarded the refusal and ignores the start: the task stays placed and does not run. Without a leader change the task runs.

--- a/internal/dispatch/modelworker_test.go
+++ b/internal/dispatch/modelworker_test.go
@@ -32,6 +32,8 @@
 	lastEnd        uint64
 	// startDelay delays starts, which then get no answer; with 0 they are carried out and answered at once.
 	startDelay time.Duration
+	// refusesStarts makes the worker refuse starts as one that is busy.
+	refusesStarts bool
 	// highestSentFence is the highest fence of the starts that were sent to any incarnation.
 	highestSentFence uint64
 }
@@ -118,6 +120,10 @@
 		return host.RefusedInvalid, err
 	}
 	w.highestSentFence = max(w.highestSentFence, start.Fence)
+	if w.refusesStarts {
+		defer w.unlock()
+		return host.RefusedBusy, nil
+	}
 	if w.startDelay == 0 {
 		defer w.unlock()
 		return w.startRun(start), nil
