Refuse the repeated start of a refused run again

What callers saw: a task, also a long-running one, that stayed placed and never ran although there was capacity, if its start was refused shortly before the leader changed (LOST).

Cause: an agent reports a refused start once two views of its worker do not list the run, and forgets it with the next answer. If the leader changes before, the agent discards the refusal with the orders; if the leader that answered is replaced before its commit, the refusal is lost with it. In both cases the next leader repeats the start, and the agent ignored it, since the run had been refused: neither pending nor refused nor running, for ever.

Change: a repeated start of a refused run is refused again and reported like the first refusal. The start is not carried out, since another run may have replaced it meanwhile. The cluster model does the same.

--- a/internal/dispatch/clustermodel_workers_test.go
+++ b/internal/dispatch/clustermodel_workers_test.go
@@ -136,7 +136,13 @@
 func (m *clusterModel) start(a *fakeAgent, s link.Start) {
 	worker := a.worker
 	worker.expire()
-	if s.Number <= a.refusedRuns[s.Task] || a.listed[s.Run] {
+	if a.listed[s.Run] {
+		return
+	}
+	if s.Number <= a.refusedRuns[s.Task] {
+		if worker.running[s.Task].number != s.Number && !slices.ContainsFunc(worker.ended, func(e link.Ended) bool { return e.Run == s.Run }) {
+			a.rejected = append(a.rejected, link.Rejected{Run: s.Run, Refusal: 3})
+		}
 		return
 	}
 	if worker.latest[s.Task] < s.Number && (!time.Now().Before(a.leaseEnd) || worker.fence > a.epoch || !a.mayStart()) {
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -59,9 +59,10 @@
 	return link.Empty{}, nil
 }
 
-// startRun carries out a start unless the run was already ordered or refused.
+// startRun carries out a start unless the run was already ordered. A start of a refused run is refused again: the leader that received the refusal
+// may have been replaced before it committed that, or the agent has discarded the refusal with the orders of that leader.
 func (r *Runner) startRun(w *workerState, run host.Run, start *link.Start, text string) {
-	if w.orders[run] != nil || run.Number <= w.refused[run.Task] {
+	if w.orders[run] != nil {
 		return
 	}
 	w.profiles[run] = start.Profile
@@ -84,6 +85,8 @@
 // checkStart returns why the agent itself refuses a start, Accepted if it does not.
 func (r *Runner) checkStart(w *workerState, run host.Run, start *link.Start) host.Refusal {
 	switch {
+	case run.Number <= w.refused[run.Task]:
+		return host.RefusedLate
 	case w.report.Draining:
 		return host.RefusedBusy
 	case start.BestEffort && w.violatesTargetFor(pacing.ViolationGrace):
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -47,7 +47,7 @@
 	orders       map[host.Run]*order
 	// possibleRuns are the runs that this incarnation may have.
 	possibleRuns runSet
-	// refused is the highest refused run of each task; a repeated order for it is ignored.
+	// refused is the highest refused run of each task; a repeated start of it is refused again.
 	refused  map[job.TaskID]int
 	profiles map[host.Run]link.Profile
 	paces    map[host.Run]int
