--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/boottime"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/link"
@@ -174,9 +175,7 @@
 	if w != nil && w == r.worker && !r.agentLeaseEnd.IsZero() && sentAt.After(r.agentLeaseEnd) {
 		r.withdrawStarts(w)
 	}
-	if leaseEnd := sentAt.Add(time.Duration(answer.LeaseMillis) * time.Millisecond); leaseEnd.After(r.agentLeaseEnd) {
-		r.agentLeaseEnd = leaseEnd
-	}
+	r.extendAgentLease(sentAt, time.Duration(answer.LeaseMillis)*time.Millisecond)
 	if w != nil && w == r.worker {
 		w.applyAnswer(report, answer)
 		wait.Notify(r.endsAcknowledged)
@@ -184,6 +183,13 @@
 	return answer.Unverified, nil
 }
 
+// extendAgentLease extends the agent lease by the lease that the answer to a report grants, counted from when the report was sent.
+func (r *Runner) extendAgentLease(sentAt boottime.Instant, lease time.Duration) {
+	if end := sentAt.Add(lease); end.After(r.agentLeaseEnd) {
+		r.agentLeaseEnd = end
+	}
+}
+
 // withdrawStarts withdraws all starts in progress: the agent lease had expired meanwhile, so the leader may have given up their runs and placed them
 // elsewhere. The worker rejects a start that still arrives after its deadline.
 func (r *Runner) withdrawStarts(w *workerState) {
