Keep lease ends of agents that are granted no lease

What callers saw: nothing yet; found by reading the change that withholds leases from agents whose worker does not answer.

Cause: a restarted agent did not count the leases that its previous process had granted the worker, and an answer without a lease set or moved the end of the agent lease.

Change: the lease of a worker counts as extended by runLease when its first report arrives, and only a granted lease changes the end of the agent lease.

--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -183,9 +183,10 @@
 	return answer.Unverified, nil
 }
 
-// extendAgentLease extends the agent lease by the lease that the answer to a report grants, counted from when the report was sent.
+// extendAgentLease extends the agent lease by the lease that the answer to a report grants, counted from when the report was sent. An answer that
+// grants none changes nothing: the end of the last lease decides when runs are stopped.
 func (r *Runner) extendAgentLease(sentAt boottime.Instant, lease time.Duration) {
-	if end := sentAt.Add(lease); end.After(r.agentLeaseEnd) {
+	if end := sentAt.Add(lease); lease > 0 && end.After(r.agentLeaseEnd) {
 		r.agentLeaseEnd = end
 	}
 }
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -82,10 +82,10 @@
 	viewsAtRefusal uint64
 }
 
-// newWorkerState returns the state of an incarnation from its first report.
+// newWorkerState returns the state of an incarnation from its first report. A previous process of the agent may have renewed its lease just before.
 func newWorkerState(report host.Report, now time.Time) *workerState {
 	return &workerState{
-		id: report.Incarnation, report: report, clock: report.Clock, clockReadAt: now, answeredAt: now,
+		id: report.Incarnation, report: report, clock: report.Clock, clockReadAt: now, answeredAt: now, leaseEnd: now.Add(runLease),
 		orders: make(map[host.Run]*order), possibleRuns: make(runSet), refused: make(map[job.TaskID]int),
 		profiles: make(map[host.Run]link.Profile), paces: make(map[host.Run]int),
 		violations: make(map[host.Run]time.Time), trackers: make(map[host.Run]*pressure.Tracker),
