Reproduce placements on a worker that its agent does not know

An agent that was restarted and knows no worker is granted leases for 3.5 s, and tasks are placed on the worker for as long and 1.3 s more. If the worker is gone, they wait until it is given up.

--- a/internal/dispatch/agentlease_test.go
+++ b/internal/dispatch/agentlease_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kvtest"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
@@ -46,3 +47,32 @@
 		})
 	}
 }
+
+// TestNothingIsPlacedOnAWorkerThatItsAgentDoesNotConfirm guards against tasks that wait on a worker that is gone, because the agent, which was
+// restarted and does not know the worker, is granted leases for a while.
+func TestNothingIsPlacedOnAWorkerThatItsAgentDoesNotConfirm(t *testing.T) {
+	unanswered := testReport("i1")
+	unanswered.Fenced = false
+	for name, r := range map[string]link.Report{"no worker": {VM: "vm"}, "worker not asked yet": unanswered} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				leader, s := testTerm(t, kvtest.New()), fakeSession{&fakeAgent{vm: "vm"}}
+				_, err := leader.report(s, testReport("i1"))
+				assert.NilError(t, err)
+				r.Epoch = leader.epoch
+				for began := time.Now(); time.Since(began) < maxReportAge; time.Sleep(100 * time.Millisecond) {
+					answer, err := leader.report(s, r)
+					assert.NilError(t, err)
+					assert.Assert(t, answer.LeaseMillis > 0)
+				}
+				assert.NilError(t, leader.closures.Load(t.Context()))
+				runCycle(t, leader)
+				assert.Equal(t, testTask(leader).Phase(), job.Waiting)
+				_, err = leader.report(s, testReport("i1"))
+				assert.NilError(t, err)
+				runCycle(t, leader)
+				assert.Equal(t, testTask(leader).Phase(), job.Placed)
+			})
+		})
+	}
+}
