Place nothing on a worker that its agent does not confirm

What callers saw: tasks that waited for up to 10 s on a worker that was gone, if its agent had been restarted.

Cause: a worker remained schedulable while its agent was granted leases, which an agent that knows no worker is for 3.5 s.

Change: it remains schedulable for maxReportAge after the last report that confirms it. The leases are unchanged.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -69,7 +69,7 @@
 // addWorker adds a worker and its agent.
 func (t *term) addWorker(vm string) job.Host {
 	host := job.Host{VM: vm, Incarnation: incarnation.New(vm, 0)}
-	t.agents[vm] = &agent{vm: vm, lastReport: time.Now(), leasedAt: time.Now(), host: host}
+	t.agents[vm] = &agent{vm: vm, confirmedAt: time.Now(), leasedAt: time.Now(), host: host}
 	w := &t.ensureHost(host).worker
 	w.Service, w.Capacity, w.Schedulable = testService, job.Size{CPU: 32000, Memory: 128000}, true
 	return host
@@ -98,7 +98,7 @@
 			t := busyTerm(workers)
 			for b.Loop() {
 				for _, a := range t.agents {
-					a.lastReport, a.leasedAt = time.Now(), time.Now()
+					a.confirmedAt, a.leasedAt = time.Now(), time.Now()
 				}
 				t.schedule()
 			}
--- a/internal/dispatch/healthbench_test.go
+++ b/internal/dispatch/healthbench_test.go
@@ -53,7 +53,7 @@
 			t := unhealthyTerm(workers)
 			for b.Loop() {
 				for _, a := range t.agents {
-					a.lastReport, a.leasedAt = time.Now(), time.Now()
+					a.confirmedAt, a.leasedAt = time.Now(), time.Now()
 				}
 				if t.health.AllHealthy() {
 					t.blameWorkers()
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// maxReportAge is the age of the last report from which no new tasks are placed on a worker: two missed reports.
+	// maxReportAge is the age of the last report that confirms a worker from which no new tasks are placed there: two missed reports.
 	maxReportAge = 1300 * time.Millisecond
 	// probationFailures is the number of consecutive failures from which a worker gets one task at a time.
 	probationFailures = 3
@@ -22,8 +22,9 @@
 	stallEstimateShare = 0.05
 )
 
-// expireWorkers marks workers unschedulable after maxReportAge without an agent lease granted for them, and unreachable once
-// the last one has expired. Leases of earlier leaders have expired leaderTimeout after the start of the term.
+// expireWorkers marks workers unschedulable after maxReportAge without a report that confirms them, and unreachable once the
+// last lease granted to their agent has expired. Leases of earlier leaders have expired leaderTimeout after the start of the
+// term.
 func (t *term) expireWorkers() {
 	now := time.Now()
 	t.expireUnreachable(now)
@@ -32,7 +33,7 @@
 		a := t.agents[host.VM]
 		switch {
 		case a != nil && a.host == host:
-			h.worker.Schedulable = h.worker.Schedulable && now.Sub(a.leasedAt) < maxReportAge
+			h.worker.Schedulable = h.worker.Schedulable && now.Sub(a.confirmedAt) < maxReportAge
 			if a.leaseExpired(now) {
 				t.markUnreachable(h, "its agent no longer confirms it")
 			}
--- a/internal/dispatch/shortreserve_test.go
+++ b/internal/dispatch/shortreserve_test.go
@@ -240,7 +240,7 @@
 			}
 			for b.Loop() {
 				for _, a := range t.agents {
-					a.lastReport, a.leasedAt = time.Now(), time.Now()
+					a.confirmedAt, a.leasedAt = time.Now(), time.Now()
 				}
 				t.schedule()
 			}
