Await the leases of the previous leader from the acquisition on

What callers saw: nothing; found by reading. A task can run twice if the store carries out the acquisition of a leader late and an agent reaches only the previous leader.

Cause: the term began before the acquisition was sent.

Change: it begins with the answer.

--- a/internal/dispatch/campaign.go
+++ b/internal/dispatch/campaign.go
@@ -153,6 +153,8 @@
 		return err
 	}
 	t.lastCommitRevision, t.verifiedAt = revision, askedAt
+	// Until the store carried out the commit, the previous leader may have verified its leadership, which extends the leases that it grants.
+	t.startedAt = time.Now()
 	return nil
 }
 
