Keep a leader that is rate limited along with others

What callers saw: with a store that answers 45 calls a second of 40 entries, callers were refused with "the store did not answer recent calls" (TestRateLimitedStoreIsNotUnavailable, 7 of 600 runs, three copies at once).

Cause, from traces of four failed runs: a leader that was answered 429 five times stepped down when the rate window turned, since another entry was answered before its own next call. The new record ended the watches of all entries, which used up the window; the next leader was answered 429 while it read the jobs and gave up, and the store was limited without a leader.

Change: before a leader steps down for failures that were mostly 429, it calls the store once more, and the result decides. An entry that is answered by a call sent after a 429 says so in its ping; for a second after that a leader counts only failures other than 429. A store that rejects some processes does not answer them, so a rejected leader steps down as before, and so does one after five calls without an answer or answered 503, also among 429s. Messages of the previous release lack the field and mean what they did.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -151,14 +151,14 @@
 	return answer, err
 }
 
-func (d *Dispatcher) ping(_ context.Context, peer *rpc.Peer, p link.Ping) (link.PingAnswer, error) {
+func (d *Dispatcher) ping(ctx context.Context, peer *rpc.Peer, p link.Ping) (link.PingAnswer, error) {
 	d.config.Policies.Accept(p.Offer)
 	t, err := d.currentTerm()
 	if err != nil {
 		return link.PingAnswer{}, err
 	}
 	answer := t.recordPing(p, peer)
-	switch t.assessStore(p) {
+	switch t.assessStore(ctx, p) {
 	case storeUnavailable:
 		answer.StoreDown = true
 	case storeReachableByOthers:
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -6,6 +6,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/link"
+	"github.com/saffronpulley/saffronpulley/internal/record"
 	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
@@ -18,6 +19,12 @@
 	// stepDownFailures is the number of consecutive unanswered calls to the store after which a leader steps down while the store answers other
 	// entries: if a third of all answers is lost, that happens about once in several hundred commits.
 	stepDownFailures = 5
+	// readmissionTTL is how long the report of an entry that the store answers again after rate limiting it shows that the rate limit applies to all
+	// processes: entries ping twice a second.
+	readmissionTTL = time.Second
+	// probeTimeout bounds the call by which a rate-limited leader checks whether the store still rejects it. An entry without the store waits 200 ms
+	// for the answer to its ping, which that call delays.
+	probeTimeout = 100 * time.Millisecond
 	// successorWait is how long a leader without the store waits for the ping of a successor at least as strong as itself: a weaker one plans
 	// more slowly for its whole term, and entries ping twice a second.
 	successorWait = 900 * time.Millisecond
@@ -79,8 +86,11 @@
 )
 
 // assessStore returns which processes the store answers, by the leader's own calls and the ping of an entry.
-func (t *term) assessStore(p link.Ping) storeReach {
+func (t *term) assessStore(ctx context.Context, p link.Ping) storeReach {
 	health := t.dispatcher.config.Health
+	if p.Readmitted {
+		t.recordReadmission()
+	}
 	if !health.Down() && health.Failures() < stepDownFailures {
 		return storeReachable
 	}
@@ -91,14 +101,67 @@
 		return storeReachable
 	case !newer:
 		return storeUnavailable
-	case health.Failures() >= stepDownFailures && (p.Strength >= t.dispatcher.config.Strength || time.Since(health.FailingSince()) > successorWait):
-		return storeReachableByOthers
+	case t.rejectedCalls() >= stepDownFailures && (p.Strength >= t.dispatcher.config.Strength || time.Since(health.FailingSince()) > successorWait):
+		if t.confirmRejection(ctx) {
+			return storeReachableByOthers
+		}
+		return storeReachable
+	}
+	t.recordOtherAnswer()
+	return storeReachable
+}
+
+// rejectedCalls returns how many consecutive calls show that the store does not answer this leader, or rejects it. Status 429 shows neither while the
+// store rate limits all processes.
+func (t *term) rejectedCalls() int {
+	if t.rateLimitShared() {
+		return t.dispatcher.config.Health.Unanswered()
 	}
+	return t.dispatcher.config.Health.Failures()
+}
+
+// confirmRejection reports whether the store still rejects this leader. If most failures were rejections by the rate limit, another call decides: the
+// next rate window may have begun, in which the store has answered another entry first.
+func (t *term) confirmRejection(ctx context.Context) bool {
+	health := t.dispatcher.config.Health
+	if health.Unanswered() >= stepDownFailures {
+		return true
+	}
+	if !t.probing.CompareAndSwap(false, true) {
+		return false
+	}
+	defer t.probing.Store(false)
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	_, err := t.store.Get(bounded, record.LastCommitKey)
+	t.logger.Warn("a rate-limited leader has called the store again; epoch=%d failures=%d unanswered=%d answered=%t reason=%v",
+		t.epoch, health.Failures(), health.Unanswered(), health.Failures() == 0, err)
+	return t.rejectedCalls() >= stepDownFailures
+}
+
+// rateLimitShared reports whether the store has recently rate limited an entry that it has answered since.
+func (t *term) rateLimitShared() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(t.otherReadmittedAt) < readmissionTTL
+}
+
+// recordReadmission records that an entry was answered after the store had rate limited it.
+func (t *term) recordReadmission() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.otherReadmittedAt = time.Now()
+}
+
+// recordOtherAnswer records that the store answers an entry. A commit that waits to be retried is retried then, unless each retry adds to the
+// rate that the store limits.
+func (t *term) recordOtherAnswer() {
 	t.mu.Lock()
 	t.otherAnsweredAt = time.Now()
 	t.mu.Unlock()
-	wait.Notify(t.storeAnswered)
-	return storeReachable
+	if !t.rateLimitShared() {
+		wait.Notify(t.storeAnswered)
+	}
 }
 
 // storeAnsweredOther reports whether an entry has reported an answer from the store since a time.
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -65,6 +66,8 @@
 	steppedDown chan struct{}
 	// notifiedStoreDown reports whether the entries were notified that the store is unavailable; only the committing goroutine uses it.
 	notifiedStoreDown bool
+	// probing is set while a call checks whether the store still rejects the leader.
+	probing atomic.Bool
 
 	// mu guards the lease and all fields below; it is not held while waiting for an answer.
 	mu                 sync.Mutex
@@ -98,7 +101,9 @@
 	lateStarts  host.LateCalls[lateStart]
 	// otherAnsweredAt is when an entry last reported a newer answer from the store while the calls of the leader failed.
 	otherAnsweredAt time.Time
-	committed       chan struct{}
+	// otherReadmittedAt is when an entry last reported that the store answered it again after it had rate limited it.
+	otherReadmittedAt time.Time
+	committed         chan struct{}
 	// health tracks which workers may take new tasks; it is nil if the feature is off.
 	health *health.Tracker
 }
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -206,6 +206,7 @@
 func (p *Pinger) newPing(epoch uint64, offer link.Offer) link.Ping {
 	m := link.Ping{
 		Entry: p.self.Process, Address: p.self.Address, Strength: p.self.Strength, Epoch: epoch, StoreAgeMillis: -1, Offer: offer,
+		Readmitted: p.server.config.Health.Readmitted(),
 	}
 	if answered := p.server.config.Health.LastAnswer(); !answered.IsZero() {
 		m.StoreAgeMillis = time.Since(answered).Milliseconds()
--- a/internal/intake/pinger_test.go
+++ b/internal/intake/pinger_test.go
@@ -233,3 +233,16 @@
 	assert.NilError(t, e.pingOnce(t))
 	assert.DeepEqual(t, e.successor.epochs, []uint64{7})
 }
+
+// TestPingReportsThatTheStoreReadmittedTheEntry guards against a leader that does not learn that the store rate limits its entries too.
+func TestPingReportsThatTheStoreReadmittedTheEntry(t *testing.T) {
+	e := newTestEntry(t)
+	e.store.health.Record(time.Now(), fault.New(fault.Overloaded, "rate limited"))
+	assert.NilError(t, e.pingOnce(t))
+	e.store.health.Record(time.Now(), nil)
+	assert.NilError(t, e.pingOnce(t))
+	e.leader.mu.Lock()
+	defer e.leader.mu.Unlock()
+	assert.Assert(t, !e.leader.pings[0].Readmitted)
+	assert.Assert(t, e.leader.pings[1].Readmitted)
+}
--- a/internal/kv/health.go
+++ b/internal/kv/health.go
@@ -23,8 +23,13 @@
 	failures     int
 	lastAnswer   time.Time
 	failingSince time.Time
+	// unanswered counts the failures that were not rejections by the rate limit.
+	unanswered int
 	// limited is when the first of the failures was recorded if all of them were rejections by the rate limit, else zero.
 	limited time.Time
+	// lastLimited is when the latest rejection by the rate limit was recorded, zero once a later call was answered; readmitted is when it was.
+	lastLimited time.Time
+	readmitted  time.Time
 }
 
 // Record records the result of a call sent at a given time.
@@ -33,7 +38,8 @@
 	defer h.mu.Unlock()
 	switch {
 	case isAnswer(err):
-		h.lastAnswer, h.failures, h.failingSince, h.limited = time.Now(), 0, time.Time{}, time.Time{}
+		h.lastAnswer, h.failures, h.unanswered, h.failingSince, h.limited = time.Now(), 0, 0, time.Time{}, time.Time{}
+		h.recordReadmission(sentAt)
 	case sentAt.Before(h.lastAnswer):
 		// A call that hung on an older connection says nothing about the current state of the store.
 	default:
@@ -45,14 +51,25 @@
 	}
 }
 
-// recordLimit records whether all failures so far were rejections by the rate limit; h.mu is held.
+// recordLimit records whether the latest failure and all failures so far were rejections by the rate limit; h.mu is held.
 func (h *Health) recordLimit(err error) {
 	switch {
 	case !fault.Is(err, fault.Overloaded):
+		h.unanswered++
 		h.limited = time.Time{}
+		return
 	case h.failures == 1:
 		h.limited = h.failingSince
 	}
+	h.lastLimited = time.Now()
+}
+
+// recordReadmission records the answer to a call if the store had rate limited the process before that call; h.mu is held. The answer to a watch that
+// was sent earlier does not show that the store accepts calls again.
+func (h *Health) recordReadmission(sentAt time.Time) {
+	if !h.lastLimited.IsZero() && !sentAt.Before(h.lastLimited) {
+		h.lastLimited, h.readmitted = time.Time{}, time.Now()
+	}
 }
 
 // Limited reports whether the store is rate limiting calls; callers slow down then but do not treat the store as down.
@@ -88,6 +105,21 @@
 	return h.failures
 }
 
+// Unanswered returns the number of failures that were not rejections by the rate limit.
+func (h *Health) Unanswered() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.unanswered
+}
+
+// Readmitted reports whether the store has answered this process within the last rate window after it had rate limited it. That shows that the
+// limit was due to the rate of all processes: a process that the store rejects is not answered.
+func (h *Health) Readmitted() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.readmitted.IsZero() && time.Since(h.readmitted) < rateWindow
+}
+
 // LastAnswer returns when the latest answer arrived, zero before the first.
 func (h *Health) LastAnswer() time.Time {
 	h.mu.Lock()
--- a/internal/kv/health_test.go
+++ b/internal/kv/health_test.go
@@ -79,3 +79,37 @@
 		assert.Assert(t, !h.Down())
 	})
 }
+
+// TestProcessIsReadmittedByACallAfterTheRejection guards against a rejected process that counts as readmitted by the answer to a watch sent before.
+func TestProcessIsReadmittedByACallAfterTheRejection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h Health
+		h.Record(time.Now(), nil)
+		assert.Assert(t, !h.Readmitted(), "the process was not rate limited")
+		watchSentAt := time.Now()
+		time.Sleep(time.Second)
+		h.Record(time.Now(), fault.New(fault.Overloaded, "rate limited"))
+		h.Record(watchSentAt, nil)
+		assert.Equal(t, h.Failures(), 0)
+		assert.Assert(t, !h.Readmitted(), "the watch was sent before the rejection")
+		time.Sleep(time.Millisecond)
+		h.Record(time.Now(), nil)
+		assert.Assert(t, h.Readmitted())
+		time.Sleep(rateWindow)
+		assert.Assert(t, !h.Readmitted())
+		h.Record(time.Now(), nil)
+		assert.Assert(t, !h.Readmitted(), "the process was not rate limited again")
+	})
+}
+
+func TestRejectionsByTheRateLimitAreNotUnanswered(t *testing.T) {
+	var h Health
+	rateLimited := fault.New(fault.Overloaded, "rate limited")
+	for _, err := range []error{rateLimited, fault.New(fault.Unavailable, "store unreachable"), rateLimited, fault.New(fault.OutcomeUnknown, "no answer")} {
+		h.Record(time.Now(), err)
+	}
+	assert.Equal(t, h.Failures(), 4)
+	assert.Equal(t, h.Unanswered(), 2)
+	h.Record(time.Now(), nil)
+	assert.Equal(t, h.Unanswered(), 0)
+}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -214,6 +214,8 @@
 	Strength float64 `json:"strength"`
 	// StoreAgeMillis is how long ago the store last answered the entry, negative if it never did.
 	StoreAgeMillis int64 `json:"store_age_ms"`
+	// Readmitted is set if the store has recently answered the entry after it had rate limited it.
+	Readmitted bool `json:"readmitted,omitempty"`
 	// EntriesVersion is the version of the list of entries that the entry received from this leader, 0 for none.
 	EntriesVersion uint64 `json:"list,omitempty"`
 	Offer
