Keep unanswered starts as evidence across orders

A task that crashes its workers could be started more often than the bound allows.

Cause: whether a start may have been carried out was known to its order only. If a start got no answer and the next leader ordered the run again, a rejection (421) or a refused connection of that second start removed the run from those that the incarnation may have had, and its crash was reported without it.

Change: the set of possible runs keeps for each run whether a start call got no answer, and how many are in progress. A run is removed only if none was accepted, none is unanswered and none is in progress.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -133,16 +133,15 @@
 			Run: run, Text: o.text, Until: until, Fence: fence, Checkpoint: o.start.Checkpoint, Ticket: o.start.Ticket,
 		})
 		timeout = r.startTimeout.Extend(timeout)
+		outcome := startOutcomeOf(refusal, err)
+		r.recordStartOutcome(w, run, outcome)
 		if err == nil && !r.fenceRaised(fence, refusal) && r.recordStartAnswer(w, run, o, refusal, outcomeUnknown) {
 			return
 		}
-		stale := fault.Is(err, fault.Stale)
-		unanswered := err != nil && !stale && !fault.Is(err, fault.Unavailable)
-		outcomeUnknown = outcomeUnknown || unanswered
-		r.recordFailedStart(w, run, unanswered, outcomeUnknown)
-		if stale {
+		if fault.Is(err, fault.Stale) {
 			return
 		}
+		outcomeUnknown = outcomeUnknown || outcome == startUnanswered
 		wait.For(ctx, orderRetryDelay)
 	}
 	r.withdrawStart(w, run, o, outcomeUnknown)
--- a/internal/runner/possible.go
+++ b/internal/runner/possible.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/crash"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
 )
 
@@ -18,6 +19,9 @@
 	// latest start was sent.
 	answered bool
 	listings int
+	// inProgress counts the start calls without an outcome yet, unanswered reports whether one got no answer: the worker may have carried it out.
+	inProgress int
+	unanswered bool
 }
 
 // age returns for how long the worker is known to have had the run.
@@ -39,7 +43,11 @@
 func (p runSet) fresh(run host.Run) bool { return p[run] != nil && p[run].age() < crash.StartupTime }
 
 // recordStart records that a start is about to be sent.
-func (p runSet) recordStart(run host.Run) { p.entry(run).listings = 0 }
+func (p runSet) recordStart(run host.Run) {
+	known := p.entry(run)
+	known.listings = 0
+	known.inProgress++
+}
 
 // entry returns the entry of a run, which it creates if there is none.
 func (p runSet) entry(run host.Run) *possibleRun {
@@ -82,16 +90,53 @@
 	}
 }
 
-// recordFailedStart records an attempt to start a run that got no answer or did not reach the worker.
-func (r *Runner) recordFailedStart(w *workerState, run host.Run, unanswered, outcomeUnknown bool) {
+// startOutcome is what the end of a start call shows.
+type startOutcome int
+
+// The outcomes of a start call.
+const (
+	startCarriedOut startOutcome = iota
+	// startUnanswered stands for a call that the worker may have carried out, or may still carry out.
+	startUnanswered
+	// startNotCarriedOut stands for a call that was not sent, that another incarnation rejected, or that was refused.
+	startNotCarriedOut
+)
+
+// startOutcomeOf returns the outcome of a start call from its result.
+func startOutcomeOf(refusal host.Refusal, err error) startOutcome {
+	switch {
+	case fault.Is(err, fault.Stale), fault.Is(err, fault.Unavailable):
+		return startNotCarriedOut
+	case err != nil:
+		return startUnanswered
+	case refusal == host.Accepted, refusal == host.RefusedOld:
+		// A worker that refuses a run as old may have had it.
+		return startCarriedOut
+	}
+	return startNotCarriedOut
+}
+
+// recordOutcome records the end of a start call and removes the run if no start of it can have been carried out.
+func (p runSet) recordOutcome(run host.Run, outcome startOutcome) {
+	known := p[run]
+	if known == nil {
+		return
+	}
+	known.inProgress = max(known.inProgress-1, 0)
+	known.unanswered = known.unanswered || outcome == startUnanswered
+	if outcome == startNotCarriedOut && !known.unanswered && known.inProgress == 0 {
+		p.removeUnanswered(run)
+	}
+}
+
+// recordStartOutcome records the end of a start call.
+func (r *Runner) recordStartOutcome(w *workerState, run host.Run, outcome startOutcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if unanswered {
+	if outcome == startUnanswered {
 		r.recordLateStart(w.id, run, time.Now())
 	}
-	if !outcomeUnknown {
-		w.possibleRuns.removeUnanswered(run)
-	}
+	w.possibleRuns.recordOutcome(run, outcome)
 }
 
 // runsAtEnd returns the runs that the incarnation may have had when it ended: those that it had, and those whose start was sent too recently to have
