Report a crash once the starts in progress have an outcome

Cause: a start was sent to an incarnation that had just ended, under another id than the next one. The renewal was answered 421 some milliseconds before the start; the agent composed the crash report at that moment, with the start as a run without an answer. The rejection of the start changed nothing any more, and the leader counted a possible crash of the task. Three real crashes of workers made it four.

Change: a start call that was in progress when the incarnation ended is undecided. The report of the crash waits for its outcome, at most for the timeout of a first attempt (100 to 600 ms). A run whose every start call was rejected, refused or not sent is removed from the crash. One without an answer, also an earlier one or one that is still in progress when the wait ends, stays a possible cause. A reported crash no longer changes, since the leader attributes it once.

--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -1,9 +1,11 @@
 package runner
 
 import (
+	"context"
 	"slices"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
 
@@ -21,6 +23,7 @@
 	for _, discarded := range r.crashes.add(crash, w.firstFailure) {
 		r.logger.Warn("crash discarded before a leader committed it; instance=%s runs=%d", discarded.crash.Instance, len(discarded.crash.Runs))
 	}
+	r.crashes.deferLatest(w.possibleRuns)
 }
 
 // crashedRuns returns the runs that an incarnation may have had when it crashed. A crash without runs is reported too: work that the leader
@@ -57,6 +60,8 @@
 type pendingCrash struct {
 	crash        link.Crash
 	firstFailure time.Time
+	// undecided are the runs that the incarnation had only if it carried out a start call which is still in progress.
+	undecided map[link.Run]bool
 }
 
 // millisSince returns how long ago the first call failed, 0 for none; it is at least 1 otherwise.
@@ -67,10 +72,13 @@
 	return max(time.Since(failedAt).Milliseconds(), 1)
 }
 
-// compose returns all unacknowledged crashes for a report sent now.
+// compose returns all unacknowledged crashes for a report sent now. From then on their runs no longer change, since the leader attributes a crash once:
+// starts that are still undecided count as carried out.
 func (c *crashes) compose() []link.Crash {
 	var reported []link.Crash
-	for _, p := range c.unacknowledged {
+	for i := range c.unacknowledged {
+		c.unacknowledged[i].undecided = nil
+		p := c.unacknowledged[i]
 		p.crash.FirstFailureMillis = millisSince(p.firstFailure)
 		reported = append(reported, p.crash)
 	}
@@ -88,6 +96,60 @@
 	return discarded
 }
 
+// deferLatest marks the runs of the latest crash whose start calls are still in progress.
+func (c *crashes) deferLatest(runs runSet) {
+	latest := &c.unacknowledged[len(c.unacknowledged)-1]
+	for _, reported := range latest.crash.Runs {
+		if run, ok := parseRun(reported.Run); ok && runs[run] != nil && runs[run].undecided() {
+			if latest.undecided == nil {
+				latest.undecided = make(map[link.Run]bool)
+			}
+			latest.undecided[reported.Run] = true
+		}
+	}
+}
+
+// decide records whether an incarnation that has ended may have had a run whose start call was in progress, and reports whether that removes the run
+// from its crash.
+func (c *crashes) decide(id incarnation.ID, run link.Run, possible bool) bool {
+	for i := range c.unacknowledged {
+		p := &c.unacknowledged[i]
+		if p.crash.Incarnation() != id || !p.undecided[run] {
+			continue
+		}
+		delete(p.undecided, run)
+		if !possible {
+			p.crash.Runs = slices.DeleteFunc(p.crash.Runs, func(r link.CrashedRun) bool { return r.Run == run })
+			return true
+		}
+	}
+	return false
+}
+
+// undecided reports whether a crash has runs whose start calls are still in progress.
+func (c *crashes) undecided() bool {
+	return slices.ContainsFunc(c.unacknowledged, func(p pendingCrash) bool { return len(p.undecided) > 0 })
+}
+
+// awaitStartOutcomes waits until the start calls that were in progress when an incarnation ended have an outcome, at most for the timeout of a first
+// attempt: the renewal that shows the end is often answered before them, and a start that another incarnation has rejected is no cause of the crash.
+func (r *Runner) awaitStartOutcomes(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, r.startTimeout.First())
+	defer cancel()
+	for {
+		r.mu.Lock()
+		undecided := r.crashes.undecided()
+		r.mu.Unlock()
+		if !undecided || bounded.Err() != nil {
+			return
+		}
+		select {
+		case <-bounded.Done():
+		case <-r.startDecided:
+		}
+	}
+}
+
 // acknowledge removes the crashes that a leader has committed, up to a number.
 func (c *crashes) acknowledge(number uint64) {
 	c.unacknowledged = slices.DeleteFunc(c.unacknowledged, func(p pendingCrash) bool { return p.crash.Number <= number })
--- a/internal/runner/possible.go
+++ b/internal/runner/possible.go
@@ -8,6 +8,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 // possibleRun is a run that the worker was asked to start and that is not known to have ended.
@@ -24,6 +25,9 @@
 	unanswered bool
 }
 
+// undecided reports whether only start calls that are still in progress show that the incarnation may have had the run.
+func (p *possibleRun) undecided() bool { return p.inProgress > 0 && !p.answered && !p.unanswered }
+
 // age returns for how long the worker is known to have had the run.
 func (p *possibleRun) age() time.Duration { return max(p.listedAt.Sub(p.sentAt), 0) }
 
@@ -129,7 +133,7 @@
 	}
 }
 
-// recordStartOutcome records the end of a start call.
+// recordStartOutcome records the end of a start call, also for an incarnation whose end is recorded but not reported yet.
 func (r *Runner) recordStartOutcome(w *workerState, run host.Run, outcome startOutcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -137,6 +141,14 @@
 		r.recordLateStart(w.id, run, time.Now())
 	}
 	w.possibleRuns.recordOutcome(run, outcome)
+	known := w.possibleRuns[run]
+	if known != nil && known.undecided() {
+		return
+	}
+	if r.crashes.decide(w.id, wireRun(run), known != nil) {
+		r.logger.Info("start not carried out before the crash; task=%s run=%d instance=%s", run.Task, run.Number, w.id)
+	}
+	wait.Notify(r.startDecided)
 }
 
 // runsAtEnd returns the runs that the incarnation may have had when it ended: those that it had, and those whose start was sent too recently to have
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -54,6 +54,8 @@
 	// heartbeat signals the first report of a worker or incarnation, candidateAdded a candidate to verify.
 	heartbeat      chan struct{}
 	candidateAdded chan struct{}
+	// startDecided signals the uplink that a start call has an outcome.
+	startDecided chan struct{}
 	// unusableLog rate-limits the log lines about unusable reports.
 	unusableLog rate.Sometimes
 	// outdatedLog rate-limits the log lines about outdated reports and answers.
@@ -90,6 +92,7 @@
 	r := &Runner{
 		config: config, logger: config.Logger, reportDue: make(chan struct{}, 1),
 		endsAcknowledged: make(chan struct{}, 1), heartbeat: make(chan struct{}, 1), candidateAdded: make(chan struct{}, 1),
+		startDecided: make(chan struct{}, 1),
 		startTimeout: wait.NewTimeout(minStartTimeout, maxStartTimeout), unusableLog: rate.Sometimes{Interval: unusableLogInterval},
 		outdatedLog: rate.Sometimes{Interval: ignoredLogInterval}, storeBackoff: wait.NewBackoff(minStoreDelay, maxStoreDelay, config.Random),
 		runContext: context.Background(),
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -147,6 +147,7 @@
 
 // sendReport sends one report, applies the answer, and returns whether the leader is unverified. After an error the connection is closed.
 func (r *Runner) sendReport(ctx context.Context, u *uplink) (bool, error) {
+	r.awaitStartOutcomes(ctx)
 	sentAt := r.config.Uptime.Now()
 	report, w := r.compose()
 	u.compact(&report)
