Count no run as lost that a crashed incarnation never had

What callers saw: a job with long-running tasks was given up after three crashes of workers under one of its tasks, with "lost with its workers too often; lost=5 crashed=5 alike=3 blind=2".

Cause: the agent reports the crash without the run, then that nothing of the ended incarnation runs any more. The first report counts no loss for a run that it does not list; the second ended the run as lost with an unreachable worker, and the report of the next incarnation turned that into a crash. In the reverse order the leader already withdrew the loss.

Change: the report of the end marks the runs that it does not list, and markUnreachable does not count those. A start that is sent later, or a report that lists the run, clears the mark.

TestRunThatACrashedIncarnationNeverHadIsNotLost fails on the code before in four of its cases. Two mutants, both detected. internal/dispatch, crash, job and runner pass, the sequences of crashes included.

--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -40,7 +40,9 @@
 	stopSentAt  time.Time
 	// handedOver reports whether the run was ordered on a previous incarnation of the worker: this incarnation must only reject it.
 	handedOver bool
-	percent    int
+	// neverHad reports whether the incarnation ended without the run, by the report of its end; a later start clears it.
+	neverHad bool
+	percent  int
 	// measurement is the last one: the tail latency in milliseconds of a serving task, else the used processor time in thousandths of a core.
 	measurement int
 	// progressedAt is when the task last made progress, or was too throttled to make any; stalledSamples counts the samples since then
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -27,6 +27,9 @@
 		t.attributeCrash(a, observed.Incarnation(), t.suspectRuns(observed))
 	}
 	ages, shared := runAges(report), t.simultaneousCrashes(a) >= minSimultaneousLosses
+	if report != nil {
+		h.markNeverHad(ages)
+	}
 	t.recordLosses(h, func(run link.Run) (crash.Loss, bool) {
 		if report == nil {
 			return h.findRun(run).observedLoss(shared), true
@@ -36,6 +39,14 @@
 	})
 }
 
+// markNeverHad marks the runs that the report of the incarnation's end does not list: none of their starts was carried out.
+func (h *hostState) markNeverHad(listed map[link.Run]time.Duration) {
+	for id, p := range h.runs {
+		_, had := listed[link.NewRun(id, p.number)]
+		p.neverHad = !had
+	}
+}
+
 // observedLoss returns the loss of a run without a crash report, by how long the leader saw it run; the lifetime is unknown
 // if another leader started it.
 func (p *placedRun) observedLoss(shared bool) crash.Loss {
@@ -60,9 +71,9 @@
 }
 
 // markUnreachable ends all runs of an incarnation whose agent lease has expired and counts them as lost, whether its worker
-// crashed or not.
+// crashed or not, except those that a report of its end has shown it never had.
 func (t *term) markUnreachable(h *hostState, reason string) {
-	runs := t.recordLosses(h, func(link.Run) (crash.Loss, bool) { return crash.UnreachableLoss(), true })
+	runs := t.recordLosses(h, func(run link.Run) (crash.Loss, bool) { return crash.UnreachableLoss(), !h.findRun(run).neverHad })
 	for _, id := range h.runsWhere(func(p *placedRun) bool { return p.committed && p.reportedAt.IsZero() }) {
 		t.recordLateStart(h.worker.Host, link.NewRun(id, h.runs[id].number))
 	}
--- a/internal/dispatch/losses_test.go
+++ b/internal/dispatch/losses_test.go
@@ -71,6 +71,55 @@
 	}
 }
 
+// TestRunThatACrashedIncarnationNeverHadIsNotLost guards against a job that is given up after three crashes of workers, since two starts that no
+// incarnation had received counted as lost with crashed workers.
+//
+// The agent reports the crash without the run and, before the next incarnation reports, that nothing of the ended one runs any more. The second
+// report counted the run as lost with an unreachable worker, and the report of the next incarnation turned that into a crash.
+func TestRunThatACrashedIncarnationNeverHadIsNotLost(t *testing.T) {
+	ended := testReport("i1")
+	ended.Unreachable = true
+	expired := ended
+	expired.LeaseExpired = true
+	withoutRun, planned := []link.Crash{{Number: 1, Instance: "i1"}}, []link.Crash{{Number: 1, Instance: "i1", Planned: true}}
+	withCrashes := func(r link.Report, crashes []link.Crash) link.Report {
+		r.Crashes = crashes
+		return r
+	}
+	withRun := crashReport(1, 1).Crashes
+	for name, c := range map[string]struct {
+		reports        []link.Report
+		total, crashed int
+	}{
+		"at once":            {[]link.Report{withCrashes(expired, withoutRun), testReport("i2")}, 0, 0},
+		"one after another":  {[]link.Report{withCrashes(ended, withoutRun), expired, testReport("i2")}, 0, 0},
+		"planned":            {[]link.Report{withCrashes(expired, planned), testReport("i2")}, 0, 0},
+		"with the run":       {[]link.Report{withCrashes(expired, withRun), testReport("i2")}, 1, 1},
+		"without a crash":    {[]link.Report{expired, testReport("i2")}, 1, 1},
+		"crash of other run": {[]link.Report{withCrashes(expired, crashReport(1, 9).Crashes), testReport("i2")}, 0, 0},
+		"started after all":  {[]link.Report{withCrashes(ended, withoutRun), testReport("i1"), expired, testReport("i2")}, 1, 1},
+		"listed after all":   {[]link.Report{withCrashes(ended, withoutRun), runningReport(), expired, testReport("i2")}, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := &fakeAgent{vm: "vm"}
+				leader := termWithPlacedTask(t, kvtest.New(), a)
+				for _, r := range c.reports {
+					time.Sleep(resendAfter + time.Millisecond)
+					assert.NilError(t, leader.closures.Load(t.Context()))
+					_, err := leader.report(fakeSession{a}, r)
+					assert.NilError(t, err)
+					runCycle(t, leader)
+				}
+				losses := leader.jobs[testJob].job.CrashHistory(job.TaskID{Job: testJob}).Losses()
+				assert.Equal(t, losses.Total(), c.total)
+				assert.Equal(t, losses.Crashed(), c.crashed)
+				assert.Equal(t, testTask(leader).Run(), 2, "the task is placed again")
+			})
+		})
+	}
+}
+
 // TestUnreachableIncarnationsExpire checks that no record is kept forever of VMs that never come back.
 func TestUnreachableIncarnationsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -118,7 +118,7 @@
 	if !r.Starting {
 		t.recordStartupSurvival(h, id, p)
 	}
-	p.measurement, p.reportedAt = r.Measurement, time.Now()
+	p.measurement, p.reportedAt, p.neverHad = r.Measurement, time.Now(), false
 	p.recordOverTarget()
 	p.recordPace(r.Pace)
 	p.updateProgress(r.Percent, r.Pace)
