Keep the logs of fleet tests on request

The logs of all processes of a failed test were deleted with its temporary directory. The tests now write them to their artifact directory: with -artifacts and -outputdir of go test they are kept, without they are deleted as before.

--- a/proving/fleet/crash_test.go
+++ b/proving/fleet/crash_test.go
@@ -20,7 +20,7 @@
 // that could count a crash.
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
 	t.Parallel()
-	f, err := New(Size{Entries: 3, Agents: 5}, binaries, t.TempDir())
+	f, err := New(Size{Entries: 3, Agents: 5}, binaries, t.ArtifactDir())
 	assert.NilError(t, err)
 	defer f.Close()
 	c, stop := NewCaller(f, 1), make(chan struct{})
@@ -53,7 +53,7 @@
 // crash and both jobs are given up.
 func TestTaskThatCrashesItsAgentTooIsGivenUp(t *testing.T) {
 	t.Parallel()
-	f, err := New(Size{Entries: 3, Agents: 5}, binaries, t.TempDir())
+	f, err := New(Size{Entries: 3, Agents: 5}, binaries, t.ArtifactDir())
 	assert.NilError(t, err)
 	defer f.Close()
 	for n, w := range f.workers {
--- a/proving/fleet/fleet_test.go
+++ b/proving/fleet/fleet_test.go
@@ -64,7 +64,7 @@
 		t.Run(number, func(t *testing.T) {
 			t.Parallel()
 			t.Log(reason)
-			f, err := New(size, binaries, t.TempDir())
+			f, err := New(size, binaries, t.ArtifactDir())
 			assert.NilError(t, err)
 			defer f.Close()
 			soak := s
--- a/proving/fleet/power_test.go
+++ b/proving/fleet/power_test.go
@@ -14,7 +14,7 @@
 // again.
 func TestAllProcessesKilledAtOnce(t *testing.T) {
 	t.Parallel()
-	f, err := New(Size{Entries: 3, Agents: 3}, binaries, t.TempDir())
+	f, err := New(Size{Entries: 3, Agents: 3}, binaries, t.ArtifactDir())
 	assert.NilError(t, err)
 	defer f.Close()
 	for _, w := range f.workers {
--- a/proving/fleet/return_test.go
+++ b/proving/fleet/return_test.go
@@ -23,7 +23,7 @@
 // up; agents logged the answers they ignored as superseded.
 func TestLastingTaskRunsAgainAfterItsWorkerReturnsUnderItsID(t *testing.T) {
 	t.Parallel()
-	f, err := New(Size{Entries: 2, Agents: 3}, binaries, t.TempDir())
+	f, err := New(Size{Entries: 2, Agents: 3}, binaries, t.ArtifactDir())
 	assert.NilError(t, err)
 	defer f.Close()
 	for _, w := range f.workers {
@@ -57,7 +57,7 @@
 	for name, identities := range map[string]IdentityFunc{"ClockAhead": SameIDClockAhead, "ClockBehind": SameIDClockBehind} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f, err := New(Size{Entries: 2, Agents: 3}, binaries, t.TempDir())
+			f, err := New(Size{Entries: 2, Agents: 3}, binaries, t.ArtifactDir())
 			assert.NilError(t, err)
 			defer f.Close()
 			for _, w := range f.workers {
--- a/proving/fleet/silent_test.go
+++ b/proving/fleet/silent_test.go
@@ -33,7 +33,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f, err := New(Size{Entries: 3, Agents: 4}, binaries, t.TempDir())
+			f, err := New(Size{Entries: 3, Agents: 4}, binaries, t.ArtifactDir())
 			assert.NilError(t, err)
 			defer f.Close()
 			c := NewCaller(f, 1)
--- a/proving/fleet/unknown_sender_test.go
+++ b/proving/fleet/unknown_sender_test.go
@@ -16,7 +16,7 @@
 // known=other`.
 func TestFirstReportOfUnknownSenderDoesNotReplaceWorker(t *testing.T) {
 	t.Parallel()
-	f, err := New(Size{Entries: 3, Agents: 2}, binaries, t.TempDir())
+	f, err := New(Size{Entries: 3, Agents: 2}, binaries, t.ArtifactDir())
 	assert.NilError(t, err)
 	defer f.Close()
 	for n, w := range f.workers {
