Count only starts in flight as late starts

What callers saw: jobs of short tasks ended 15 s late after a worker had crashed and returned under its id with a clock that is ahead (TestDoneTaskIsNotStartedAgainAfterItsWorkerReturnsUnderItsID/ClockAhead: one to three of 76 jobs had not ended 15 s after the last crash).

Cause: when an agent replaced the incarnation of its worker, it recorded all starts in progress as late starts, also those that waited for their next attempt although the worker had refused each attempt so far. The report of the stop of such a start was delayed by host.MaxCallDelay.

Change: only a start that is in flight is recorded; an attempt that got no answer is recorded when it fails, as before. A start without an answer delays its task as before. The agent logs how long it delays the report of a stop.

--- a/internal/runner/candidates.go
+++ b/internal/runner/candidates.go
@@ -135,10 +135,11 @@
 	wait.Notify(r.reportDue)
 }
 
-// recordPendingStarts records the starts in progress on an incarnation that has ended as late starts.
+// recordPendingStarts records the starts in flight on an incarnation that has ended as late starts. A start that waits for its next attempt was refused or
+// did not arrive, or is recorded already: to count it as late would delay its task by host.MaxCallDelay.
 func (r *Runner) recordPendingStarts(w *workerState, now time.Time) {
 	for run, o := range w.orders {
-		if o.start != nil && !o.final {
+		if o.inFlight {
 			r.recordLateStart(w.id, run, now)
 		}
 	}
--- a/internal/runner/late.go
+++ b/internal/runner/late.go
@@ -1,12 +1,14 @@
 package runner
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/incarnation"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 // lateStart is a start that got no answer, identified by the id of the worker that it was sent to.
@@ -33,6 +35,17 @@
 	return time.Until(recordedAt.Add(host.MaxCallDelay))
 }
 
+// awaitLateStart waits after a stop until no start of the run can be carried out any more.
+func (r *Runner) awaitLateStart(ctx context.Context, w *workerState, run host.Run) {
+	delay := r.lateStartDelay(w, run)
+	if delay <= 0 {
+		return
+	}
+	r.logger.Info("report of a stop delayed until no start of the run can be carried out; task=%s run=%d instance=%s delay_ms=%d",
+		run.Task, run.Number, w.id, delay.Milliseconds())
+	wait.For(ctx, delay)
+}
+
 // lateStartRuns returns the runs that late starts may still start on an incarnation, sorted by task.
 func (r *Runner) lateStartRuns(id incarnation.ID, now time.Time) []host.Run {
 	var runs []host.Run
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -139,7 +139,7 @@
 		stale := fault.Is(err, fault.Stale)
 		unanswered := err != nil && !stale && !fault.Is(err, fault.Unavailable)
 		outcomeUnknown = outcomeUnknown || unanswered
-		r.recordFailedStart(w, run, unanswered, outcomeUnknown)
+		r.recordFailedStart(w, run, o, unanswered, outcomeUnknown)
 		if stale {
 			return
 		}
@@ -181,6 +181,7 @@
 		return until, 0, valid
 	}
 	w.possibleRuns.recordStart(run)
+	o.inFlight = true
 	return until, r.fences.use(), valid
 }
 
@@ -236,7 +237,7 @@
 		}
 		refusal, err := r.config.Worker.Stop(ctx, w.id, run, fence)
 		if err == nil && (refusal == host.Accepted || refusal == host.RefusedOld) {
-			wait.For(ctx, r.lateStartDelay(w, run))
+			r.awaitLateStart(ctx, w, run)
 			r.recordStopped(w, run, o)
 			return
 		}
--- a/internal/runner/possible.go
+++ b/internal/runner/possible.go
@@ -83,9 +83,10 @@
 }
 
 // recordFailedStart records an attempt to start a run that got no answer or did not reach the worker.
-func (r *Runner) recordFailedStart(w *workerState, run host.Run, unanswered, outcomeUnknown bool) {
+func (r *Runner) recordFailedStart(w *workerState, run host.Run, o *order, unanswered, outcomeUnknown bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	o.inFlight = false
 	if unanswered {
 		r.recordLateStart(w.id, run, time.Now())
 	}
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -76,6 +76,8 @@
 	text   string
 	stop   bool
 	cancel context.CancelFunc
+	// inFlight reports whether the start was sent and has neither been answered nor failed.
+	inFlight bool
 	// refused is why the run will never run, final whether that is settled, viewsAtRefusal the number of views received by then.
 	refused        host.Refusal
 	final          bool
@@ -188,5 +190,5 @@
 func (o *order) refuse(w *workerState, run host.Run, refusal host.Refusal) {
 	w.possibleRuns.removeUnanswered(run)
 	w.refused[run.Task] = max(w.refused[run.Task], run.Number)
-	o.refused, o.final, o.viewsAtRefusal = refusal, true, w.views
+	o.refused, o.final, o.inFlight, o.viewsAtRefusal = refusal, true, false, w.views
 }
