--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -239,7 +239,7 @@
 		}
 		refusal, err := r.config.Worker.Stop(ctx, w.id, run, fence)
 		if err == nil && (refusal == host.Accepted || refusal == host.RefusedOld) {
-			wait.For(ctx, r.lateStartDelay(w, run))
+			r.awaitLateStart(ctx, w, run)
 			r.recordStopped(w, run, o)
 			return
 		}
