--- a/internal/dispatch/lostworker_test.go
+++ b/internal/dispatch/lostworker_test.go
@@ -199,39 +199,3 @@
 	s.leaders--
 	s.elect()
 }
-
-// TestTaskRunsAfterItsStartFailedUnderAnEarlierLeader guards against a long-running task that never runs because its start got no answer and the
-// leader was replaced before it committed that the start was given up.
-func TestTaskRunsAfterItsStartFailedUnderAnEarlierLeader(t *testing.T) {
-	for _, inPlace := range []bool{false, true} {
-		for after := 100 * time.Millisecond; after <= 4*time.Second; after += 100 * time.Millisecond {
-			t.Run(fmt.Sprintf("in-place=%t after %v", inPlace, after), func(t *testing.T) {
-				var violations []string
-				synctest.Test(t, func(t *testing.T) {
-					ctx, cancel := context.WithCancel(t.Context())
-					s := newSimulation(ctx, t, 2, true)
-					time.Sleep(2 * time.Second)
-					for _, w := range s.workers {
-						w.startDelay = time.Minute
-					}
-					s.submitJob()
-					time.Sleep(after)
-					if inPlace {
-						s.restartLeader()
-					} else {
-						s.elect()
-					}
-					for _, w := range s.workers {
-						w.startDelay = 0
-					}
-					s.awaitOutcome(restartCase{longRunning: true})
-					cancel()
-					s.depose()
-					synctest.Wait()
-					violations = s.violations
-				})
-				assert.Equal(t, len(violations), 0, "%v", violations)
-			})
-		}
-	}
-}
--- a/internal/dispatch/refusal_test.go
+++ b/internal/dispatch/refusal_test.go
@@ -17,15 +17,30 @@
 		for _, after := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond} {
 			t.Run(fmt.Sprintf("start-delay=%v after=%v", startDelay, after), func(t *testing.T) {
 				var violations []string
-				synctest.Test(t, func(t *testing.T) { violations = runRefusedStart(t, startDelay, after) })
+				synctest.Test(t, func(t *testing.T) { violations = runFailedStart(t, startDelay, after, false) })
 				assert.Equal(t, len(violations), 0, "%v", violations)
 			})
 		}
 	}
 }
 
-// runRefusedStart lets the workers refuse a start, or not answer it if there is a delay, replaces the leader and returns the violations.
-func runRefusedStart(t *testing.T, startDelay, after time.Duration) []string {
+// TestTaskRunsAfterItsStartFailedUnderAnEarlierLeader guards against a long-running task that never runs because its start got no answer and the
+// leader was replaced before it committed that the start was given up.
+func TestTaskRunsAfterItsStartFailedUnderAnEarlierLeader(t *testing.T) {
+	for _, inPlace := range []bool{false, true} {
+		for after := 100 * time.Millisecond; after <= 4*time.Second; after += 100 * time.Millisecond {
+			t.Run(fmt.Sprintf("in-place=%t after %v", inPlace, after), func(t *testing.T) {
+				var violations []string
+				synctest.Test(t, func(t *testing.T) { violations = runFailedStart(t, time.Minute, after, inPlace) })
+				assert.Equal(t, len(violations), 0, "%v", violations)
+			})
+		}
+	}
+}
+
+// runFailedStart lets the workers refuse a start, or not answer it if there is a delay, replaces the leader, by one at its address if inPlace is set,
+// and returns the violations.
+func runFailedStart(t *testing.T, startDelay, after time.Duration, inPlace bool) []string {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	s := newSimulation(ctx, t, 2, true)
@@ -35,7 +50,11 @@
 	}
 	s.submitJob()
 	time.Sleep(after)
-	s.elect()
+	if inPlace {
+		s.restartLeader()
+	} else {
+		s.elect()
+	}
 	for _, w := range s.workers {
 		w.startDelay, w.refusesStarts = 0, false
 	}
