--- a/internal/dispatch/lostworker_test.go
+++ b/internal/dispatch/lostworker_test.go
@@ -91,8 +91,8 @@
 
 // lostWorkerCases returns all cases of one silence.
 func lostWorkerCases(silence time.Duration) []lostWorkerCase {
-	var cases []lostWorkerCase
-	for concurrent := range concurrentFailures {
+	cases := []lostWorkerCase{{silence: silence, concurrent: workerOnly}}
+	for concurrent := leaderFails; concurrent < concurrentFailures; concurrent++ {
 		for _, after := range []time.Duration{0, 300 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
 			cases = append(cases, lostWorkerCase{silence: silence, concurrent: concurrent, after: after})
 			if concurrent == leaderFails || concurrent == bothFail {
