Count starts in flight apart from the runs they may have started

What callers saw: nothing; found by reading. A start could be carried out by the next incarnation of a worker beside the run that replaces it.

Cause: starts in flight were read off the runs that an incarnation may have had. Such a run is forgotten once its first start has expired and no view lists it, also while a repeated start of it is in flight; if the worker restarted then, that start was not stopped there.

Change: the calls in flight are counted with the incarnation, until each has an outcome. A start that is canceled before it is sent counts as not carried out, where the count of calls in progress kept it.

Measured: the test fails on the code before and passes. Two comments use the usual term.

--- a/internal/dispatch/lostworker_test.go
+++ b/internal/dispatch/lostworker_test.go
@@ -191,7 +191,7 @@
 	return s.Store.Get(ctx, key)
 }
 
-// restartLeader replaces the leader by a process at the same address, of which agents read the record late.
+// restartLeader replaces the leader by a process at the same address, whose record agents read late.
 func (s *simulation) restartLeader() {
 	item, err := s.store.Get(s.ctx, record.LeaderKey)
 	assert.NilError(s.t, err)
--- a/internal/dispatch/randomfailures_test.go
+++ b/internal/dispatch/randomfailures_test.go
@@ -16,7 +16,7 @@
 const (
 	// randomSeeds is how many random sequences of failures are played, some 0.1 s each.
 	randomSeeds = 150
-	// randomVMs is the number of VMs; at most one of their workers is lost for good.
+	// randomVMs is the number of VMs; at most one of their workers is lost permanently.
 	randomVMs = 3
 )
 
@@ -36,7 +36,7 @@
 type randomFailures struct {
 	simulation *simulation
 	random     *rand.Rand
-	// lost is the VM whose worker is lost for good, -1 for none; crashes counts the crashes of workers.
+	// lost is the VM whose worker is lost permanently, -1 for none; crashes counts the crashes of workers.
 	lost    int
 	crashes int
 	played  []string
--- a/internal/runner/candidates.go
+++ b/internal/runner/candidates.go
@@ -138,10 +138,8 @@
 // recordPendingStarts records the starts in flight on an incarnation that has ended as late starts. A start that waits for its next attempt was refused or
 // did not arrive, or is recorded already: to count it as late would delay its task by host.MaxCallDelay.
 func (r *Runner) recordPendingStarts(w *workerState, now time.Time) {
-	for run, known := range w.possibleRuns {
-		if known.inProgress > 0 {
-			r.recordLateStart(w.id, run, now)
-		}
+	for run := range w.startsInFlight {
+		r.recordLateStart(w.id, run, now)
 	}
 }
 
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -127,12 +127,16 @@
 	timeout := r.startTimeout.First()
 	for range maxStartAttempts {
 		until, fence, valid := r.prepareStart(w, run, o)
-		if !valid || ctx.Err() != nil {
+		if !valid {
 			return
 		}
 		if until == 0 {
 			break
 		}
+		if ctx.Err() != nil {
+			r.recordStartOutcome(w, run, startNotCarriedOut)
+			return
+		}
 		refusal, err := r.tryStart(ctx, timeout, w.id, host.Start{
 			Run: run, Text: o.text, Until: until, Fence: fence, Checkpoint: o.start.Checkpoint, Ticket: o.start.Ticket,
 		})
@@ -184,6 +188,7 @@
 		return until, 0, valid
 	}
 	w.possibleRuns.recordStart(run)
+	w.startsInFlight[run]++
 	return until, r.fences.use(), valid
 }
 
--- a/internal/runner/possible.go
+++ b/internal/runner/possible.go
@@ -140,6 +140,7 @@
 	if outcome == startUnanswered {
 		r.recordLateStart(w.id, run, time.Now())
 	}
+	w.startEnded(run)
 	w.possibleRuns.recordOutcome(run, outcome)
 	known := w.possibleRuns[run]
 	if known != nil && known.undecided() {
--- a/internal/runner/start_outcome_test.go
+++ b/internal/runner/start_outcome_test.go
@@ -218,3 +218,26 @@
 
 // Addr implements net.Listener.
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestRepeatedStartInFlightIsStoppedOnTheNextIncarnation guards against a start that the next incarnation carries out beside the run that replaces it,
+// because the agent no longer knew of the call: it was in flight when the first start of the run expired.
+func TestRepeatedStartInFlightIsStoppedOnTheNextIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{answerStart: func() (host.Refusal, error) { time.Sleep(2 * time.Second); return noAnswer() }}
+		r := newIncarnationTest(t, worker)
+		defer r.cancelOrders()
+		r.worker.possibleRuns.entry(testRun(4)).sentAt = time.Now().Add(100*time.Millisecond - runLease)
+		orders := startOrders()
+		orders.StartMillis, orders.Starts[0].Number = firstIncarnation.StartMillis(), 4
+		_, err := r.handleOrders(t.Context(), nil, orders)
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		assert.Equal(t, len(worker.started()), 1)
+		worker.restart(secondIncarnation)
+		r.Reported(reportFrom(secondIncarnation, 1))
+		synctest.Wait()
+		stopped := worker.stopped()
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, stopped, []host.Run{testRun(4)})
+	})
+}
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -47,6 +47,8 @@
 	orders       map[host.Run]*order
 	// possibleRuns are the runs that this incarnation may have.
 	possibleRuns runSet
+	// startsInFlight counts the start calls of each run that have no outcome yet; an entry of possibleRuns may expire before its calls end.
+	startsInFlight map[host.Run]int
 	// refused is the highest refused run of each task; a repeated start of it is refused again.
 	refused  map[job.TaskID]int
 	profiles map[host.Run]link.Profile
@@ -86,7 +88,7 @@
 func newWorkerState(report host.Report, now time.Time) *workerState {
 	return &workerState{
 		id: report.Incarnation, report: report, clock: report.Clock, clockReadAt: now, answeredAt: now, leaseEnd: now.Add(runLease),
-		orders: make(map[host.Run]*order), possibleRuns: make(runSet), refused: make(map[job.TaskID]int),
+		orders: make(map[host.Run]*order), possibleRuns: make(runSet), startsInFlight: make(map[host.Run]int), refused: make(map[job.TaskID]int),
 		profiles: make(map[host.Run]link.Profile), paces: make(map[host.Run]int),
 		violations: make(map[host.Run]time.Time), trackers: make(map[host.Run]*pressure.Tracker),
 		residuals: make(map[host.Run]*pressure.Residual),
@@ -103,6 +105,14 @@
 	return true
 }
 
+// startEnded records that a start call of a run has ended.
+func (w *workerState) startEnded(run host.Run) {
+	w.startsInFlight[run]--
+	if w.startsInFlight[run] <= 0 {
+		delete(w.startsInFlight, run)
+	}
+}
+
 // removeStopped removes the runs whose stop was answered before the latest view was requested. Until then the stop may have been answered by a later
 // incarnation while the current one crashed under the run.
 func (w *workerState) removeStopped() {
