--- a/internal/follow/prefix.go
+++ b/internal/follow/prefix.go
@@ -90,6 +90,7 @@
 func (p *PrefixFollower) Run(ctx context.Context, after kv.Revision) {
 	backoff := wait.NewBackoff(min(minRetryDelay, p.timing.MaxRetryDelay), p.timing.MaxRetryDelay, rand.Float64)
 	for ctx.Err() == nil {
+		requestedAt := time.Now()
 		next, err := p.Next(ctx, after)
 		if err == nil {
 			after = next
@@ -101,7 +102,8 @@
 		}
 		p.failedAt = time.Now()
 		if after != 0 {
-			p.logger.Warn("the watch of %s failed; revision=%d reason=%v", p.prefix, after, err)
+			p.logger.Warn("the watch of %s failed; revision=%d after_ms=%d reason=%v",
+				p.prefix, after, p.failedAt.Sub(requestedAt).Milliseconds(), err)
 		}
 		if fault.Is(err, fault.Stale) {
 			after = 0
--- a/internal/intake/policies.go
+++ b/internal/intake/policies.go
@@ -59,6 +59,9 @@
 	return link.Offer{Revision: uint64(value.Revision), Value: value.Decoded.raw}
 }
 
+// VerifiedAge returns how long ago the store last confirmed the configuration, by the start of the call.
+func (p *Policies) VerifiedAge() time.Duration { return time.Since(p.follower.Verified()) }
+
 // Accept stores an offered configuration unless a newer one is known.
 func (p *Policies) Accept(offer link.Offer) {
 	value, _ := p.follower.Value()
@@ -81,7 +84,7 @@
 
 // Fresh returns the configuration, after reading it again if the latest confirmation is older than maxConfirmationAge.
 func (p *Policies) Fresh(ctx context.Context) *policy.Policy {
-	if time.Since(p.follower.Verified()) > maxConfirmationAge {
+	if p.VerifiedAge() > maxConfirmationAge {
 		bounded, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		if _, err := p.follower.Refresh(bounded); err != nil {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -75,6 +75,8 @@
 		found = current.Route(a.Host, a.Path)
 	}
 	if found == nil {
+		s.logger.Info("no queue at the address; host=%q path=%q version=%d verified_ms=%d",
+			a.Host, a.Path, current.Version(), s.config.Policies.VerifiedAge().Milliseconds())
 		return nil, "", fault.New(fault.NotFound, "version %d of the configuration has no queue at this address", current.Version())
 	}
 	return found, strings.TrimPrefix(a.Path, found.Prefix), nil
