--- a/proving/fleet/fleet.go
+++ b/proving/fleet/fleet.go
@@ -78,7 +78,7 @@
 	if a.store, err = f.serve("127.0.0.1:0", f.store.Handle); err != nil {
 		return err
 	}
-	if err := f.configure(1); err != nil {
+	if err := f.configure(1, 0); err != nil {
 		return err
 	}
 	for i := range size.Entries {
--- a/proving/fleet/settings.go
+++ b/proving/fleet/settings.go
@@ -32,14 +32,26 @@
 // settingsPath returns the path of a process's settings file.
 func settingsPath(dir, name string) string { return filepath.Join(dir, name+".yaml") }
 
-// configure writes a version of the configuration as an operator.
-func (f *Fleet) configure(version int) error {
+// route returns a queue of the configuration.
+func route(name, prefix string) map[string]any {
+	return map[string]any{
+		"name": name, "host": queueHost, "path-prefix": prefix, "timeout-ms": 3000, "target-latency-ms": 1000,
+		"priority": 0, "service": service, "attempts": 3, "stretch": 2.0,
+	}
+}
+
+// addedPrefix returns the path prefix of a queue that configure adds, from 1.
+func addedPrefix(i int) string { return fmt.Sprintf("/added%d/", i) }
+
+// configure writes a version of the configuration as an operator, with a number of queues besides the one of pathPrefix.
+func (f *Fleet) configure(version, added int) error {
+	routes := []map[string]any{route("queue", pathPrefix)}
+	for i := range added {
+		routes = append(routes, route(fmt.Sprintf("added-%d", i+1), addedPrefix(i+1)))
+	}
 	value, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "queue", "host": queueHost, "path-prefix": pathPrefix, "timeout-ms": 3000, "target-latency-ms": 1000,
-			"priority": 0, "service": service, "attempts": 3, "stretch": 2.0,
-		}},
+		"version":  version,
+		"routes":   routes,
 		"services": []map[string]any{{"name": service, "admission-check": false}},
 		"limits":   map[string]any{},
 	})
--- a/proving/relay/relay.go
+++ b/proving/relay/relay.go
@@ -24,6 +24,8 @@
 	// until they close.
 	sources  map[net.Conn]string
 	silenced map[net.Conn]bool
+	// link is the link that all bytes pass, nil for none.
+	link *Link
 }
 
 // bufferSize is the number of bytes read at once.
@@ -145,11 +147,18 @@
 	}
 }
 
-// drops reports whether bytes of a connection are dropped in a direction, and otherwise their delay.
-func (r *Relay) drops(conn net.Conn, source string, direction Direction) (bool, time.Duration) {
+// drops reports whether n bytes of a connection are dropped in a direction, and otherwise their delay.
+func (r *Relay) drops(conn net.Conn, source string, direction Direction, n int) (bool, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cut[source] || r.silenced[conn] || r.dropped&direction != 0, r.delay
+	if r.cut[source] || r.silenced[conn] || r.dropped&direction != 0 {
+		return true, 0
+	}
+	delay := r.delay
+	if r.link != nil {
+		delay += r.link.reserve(direction, n)
+	}
+	return false, delay
 }
 
 // accept serves each connection until the listener is closed.
@@ -210,7 +219,7 @@
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
-		drop, delay := r.drops(s.conn, s.source, s.direction)
+		drop, delay := r.drops(s.conn, s.source, s.direction, n)
 		if n > 0 && !drop {
 			<-time.After(delay)
 			if _, err := to.Write(buffer[:n]); err != nil {
