Refuse by no configuration that could not be confirmed

Callers got a final 404 for a queue that the newest configuration has, or a 413 for a job that it allows. An entry reads the configuration again before it answers so, but if that read failed it answered by the configuration that it knew. The record shows two 404s right after such a failure.

Fresh now returns an error, and the caller is asked to retry: 503 with Retry-After. The size limit is confirmed in the same way.

--- a/internal/intake/policies.go
+++ b/internal/intake/policies.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/link"
@@ -76,20 +77,29 @@
 }
 
 const (
-	// maxConfirmationAge is how old the latest confirmation may be before a route is reported as missing.
+	// maxConfirmationAge is how old the latest confirmation may be before a request is rejected for good by the configuration.
 	maxConfirmationAge = 100 * time.Millisecond
 	// readTimeout bounds a read of the configuration on behalf of a request.
 	readTimeout = 400 * time.Millisecond
 )
 
-// Fresh returns the configuration, after reading it again if the latest confirmation is older than maxConfirmationAge.
-func (p *Policies) Fresh(ctx context.Context) *policy.Policy {
+// Fresh returns the configuration, after reading it again if the latest confirmation is older than maxConfirmationAge; the error is of kind
+// Unavailable if it cannot be read.
+func (p *Policies) Fresh(ctx context.Context) (*policy.Policy, error) {
 	if p.VerifiedAge() > maxConfirmationAge {
 		bounded, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		if _, err := p.follower.Refresh(bounded); err != nil {
-			p.logger.Warn("the configuration could not be confirmed: %v", err)
+			p.logger.Warn("the configuration could not be confirmed; version=%d verified_ms=%d reason=%v",
+				p.Newest().Version(), p.VerifiedAge().Milliseconds(), err)
+			return nil, fault.Wrap(err, fault.Unavailable, "the configuration could not be confirmed").WithRetryAfter(retryAfter)
 		}
 	}
-	return p.Newest()
+	current := p.Newest()
+	if current == nil {
+		return nil, errNoConfiguration
+	}
+	return current, nil
 }
+
+var errNoConfiguration = fault.New(fault.Unavailable, "no configuration has been read yet").WithRetryAfter(retryAfter)
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -67,11 +67,14 @@
 func (s *Server) route(ctx context.Context, a Address) (*policy.Route, string, error) {
 	current := s.config.Policies.Newest()
 	if current == nil {
-		return nil, "", fault.New(fault.Unavailable, "no configuration has been read yet").WithRetryAfter(retryAfter)
+		return nil, "", errNoConfiguration
 	}
 	found := current.Route(a.Host, a.Path)
 	if found == nil {
-		current = s.config.Policies.Fresh(ctx)
+		var err error
+		if current, err = s.config.Policies.Fresh(ctx); err != nil {
+			return nil, "", err
+		}
 		found = current.Route(a.Host, a.Path)
 	}
 	if found == nil {
@@ -102,8 +105,8 @@
 	if err != nil {
 		return err
 	}
-	if maxBody := s.config.Policies.Newest().MaxBody(); maxBody > 0 && size > maxBody {
-		return fault.New(fault.TooLarge, "the job has %d bytes; the operators allow %d", size, maxBody)
+	if err := s.checkSize(ctx, size); err != nil {
+		return err
 	}
 	spec, err := decode()
 	if err != nil {
@@ -125,6 +128,21 @@
 	return err
 }
 
+// checkSize returns an error of kind TooLarge if a confirmed configuration does not allow a job of a size in bytes.
+func (s *Server) checkSize(ctx context.Context, size int) error {
+	if s.config.Policies.Newest().Allows(size) {
+		return nil
+	}
+	current, err := s.config.Policies.Fresh(ctx)
+	if err != nil {
+		return err
+	}
+	if !current.Allows(size) {
+		return fault.New(fault.TooLarge, "the job has %d bytes; the operators allow %d", size, current.MaxBody())
+	}
+	return nil
+}
+
 // countCall records the outcome of a call and its duration in milliseconds.
 func (s *Server) countCall(call string, start time.Time, err error) {
 	s.config.Metrics.Counter("jobs." + call + "." + outcome(err)).Inc(1)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -49,6 +49,9 @@
 // MaxBody returns the maximum size of a call's body in bytes.
 func (p *Policy) MaxBody() int { return p.maxBody }
 
+// Allows reports whether a call's body may have a size in bytes.
+func (p *Policy) Allows(size int) bool { return p.maxBody <= 0 || size <= p.maxBody }
+
 // Routes returns all routes, which must not be changed.
 func (p *Policy) Routes() []Route { return p.routes }
 
