Bound the silence of the store, not the transfer of an answer

An answer of the store that was arriving was given up at the timeout of its call and requested again from its start. A configuration of 722 kB takes 0.58 s on an idle link of 10 Mbit/s, and watches were given up 400 ms after their wait, so that no attempt succeeded while anything else used the link.

An answer that stops arriving still ends its call. Calls to workers and to the advice service are not changed.

--- a/internal/connection/set.go
+++ b/internal/connection/set.go
@@ -24,6 +24,8 @@
 type Set struct {
 	address string
 	logger  logging.Logger
+	// transferTimeout is how much longer than its timeout a call may take while its answer arrives.
+	transferTimeout time.Duration
 
 	createdAt time.Time
 
@@ -40,6 +42,13 @@
 	return &Set{address: address, logger: logger, createdAt: time.Now(), open: make(map[*trackedConn]struct{})}
 }
 
+// WithTransferTimeout lets calls take longer than their timeouts, by a limit, while bytes of their answers arrive, and returns the set. It
+// must be called before the first connection.
+func (s *Set) WithTransferTimeout(limit time.Duration) *Set {
+	s.transferTimeout = limit
+	return s
+}
+
 // Client returns a client with its own pool, whose connections belong to the set.
 func (s *Set) Client(timeout time.Duration) *fasthttp.HostClient {
 	client := httpclient.New(s.address, timeout)
--- a/internal/connection/tracked.go
+++ b/internal/connection/tracked.go
@@ -9,7 +9,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// trackedConn is a connection that records when it last transferred bytes.
+// maxPause is how long the bytes of an answer may pause, longer than the retransmission of a lost packet takes.
+const maxPause = time.Second
+
+// trackedConn is a connection that records when it last transferred bytes. Only one answer is read from it at a time.
 type trackedConn struct {
 	net.Conn
 	set      *Set
@@ -17,7 +20,9 @@
 	// lastActive is when bytes were last transferred, as monotonic nanoseconds since the set was created; the wall clock may jump.
 	lastActive atomic.Int64
 	// received counts the bytes received since the read deadline was last set, which is once for each answer.
-	received atomic.Int64
+	received int64
+	// deadline is the read deadline in force, latestDeadline the latest to which arriving bytes may extend it.
+	deadline, latestDeadline time.Time
 }
 
 // incompleteError is a timeout in the middle of an answer.
@@ -40,20 +45,36 @@
 // Temporary implements net.Error.
 func (e *incompleteError) Temporary() bool { return true }
 
-// SetReadDeadline implements net.Conn and marks the start of an answer.
+// SetReadDeadline implements net.Conn; the deadline is that of the first bytes of an answer.
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
-	c.received.Store(0)
+	c.received, c.deadline, c.latestDeadline = 0, t, t.Add(c.set.transferTimeout)
 	return c.Conn.SetReadDeadline(t)
 }
 
+// extendDeadline extends the read deadline after bytes have arrived.
+func (c *trackedConn) extendDeadline() error {
+	extended := time.Now().Add(maxPause)
+	if extended.After(c.latestDeadline) {
+		extended = c.latestDeadline
+	}
+	if c.deadline.IsZero() || !extended.After(c.deadline) {
+		return nil
+	}
+	c.deadline = extended
+	return c.Conn.SetReadDeadline(extended)
+}
+
 // Read implements net.Conn and records when bytes arrive.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.recordActivity(n)
-	received := c.received.Add(int64(n))
+	c.received += int64(n)
+	if n > 0 && err == nil {
+		err = c.extendDeadline()
+	}
 	var timeout net.Error
-	if received > 0 && errors.As(err, &timeout) && timeout.Timeout() {
-		return n, &incompleteError{timeout: timeout, received: received}
+	if c.received > 0 && errors.As(err, &timeout) && timeout.Timeout() {
+		return n, &incompleteError{timeout: timeout, received: c.received}
 	}
 	return n, err
 }
