Share one read of the configuration among callers

Each request for a queue that an entry does not know read the whole configuration, beside the watch and other requests.

Callers now share one read, which goes on when they give up. A value of 32 kB or more that is known is not read again: a transaction with a condition on its revision and no change tells whether it is current, and if it is not, the watch is receiving it. Only a watch that stays silent for a second makes the entry read it. A caller waits for up to a second and is then asked to retry.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
 )
@@ -16,9 +19,18 @@
 // confirmationTTL is how long a value counts as the newest after another process has confirmed it.
 const confirmationTTL = time.Second
 
-// Value is a decoded value with the revision at which it was written, 0 if the key is absent.
+const (
+	// largeSize is the size in bytes from which a known value is read again only if its revision has changed: a narrow link takes
+	// seconds for several copies of it.
+	largeSize = 32 << 10
+	// watchDelay is how long a read of a large value that has changed waits for the watch, which is receiving it as well.
+	watchDelay = time.Second
+)
+
+// Value is a decoded value with its size in bytes as stored and the revision at which it was written, 0 if the key is absent.
 type Value[T any] struct {
 	Decoded  T
+	Size     int
 	Revision kv.Revision
 }
 
@@ -29,6 +41,8 @@
 	decode func([]byte) (T, error)
 	logger logging.Logger
 	done   chan struct{}
+	// reads shares one read among concurrent callers.
+	reads singleflight.Group
 
 	mu          sync.Mutex
 	value       Value[T]
@@ -98,8 +112,35 @@
 	f.changed = make(chan struct{})
 }
 
-// Refresh reads the current value of the key, and returns its revision.
+// Verify returns once the store has confirmed the value by a call that started at or after a time, or the error of that call.
+func (f *Follower[T]) Verify(ctx context.Context, since time.Time) error {
+	for f.Verified().Before(since) {
+		if _, err := f.Refresh(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Refresh reads the current value of the key unless it is large and unchanged, and returns its revision. Concurrent calls share one
+// read, which continues if ctx ends.
 func (f *Follower[T]) Refresh(ctx context.Context) (kv.Revision, error) {
+	result := f.reads.DoChan(f.key, func() (any, error) { return f.read(context.WithoutCancel(ctx)) })
+	select {
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	case r := <-result:
+		revision, _ := r.Val.(kv.Revision)
+		return revision, r.Err
+	}
+}
+
+func (f *Follower[T]) read(ctx context.Context) (kv.Revision, error) {
+	if value, _ := f.Value(); value.Size >= largeSize {
+		if revision, done := f.readLarge(ctx, value.Revision); done {
+			return revision, nil
+		}
+	}
 	requestedAt := time.Now()
 	item, err := f.store.Get(ctx, f.key)
 	if err != nil {
@@ -108,6 +149,39 @@
 	return item.Revision(), f.update(item, item.Revision(), requestedAt)
 }
 
+// readLarge verifies that the value is still that of a revision, or waits for the watch to receive a newer one; it returns false if the
+// value has to be read.
+func (f *Follower[T]) readLarge(ctx context.Context, revision kv.Revision) (kv.Revision, bool) {
+	changed := f.Changed()
+	requestedAt := time.Now()
+	_, err := f.store.Commit(ctx, kv.Txn{Conditions: []kv.Condition{{Key: f.key, Revision: revision}}})
+	if err == nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.value.Revision == revision {
+			f.markVerified(requestedAt)
+		}
+		return f.value.Revision, true
+	}
+	if !fault.Is(err, fault.Conflict) {
+		return 0, false
+	}
+	select {
+	case <-changed:
+		value, _ := f.Value()
+		return value.Revision, true
+	case <-time.After(watchDelay):
+		return 0, false
+	}
+}
+
+// markVerified records that a call that started at a time has confirmed the value; f.mu is held.
+func (f *Follower[T]) markVerified(requestedAt time.Time) {
+	if requestedAt.After(f.verifiedAt) {
+		f.verifiedAt = requestedAt
+	}
+}
+
 // update sets the value by an item that is the newest as of the revision at.
 func (f *Follower[T]) update(item kv.Item, at kv.Revision, requestedAt time.Time) error {
 	var value T
@@ -120,12 +194,12 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.verifiedAt = requestedAt
+	f.markVerified(requestedAt)
 	if item.Revision() == 0 {
 		f.clear(at)
 		return nil
 	}
-	f.set(Value[T]{Decoded: value, Revision: item.Revision()})
+	f.set(Value[T]{Decoded: value, Size: len(item.Value()), Revision: item.Revision()})
 	return nil
 }
 
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -185,13 +185,13 @@
 	}
 }
 
-// confirmationTimeout is how long after a leader's last answer an entry reads the leader record itself; a watch of the record may wait
+// leaderConfirmationTimeout is how long after a leader's last answer an entry reads the leader record itself; a watch of the record may wait
 // longer on an unresponsive connection.
-const confirmationTimeout = 1500 * time.Millisecond
+const leaderConfirmationTimeout = 1500 * time.Millisecond
 
 // refreshLeader reads the leader record if no leader has answered for a while.
 func (p *Pinger) refreshLeader(ctx context.Context) {
-	if p.confirmedAt.IsZero() || time.Since(p.confirmedAt) < confirmationTimeout {
+	if p.confirmedAt.IsZero() || time.Since(p.confirmedAt) < leaderConfirmationTimeout {
 		return
 	}
 	p.confirmedAt = time.Now()
--- a/internal/intake/policies.go
+++ b/internal/intake/policies.go
@@ -73,32 +73,31 @@
 	if err != nil {
 		return
 	}
-	p.follower.Offer(follow.Value[configuration]{Decoded: parsed, Revision: kv.Revision(offer.Revision)})
+	p.follower.Offer(follow.Value[configuration]{Decoded: parsed, Size: len(offer.Value), Revision: kv.Revision(offer.Revision)})
 }
 
 const (
 	// maxConfirmationAge is how old the latest confirmation may be before a request is rejected for good by the configuration.
 	maxConfirmationAge = 100 * time.Millisecond
-	// readTimeout bounds a read of the configuration on behalf of a request.
-	readTimeout = 400 * time.Millisecond
+	// confirmationTimeout bounds the wait of a request for a confirmation.
+	confirmationTimeout = time.Second
 )
 
-// Fresh returns the configuration, after reading it again if the latest confirmation is older than maxConfirmationAge; the error is of kind
-// Unavailable if it cannot be read.
+// Fresh returns the configuration once the store has confirmed it by a call that is not older than maxConfirmationAge; the error is of
+// kind Unavailable if the store does not.
 func (p *Policies) Fresh(ctx context.Context) (*policy.Policy, error) {
-	if p.VerifiedAge() > maxConfirmationAge {
-		bounded, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		if _, err := p.follower.Refresh(bounded); err != nil {
-			p.logger.Warn("the configuration could not be confirmed; version=%d verified_ms=%d reason=%v",
-				p.Newest().Version(), p.VerifiedAge().Milliseconds(), err)
-			return nil, fault.Wrap(err, fault.Unavailable, "the configuration could not be confirmed").WithRetryAfter(retryAfter)
-		}
-	}
+	bounded, cancel := context.WithTimeout(ctx, confirmationTimeout)
+	defer cancel()
+	err := p.follower.Verify(bounded, time.Now().Add(-maxConfirmationAge))
 	current := p.Newest()
 	if current == nil {
 		return nil, errNoConfiguration
 	}
+	if err != nil {
+		p.logger.Warn("the configuration could not be confirmed; version=%d verified_ms=%d reason=%v",
+			current.Version(), p.VerifiedAge().Milliseconds(), err)
+		return nil, fault.Wrap(err, fault.Unavailable, "the configuration could not be confirmed").WithRetryAfter(retryAfter)
+	}
 	return current, nil
 }
 
