Serve a request as soon as its queue is known

A request for a new queue waited for the end of the shared read even if the watch had received the configuration meanwhile, and one that came early was refused after a second. It now goes on with the first configuration that has its queue.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -24,7 +24,7 @@
 	// seconds for several copies of it.
 	largeSize = 32 << 10
 	// watchDelay is how long a read of a large value that has changed waits for the watch, which is receiving it as well.
-	watchDelay = time.Second
+	watchDelay = 1500 * time.Millisecond
 )
 
 // Value is a decoded value with its size in bytes as stored and the revision at which it was written, 0 if the key is absent.
@@ -112,29 +112,43 @@
 	f.changed = make(chan struct{})
 }
 
-// Verify returns once the store has confirmed the value by a call that started at or after a time, or the error of that call.
-func (f *Follower[T]) Verify(ctx context.Context, since time.Time) error {
-	for f.Verified().Before(since) {
-		if _, err := f.Refresh(ctx); err != nil {
-			return err
+// Verify returns once the value is accepted, or once the store has confirmed it by a call that started at or after a time; else it returns
+// the error of that call.
+func (f *Follower[T]) Verify(ctx context.Context, since time.Time, accepts func(T) bool) error {
+	for {
+		changed := f.Changed()
+		if value, _ := f.Value(); accepts(value.Decoded) || !f.Verified().Before(since) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case r := <-f.startRead(ctx):
+			if r.Err != nil {
+				return r.Err
+			}
 		}
 	}
-	return nil
 }
 
 // Refresh reads the current value of the key unless it is large and unchanged, and returns its revision. Concurrent calls share one
 // read, which continues if ctx ends.
 func (f *Follower[T]) Refresh(ctx context.Context) (kv.Revision, error) {
-	result := f.reads.DoChan(f.key, func() (any, error) { return f.read(context.WithoutCancel(ctx)) })
 	select {
 	case <-ctx.Done():
 		return 0, ctx.Err()
-	case r := <-result:
+	case r := <-f.startRead(ctx):
 		revision, _ := r.Val.(kv.Revision)
 		return revision, r.Err
 	}
 }
 
+// startRead starts a read unless one is in progress, and returns the channel of its result.
+func (f *Follower[T]) startRead(ctx context.Context) <-chan singleflight.Result {
+	return f.reads.DoChan(f.key, func() (any, error) { return f.read(context.WithoutCancel(ctx)) })
+}
+
 func (f *Follower[T]) read(ctx context.Context) (kv.Revision, error) {
 	if value, _ := f.Value(); value.Size >= largeSize {
 		if revision, done := f.readLarge(ctx, value.Revision); done {
--- a/internal/intake/policies.go
+++ b/internal/intake/policies.go
@@ -83,12 +83,14 @@
 	confirmationTimeout = time.Second
 )
 
-// Fresh returns the configuration once the store has confirmed it by a call that is not older than maxConfirmationAge; the error is of
-// kind Unavailable if the store does not.
-func (p *Policies) Fresh(ctx context.Context) (*policy.Policy, error) {
+// Fresh returns the first configuration that accepts a request, or else the one that the store has confirmed by a call that is not older
+// than maxConfirmationAge; the error is of kind Unavailable if the store does not confirm one.
+func (p *Policies) Fresh(ctx context.Context, accepts func(*policy.Policy) bool) (*policy.Policy, error) {
 	bounded, cancel := context.WithTimeout(ctx, confirmationTimeout)
 	defer cancel()
-	err := p.follower.Verify(bounded, time.Now().Add(-maxConfirmationAge))
+	err := p.follower.Verify(bounded, time.Now().Add(-maxConfirmationAge), func(c configuration) bool {
+		return c.policy != nil && accepts(c.policy)
+	})
 	current := p.Newest()
 	if current == nil {
 		return nil, errNoConfiguration
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -65,18 +65,11 @@
 
 // route returns the queue of an address and the rest of the path.
 func (s *Server) route(ctx context.Context, a Address) (*policy.Route, string, error) {
-	current := s.config.Policies.Newest()
-	if current == nil {
-		return nil, "", errNoConfiguration
+	current, err := s.config.Policies.Fresh(ctx, func(p *policy.Policy) bool { return p.Route(a.Host, a.Path) != nil })
+	if err != nil {
+		return nil, "", err
 	}
 	found := current.Route(a.Host, a.Path)
-	if found == nil {
-		var err error
-		if current, err = s.config.Policies.Fresh(ctx); err != nil {
-			return nil, "", err
-		}
-		found = current.Route(a.Host, a.Path)
-	}
 	if found == nil {
 		s.logger.Info("no queue at the address; host=%q path=%q version=%d verified_ms=%d",
 			a.Host, a.Path, current.Version(), s.config.Policies.VerifiedAge().Milliseconds())
@@ -130,17 +123,11 @@
 
 // checkSize returns an error of kind TooLarge if a confirmed configuration does not allow a job of a size in bytes.
 func (s *Server) checkSize(ctx context.Context, size int) error {
-	if s.config.Policies.Newest().Allows(size) {
-		return nil
-	}
-	current, err := s.config.Policies.Fresh(ctx)
-	if err != nil {
-		return err
-	}
-	if !current.Allows(size) {
+	current, err := s.config.Policies.Fresh(ctx, func(p *policy.Policy) bool { return p.Allows(size) })
+	if err == nil && !current.Allows(size) {
 		return fault.New(fault.TooLarge, "the job has %d bytes; the operators allow %d", size, current.MaxBody())
 	}
-	return nil
+	return err
 }
 
 // countCall records the outcome of a call and its duration in milliseconds.
