Send large configurations apart from pings

The leader sent its configuration with the answer to each ping of an entry that lacked it, and an entry sent its own with a ping. A megabyte takes over a second on a link of 10 Mbit/s, a ping 700 ms at most: it timed out, its connection was closed, and the next ping started over. In the record the leader sent 1.6 to 3.3 MB a second while entries received version 15, over the links on which they read it from the store.

Entries now say that they fetch a large value themselves, and the leader's answer names its revision only. They read it from the store, or on a connection of its own from the leader if the store does not answer them. Small values, and entries of the previous release, are answered as before. A ping with a value may take as long as its transfer. An entry counts as confirmed only if the leader has the same revision.

With the previous behaviour TestPingsAreAnsweredWhileALargeConfigurationArrives and TestLargeConfigurationReachesTheLeader fail; both pass.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -174,15 +174,24 @@
 			t.stepDown(p.Entry, "it has a much larger processor share")
 		}
 	}
-	if newest := d.config.Policies.Offer(); newest.Revision != p.Revision {
-		answer.Offer = newest
-		if newest.Revision < p.Revision {
-			answer.Value = nil
-		}
-	}
+	answer.Offer = newConfigurationOffer(d.config.Policies.Offer(), p)
 	return answer, nil
 }
 
+// maxSharedValue is the size in bytes up to which a configuration is sent on the connection of the pings: other answers wait for it.
+const maxSharedValue = 32 << 10
+
+// newConfigurationOffer returns the leader's configuration as the answer to a ping, empty if the entry has it.
+func newConfigurationOffer(newest link.Offer, p link.Ping) link.Offer {
+	switch {
+	case newest.Revision == p.Revision:
+		return link.Offer{}
+	case newest.Revision < p.Revision, p.ValueOnRequest && len(newest.Value) > maxSharedValue:
+		return link.Offer{Revision: newest.Revision}
+	}
+	return newest
+}
+
 func (d *Dispatcher) waiting(_ context.Context, _ *rpc.Peer, w link.WaitingRequest) (link.WaitingAnswer, error) {
 	t, err := d.currentTerm()
 	if err != nil {
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -66,6 +66,8 @@
 	confirmedAt time.Time
 	// agents is the number of agents that report to the leader.
 	agents atomic.Int64
+	// fetching is set while a configuration that the leader has is read.
+	fetching atomic.Bool
 }
 
 // Self identifies an entry by its process and address, and gives the processor share of its VM.
@@ -86,6 +88,7 @@
 		return link.Empty{}, nil
 	})
 	rpc.Handle(m, link.MethodLeader, p.handleLeader)
+	rpc.Handle(m, link.MethodConfiguration, p.handleConfiguration)
 }
 
 // Run pings the leader until ctx ends.
@@ -138,9 +141,13 @@
 		}
 		return nil, nil
 	}
+	offer := config.Policies.Offer()
 	timeout := pingTimeout
-	if p.storeDown {
+	switch {
+	case p.storeDown:
 		timeout = probeTimeout
+	case p.sendValue:
+		timeout += transferTime(len(offer.Value))
 	}
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -152,7 +159,6 @@
 		}
 		return nil, err
 	}
-	offer := config.Policies.Offer()
 	answer, err := rpc.Call[link.Ping, link.PingAnswer](bounded, peer, link.MethodPing, p.newPing(leader.Decoded.Epoch, offer))
 	p.sendValue = false
 	p.server.leaderAnswers.Store(err == nil)
@@ -166,6 +172,9 @@
 	config.Pool.Add(answer.Entries)
 	p.entriesVersion, p.entriesEpoch = answer.EntriesVersion, leader.Decoded.Epoch
 	config.Policies.Accept(answer.Offer)
+	if answer.Revision > offer.Revision && len(answer.Value) == 0 {
+		p.fetchConfiguration(ctx, leader.Decoded.Address)
+	}
 	p.sendValue = answer.Revision != 0 && answer.Revision < offer.Revision
 	p.successor.SetRank(answer.Rank)
 	p.confirm(answer)
@@ -180,7 +189,7 @@
 		return
 	}
 	p.server.config.Leader.Confirm()
-	if !p.sendValue {
+	if answer.Revision == 0 {
 		p.server.config.Policies.Confirm()
 	}
 }
@@ -206,7 +215,7 @@
 func (p *Pinger) newPing(epoch uint64, offer link.Offer) link.Ping {
 	m := link.Ping{
 		Entry: p.self.Process, Address: p.self.Address, Strength: p.self.Strength, Epoch: epoch, StoreAgeMillis: -1, Offer: offer,
-		Readmitted: p.server.config.Health.Readmitted(),
+		Readmitted: p.server.config.Health.Readmitted(), ValueOnRequest: true,
 	}
 	if answered := p.server.config.Health.LastAnswer(); !answered.IsZero() {
 		m.StoreAgeMillis = time.Since(answered).Milliseconds()
--- a/internal/intake/pinger_test.go
+++ b/internal/intake/pinger_test.go
@@ -93,6 +93,8 @@
 	err    error
 	pings  []link.Ping
 	state  link.JobStateAnswer
+	// configuration is what the leader offers to entries that lack it.
+	configuration link.Offer
 }
 
 // setJobState sets the answer to requests for the state of a job.
@@ -118,7 +120,19 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.pings = append(l.pings, p)
-		return l.answer, l.err
+		answer := l.answer
+		if l.configuration.Revision > p.Revision {
+			answer.Offer = l.configuration
+		}
+		if p.ValueOnRequest {
+			answer.Value = nil
+		}
+		return answer, l.err
+	})
+	rpc.Handle(mux, link.MethodConfiguration, func(context.Context, *rpc.Peer, link.Empty) (link.Offer, error) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.configuration, nil
 	})
 	rpc.Handle(mux, link.MethodState, func(context.Context, *rpc.Peer, link.JobStateRequest) (link.JobStateAnswer, error) {
 		l.mu.Lock()
--- a/internal/intake/policies.go
+++ b/internal/intake/policies.go
@@ -48,6 +48,12 @@
 // Confirm records that the leader has just confirmed the configuration.
 func (p *Policies) Confirm() { p.follower.Confirm() }
 
+// Refresh reads the configuration unless it is unchanged.
+func (p *Policies) Refresh(ctx context.Context) error {
+	_, err := p.follower.Refresh(ctx)
+	return err
+}
+
 // Newest returns the newest configuration, nil before the first.
 func (p *Policies) Newest() *policy.Policy {
 	value, _ := p.follower.Value()
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -14,6 +14,8 @@
 	MethodState = "state"
 	// MethodStore is the leader's call to an entry after the store became unreachable or reachable again; the entry then pings for details.
 	MethodStore = "store"
+	// MethodConfiguration asks an entry for the newest configuration that it knows.
+	MethodConfiguration = "configuration"
 	// MethodLeader asks an entry for the current leader.
 	MethodLeader = "leader"
 	// MethodGet and MethodCommit ask an entry to call the store on behalf of a process that cannot reach it.
@@ -218,6 +220,8 @@
 	Readmitted bool `json:"readmitted,omitempty"`
 	// EntriesVersion is the version of the list of entries that the entry received from this leader, 0 for none.
 	EntriesVersion uint64 `json:"list,omitempty"`
+	// ValueOnRequest is set if the answer may leave out the value of a newer configuration, which the entry then reads or requests itself.
+	ValueOnRequest bool `json:"value_on_request,omitempty"`
 	Offer
 }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -110,15 +110,20 @@
 	if known && isOpen(peer) {
 		return peer, nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	peer, err := rpc.DialWith(bounded, p.dial, address, p.secret, p.mux)
+	peer, err := p.Connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return p.keep(address, peer), nil
 }
 
+// Connect opens a connection that is not shared; the caller closes it.
+func (p *Pool) Connect(ctx context.Context, address string) (*rpc.Peer, error) {
+	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return rpc.DialWith(bounded, p.dial, address, p.secret, p.mux)
+}
+
 // keep adds a new connection to the pool and returns it. If another caller has connected meanwhile, it closes the new one and returns
 // that of the other caller, which may be in use.
 func (p *Pool) keep(address string, peer *rpc.Peer) *rpc.Peer {
