--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -142,14 +142,7 @@
 		return nil, nil
 	}
 	offer := config.Policies.Offer()
-	timeout := pingTimeout
-	switch {
-	case p.storeDown:
-		timeout = probeTimeout
-	case p.sendValue:
-		timeout += transferTime(len(offer.Value))
-	}
-	bounded, cancel := context.WithTimeout(ctx, timeout)
+	bounded, cancel := context.WithTimeout(ctx, p.timeout(offer))
 	defer cancel()
 	peer, err := config.Pool.Peer(bounded, leader.Decoded.Address)
 	if err != nil {
@@ -182,6 +175,17 @@
 	return peer.Done(), nil
 }
 
+// timeout returns how long a ping may take.
+func (p *Pinger) timeout(offer link.Offer) time.Duration {
+	switch {
+	case p.storeDown:
+		return probeTimeout
+	case p.sendValue:
+		return pingTimeout + transferTime(len(offer.Value))
+	}
+	return pingTimeout
+}
+
 // confirm records that the leader has just confirmed its record and the configuration, which this entry then reads less often.
 func (p *Pinger) confirm(answer link.PingAnswer) {
 	p.confirmedAt = time.Now()
