Log what excludes workers for long-running tasks

A plan that finds no worker for a long-running step now logs, every two seconds and for five steps at most, how many workers each condition excludes and on how many the task would fit if no best-effort task ran there.

--- a/internal/dispatch/idle.go
+++ b/internal/dispatch/idle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/plan"
 )
 
 const (
@@ -12,6 +13,8 @@
 	idleLogDelay = 5 * time.Second
 	// maxIdleLogLines bounds the log lines of one check, since an outage may affect all long-running tasks.
 	maxIdleLogLines = 20
+	// maxUnplacedLogLines bounds the log lines about the steps for whose long-running tasks a plan found no worker.
+	maxUnplacedLogLines = 5
 )
 
 // idleTask is a long-running task that does not run.
@@ -99,3 +102,42 @@
 	}
 	return ""
 }
+
+// logUnplaced logs for which long-running steps the plan found no worker, and what excludes how many workers.
+func (t *term) logUnplaced(planner *plan.Planner, groups []*plan.Group) {
+	lines := 0
+	for _, g := range groups {
+		if !g.Step.LongRunning || allPlaced(g) {
+			continue
+		}
+		if lines++; lines > maxUnplacedLogLines {
+			return
+		}
+		size := g.Step.Reservation()
+		t.logger.Warn("no worker for long-running tasks; job=%s step=%d tasks=%d priority=%d cpu=%d mem_mb=%d fits_without_best_effort=%d excluded=[%s]",
+			g.Job.ID(), g.StepIndex, len(g.Indexes), g.Priority, size.CPU, size.Memory, t.fitsWithoutBestEffort(g), planner.CountExclusions(g))
+	}
+}
+
+// allPlaced reports whether no task of a group waits any more.
+func allPlaced(g *plan.Group) bool {
+	tasks := g.Job.Tasks(g.Iteration, g.StepIndex)
+	return !slices.ContainsFunc(g.Indexes, func(i int) bool { return tasks[i].Phase() == job.Waiting })
+}
+
+// fitsWithoutBestEffort counts the workers on which a task of the group would fit if no best-effort task ran there.
+func (t *term) fitsWithoutBestEffort(g *plan.Group) int {
+	count := 0
+	for _, h := range t.hosts.all() {
+		free := h.worker.Free()
+		for _, p := range h.runs {
+			if p.step.BestEffort {
+				free = free.Plus(p.step.Reservation())
+			}
+		}
+		if h.worker.Schedulable && g.Step.Reservation().Fits(free) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -40,10 +40,10 @@
 	return l
 }
 
-// logLoad logs the load with the waiting tasks, at most once in loadLogInterval.
-func (t *term) logLoad(l load, groups []*plan.Group) {
+// logLoad logs the load with the waiting tasks, at most once in loadLogInterval, and reports whether it did.
+func (t *term) logLoad(l load, groups []*plan.Group) bool {
 	if time.Since(t.loadLoggedAt) < loadLogInterval {
-		return
+		return false
 	}
 	t.loadLoggedAt = time.Now()
 	t.logClosures()
@@ -54,6 +54,7 @@
 		t.hosts.len(), l.waitingShort, l.waitingLongRunning, l.waitingBatch, l.batchJobs, l.capacity/millisPerCore, l.serving/millisPerCore,
 		l.bestEffort, l.throttled, l.requested/millisPerCore, l.used/millisPerCore, l.served, l.overTarget, t.backlog.level,
 		t.reserves.total()/millisPerCore)
+	return true
 }
 
 // addWaiting counts the waiting tasks, and the jobs of the best-effort ones.
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -92,7 +92,7 @@
 	groups = t.splitRetries(groups, workers)
 	l := t.currentLoad()
 	t.observeShortWork(l.short, groups)
-	t.logLoad(l, groups)
+	loadLogged := t.logLoad(l, groups)
 	t.logRunTimes()
 	t.backlog.update(time.Now(), groups, l.used, l.capacity)
 	reserveForSuspects(workers, groups)
@@ -113,6 +113,9 @@
 		t.markDirty(tracked)
 	}
 	t.reserves.unplaced = planner.Unplaced()
+	if loadLogged {
+		t.logUnplaced(planner, groups)
+	}
 }
 
 // placementLimit returns how many more tasks may be placed on a worker: any number, but from probationFailures on one, and none
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -114,27 +114,6 @@
 	return w.Capacity.CPU - other - int(servingCPUShare*float64(w.ServingCPU)) - w.BestEffortCPU
 }
 
-// admits reports whether a task of the group may run here by its tickets, labels and reservation.
-func (w *Worker) admits(g *Group) bool {
-	step := g.Step
-	_, hasTicket := g.Tickets[w.Host]
-	switch {
-	case g.Tickets != nil && !hasTicket:
-		return false
-	case !w.Schedulable || w.HallClosed || w.Trials == 0 || w.Service != g.Service:
-		return false
-	case !w.mayStart(g) || !w.healthyEnough(g):
-		return false
-	case step.Requires != "" && !slices.Contains(w.Labels, step.Requires):
-		return false
-	case step.BestEffort && w.BestEffortBlocked:
-		return false
-	case step.AntiAffinity > 0 && g.TasksByWorker[w.Host] >= step.AntiAffinity:
-		return false
-	}
-	return step.Reservation().Fits(w.Free())
-}
-
 // minLoss is the loss of headroom below which the interference of a pair is ignored.
 const minLoss = 0.01
 
