Serve the worker through the grace period of its VM

Callers' long-running tasks stood still for nine seconds and more while VMs were removed one by one. An agent ended at once at SIGTERM. The leases of its runs expired 3.4 s later, but the VM and its worker remain for a grace period, and the leader gives up the runs only 5.1 s after the last report.

An agent now serves its worker for the same share of the grace period as an entry serves callers. It reports that it is stopping, and the leader then prefers other workers for new tasks. Runs are not moved: a process that is restarted takes them over.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -179,7 +179,7 @@
 	}
 	w.Service, w.Labels = r.Service, r.Labels
 	w.Capacity = job.Size{CPU: r.CPU, Memory: r.Memory, GPU: r.GPU}
-	w.Schedulable = !r.Draining && !r.Unreachable
+	w.Schedulable, w.Stopping = !r.Draining && !r.Unreachable, r.Stopping
 	t.hosts.get(current).draining = r.Draining
 }
 
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -99,6 +99,8 @@
 	GPU         int      `json:"gpu,omitempty"`
 	Labels      []string `json:"labels,omitempty"`
 	Draining    bool     `json:"draining,omitempty"`
+	// Stopping is set once the agent stops: it serves the worker for a while, which is then the last choice for more tasks.
+	Stopping bool `json:"stopping,omitempty"`
 	// RemainingMillis is the least time left to a draining worker.
 	RemainingMillis int64 `json:"remaining_ms,omitempty"`
 	// Unreachable is set if the worker does not answer, LeaseExpired if the leases of all its runs have certainly expired.
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/admin"
 	"github.com/saffronpulley/saffronpulley/internal/boottime"
@@ -29,7 +30,14 @@
 		return err
 	}
 	defer admin.CloseAll(reports, metrics)
-	if err := r.Run(ctx); err != nil && ctx.Err() == nil {
+	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		p.logger.Info("process: stopping; runs are served for %s", p.drainTime())
+		r.Stopping()
+		time.AfterFunc(p.drainTime(), cancel)
+	})()
+	if err := r.Run(serving); err != nil && serving.Err() == nil {
 		return err
 	}
 	return nil
--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -63,7 +63,7 @@
 	default:
 		cost = w.share(w.Used.CPU) + bestEffortWeight*w.share(w.BestEffortCPU)
 	}
-	if g.Avoid[w.Host] {
+	if g.Avoid[w.Host] || w.Stopping {
 		cost += avoidedWorkerCost
 	}
 	if w.Health == health.Degraded || w.Health == health.Ejected && !g.Step.IsShort() {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -156,7 +156,7 @@
 // HasSuitableWorker reports whether a worker that the group does not avoid is suitable for one of its tasks.
 func (p *Planner) HasSuitableWorker(g *Group) bool {
 	for _, w := range p.workers {
-		if g.Avoid[w.Host] || w.Health != health.Healthy || !w.admits(g) {
+		if g.Avoid[w.Host] || w.Stopping || w.Health != health.Healthy || !w.admits(g) {
 			continue
 		}
 		if _, ok := p.netValue(w, g); ok {
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -31,6 +31,8 @@
 	// Schedulable is set if new tasks may be placed here; Trials bounds their number, Unlimited for as many as fit.
 	Schedulable bool
 	Trials      int
+	// Stopping is set if the agent of the worker stops: its VM may be removed, or the agent may return within seconds.
+	Stopping bool
 	// Health is the worker's state by the failures of all jobs; it stays healthy where these are not tracked.
 	Health health.State
 	// HallClosed is set if the operators have closed the worker's hall to new tasks.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -82,6 +82,8 @@
 	candidates []*workerState
 	ended      endedIncarnations
 	lateStarts host.LateCalls[lateStart]
+	// stopping is set once the agent is about to stop.
+	stopping bool
 	// idReused reports whether the worker has started again under an id that it had before.
 	idReused bool
 	crashes  crashes
@@ -117,6 +119,14 @@
 	return group.Wait()
 }
 
+// Stopping tells the leader that the agent is about to stop, so that it prefers other workers; Run goes on until its context ends.
+func (r *Runner) Stopping() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+	wait.Notify(r.reportDue)
+}
+
 // cancelOrders cancels all orders in progress.
 func (r *Runner) cancelOrders() {
 	r.mu.Lock()
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -232,7 +232,7 @@
 func (r *Runner) compose() (link.Report, *workerState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	report := link.Report{VM: r.config.VM, Hall: r.config.Hall, Epoch: r.epoch, Crashes: r.crashes.compose()}
+	report := link.Report{VM: r.config.VM, Hall: r.config.Hall, Epoch: r.epoch, Crashes: r.crashes.compose(), Stopping: r.stopping}
 	w := r.worker
 	if w == nil {
 		return report, nil
