Read the configuration once no leader confirms it

An entry's watch of the configuration waits for up to ten seconds while the leader confirms it. The wait is chosen as the watch begins: on a connection that has gone silent, an entry whose leader was lost kept an outdated configuration until the watch ended. Only the leader record was read again.

--- a/internal/intake/configuration_test.go
+++ b/internal/intake/configuration_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/httpclient"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/logging"
 	"github.com/saffronpulley/saffronpulley/internal/policy"
@@ -77,3 +78,43 @@
 	defer e.leader.mu.Unlock()
 	assert.Equal(t, len(e.leader.pings[1].Value), 1<<20)
 }
+
+// silentStore is a store whose watches end without a change, as on a connection that has gone silent.
+type silentStore struct{ *rejectingStore }
+
+// Watch implements kv.Store.
+func (s silentStore) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) ([]kv.Event, kv.Revision, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return nil, after, ctx.Err()
+}
+
+// TestConfigurationIsReadOnceNoLeaderConfirmsIt guards against an outdated configuration for up to ten seconds: a watch that waits longer while
+// a leader confirms the configuration goes on after the leader is lost.
+func TestConfigurationIsReadOnceNoLeaderConfirmsIt(t *testing.T) {
+	const inForceTimeout = 2 * time.Second
+	e := newTestEntry(t)
+	decode := func(raw []byte) (*policy.Policy, error) {
+		return policy.New(policy.Version(len(raw)), nil, nil, 0), nil
+	}
+	e.server.config.Policies = NewPolicies(silentStore{e.store}, "config", decode, logging.Discard())
+	configure := func(version int) {
+		_, err := e.store.Commit(t.Context(), kv.Txn{Puts: []kv.Put{{Key: "config", Value: make([]byte, version)}}})
+		assert.NilError(t, err)
+	}
+	configure(1)
+	assert.NilError(t, e.pingOnce(t))
+	go e.server.config.Policies.Run(t.Context())
+	for e.server.config.Policies.Newest() == nil {
+		<-time.After(time.Millisecond)
+	}
+	go e.Run(t.Context())
+	<-time.After(2 * pingInterval)
+	e.closeLeader()
+	<-time.After(pingInterval)
+	configure(2)
+	<-time.After(inForceTimeout)
+	assert.Equal(t, e.server.config.Policies.Newest().Version(), policy.Version(2))
+}
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -101,7 +101,7 @@
 			p.handlePingError(ctx, err)
 		}
 		if !p.successor.IsLeader() {
-			p.refreshLeader(ctx)
+			p.refreshUnconfirmed(ctx)
 		}
 		delay := pingInterval
 		if p.sendValue {
@@ -198,12 +198,12 @@
 	}
 }
 
-// leaderConfirmationTimeout is how long after a leader's last answer an entry reads the leader record itself; a watch of the record may wait
-// longer on an unresponsive connection.
+// leaderConfirmationTimeout is how long after a leader's last answer an entry reads the leader record and the configuration itself; watches that
+// began while a leader confirmed them may wait longer on an unresponsive connection.
 const leaderConfirmationTimeout = 1500 * time.Millisecond
 
-// refreshLeader reads the leader record if no leader has answered for a while.
-func (p *Pinger) refreshLeader(ctx context.Context) {
+// refreshUnconfirmed reads the leader record and the configuration if no leader has answered for a while.
+func (p *Pinger) refreshUnconfirmed(ctx context.Context) {
 	if p.confirmedAt.IsZero() || time.Since(p.confirmedAt) < leaderConfirmationTimeout {
 		return
 	}
@@ -213,6 +213,9 @@
 	if _, err := p.server.config.Leader.Refresh(bounded); err != nil {
 		p.server.logger.Debug("leader record could not be read: %v", err)
 	}
+	if err := p.server.config.Policies.Refresh(bounded); err != nil {
+		p.server.logger.Debug("configuration could not be read: %v", err)
+	}
 }
 
 // newPing returns a ping to the leader of an epoch.
