Give no job up for late crashes beside other runs

A long-running job was given up after four crashes of workers that none of its tasks had caused, each two seconds after a start and beside other runs: the fourth crash gave a job up in any case.

A crash of a run that has survived its startup, beside other runs, is now no evidence against its task alone, and gives no job up. A crash that no other run can have caused, or right after a start, counts as before.

--- a/internal/crash/attribution.go
+++ b/internal/crash/attribution.go
@@ -17,8 +17,8 @@
 // Finding is the result of attributing one crash to one run.
 type Finding struct {
 	attribution Attribution
-	// sole is set if no other run can have caused the crash.
-	sole bool
+	// sole is set if no other run can have caused the crash, afterStartup if the run had survived its startup.
+	sole, afterStartup bool
 }
 
 // NewFinding returns a finding.
@@ -76,8 +76,10 @@
 		case simultaneous:
 		case r.starting() && r.history.Score() == highestScore:
 			findings[i] = Finding{attribution: LikelyCause, sole: sole}
-		case r.starting(), !r.acknowledged, !anyStarting:
+		case r.starting(), !r.acknowledged:
 			findings[i] = Finding{attribution: PossibleCause, sole: sole}
+		case !anyStarting:
+			findings[i] = Finding{attribution: PossibleCause, sole: sole, afterStartup: true}
 		}
 	}
 	return findings
--- a/internal/crash/history.go
+++ b/internal/crash/history.go
@@ -13,8 +13,9 @@
 	// cause. The platform allows two; a task that ran beside the cause of the first one is given up only if another
 	// crash occurs within StartupTime of its start alone.
 	maxSoleCrashes = 2
-	// maxCrashes is the number of crashes after which a task is given up in any case: the platform allows five starts
-	// of work that crashes its workers, and another start may be under way when the fourth crash is reported.
+	// maxCrashes is the number of crashes after which a task is given up unless the last one occurred after its startup
+	// and beside other runs: the platform allows five starts of work that crashes its workers, and another start may be
+	// under way when the fourth crash is reported.
 	maxCrashes = 4
 	// suspectThreshold is the number of crashes with the task as a possible cause that make it a suspect; a single one
 	// may be a coincidence.
@@ -84,6 +85,9 @@
 		return false
 	case f.sole && h.likely >= maxSoleCrashes:
 		return true
+	case f.afterStartup && !f.sole:
+		// Each of the other runs may have caused the crash; the losses bound the starts.
+		return false
 	}
 	return h.likely+h.possible >= maxCrashes
 }
