Let agents serve for nine tenths of the grace period

An agent has no callers whose requests must end, and ends within milliseconds, so it can serve for longer.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -13,6 +13,10 @@
 	"github.com/saffronpulley/saffronpulley/platform"
 )
 
+// agentDrainShare is the share of the grace period in which a stopping agent continues to serve its worker. The agent ends within milliseconds
+// after that, and the runs go on until their leases expire.
+const agentDrainShare = 0.9
+
 func (p *process) runAgent(ctx context.Context) error {
 	r := runner.New(runner.Config{
 		VM: p.settings.ID(), Hall: p.settings.Hall(), ClosureDelay: p.settings.ClosureDelay(),
@@ -33,9 +37,10 @@
 	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer context.AfterFunc(ctx, func() {
-		p.logger.Info("process: stopping; runs are served for %s", p.drainTime())
+		wait := time.Duration(agentDrainShare * float64(p.settings.Grace()))
+		p.logger.Info("process: stopping; runs are served for %s", wait)
 		r.Stopping()
-		time.AfterFunc(p.drainTime(), cancel)
+		time.AfterFunc(wait, cancel)
 	})()
 	if err := r.Run(serving); err != nil && serving.Err() == nil {
 		return err
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -22,15 +22,10 @@
 	"github.com/saffronpulley/saffronpulley/platform"
 )
 
-// drainShare is the share of the grace period in which a stopping process continues to serve. The platform routes new
+// drainShare is the share of the grace period in which a stopping entry continues to serve callers. The platform routes new
 // connections to other entries within two seconds and requests take up to three; closing the rest takes at most two more.
 const drainShare = 0.6
 
-// drainTime returns how long a stopping process continues to serve.
-func (p *process) drainTime() time.Duration {
-	return time.Duration(drainShare * float64(p.settings.Grace()))
-}
-
 // entry is a process that serves callers and may become the leader.
 type entry struct {
 	*process
@@ -140,7 +135,7 @@
 	go e.dispatcher.Run(ctx)
 	<-ctx.Done()
 	e.stopping.Store(true)
-	wait := e.drainTime()
+	wait := time.Duration(drainShare * float64(e.settings.Grace()))
 	e.logger.Info("process: stopping; callers are served for %s", wait)
 	time.Sleep(wait)
 }
