Refuse unknown queues at once while the store is down

A request for a queue that the entry does not know waited for up to a second for a confirmation of the configuration even if the store was known not to answer, or no configuration had been read. It is now refused at once, with when to retry.

--- a/internal/intake/missing_test.go
+++ b/internal/intake/missing_test.go
@@ -40,3 +40,16 @@
 	err := e.server.Submit(context.Background(), Address{Host: "h", Path: "/q/00000000000000aa"}, 11, decode)
 	assert.Assert(t, fault.Is(err, fault.Unavailable), "%v", err)
 }
+
+// TestUnknownQueueIsRefusedAtOnceWhileTheStoreIsDown guards against requests that wait for a confirmation which cannot come.
+func TestUnknownQueueIsRefusedAtOnceWhileTheStoreIsDown(t *testing.T) {
+	e := newTestEntryWithQueue(t)
+	e.store.set(true)
+	for !e.server.config.Health.Down() {
+		_ = e.probeStore(t.Context())
+	}
+	before := e.store.calls()
+	_, err := e.server.State(t.Context(), Address{Host: "h", Path: "/added/00000000000000aa"})
+	assert.Assert(t, fault.Is(err, fault.Unavailable), "%v", err)
+	assert.Equal(t, e.store.calls(), before)
+}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -63,9 +63,25 @@
 	return &Server{config: config, logger: config.Logger, unknownJobs: newUnknownJobs()}
 }
 
+// configurationFor returns the newest configuration if it accepts a request, or else a confirmed one. While the store does not answer this entry,
+// none can be confirmed and the request is refused at once.
+func (s *Server) configurationFor(ctx context.Context, accepts func(*policy.Policy) bool) (*policy.Policy, error) {
+	newest := s.config.Policies.Newest()
+	switch {
+	case newest == nil:
+		return nil, errNoConfiguration
+	case accepts(newest):
+		return newest, nil
+	case s.config.Health.Down():
+		return nil, fault.New(fault.Unavailable, "the store does not answer, so version %d of the configuration is not confirmed", newest.Version()).
+			WithRetryAfter(retryAfter)
+	}
+	return s.config.Policies.Fresh(ctx, accepts)
+}
+
 // route returns the queue of an address and the rest of the path.
 func (s *Server) route(ctx context.Context, a Address) (*policy.Route, string, error) {
-	current, err := s.config.Policies.Fresh(ctx, func(p *policy.Policy) bool { return p.Route(a.Host, a.Path) != nil })
+	current, err := s.configurationFor(ctx, func(p *policy.Policy) bool { return p.Route(a.Host, a.Path) != nil })
 	if err != nil {
 		return nil, "", err
 	}
@@ -123,7 +139,7 @@
 
 // checkSize returns an error of kind TooLarge if a confirmed configuration does not allow a job of a size in bytes.
 func (s *Server) checkSize(ctx context.Context, size int) error {
-	current, err := s.config.Policies.Fresh(ctx, func(p *policy.Policy) bool { return p.Allows(size) })
+	current, err := s.configurationFor(ctx, func(p *policy.Policy) bool { return p.Allows(size) })
 	if err == nil && !current.Allows(size) {
 		return fault.New(fault.TooLarge, "the job has %d bytes; the operators allow %d", size, current.MaxBody())
 	}
