--- a/internal/intake/policies.go
+++ b/internal/intake/policies.go
@@ -83,7 +83,7 @@
 }
 
 const (
-	// maxConfirmationAge is how old the latest confirmation may be before a request is rejected for good by the configuration.
+	// maxConfirmationAge is how old the latest confirmation may be before a request is rejected permanently.
 	maxConfirmationAge = 100 * time.Millisecond
 	// confirmationTimeout bounds the wait of a request for a confirmation.
 	confirmationTimeout = time.Second
