--- a/proving/fleet/planned_test.go
+++ b/proving/fleet/planned_test.go
@@ -44,7 +44,13 @@
 	step.LongRunning = true
 	id := c.addJob(job.Spec{Text: "work=1s", Steps: []job.Step{step}})
 	assert.NilError(t, f.await(finishTimeout, func() bool { return c.submit(id) }))
-	allRun := func() bool { return f.checker.running(id, 0) == step.Count }
+	allRun := func() bool {
+		total := 0
+		for _, w := range f.workers {
+			total += w.runs()
+		}
+		return total == step.Count
+	}
 	assert.NilError(t, f.await(finishTimeout, allRun))
 	for removed := range len(f.agents) - 1 {
 		w := f.workers[removed]
