Wait for a watch no longer than a transfer takes

Watches were silent for a second while the history was dropped. The configuration has 45 kB, and the read for the first request waited for the watch for up to 1.5 s; before, it was read at once.

The wait is now as long as the value takes on a narrow link, 45 ms there. TestChangedLargeValueIsReadIfTheWatchIsDeaf now has the tighter bound and fails with the wait of 1.5 s.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -23,10 +23,15 @@
 	// largeSize is the size in bytes from which a known value is read again only if its revision has changed: a narrow link takes
 	// seconds for several copies of it.
 	largeSize = 32 << 10
-	// watchDelay is how long a read of a large value that has changed waits for the watch, which is receiving it as well.
-	watchDelay = 1500 * time.Millisecond
+	// narrowLink is the bandwidth in bytes per second of a link on which a watch is given the time to receive a changed value.
+	narrowLink = 1_000_000
 )
 
+// watchDelay returns how long a read of a large value that has changed waits for the watch, which is receiving it as well unless it is silent.
+func watchDelay(size int) time.Duration {
+	return time.Duration(size) * time.Second / narrowLink
+}
+
 // Value is a decoded value with its size in bytes as stored and the revision at which it was written, 0 if the key is absent.
 type Value[T any] struct {
 	Decoded  T
@@ -151,7 +156,7 @@
 
 func (f *Follower[T]) read(ctx context.Context) (kv.Revision, error) {
 	if value, _ := f.Value(); value.Size >= largeSize {
-		if revision, done := f.readLarge(ctx, value.Revision); done {
+		if revision, done := f.readLarge(ctx, value); done {
 			return revision, nil
 		}
 	}
@@ -163,16 +168,16 @@
 	return item.Revision(), f.update(item, item.Revision(), requestedAt)
 }
 
-// readLarge verifies that the value is still that of a revision, or waits for the watch to receive a newer one; it returns false if the
-// value has to be read.
-func (f *Follower[T]) readLarge(ctx context.Context, revision kv.Revision) (kv.Revision, bool) {
+// readLarge verifies that a large value is current, or waits for the watch to receive a newer one; it returns false if the value has to
+// be read.
+func (f *Follower[T]) readLarge(ctx context.Context, known Value[T]) (kv.Revision, bool) {
 	changed := f.Changed()
 	requestedAt := time.Now()
-	_, err := f.store.Commit(ctx, kv.Txn{Conditions: []kv.Condition{{Key: f.key, Revision: revision}}})
+	_, err := f.store.Commit(ctx, kv.Txn{Conditions: []kv.Condition{{Key: f.key, Revision: known.Revision}}})
 	if err == nil {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if f.value.Revision == revision {
+		if f.value.Revision == known.Revision {
 			f.markVerified(requestedAt)
 		}
 		return f.value.Revision, true
@@ -184,7 +189,7 @@
 	case <-changed:
 		value, _ := f.Value()
 		return value.Revision, true
-	case <-time.After(watchDelay):
+	case <-time.After(watchDelay(known.Size)):
 		return 0, false
 	}
 }
--- a/internal/follow/refresh_test.go
+++ b/internal/follow/refresh_test.go
@@ -136,7 +136,7 @@
 		assert.NilError(t, f.Verify(t.Context(), began, never))
 		value, _ := f.Value()
 		assert.Assert(t, value.Decoded == large()+"new")
-		assert.Assert(t, time.Since(began) <= watchDelay+transfer)
+		assert.Assert(t, time.Since(began) <= watchDelay(largeSize)+transfer)
 	})
 }
 
--- a/internal/intake/policies.go
+++ b/internal/intake/policies.go
@@ -85,8 +85,9 @@
 const (
 	// maxConfirmationAge is how old the latest confirmation may be before a request is rejected permanently.
 	maxConfirmationAge = 100 * time.Millisecond
-	// confirmationTimeout bounds the wait of a request for a confirmation.
-	confirmationTimeout = time.Second
+	// confirmationTimeout bounds the wait of a request for a confirmation. Requests that come later are handled by the previous configuration
+	// meanwhile, so one that waited long would seem to be handled before them by the newer one.
+	confirmationTimeout = 400 * time.Millisecond
 )
 
 // Fresh returns the first configuration that accepts a request, or else the one that the store has confirmed by a call that is not older
