--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,7 +14,9 @@
 
 // cases are the scripts by name; each returns whether the rule held.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
-	"gang": gangCase,
+	"gang":   gangCase,
+	"hangup": hangupCase,
+	"crash":  crashCase,
 }
 
 func main() { os.Exit(play()) }
