--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -49,6 +49,8 @@
 	agents  []*process
 	workers []*worker
 	stop    context.CancelFunc
+	// room returns the room of a worker by its number, from 0.
+	room    func(i int) (cpu, memory int)
 	storeAt string
 	server  *http.Server
 }
@@ -127,6 +129,7 @@
 	f := &fleet{
 		record: r, catalog: newCatalog(r), store: newStore(), dir: dir,
 		block: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250),
+		room:  func(int) (int, int) { return workerCPU, workerMemory },
 		ports: ports{free[0], free[1], free[2], free[3], free[4], free[5]},
 	}
 	return f, nil
@@ -181,7 +184,8 @@
 	for i := range agentCount {
 		ip := f.agentIP(i)
 		name := fmt.Sprintf("side-%d", i+1)
-		w := newWorker(name, join(ip, f.ports.app), join(ip, f.ports.reports), fmt.Sprintf("r1-%d", 1+i/rackSize), workerCPU, workerMemory, f.catalog)
+		cpu, memory := f.room(i)
+		w := newWorker(name, join(ip, f.ports.app), join(ip, f.ports.reports), fmt.Sprintf("r1-%d", 1+i/rackSize), cpu, memory, f.catalog)
 		if err := w.live(); err != nil {
 			return err
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,9 +14,11 @@
 
 // cases are the scripts by name; each returns whether the rule held.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
-	"gang":   gangCase,
-	"hangup": hangupCase,
-	"crash":  crashCase,
+	"waiting": waitingCase,
+	"gang":    gangCase,
+	"hangup":  hangupCase,
+	"lasting": lastingCase,
+	"crash":   crashCase,
 }
 
 func main() { os.Exit(play()) }
