Count a failed run of a gang once

Callers saw a job shown as failed after one run of its gang, though its queue allows two: three of the gang's eight members, on a worker that failed all it started, had ended as failed.

Cause: RecordEnd counted a failure on the gang's first member for each member that ended as failed.

The run that was counted last is now kept with the count, and its further failures change nothing. It is stored where the second member's own failures would be, which no release uses: leaders of the previous release read and keep it, so a change of leader between two ends counts no run twice in either direction of an upgrade. A gang is placed only as a whole, so all ends of a run precede the next run.

The failed runs of a task are logged with each failed end.

--- a/internal/dispatch/clustermodel_property_test.go
+++ b/internal/dispatch/clustermodel_property_test.go
@@ -122,8 +122,10 @@
 			m.store.SetFailure(m.drawFailure)
 			for range rapid.IntRange(20, 120).Draw(rt, "acts") {
 				m.performAction()
+				m.checkFailedJobs()
 			}
 			m.runToCompletion()
+			m.checkFailedJobs()
 		})
 	})
 }
--- a/internal/dispatch/clustermodel_test.go
+++ b/internal/dispatch/clustermodel_test.go
@@ -18,23 +18,62 @@
 
 // clusterModel has a store, leaders of which only the last is valid, agents and workers.
 type clusterModel struct {
-	t                   *rapid.T
-	ctx                 context.Context
-	store               *kvtest.Store
-	terms               []*term
-	agents              []*fakeAgent
-	specs               map[job.ID]job.Spec
-	jobIDs              []job.ID
-	completedTasks      map[string]bool
-	acknowledgedTasks   map[string]bool
-	failureCounts       map[string]int
-	consecutiveFailures int
+	t                 *rapid.T
+	ctx               context.Context
+	store             *kvtest.Store
+	terms             []*term
+	agents            []*fakeAgent
+	specs             map[job.ID]job.Spec
+	jobIDs            []job.ID
+	completedTasks    map[string]bool
+	acknowledgedTasks map[string]bool
+	// failures has the failed runs of each task or gang, acknowledgedFailures those whose end was acknowledged.
+	failures             failedRuns
+	acknowledgedFailures failedRuns
+	consecutiveFailures  int
 	// closedSince has the time at which each closed hall was closed.
 	closedSince map[string]time.Time
 }
 
 const testAttempts = 2
 
+// failedRuns has the numbers of the failed runs of each task, with the members of a gang as one.
+type failedRuns map[job.TaskID]map[int]bool
+
+func (f failedRuns) add(unit job.TaskID, run int) {
+	if f[unit] == nil {
+		f[unit] = make(map[int]bool)
+	}
+	f[unit][run] = true
+}
+
+// unit returns the task of a name, or the first member of its gang.
+func (m *clusterModel) unit(name string) job.TaskID {
+	id, _ := job.ParseTaskID(name)
+	if m.specs[id.Job].Steps[id.Step].Gang {
+		id.Index = 0
+	}
+	return id
+}
+
+// checkFailedJobs fails the test if the leader shows a job as failed that has neither failed as often as it may nor crashed its workers.
+func (m *clusterModel) checkFailedJobs() {
+	for _, id := range m.jobIDs {
+		tracked := m.currentTerm().jobs[id]
+		if tracked == nil || tracked.job.State() != job.Failed {
+			continue
+		}
+		justified := false
+		tracked.job.Each(func(task job.TaskID, _ *job.Task) {
+			history := tracked.job.CrashHistory(task)
+			justified = justified || len(m.failures[m.unit(task.String())]) >= testAttempts || history.Suspect() || history.Losses().Exhausted()
+		})
+		if !justified {
+			m.t.Fatalf("%s is shown as failed after the failed runs %v", id, m.failures)
+		}
+	}
+}
+
 var testHalls = []string{"north", "south"}
 
 var testCapacity = job.Size{CPU: 4000, Memory: 8000}
@@ -42,7 +81,7 @@
 func newClusterModel(t *rapid.T) *clusterModel {
 	m := &clusterModel{
 		t: t, ctx: context.Background(), store: kvtest.New(), specs: make(map[job.ID]job.Spec),
-		completedTasks: make(map[string]bool), acknowledgedTasks: make(map[string]bool), failureCounts: make(map[string]int),
+		completedTasks: make(map[string]bool), acknowledgedTasks: make(map[string]bool), failures: make(failedRuns), acknowledgedFailures: make(failedRuns),
 		closedSince: make(map[string]time.Time),
 	}
 	for i := range 3 {
--- a/internal/dispatch/clustermodel_workers_test.go
+++ b/internal/dispatch/clustermodel_workers_test.go
@@ -103,7 +103,7 @@
 			m.acknowledgedTasks[e.Task] = true
 		}
 		if e.Sequence <= a.acknowledgedEnds && job.End(e.End) == job.EndFailed {
-			m.failureCounts[e.Task]++
+			m.acknowledgedFailures.add(m.unit(e.Task), e.Number)
 		}
 	}
 	a.worker.ended = slices.DeleteFunc(a.worker.ended, func(e link.Ended) bool { return e.Sequence <= a.acknowledgedEnds })
@@ -187,8 +187,8 @@
 	if m.acknowledgedTasks[s.Task] && !step.LongRunning {
 		m.t.Fatalf("%s: run %d starts after the acknowledged end of the task", s.Task, s.Number)
 	}
-	if m.failureCounts[s.Task] >= testAttempts && !step.LongRunning && !step.Gang {
-		m.t.Fatalf("%s: run %d starts after %d failures", s.Task, s.Number, m.failureCounts[s.Task])
+	if unit := m.unit(s.Task); len(m.acknowledgedFailures[unit]) >= testAttempts && !step.LongRunning {
+		m.t.Fatalf("%s: run %d starts after the failed runs %v", s.Task, s.Number, m.acknowledgedFailures[unit])
 	}
 	for _, d := range step.DependsOn {
 		if !m.stepDone(id, d) {
@@ -232,10 +232,18 @@
 	if end == job.EndDone {
 		m.completedTasks[name] = true
 	}
-	a.worker.end(name, end)
+	m.endRun(a.worker, name, end)
 }
 
-// endGang ends all members of a gang together, as job.EndGangIncomplete if some are missing.
+// endRun ends a run of a worker and records whether it failed.
+func (m *clusterModel) endRun(w *fakeWorker, name string, end job.End) {
+	if end == job.EndFailed {
+		m.failures.add(m.unit(name), w.running[name].number)
+	}
+	w.end(name, end)
+}
+
+// endGang ends all members of a gang together, as job.EndGangIncomplete if some are missing. Several members may fail in one run.
 func (m *clusterModel) endGang(id job.TaskID, count int, end job.End) {
 	members := make(map[string]*fakeWorker)
 	for _, a := range m.agents {
@@ -254,12 +262,12 @@
 	}
 	for n, name := range sortedKeys(members) {
 		memberEnd := end
-		if n > 0 && end == job.EndFailed {
+		if n > 0 && end == job.EndFailed && rapid.Bool().Draw(m.t, "member is broken") {
 			memberEnd = job.EndGangBroken
 		}
 		if end == job.EndDone {
 			m.completedTasks[name] = true
 		}
-		members[name].end(name, memberEnd)
+		m.endRun(members[name], name, memberEnd)
 	}
 }
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		id, _ := run.TaskID()
-		unitID := tracked.job.CrashUnit(id)
+		unitID := tracked.job.Unit(id)
 		s, seen := byUnit[unitID]
 		age := time.Duration(run.AgeMillis) * time.Millisecond
 		if !seen {
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -187,7 +187,7 @@
 	if end == job.EndDone {
 		t.observeRunTime(tracked, id, ended)
 	}
-	t.logger.Info("run ended; task=%s run=%d vm=%s end=%s", id, run, host.VM, end)
+	t.logEnd(tracked, id, run, end, host)
 	step := &tracked.job.Spec().Steps[id.Step]
 	if h := t.hosts.get(host); h != nil && !step.LongRunning {
 		h.updateFailures(end)
@@ -203,6 +203,15 @@
 	t.markDirty(tracked)
 }
 
+// logEnd logs the end of a run, with the number of failed runs of its task or gang if it failed.
+func (t *term) logEnd(tracked *trackedJob, id job.TaskID, run int, end job.End, host job.Host) {
+	if end == job.EndFailed {
+		t.logger.Info("run ended; task=%s run=%d vm=%s end=%s failures=%d", id, run, host.VM, end, tracked.job.Failures(id))
+		return
+	}
+	t.logger.Info("run ended; task=%s run=%d vm=%s end=%s", id, run, host.VM, end)
+}
+
 // recordJobEnd stops the remaining runs of a job that has just reached a final state.
 func (t *term) recordJobEnd(tracked *trackedJob) {
 	state := tracked.job.State()
--- a/internal/job/advance.go
+++ b/internal/job/advance.go
@@ -62,7 +62,7 @@
 		j.markDone(t, step)
 	case end == EndFailed:
 		task.phase = Waiting
-		j.countFailure(t, step)
+		j.countFailure(t, run)
 	default:
 		task.phase = Waiting
 	}
@@ -80,26 +80,28 @@
 	}
 }
 
-// countFailure counts a failed run; failures of all members of a gang are counted together.
-func (j *Job) countFailure(t TaskID, step *Step) {
-	counted := &j.tasks[t.Iteration][t.Step][t.Index]
-	if step.Gang {
-		counted = &j.tasks[t.Iteration][t.Step][0]
+// countFailure counts a failed run; a gang's run counts once, however many of its members fail in it.
+func (j *Job) countFailure(t TaskID, run int) {
+	counted := j.Task(j.Unit(t))
+	if run <= counted.failedRun {
+		return
 	}
+	counted.failedRun = run
 	counted.failures++
-	if counted.failures >= max(j.queue.Attempts, 1) {
+	if counted.failures >= j.attempts() {
 		j.failed = true
 	}
 }
 
-// OnLastAttempt reports whether another failure of a task fails the job; it never does for long-running tasks, and gangs do
-// not count, since their members share their attempts.
+// attempts returns the number of failed runs of one task, or of one gang, that fails the job.
+func (j *Job) attempts() int { return max(j.queue.Attempts, 1) }
+
+// Failures returns the number of failed runs of a task, or of the gang that it is a member of.
+func (j *Job) Failures(t TaskID) int { return j.Task(j.Unit(t)).failures }
+
+// OnLastAttempt reports whether another failure of a task, or of its gang, fails the job; it never does for long-running tasks.
 func (j *Job) OnLastAttempt(t TaskID) bool {
-	task := j.Task(t)
-	if task == nil || j.spec.Steps[t.Step].LongRunning || j.spec.Steps[t.Step].Gang {
-		return false
-	}
-	return task.failures >= max(j.queue.Attempts, 1)-1
+	return j.Task(t) != nil && !j.spec.Steps[t.Step].LongRunning && j.Failures(t) >= j.attempts()-1
 }
 
 // RecordCheckpoint records a checkpoint of a running task and reports whether it is new.
--- a/internal/job/crashes.go
+++ b/internal/job/crashes.go
@@ -7,9 +7,9 @@
 	"github.com/saffronpulley/saffronpulley/internal/crash"
 )
 
-// CrashUnit returns the task that crashes and losses are counted for: the first member of a gang, since all its members end together,
+// Unit returns the task that failures, crashes and losses are counted for: the first member of a gang, since all its members end together,
 // else the task itself.
-func (j *Job) CrashUnit(t TaskID) TaskID {
+func (j *Job) Unit(t TaskID) TaskID {
 	if j.spec.Steps[t.Step].Gang {
 		t.Index = 0
 	}
@@ -24,7 +24,7 @@
 	if task == nil || j.State().IsFinal() || task.phase == Done || run > task.run || finding.Attribution() == crash.NotCause {
 		return false
 	}
-	unit := j.Task(j.CrashUnit(t))
+	unit := j.Task(j.Unit(t))
 	if run <= unit.crashRun {
 		return false
 	}
@@ -43,7 +43,7 @@
 	if task == nil || j.State().IsFinal() || task.phase != Placed || run != task.run {
 		return false
 	}
-	unit := j.Task(j.CrashUnit(t))
+	unit := j.Task(j.Unit(t))
 	if run <= unit.lostRun {
 		return false
 	}
@@ -61,7 +61,7 @@
 	if task == nil || j.State().IsFinal() || task.phase == Done {
 		return false
 	}
-	unit := j.Task(j.CrashUnit(t))
+	unit := j.Task(j.Unit(t))
 	index := slices.Index(unit.unresolved, run)
 	if index < 0 {
 		return false
@@ -83,7 +83,7 @@
 	if task == nil || task.run != run || task.phase != Placed {
 		return false
 	}
-	unit := j.Task(j.CrashUnit(t))
+	unit := j.Task(j.Unit(t))
 	before := unit.history
 	unit.history = before.Survived(age)
 	if unit.history.Losses() == (crash.Losses{}) {
@@ -93,7 +93,7 @@
 }
 
 // CrashHistory returns the crash history of a task.
-func (j *Job) CrashHistory(t TaskID) crash.History { return j.Task(j.CrashUnit(t)).history }
+func (j *Job) CrashHistory(t TaskID) crash.History { return j.Task(j.Unit(t)).history }
 
 // LastCrashCounted reports whether the latest counted crash of a task was that of this run.
-func (j *Job) LastCrashCounted(t TaskID, run int) bool { return run == j.Task(j.CrashUnit(t)).crashRun }
+func (j *Job) LastCrashCounted(t TaskID, run int) bool { return run == j.Task(j.Unit(t)).crashRun }
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -86,6 +86,8 @@
 	return hosts
 }
 
+// storedTask is a task that has had a run. Only the first member of a gang has failures; Failures of the member at gangFailedRun is the latest
+// run that was counted in them, which leaders of the previous release keep without reading it.
 type storedTask struct {
 	_          struct{} `cbor:",toarray"`
 	Iteration  int
@@ -98,6 +100,26 @@
 	Checkpoint string
 }
 
+// gangFailedRun is the index of the member that stores the latest failed run of its gang. Only one run of a gang of one can fail in its member.
+const gangFailedRun = 1
+
+// storedFailures returns what storedTask has in Failures for a task.
+func (j *Job) storedFailures(id TaskID) int {
+	if j.spec.Steps[id.Step].Gang && id.Index == gangFailedRun {
+		return j.Task(j.Unit(id)).failedRun
+	}
+	return j.Task(id).failures
+}
+
+// setStoredFailures sets what storedTask has in Failures for a task.
+func (j *Job) setStoredFailures(id TaskID, stored int) {
+	if j.spec.Steps[id.Step].Gang && id.Index == gangFailedRun {
+		j.Task(j.Unit(id)).failedRun = stored
+		return
+	}
+	j.Task(id).failures = stored
+}
+
 // EncodeProgress returns the stored form of the job's progress.
 func (j *Job) EncodeProgress() ([]byte, error) {
 	stored := storedProgress{State: int(j.State())}
@@ -110,7 +132,7 @@
 		}
 		row := storedTask{
 			Iteration: id.Iteration, Step: id.Step, Index: id.Index, Phase: int(t.phase), Run: t.run,
-			Failures: t.failures, Checkpoint: t.checkpoint,
+			Failures: j.storedFailures(id), Checkpoint: t.checkpoint,
 		}
 		if t.phase == Placed {
 			if _, known := hosts[t.host]; !known {
@@ -181,11 +203,13 @@
 	}
 	hosts := decodeHosts(stored.Hosts)
 	for _, row := range stored.Tasks {
-		task := j.Task(TaskID{Job: j.id, Iteration: row.Iteration, Step: row.Step, Index: row.Index})
+		id := TaskID{Job: j.id, Iteration: row.Iteration, Step: row.Step, Index: row.Index}
+		task := j.Task(id)
 		if task == nil {
 			return fault.New(fault.Internal, "the progress of job %s refers to a task that the job does not have", j.id)
 		}
-		*task = Task{phase: Phase(row.Phase), run: row.Run, failures: row.Failures, checkpoint: row.Checkpoint}
+		task.phase, task.run, task.checkpoint = Phase(row.Phase), row.Run, row.Checkpoint
+		j.setStoredFailures(id, row.Failures)
 		if row.Host > 0 && row.Host <= len(hosts) {
 			task.host = hosts[row.Host-1]
 		}
--- a/internal/job/script_test.go
+++ b/internal/job/script_test.go
@@ -24,7 +24,8 @@
 		for _, f := range archive.Files {
 			parts[f.Name] = string(f.Data)
 		}
-		j := New("00000000000000aa", parseSpec(t, parts["job"]), Queue{Attempts: 2, Stretch: 2}, time.Unix(1000, 0))
+		spec, attempts := parseSpec(t, parts["job"])
+		j := New("00000000000000aa", spec, Queue{Attempts: attempts, Stretch: 2}, time.Unix(1000, 0))
 		for n, line := range strings.Split(strings.TrimSpace(parts["script"]), "\n") {
 			runLine(t, j, strings.Fields(line), fmt.Sprintf("line %d: %s", n+1, line))
 			j = reload(t, j)
@@ -46,10 +47,10 @@
 	return decoded
 }
 
-// parseSpec parses lines like "times 2" and "step 3 after=0,1 gang lasting saves".
-func parseSpec(t *testing.T, text string) Spec {
+// parseSpec parses lines like "times 2", "attempts 3" and "step 3 after=0,1 gang lasting saves", and returns the spec and the attempts.
+func parseSpec(t *testing.T, text string) (spec Spec, attempts int) {
 	t.Helper()
-	var spec Spec
+	attempts = 2
 	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
 		words := strings.Fields(line)
 		count, err := strconv.Atoi(words[1])
@@ -58,6 +59,10 @@
 			spec.Iterations, spec.Start, spec.Interval = count, time.Unix(2000, 0), time.Minute
 			continue
 		}
+		if words[0] == "attempts" {
+			attempts = count
+			continue
+		}
 		step := Step{Count: count, Estimate: time.Second, Size: Size{CPU: 1000}}
 		for _, word := range words[2:] {
 			name, value, _ := strings.Cut(word, "=")
@@ -81,7 +86,7 @@
 		spec.Steps = append(spec.Steps, step)
 	}
 	assert.NilError(t, spec.Check())
-	return spec
+	return spec, attempts
 }
 
 func runLine(t *testing.T, j *Job, words []string, line string) {
@@ -121,6 +126,10 @@
 		assert.Equal(t, j.ResolveLoss(task(), number(2), words[3] == "crashed"), isYes(4), line)
 	case "outlived":
 		assert.Equal(t, j.RecordRunAge(task(), number(2), time.Duration(number(3))*time.Millisecond), isYes(4), line)
+	case "failures":
+		assert.Equal(t, j.Failures(task()), number(2), line)
+	case "last":
+		assert.Equal(t, j.OnLastAttempt(task()), isYes(2), line)
 	case "open":
 		assert.Equal(t, j.DependenciesDone(number(1), number(2)), isYes(3), line)
 	case "phase":
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -99,9 +99,11 @@
 
 // Task is the state of one task of a job.
 type Task struct {
-	phase      Phase
-	run        int
-	failures   int
+	phase    Phase
+	run      int
+	failures int
+	// failedRun is the latest run counted in failures.
+	failedRun  int
 	host       Host
 	checkpoint string
 	// history records the worker crashes attributed to the task and its lost runs; crashRun is the latest run with a counted crash,
