Count a gang once as evidence against a worker

Members that fail or stall on one worker in one run are now evidence once. TestMembersOfAGangThatFailOnOneWorkerAreEvidenceOnce failed before: 4 consecutive failures and an ejected worker. Backoffs are kept by member and a gang waits for all of them, so they need no change; refusals in quick succession count once already.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -49,7 +49,8 @@
 		return
 	}
 	if tracked := t.jobs[id.Job]; end == job.EndFailed && !tracked.job.Spec().Steps[id.Step].LongRunning {
-		tracked.failedOn[id] = append(tracked.failedOn[id], worker)
+		unit := tracked.job.Unit(id)
+		tracked.failedOn[unit] = append(tracked.failedOn[unit], worker)
 	}
 	h := t.hosts.get(worker)
 	if h == nil || h.draining || p == nil {
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -189,10 +189,12 @@
 	}
 	t.logEnd(tracked, id, run, end, host)
 	step := &tracked.job.Spec().Steps[id.Step]
-	if h := t.hosts.get(host); h != nil && !step.LongRunning {
-		h.updateFailures(end)
+	if end != job.EndFailed || tracked.isNewFailure(id, run, host) {
+		if h := t.hosts.get(host); h != nil && !step.LongRunning {
+			h.updateFailures(end)
+		}
+		t.observeEnd(host, id, ended, end)
 	}
-	t.observeEnd(host, id, ended, end)
 	if step.Gang && end == job.EndDone {
 		t.stopGang(tracked, id)
 	}
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -55,8 +55,10 @@
 			}
 			t.logger.Info("stalled task is stopped; task=%s run=%d vm=%s percent=%d", id, p.number, host.VM, p.percent)
 			tracked.failedHosts[host] = true
-			h.consecutiveFailures++
-			t.observeStall(h, id)
+			if tracked.isNewFailure(id, p.number, host) {
+				h.consecutiveFailures++
+				t.observeStall(h, id)
+			}
 			t.stopRun(host, id, p)
 		}
 	}
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -28,14 +28,36 @@
 	idleTasks map[job.TaskID]idleTask
 	// backoffs delay the restart of tasks whose runs end quickly.
 	backoffs map[job.TaskID]backoff
+	// gangFailures has the latest failed or stalled run of each gang by the worker of the members that failed.
+	gangFailures map[gangWorker]int
 	// failedOn has the workers on which runs of a finite task have failed, lastAttempts the tasks on their last attempt that wait for a healthy
-	// worker; both are only used where the health of workers is tracked.
+	// worker; both have a gang by its first member and are only used where the health of workers is tracked.
 	failedOn     map[job.TaskID][]job.Host
 	lastAttempts map[job.TaskID]lastAttempt
 	// endedTasks has the run times of the ended tasks of each step, as far as they count as evidence.
 	endedTasks map[stepID]*estimate.Step
 }
 
+// gangWorker is a gang, by its first member, and a worker of some of its members.
+type gangWorker struct {
+	gang   job.TaskID
+	worker job.Host
+}
+
+// isNewFailure records the failure or stall of a run on a worker and reports whether it is new evidence about the worker: members of a gang that
+// fail there in one run are evidence once.
+func (j *trackedJob) isNewFailure(id job.TaskID, run int, worker job.Host) bool {
+	if !j.job.Spec().Steps[id.Step].Gang {
+		return true
+	}
+	key := gangWorker{gang: j.job.Unit(id), worker: worker}
+	if run <= j.gangFailures[key] {
+		return false
+	}
+	j.gangFailures[key] = run
+	return true
+}
+
 // updateIdle records the time since which no task of the job is placed.
 func (j *trackedJob) updateIdle(now time.Time) {
 	placed := false
