Let gangs on their last attempt wait for healthy workers

A gang whose next failed run fails its job was placed on degraded workers at once, where a single task waits for up to two seconds: OnLastAttempt left gangs out, since their failures were counted by member.

It still may restart on the workers where it failed, since it might not fit on the others. The test of last attempts has a gang beside the task, which failed before: the gang had already run on the degraded worker.

--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -328,27 +328,31 @@
 	})
 }
 
-// TestLastAttemptWaitsForHealthyWorker guards against a task on its last attempt that starts on a degraded worker at once, or that never starts
-// because no healthy worker gets free.
+// TestLastAttemptWaitsForHealthyWorker guards against a task or a gang on its last attempt that starts on a degraded worker at once, or that never
+// starts because no healthy worker gets free.
 func TestLastAttemptWaitsForHealthyWorker(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := &healthFleet{t: t, store: kvtest.New(), began: time.Now()}
-		f.lead(healthEntry("e", f.store, true))
-		failing := f.addWorker("a", 4000)
-		failing.failsFrom, failing.failsTo = f.began, f.began.Add(200*time.Millisecond)
-		f.run(100 * time.Millisecond)
-		f.healthTask(1, 4000, 3, time.Hour)
-		f.run(100 * time.Millisecond)
-		assert.Equal(t, f.failed, 1)
-		f.addWorker("b", 4000)
-		f.run(100 * time.Millisecond)
-		last := f.healthTask(2, 1000, 1, time.Second)
-		f.run(maxHealthyWait - 100*time.Millisecond)
-		assert.Equal(t, f.leader.jobs[last.Job].job.Task(last).Phase(), job.Waiting)
-		f.run(200 * time.Millisecond)
-		assert.Equal(t, f.leader.jobs[last.Job].job.Task(last).Phase(), job.Placed)
-		assert.Equal(t, f.leader.jobs[last.Job].job.Task(last).Host().VM, "a")
-	})
+	for name, gang := range map[string]bool{"task": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &healthFleet{t: t, store: kvtest.New(), began: time.Now()}
+				f.lead(healthEntry("e", f.store, true))
+				failing := f.addWorker("a", 4000)
+				failing.failsFrom, failing.failsTo = f.began, f.began.Add(200*time.Millisecond)
+				f.run(100 * time.Millisecond)
+				f.healthTask(1, 4000, 3, time.Hour)
+				f.run(100 * time.Millisecond)
+				assert.Equal(t, f.failed, 1)
+				f.addWorker("b", 4000)
+				f.run(100 * time.Millisecond)
+				last := job.TaskID{Job: f.submit(2, job.Step{Count: 2, Size: job.Size{CPU: 1000}, Estimate: time.Second, Gang: gang}, 1)}
+				f.run(maxHealthyWait - 100*time.Millisecond)
+				assert.Equal(t, f.leader.jobs[last.Job].job.Task(last).Phase(), job.Waiting)
+				f.run(200 * time.Millisecond)
+				assert.Equal(t, f.leader.jobs[last.Job].job.Task(last).Phase(), job.Placed)
+				assert.Equal(t, f.leader.jobs[last.Job].job.Task(last).Host().VM, "a")
+			})
+		})
+	}
 }
 
 // TestEndsThatAreNoEvidence guards against a worker that is degraded by a stop, a lapse, the end of a gang, a drain, or a late failure of a
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -50,7 +50,8 @@
 }
 
 // splitRetries gives tasks on their last attempt and restarted tasks groups of their own, with the workers where they must
-// not start. Gangs stay whole and long-running tasks restart anywhere.
+// not start. Long-running tasks restart anywhere. Gangs stay whole and may restart on any worker that their last attempt allows: without the
+// workers on which they failed, a gang might not fit.
 func (t *term) splitRetries(groups []*plan.Group, workers []*plan.Worker) []*plan.Group {
 	if t.health == nil {
 		return groups
@@ -58,11 +59,14 @@
 	rules := newRetryRules(t, workers)
 	split := make([]*plan.Group, 0, len(groups))
 	for _, g := range groups {
-		if g.Step.LongRunning || g.Step.Gang {
+		switch {
+		case g.Step.LongRunning:
 			split = append(split, g)
-			continue
+		case g.Step.Gang:
+			split = append(split, rules.limitGang(g))
+		default:
+			split = append(split, rules.split(g)...)
 		}
-		split = append(split, rules.split(g)...)
 	}
 	return split
 }
@@ -104,7 +108,16 @@
 	return groups
 }
 
-// kindOf returns the kind of a waiting finite task.
+// limitGang returns a gang with the workers that its last attempt allows.
+func (r *retryRules) limitGang(g *plan.Group) *plan.Group {
+	first := job.TaskID{Job: g.Job.ID(), Iteration: g.Iteration, Step: g.StepIndex}
+	kind := r.kindOf(r.term.jobs[g.Job.ID()], first, g.Service)
+	limited := *g
+	limited.LastAttempt, limited.WorstHealth = kind.lastAttempt, kind.worst
+	return &limited
+}
+
+// kindOf returns the kind of a waiting finite task, or of the gang of a first member.
 func (r *retryRules) kindOf(tracked *trackedJob, id job.TaskID, service string) retryKind {
 	kind := retryKind{restarted: len(tracked.failedHosts) > 0 && tracked.job.Task(id).Run() > 0, failedOn: tracked.failedOn[id]}
 	if r.allHealthy || !tracked.job.OnLastAttempt(id) {
