Release runs once their agent knows that leases have expired

Callers saw long-running tasks run nowhere for 10.5 s after all entries were killed, because their worker had been lost just before, while ten other workers had room.

Cause: two statements were one. The agent beside the lost worker reports to the new leader that all leases have expired, by its own clock. The leader used that only if the worker had acknowledged a fence of the new epoch, which a worker that is gone never does, and then waited for the leases of earlier leaders.

Giving up runs needs the first statement only. Nobody else can prolong a run there: the agent follows this leader (the report bears its epoch), so orders of earlier leaders are refused; what it and its previous process sent carries an end on the worker's clock, which the reported expiry covers; a late start under a reused id is stopped on the next incarnation as before. An agent that was restarted and knows no worker could report nothing; it now reports the expiry once it is older than any lease of its previous process. Orders on their way when the report is sent no longer start anything: the agent refuses starts until it has reported a worker that answers, and the leader drops what it has not sent.

--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -80,6 +80,10 @@
 	if len(runs) > 0 {
 		t.unreachable[h.worker.Host] = unreachable{since: time.Now(), runs: runs}
 	}
+	if a := t.agents[h.worker.Host.VM]; a != nil && a.host == h.worker.Host {
+		// An order that is not sent yet could still start one of the runs.
+		a.pendingOrders = nil
+	}
 	t.recordLostRuns(h, h.sortedRuns(), reason)
 }
 
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -34,12 +34,9 @@
 	for _, rejected := range r.Rejected {
 		t.handleRejected(h, rejected)
 	}
-	switch {
-	case !r.Unreachable:
+	if !r.Unreachable {
 		t.compareRuns(h, r)
 		t.sample(h, r)
-	case r.LeaseExpired:
-		t.markUnreachable(h, "the worker does not answer and its leases have expired")
 	}
 	return true
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -83,6 +83,7 @@
 		received.requiredVersions[tracked] = tracked.version
 	}
 	received.reconciled = t.reconcile(a, r, received.requiredVersions)
+	t.releaseRuns(r)
 	answer := &received.answer
 	answer.Epoch, answer.FirstFence, answer.LastFence = t.epoch, a.fences.first, a.fences.last
 	answer.Profiles = t.profiles(r.MissingProfiles)
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -103,7 +103,8 @@
 	Stopping bool `json:"stopping,omitempty"`
 	// RemainingMillis is the least time left to a draining worker.
 	RemainingMillis int64 `json:"remaining_ms,omitempty"`
-	// Unreachable is set if the worker does not answer, LeaseExpired if the leases of all its runs have certainly expired.
+	// Unreachable is set if the worker does not answer, LeaseExpired if the leases of all its runs have certainly expired, also those of a worker
+	// that only a previous process of the agent knew.
 	Unreachable  bool `json:"silent,omitempty"`
 	LeaseExpired bool `json:"lapsed,omitempty"`
 	// FirstFailureMillis is how long the calls to the worker have been failing, 0 while they succeed.
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -180,7 +180,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	until := r.runDeadline(w)
-	if w.report.Draining || !r.hall.allowsStart(r.config.Uptime.Now(), r.config.ClosureDelay) {
+	if w.report.Draining || r.leaseExpiryReported || !r.hall.allowsStart(r.config.Uptime.Now(), r.config.ClosureDelay) {
 		until = 0
 	}
 	valid := r.isCurrent(w, run, o)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -82,6 +82,11 @@
 	candidates []*workerState
 	ended      endedIncarnations
 	lateStarts host.LateCalls[lateStart]
+	// startedAt is when the agent began to run: a previous process has renewed no lease since.
+	startedAt time.Time
+	// leaseExpiryReported is set from a report that all leases have expired to the next report of a worker that answers: the leader has given up
+	// the runs, of which an order may still arrive.
+	leaseExpiryReported bool
 	// stopping is set once the agent is about to stop.
 	stopping bool
 	// idReused reports whether the worker has started again under an id that it had before.
@@ -109,7 +114,7 @@
 func (r *Runner) Run(ctx context.Context) error {
 	group, bounded := errgroup.WithContext(ctx)
 	r.mu.Lock()
-	r.runContext = bounded
+	r.runContext, r.startedAt = bounded, time.Now()
 	r.mu.Unlock()
 	defer r.orderTasks.Wait()
 	defer r.cancelOrders()
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -234,6 +234,8 @@
 	defer r.mu.Unlock()
 	report := link.Report{VM: r.config.VM, Hall: r.config.Hall, Epoch: r.epoch, Crashes: r.crashes.compose(), Stopping: r.stopping}
 	w := r.worker
+	report.LeaseExpired = r.leasesExpired(time.Now())
+	r.leaseExpiryReported = report.LeaseExpired || r.leaseExpiryReported && (w == nil || w.unreachable)
 	if w == nil {
 		return report, nil
 	}
@@ -242,12 +244,20 @@
 	report.CPU, report.Memory, report.GPU = latest.Capacity.CPU, latest.Capacity.Memory, latest.Capacity.GPU
 	report.Draining, report.RemainingMillis = latest.Draining, latest.Remaining.Milliseconds()
 	report.Unreachable, report.FirstFailureMillis = w.unreachable, millisSince(w.firstFailure)
-	report.LeaseExpired = w.unreachable && (w.idChanged || time.Now().After(w.leaseEnd))
 	report.Fenced = w.views > 0 && r.fences.covers(w.highestFence, r.epoch)
 	w.addRuns(&report)
 	return report, w
 }
 
+// leasesExpired reports whether the leases of all runs on the VM have certainly expired: those of a worker that does not answer, or, before the
+// first report of a worker, those that a previous process of the agent may have renewed.
+func (r *Runner) leasesExpired(now time.Time) bool {
+	if w := r.worker; w != nil {
+		return w.unreachable && (w.idChanged || now.After(w.leaseEnd))
+	}
+	return !r.startedAt.IsZero() && now.Sub(r.startedAt) > runLease
+}
+
 // addRuns adds the runs of the latest view and the unsettled orders to a report.
 func (w *workerState) addRuns(report *link.Report) {
 	listed := make(map[host.Run]bool, len(w.view.Ended)+len(w.view.Running))
