Handle SIGHUP until the process ends

Callers saw their requests cut without an answer: an entry that served them through its drain was killed by a SIGHUP for changed settings.

Cause: the goroutine that reloads the settings ended with the context of SIGTERM and removed its handler, so that the default action of SIGHUP, the end of the process, held for the 3.6 s of an entry's drain and the 5.4 s of an agent's.

The handler is now installed before main and never removed, in both roles and in the product's own daemons, which had none: a SIGHUP, as when a terminal closes, ended them. A reload during a drain applies the known entries as always, since the requests that are left may need another entry, and says so in its log line; the daemons read their settings once and log that SIGHUP has no effect.

The default action still holds until the handler is installed.

--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -12,8 +12,8 @@
 	"github.com/saffronpulley/saffronpulley/internal/settings"
 )
 
-// Main runs the command line and returns the exit code.
-func Main(version string, args []string, out, errorOut io.Writer) int {
+// Main runs the command line and returns the exit code; hangups receives SIGHUP while the process runs.
+func Main(version string, args []string, out, errorOut io.Writer, hangups <-chan os.Signal) int {
 	app := kingpin.New("saffronpulleyd", "Schedules latency-critical and batch work on shared VMs.")
 	app.Version(version).UsageWriter(out).ErrorWriter(errorOut)
 	run := app.Command("run", "Runs the daemon.")
@@ -36,11 +36,11 @@
 		return 0
 	}
 	if command == onPlatform.FullCommand() {
-		return exitCode(node.Run(os.Getenv(node.SettingsVariable)), errorOut)
+		return exitCode(node.Run(os.Getenv(node.SettingsVariable), hangups), errorOut)
 	}
 	s, err := settings.Load(file, overrides, os.LookupEnv)
 	if err == nil && command == run.FullCommand() {
-		err = Run(s)
+		err = Run(s, hangups)
 	}
 	if err != nil {
 		return exitCode(err, errorOut)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -41,8 +41,9 @@
 	vms      vmlist.List
 }
 
-// Run runs the configured role until SIGTERM or SIGINT, which stops it gracefully; a second signal ends it at once.
-func Run(s *settings.Settings) error {
+// Run runs the configured role until SIGTERM or SIGINT, which stops it gracefully; a second signal ends it at once. SIGHUP, from hangups, is only
+// logged, also while the process stops: the settings are read once.
+func Run(s *settings.Settings, hangups <-chan os.Signal) error {
 	logger, err := logging.New(s.LogLevel(), s.LogFormat(), s.ID())
 	if err != nil {
 		return err
@@ -62,6 +63,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	go exitOnSecondSignal(ctx)
+	go p.logHangups(hangups)
 	p.recorder.Record(timeline.ProcessStarted, timeline.Subject{}, "started as "+s.Role())
 	if s.Role() == settings.RoleEntry {
 		return p.runEntry(ctx)
@@ -80,6 +82,13 @@
 	os.Exit(secondSignalCode)
 }
 
+// logHangups logs each SIGHUP until the process ends.
+func (p *process) logHangups(hangups <-chan os.Signal) {
+	for range hangups {
+		p.logger.Info("process: SIGHUP has no effect; changed settings take effect at the next start")
+	}
+}
+
 func (p *process) limits() admin.Limits {
 	return admin.Limits{Body: p.settings.MaxBody(), Read: readTimeout, Idle: idleTimeout, Connections: maxConnections}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,8 +50,8 @@
 	pool     *relay.Pool
 }
 
-// Run runs the configured role until SIGTERM or SIGINT; SIGHUP reloads the settings.
-func Run(path string) error {
+// Run runs the configured role until SIGTERM or SIGINT; SIGHUP, from hangups, reloads the settings until the process ends.
+func Run(path string, hangups <-chan os.Signal) error {
 	settings, err := Load(path)
 	if err != nil {
 		return err
@@ -73,7 +73,7 @@
 	p.pool = relay.NewPool(settings.PeerAddress(), secret, p.mux, settings.KnownEntries())
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	go p.reload(ctx, path)
+	go p.reload(ctx, path, hangups)
 	logger.Info("process: started; role=%s boot=%s hall=%s", settings.Role(), p.boot, settings.Hall())
 	if settings.Role() == RoleEntry {
 		err = p.runEntry(ctx)
@@ -84,24 +84,17 @@
 	return err
 }
 
-// reload reloads the settings at SIGHUP and adds the known entries; other changes take effect at the next start.
-func (p *process) reload(ctx context.Context, path string) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-		}
+// reload reloads the settings at SIGHUP and adds the known entries; other changes take effect at the next start. It goes on while the process stops,
+// which serves callers with the help of other entries until its end.
+func (p *process) reload(ctx context.Context, path string, hangups <-chan os.Signal) {
+	for range hangups {
 		reloaded, err := Load(path)
 		if err != nil {
 			p.logger.Error("process: cannot load the changed settings: %v", err)
 			continue
 		}
 		p.pool.Add(reloaded.KnownEntries())
-		p.logger.Info("process: settings reloaded; changed=%t", reloaded.file != p.settings.file)
+		p.logger.Info("process: settings reloaded; changed=%t stopping=%t", reloaded.file != p.settings.file, ctx.Err() != nil)
 	}
 }
 
--- a/proving/stage/verbs.go
+++ b/proving/stage/verbs.go
@@ -27,6 +27,7 @@
 		"term":    (*Stage).termVerb,
 		"freeze":  (*Stage).freezeVerb,
 		"thaw":    (*Stage).thawVerb,
+		"hangup":  func(s *Stage, a []string) (string, error) { return s.signalAll(a, syscall.SIGHUP) },
 		"cut":     func(s *Stage, a []string) (string, error) { return "", s.setCut(a[0], a[1], true) },
 		"heal":    func(s *Stage, a []string) (string, error) { return "", s.setCut(a[0], a[1], false) },
 		"fault":   (*Stage).faultVerb,
