Follow the leader until the last request is answered

A stopping entry answered 503 to requests that came at the end of its drain and needed the next leader, though there was one within their deadline.

Cause: everything that reads from the store and the leader ended with the drain, before the servers were closed, which waits up to two seconds for the requests in progress.

The components now run until the servers are closed. TestRequestAtTheEndOfADrainIsAnsweredByTheNextLeader failed before: 503.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -68,8 +68,7 @@
 	if err != nil {
 		return err
 	}
-	e.run(ctx)
-	admin.CloseAll(servers...)
+	e.run(ctx, servers)
 	return nil
 }
 
@@ -122,11 +121,11 @@
 // ready reports whether the entry accepts new connections.
 func (e *entry) ready() bool { return e.policies.Newest() != nil && !e.stopping.Load() }
 
-// run runs the components until ctx ends; then the entry steps down at once if it leads, and serves callers for drainShare
-// of the grace period.
+// run runs the components until ctx ends; then the entry steps down at once if it leads, serves callers for drainShare of the grace period, and
+// closes the servers. The components run until the last request is answered, since it may wait for another leader.
 //
 // It does not wait for the components that only read: their calls may take longer than the grace period.
-func (e *entry) run(ctx context.Context) {
+func (e *entry) run(ctx context.Context, servers []*admin.Server) {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.policies.Run(background)
@@ -138,6 +137,7 @@
 	wait := time.Duration(drainShare * float64(e.settings.Grace()))
 	e.logger.Info("process: stopping; callers are served for %s", wait)
 	time.Sleep(wait)
+	admin.CloseAll(servers...)
 }
 
 // callers serves callers; while the process stops, it closes their connections so that they connect to another entry.
