Give up unreported workers 7.9 s after a change of the leader

Callers saw long-running tasks run nowhere for 10.4 s after all entries were killed if nobody could report of their worker: its VM was gone as well. The platform allows 10 s from the last failure, with the change of the leader in it.

Cause: a new leader waits for the longest lease that an earlier one may have granted, leaderTimeout and a margin, and that was 10.4 s.

leaderTimeout is 7.5 s: with the expiry of the lost leader's record, the campaign of the weakest entry and a start that makes 9.9 s, computed from the constants by TestUnreportedWorkerIsGivenUpInTime, which failed before (12.4 s). Nothing shorter is safe while a leader without the store grants leases; other ways were weighed in docs/design/0014. What it costs: outages of the store between some 6 and 9 s end what runs.

Leaders of the previous release grant leases for 10 s, so each leader stores how long the leases up to its term last, and a leader that finds no bound of the one before it waits 10.4 s. A leader that asks a stronger entry to take over grants no lease after that and says how long earlier ones last, so that the wait does not begin again.

TestTaskDoesNotRunBesideAnotherWhileAnAgentFollowsTheEarlierLeader shows a second run if the wait is 5 s.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -11,8 +11,8 @@
 )
 
 // maxRecords leaves space in a transaction of kv.MaxEntries for two puts and two conditions, those of the last commit and
-// of the leader record, and for the models of interference and of run times.
-const maxRecords = kv.MaxEntries - 6
+// of the leader record, for the models of interference and of run times, and for the bound of the leases.
+const maxRecords = kv.MaxEntries - 7
 
 // checkpointInterval is the least time between two writes of a job that are due to checkpoints alone: tasks save a
 // checkpoint once or twice a second, and a record has up to some kilobytes.
@@ -69,6 +69,9 @@
 	b.txn.Conditions = append(b.txn.Conditions, kv.Condition{Key: record.LastCommitKey, Revision: t.lastCommitRevision})
 	b.txn.Puts = append(b.txn.Puts, lastCommit)
 	t.addModels(b)
+	if err := t.addLeases(&b.txn); err != nil {
+		return nil, err
+	}
 	b.collectRuns(t)
 	return b, nil
 }
--- a/internal/dispatch/campaign.go
+++ b/internal/dispatch/campaign.go
@@ -126,19 +126,24 @@
 	if err != nil {
 		return nil, err
 	}
+	earlierLeases, err := d.earlierLeases(ctx, last.Epoch)
+	if err != nil {
+		return nil, err
+	}
 	lease, err := store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return nil, err
 	}
 	t := newTerm(d, last.Epoch+FencesPerEpoch, lease)
+	t.earlierLeases = earlierLeases
 	if err := t.acquire(ctx, item.Revision(), lastRevision); err != nil {
 		return nil, err
 	}
 	return t, nil
 }
 
-// acquire writes the leader record and commit 0 of the term in one transaction, provided that both records still have the
-// given revisions.
+// acquire writes the leader record, commit 0 of the term and the bound of its leases in one transaction, provided that the first two still have
+// the given revisions.
 func (t *term) acquire(ctx context.Context, leaderRevision, commitRevision kv.Revision) error {
 	txn, err := t.acquireTxn(leaderRevision, commitRevision)
 	if err != nil {
@@ -167,10 +172,11 @@
 	if err != nil {
 		return kv.Txn{}, err
 	}
-	return kv.Txn{
+	txn := kv.Txn{
 		Conditions: []kv.Condition{{Key: record.LeaderKey, Revision: leaderRevision}, {Key: record.LastCommitKey, Revision: commitRevision}},
 		Puts:       []kv.Put{leader, commit},
-	}, nil
+	}
+	return txn, t.addLeases(&txn)
 }
 
 // leaderPut returns the put of the leader record for this process under the term's lease.
--- a/internal/dispatch/candidates_test.go
+++ b/internal/dispatch/candidates_test.go
@@ -30,7 +30,7 @@
 	assert.Equal(t, d.currentRank(), 17)
 	d.SuspectLeader(3, "its VM refuses connections")
 	assert.Equal(t, d.currentRank(), 17)
-	d.TakeOver(3)
+	d.TakeOver(3, 0)
 	assert.Equal(t, d.currentRank(), 1)
 	assert.Assert(t, d.mayReplace(3))
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -119,7 +119,8 @@
 func (d *Dispatcher) serveTerm(ctx context.Context, t *term) {
 	d.config.Metrics.Counter("lead.terms").Inc(1)
 	err := t.run(ctx, func() {
-		d.logger.Info("leadership acquired; epoch=%d jobs=%d load_ms=%d", t.epoch, len(t.jobs), time.Since(t.startedAt).Milliseconds())
+		d.logger.Info("leadership acquired; epoch=%d jobs=%d load_ms=%d earlier_leases_ms=%d",
+			t.epoch, len(t.jobs), time.Since(t.startedAt).Milliseconds(), t.earlierLeases.Milliseconds())
 		d.term.Store(t)
 	})
 	d.term.Store(nil)
@@ -163,7 +164,7 @@
 		answer.StoreDown = true
 	case storeReachableByOthers:
 		answer.TakeOver = true
-		t.stepDown(p.Entry, "the store answers other entries and not this leader")
+		answer.LeasesMillis = t.stepDown(p.Entry, "the store answers other entries and not this leader").Milliseconds()
 	case storeReachable:
 		switch {
 		case !t.outranks(p):
@@ -171,7 +172,7 @@
 			answer.Probe = true
 		default:
 			answer.TakeOver = true
-			t.stepDown(p.Entry, "it has a much larger processor share")
+			answer.LeasesMillis = t.stepDown(p.Entry, "it has a much larger processor share").Milliseconds()
 		}
 	}
 	answer.Offer = newConfigurationOffer(d.config.Policies.Offer(), p)
--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -17,6 +17,8 @@
 	notifyTimeout = 500 * time.Millisecond
 	// rosterRefreshInterval is the least time between two removals of entries that no longer ping, each followed by a new ranking.
 	rosterRefreshInterval = time.Second
+	// entryTTL is how long an entry stays in the roster without a ping.
+	entryTTL = 10 * time.Second
 	// maxEntriesSent is how many entries one process is sent: enough to reach some of them after any loss, whatever the size of the fleet.
 	maxEntriesSent = 32
 )
@@ -84,7 +86,7 @@
 	return h.Sum64()
 }
 
-// refresh removes the entries whose last ping is older than leaderTimeout and ranks the others, at most once in rosterRefreshInterval.
+// refresh removes the entries whose last ping is older than entryTTL and ranks the others, at most once in rosterRefreshInterval.
 func (r *roster) refresh(self string, epoch uint64, now time.Time) {
 	if now.Sub(r.refreshed) < rosterRefreshInterval {
 		return
@@ -92,7 +94,7 @@
 	r.refreshed = now
 	defer r.rank(epoch)
 	for address, e := range r.entries {
-		if now.Sub(e.lastPing) < leaderTimeout {
+		if now.Sub(e.lastPing) < entryTTL {
 			continue
 		}
 		delete(r.entries, address)
@@ -154,7 +156,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.roster.entries {
-		if e.peer != nil && time.Since(e.lastPing) < leaderTimeout {
+		if e.peer != nil && time.Since(e.lastPing) < entryTTL {
 			go notifyEntry(e.peer)
 		}
 	}
--- a/internal/dispatch/lostworker_test.go
+++ b/internal/dispatch/lostworker_test.go
@@ -177,15 +177,16 @@
 	return 0
 }
 
-// staleLeaderStore is a store from which agents read an outdated record of the leader for a while.
+// staleLeaderStore is the store of the agent of a VM, which reads an outdated record of the leader for a while.
 type staleLeaderStore struct {
 	*kvtest.Store
 	simulation *simulation
+	vm         int
 }
 
 // Get implements kv.Store.
 func (s staleLeaderStore) Get(ctx context.Context, key string) (kv.Item, error) {
-	if key == record.LeaderKey && time.Now().Before(s.simulation.staleLeaderUntil) {
+	if key == record.LeaderKey && (time.Now().Before(s.simulation.staleLeaderUntil) || s.vm == s.simulation.cutAgent) {
 		return s.simulation.staleLeader, nil
 	}
 	return s.Store.Get(ctx, key)
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -23,8 +23,7 @@
 )
 
 // expireWorkers marks workers unschedulable after maxReportAge without a report that confirms them, and unreachable once the
-// last lease granted to their agent has expired. Leases of earlier leaders have expired leaderTimeout after the start of the
-// term.
+// last lease granted to their agent, by this leader or an earlier one, has expired.
 func (t *term) expireWorkers() {
 	now := time.Now()
 	t.expireUnreachable(now)
@@ -37,7 +36,7 @@
 			if a.leaseExpired(now) {
 				t.markUnreachable(h, "its agent no longer confirms it")
 			}
-		case now.Sub(t.startedAt) > leaderTimeout+agentLeaseMargin && (a == nil || a.leaseExpired(now)):
+		case t.earlierLeasesExpired(now) && (a == nil || a.leaseExpired(now)):
 			t.markUnreachable(h, "its agent has not confirmed it to this leader")
 		}
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -112,7 +112,7 @@
 	}
 	age := t.verificationAge()
 	answer.AcknowledgedEnds = a.acknowledgedEnds
-	if received.leased {
+	if received.leased && !t.hasSteppedDown() {
 		answer.LeaseMillis = min(agentLease, max(leaderTimeout-age, 0)).Milliseconds()
 	}
 	answer.Unverified = age > staleVerificationAfter
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -5,12 +5,16 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/saffronpulley/saffronpulley/internal/boottimetest"
+	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
@@ -73,8 +77,11 @@
 	killAgent []func()
 	uptime    *boottimetest.Clock
 	// staleLeader is the record of the leader that agents read until staleLeaderUntil.
-	staleLeader        kv.Item
-	staleLeaderUntil   time.Time
+	staleLeader      kv.Item
+	staleLeaderUntil time.Time
+	// leaderCut cuts the leader from the store; cutAgent is the VM whose agent reads the outdated record at any time, -1 for none.
+	leaderCut          *atomic.Bool
+	cutAgent           int
 	taskTime           time.Duration
 	longRunning        bool
 	violations         []string
@@ -93,7 +100,7 @@
 func newSimulation(ctx context.Context, t *testing.T, vms int, longRunning bool) *simulation {
 	s := &simulation{
 		t: t, ctx: ctx, store: kvtest.New(), network: make(pipeNetwork), uptime: &boottimetest.Clock{}, longRunning: longRunning,
-		taskTime: 400 * time.Millisecond, done: make(map[host.Run]bool),
+		cutAgent: -1, taskTime: 400 * time.Millisecond, done: make(map[host.Run]bool),
 	}
 	for n := range vms {
 		s.workers = append(s.workers, newModelWorker(s, fmt.Sprintf("i-%d", n)))
@@ -113,7 +120,8 @@
 	s.store.RemoveLeasedKeys()
 	s.leaders++
 	name := fmt.Sprintf("e%d", s.leaders)
-	d := newTestEntry(name, s.store)
+	s.leaderCut = new(atomic.Bool)
+	d := newTestEntry(name, cutStore{s.store, s.leaderCut})
 	mux := rpc.NewMux(timeline.NewClock(time.Now))
 	d.Register(mux)
 	if s.network[name] == nil {
@@ -135,6 +143,58 @@
 	}
 }
 
+// end ends all processes; cancel ends the context of the simulation.
+func (s *simulation) end(cancel context.CancelFunc) {
+	cancel()
+	s.depose()
+	synctest.Wait()
+}
+
+// cutStore is a store that leaves calls unanswered while it is cut.
+type cutStore struct {
+	*kvtest.Store
+	cut *atomic.Bool
+}
+
+// Get implements kv.Store.
+func (s cutStore) Get(ctx context.Context, key string) (kv.Item, error) {
+	if s.cut.Load() {
+		return kv.Item{}, fault.New(fault.Unavailable, "cut")
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Commit implements kv.Store.
+func (s cutStore) Commit(ctx context.Context, txn kv.Txn) (kv.Revision, error) {
+	if s.cut.Load() {
+		return 0, fault.New(fault.Unavailable, "cut")
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+// electBeside lets another process lead while the leader goes on without the store. The agent beside the task's run goes on following it; the
+// others are restarted, since there are no entries that tell them of the next leader.
+func (s *simulation) electBeside() {
+	item, err := s.store.Get(s.ctx, record.LeaderKey)
+	assert.NilError(s.t, err)
+	s.leaderCut.Store(true)
+	s.staleLeader, s.cutAgent = item, s.runningOn()
+	depose := s.depose
+	s.depose = nil
+	s.elect()
+	deposeNext := s.depose
+	s.depose = func() {
+		depose()
+		deposeNext()
+	}
+	for vm := range s.agents {
+		if vm != s.cutAgent {
+			s.killAgent[vm]()
+			s.startAgent(vm)
+		}
+	}
+}
+
 // startAgent starts the agent of a VM, at first or after killAgent.
 func (s *simulation) startAgent(n int) {
 	health := &kv.Health{}
@@ -142,7 +202,7 @@
 	pool := relay.NewPool("", "", mux, nil)
 	r := runner.New(runner.Config{
 		VM: fmt.Sprintf("vm%d", n), ClosureDelay: testClosureDelay, MaxRenewal: 6 * time.Second, Worker: s.workers[n],
-		Store: relay.New(staleLeaderStore{s.store, s}, health, pool), Pool: pool, Clock: timeline.NewClock(time.Now), Dial: s.network.dial,
+		Store: relay.New(staleLeaderStore{s.store, s, n}, health, pool), Pool: pool, Clock: timeline.NewClock(time.Now), Dial: s.network.dial,
 		Uptime: s.uptime, Random: func() float64 { return 0.5 }, Logger: logging.Discard(), Metrics: metric.New(),
 	})
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -189,6 +249,11 @@
 	return count
 }
 
+// runningOn returns the VM whose worker runs the task.
+func (s *simulation) runningOn() int {
+	return slices.IndexFunc(s.workers, func(w *modelWorker) bool { return w.run != nil })
+}
+
 func (s *simulation) recordViolation(format string, args ...any) {
 	s.violations = append(s.violations, fmt.Sprintf(format, args...))
 }
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -42,8 +42,9 @@
 type suspectedLeader struct {
 	epoch uint64
 	until time.Time
-	// requested reports whether the leader itself asked this entry to take over.
+	// requested reports whether the leader itself asked this entry to take over; leases is what it then stated about its leases.
 	requested bool
+	leases    handedOver
 }
 
 // SuspectLeader lets this entry campaign against the leader of an epoch, which seems to have failed. A wrong suspicion is harmless: each commit
@@ -54,10 +55,15 @@
 	wait.Notify(d.suspicionChanged)
 }
 
-// TakeOver lets this entry campaign at once to replace the leader of an epoch, which asks for it.
-func (d *Dispatcher) TakeOver(epoch uint64) {
-	d.logger.Info("the leader asks this entry to take over; epoch=%d", epoch)
-	d.suspectedLeader.Store(&suspectedLeader{epoch: epoch, until: time.Now().Add(suspicionDuration), requested: true})
+// TakeOver lets this entry campaign at once to replace the leader of an epoch, which asks for it. leases is how long leases granted by that leader
+// and by those before it may still last, 0 if it is of the previous release and does not say.
+func (d *Dispatcher) TakeOver(epoch uint64, leases time.Duration) {
+	d.logger.Info("the leader asks this entry to take over; epoch=%d leases_ms=%d", epoch, leases.Milliseconds())
+	s := &suspectedLeader{epoch: epoch, until: time.Now().Add(suspicionDuration), requested: true}
+	if leases > 0 {
+		s.leases = handedOver{epoch: epoch, until: time.Now().Add(leases)}
+	}
+	d.suspectedLeader.Store(s)
 	wait.Notify(d.suspicionChanged)
 }
 
@@ -182,15 +188,25 @@
 	return p.StoreAgeMillis >= 0 && p.StoreAgeMillis < outrankAnswerAge.Milliseconds()
 }
 
-// stepDown makes the leader step down for another entry.
-func (t *term) stepDown(entry, reason string) {
+// stepDown makes the leader step down for another entry, after which it grants no more leases, and returns how long those that it and the leaders
+// before it granted may still last.
+func (t *term) stepDown(entry, reason string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.hasSteppedDown() {
+		t.logger.Warn("the leader steps down; epoch=%d to=%s reason=%s", t.epoch, entry, reason)
+		close(t.steppedDown)
+	}
+	return t.remainingLeases(time.Now())
+}
+
+// hasSteppedDown reports whether another entry was asked to take over.
+func (t *term) hasSteppedDown() bool {
 	select {
 	case <-t.steppedDown:
+		return true
 	default:
-		t.logger.Warn("the leader steps down; epoch=%d to=%s reason=%s", t.epoch, entry, reason)
-		close(t.steppedDown)
+		return false
 	}
 }
 
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -24,9 +24,9 @@
 const (
 	// agentLease is how long an agent may go on after a report: long enough for another leader to take over.
 	agentLease = 5 * time.Second
-	// leaderTimeout is how long after it last verified its leadership a leader still grants agent leases; a new leader waits as long for
-	// workers that have not reported to it.
-	leaderTimeout = 10 * time.Second
+	// leaderTimeout is how long after it last verified its leadership the agent leases of a leader last at most. Runs continue for as long while the
+	// store is unavailable, and a new leader waits as long before it gives up the runs of a worker of which it has no report.
+	leaderTimeout = 7500 * time.Millisecond
 	// agentLeaseMargin covers message delays and the drift of clocks in the computed end of an agent lease.
 	agentLeaseMargin = 400 * time.Millisecond
 	// staleVerificationAfter is how old the last verification may be before agents are asked to search for another leader themselves.
@@ -47,12 +47,14 @@
 
 // term is the period in which a process leads under one epoch, with the state of the leader.
 type term struct {
-	dispatcher     *Dispatcher
-	epoch          uint64
-	lease          kv.LeaseID
-	store          kv.Store
-	logger         logging.Logger
-	startedAt      time.Time
+	dispatcher *Dispatcher
+	epoch      uint64
+	lease      kv.LeaseID
+	store      kv.Store
+	logger     logging.Logger
+	startedAt  time.Time
+	// earlierLeases is how long after startedAt leases granted by earlier leaders may last.
+	earlierLeases  time.Duration
 	changed        chan struct{}
 	done           chan struct{}
 	inputsRevision kv.Revision
@@ -92,8 +94,10 @@
 	// closuresUnconfirmed reports whether placement is paused because the store has not confirmed recently which halls are closed.
 	closuresUnconfirmed bool
 	leaseReplaced       bool
-	backlog             batchBacklog
-	reserves            shortReserves
+	// leasesStored reports whether the store has the bound of the leases up to this term.
+	leasesStored bool
+	backlog      batchBacklog
+	reserves     shortReserves
 	// runTimes is nil unless run times are learned.
 	runTimes *runTimes
 	// unreachable are the incarnations whose leases expired while they were unreachable, lateStarts are the late starts.
--- a/internal/intake/pinger.go
+++ b/internal/intake/pinger.go
@@ -42,8 +42,9 @@
 	IsLeader() bool
 	// SuspectLeader reports that the leader of an epoch may be replaced.
 	SuspectLeader(epoch uint64, reason string)
-	// TakeOver reports that the leader of an epoch asks this entry to take over.
-	TakeOver(epoch uint64)
+	// TakeOver reports that the leader of an epoch asks this entry to take over, and how long leases granted up to then may still last, 0 if
+	// the leader does not say.
+	TakeOver(epoch uint64, leases time.Duration)
 	// SetRank sets the rank of this entry among the candidates for the next term, 0 for none.
 	SetRank(rank int)
 }
@@ -264,7 +265,7 @@
 func (p *Pinger) applyAnswer(ctx context.Context, epoch uint64, answer link.PingAnswer) {
 	switch {
 	case answer.TakeOver:
-		p.successor.TakeOver(epoch)
+		p.successor.TakeOver(epoch, time.Duration(answer.LeasesMillis)*time.Millisecond)
 		p.markAvailable()
 	case answer.StoreDown:
 		p.handleStoreDown(ctx)
--- a/internal/intake/pinger_test.go
+++ b/internal/intake/pinger_test.go
@@ -78,7 +78,7 @@
 // JobState implements LocalDispatcher for an entry that is not the leader.
 func (s *fakeSuccessor) JobState(job.ID) (job.State, bool) { return job.Queued, false }
 
-func (s *fakeSuccessor) TakeOver(epoch uint64) { s.SuspectLeader(epoch, "") }
+func (s *fakeSuccessor) TakeOver(epoch uint64, _ time.Duration) { s.SuspectLeader(epoch, "") }
 
 func (s *fakeSuccessor) SuspectLeader(epoch uint64, _ string) {
 	s.mu.Lock()
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -251,6 +251,9 @@
 	// take over leadership: the store answers the entry but not the leader, or the entry is far stronger.
 	StoreDown bool `json:"store_down,omitempty"`
 	TakeOver  bool `json:"succeed,omitempty"`
+	// LeasesMillis is, with TakeOver, how long agent leases granted by the leader and those before it may still last, 0 from leaders of the
+	// previous release.
+	LeasesMillis int64 `json:"leases_ms,omitempty"`
 	Offer
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -16,7 +16,9 @@
 	// PressureKey holds the model of interference between images that the leaders have learned.
 	PressureKey = "saffronpulley/pressure"
 	// EstimatesKey holds the model of run times that the leaders have learned.
-	EstimatesKey   = "saffronpulley/estimates"
+	EstimatesKey = "saffronpulley/estimates"
+	// LeasesKey holds how long the agent leases of the last leaders may last; leaders of the previous release do not write it.
+	LeasesKey      = "saffronpulley/leases"
 	InputPrefix    = "saffronpulley/in/"
 	ProgressPrefix = "saffronpulley/run/"
 
@@ -71,8 +73,16 @@
 	Commit uint64
 }
 
+// Leases bounds the agent leases that the leader of an epoch and all leaders before it have granted.
+type Leases struct {
+	_     struct{} `cbor:",toarray"`
+	Epoch uint64
+	// Millis is the time in milliseconds from when another leader takes over until the last of the leases has expired.
+	Millis int64
+}
+
 // Encode returns the stored form of the record.
-func Encode[T Leader | LastCommit](record T) ([]byte, error) { return cbor.Marshal(record) }
+func Encode[T Leader | LastCommit | Leases](record T) ([]byte, error) { return cbor.Marshal(record) }
 
 // DecodeLeader decodes the record of the leader.
 func DecodeLeader(data []byte) (Leader, error) { return decode[Leader](data, LeaderKey) }
@@ -85,6 +95,14 @@
 	return decode[LastCommit](data, LastCommitKey)
 }
 
+// DecodeLeases decodes the bound of the agent leases; without data it returns the zero value, as before the first leader.
+func DecodeLeases(data []byte) (Leases, error) {
+	if len(data) == 0 {
+		return Leases{}, nil
+	}
+	return decode[Leases](data, LeasesKey)
+}
+
 func decode[T any](data []byte, key string) (T, error) {
 	var record T
 	if err := cbor.Unmarshal(data, &record); err != nil {
