Count jobs as waiting until a run of them has started

Callers were told that no job waits in a queue while its only job had not begun for five seconds: each of its starts was refused by a busy worker.

Cause: the leader counted the jobs whose state is queued, and a job leaves that state for good once a task is placed, also if the start is refused.

A job now counts until a run is known to have started: its worker reports it as running, or its end other than a loss. A new leader takes a done task, a failure or a checkpoint as a sign of it, and the workers report the rest. The state that callers see is as it was.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -198,5 +198,5 @@
 	if err != nil {
 		return link.WaitingAnswer{}, err
 	}
-	return link.WaitingAnswer{Count: t.queuedJobs(w.Queue)}, nil
+	return link.WaitingAnswer{Count: t.waitingJobs(w.Queue)}, nil
 }
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -110,6 +110,7 @@
 		return
 	}
 	if tracked := t.jobs[id.Job]; tracked != nil {
+		tracked.job.RecordStarted(id, r.Number)
 		tracked.unsavedCheckpoints = tracked.job.RecordCheckpoint(id, r.Number, r.Checkpoint) || tracked.unsavedCheckpoints
 	}
 	if !r.Starting {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -260,12 +260,13 @@
 	}
 }
 
-func (t *term) queuedJobs(queue string) int {
+// waitingJobs returns how many jobs of a queue have not begun.
+func (t *term) waitingJobs(queue string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	count := 0
 	for _, tracked := range t.jobs {
-		if tracked.job.Queue().Name == queue && tracked.job.State() == job.Queued {
+		if tracked.job.Queue().Name == queue && !tracked.job.State().IsFinal() && !tracked.job.Begun() {
 			count++
 		}
 	}
--- a/internal/job/advance.go
+++ b/internal/job/advance.go
@@ -42,6 +42,13 @@
 	return true
 }
 
+// RecordStarted records that a placed run has started.
+func (j *Job) RecordStarted(t TaskID, run int) {
+	if task := j.Task(t); task != nil && task.phase == Placed && task.run == run {
+		j.begun = true
+	}
+}
+
 // RecordEnd records the end of a run and reports whether anything changed.
 func (j *Job) RecordEnd(t TaskID, run int, end End, checkpoint string) bool {
 	task := j.Task(t)
@@ -55,6 +62,8 @@
 	if checkpoint != "" {
 		task.checkpoint = checkpoint
 	}
+	// A run that was lost with its worker may not have started.
+	j.begun = j.begun || end != EndLapsed
 	switch {
 	case step.LongRunning:
 		task.phase = Waiting
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -10,8 +10,9 @@
 	accepted time.Time
 	canceled bool
 	failed   bool
-	// everPlaced is set once any task was placed; unfinished counts the tasks that are not done.
+	// everPlaced is set once any task was placed, begun once a run is known to have started; unfinished counts the tasks that are not done.
 	everPlaced bool
+	begun      bool
 	unfinished int
 	// tasks is indexed by iteration, step and index in the step.
 	tasks [][][]Task
@@ -88,6 +89,9 @@
 	return Queued
 }
 
+// Begun reports whether a run of the job is known to have started; one that is only placed may yet be refused.
+func (j *Job) Begun() bool { return j.begun }
+
 // Due returns when an iteration of the job may begin.
 func (j *Job) Due(iteration int) time.Time {
 	if j.spec.Iterations == 0 {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -217,6 +217,8 @@
 			j.unfinished--
 		}
 		j.everPlaced = j.everPlaced || task.run > 0
+		// Whether a placed run has started is not stored; its worker reports it.
+		j.begun = j.begun || task.phase == Done || task.failures > 0 || task.checkpoint != ""
 	}
 	for _, row := range stored.Histories {
 		if task := j.Task(TaskID{Job: j.id, Iteration: row.Iteration, Step: row.Step, Index: row.Index}); task != nil {
--- a/internal/job/script_test.go
+++ b/internal/job/script_test.go
@@ -126,6 +126,10 @@
 		assert.Equal(t, j.ResolveLoss(task(), number(2), words[3] == "crashed"), isYes(4), line)
 	case "outlived":
 		assert.Equal(t, j.RecordRunAge(task(), number(2), time.Duration(number(3))*time.Millisecond), isYes(4), line)
+	case "starts":
+		j.RecordStarted(task(), number(2))
+	case "begun":
+		assert.Equal(t, j.Begun(), isYes(1), line)
 	case "failures":
 		assert.Equal(t, j.Failures(task()), number(2), line)
 	case "last":
