--- a/proving/cmd/soak/main.go
+++ b/proving/cmd/soak/main.go
@@ -41,6 +41,7 @@
 	onPlatform.Flag("crashes", "Let some jobs crash the workers that start them.").Default("true").BoolVar(&p.crashes)
 	onPlatform.Flag("returns", "Let workers restart under ids used before.").Default("true").BoolVar(&p.reuseIDs)
 	onPlatform.Flag("rates", "Let the store be rate limited at times.").Default("false").BoolVar(&p.limitRates)
+	onPlatform.Flag("composed", "Add composed faults and gangs, and end with a lost worker.").Default("false").BoolVar(&p.composed)
 	onPlatform.Flag("keep", "Directory for the logs of failed seeds.").Default("out/soak").StringVar(&p.logDir)
 	run := p.run
 	if kingpin.MustParse(app.Parse(os.Args[1:])) == ownInterface.FullCommand() {
--- a/proving/cmd/soak/platform.go
+++ b/proving/cmd/soak/platform.go
@@ -20,6 +20,7 @@
 	crashes         bool
 	reuseIDs        bool
 	limitRates      bool
+	composed        bool
 	logDir          string
 }
 
@@ -60,7 +61,10 @@
 	logf := func(format string, args ...any) {
 		fmt.Fprintf(faults, "%s "+format+"\n", append([]any{time.Now().UTC().Format(time.RFC3339Nano)}, args...)...)
 	}
-	err = f.RunSoak(fleet.Soak{Seed: seed, Duration: p.length, JobInterval: jobInterval, CrashWorkers: p.crashes, ReuseIDs: p.reuseIDs, LimitRates: p.limitRates, Logf: logf})
+	err = f.RunSoak(fleet.Soak{
+		Seed: seed, Duration: p.length, JobInterval: jobInterval, CrashWorkers: p.crashes, ReuseIDs: p.reuseIDs, LimitRates: p.limitRates,
+		Composed: p.composed, Logf: logf,
+	})
 	crashing, harmless := f.Checker().GivenUp()
 	fmt.Printf("seed %d: %s; %d workers crashed by tasks, %d crashing jobs given up, %d others\n",
 		seed, f.Checker().Counts(), f.Checker().CrashCount(), crashing, harmless)
--- a/proving/fleet/caller.go
+++ b/proving/fleet/caller.go
@@ -21,6 +21,8 @@
 
 	// CrashWorkers makes some of the jobs crash their workers.
 	CrashWorkers bool
+	// gangs draws the jobs whose first step is a gang, nil if none is.
+	gangs *rand.Rand
 
 	mu   sync.Mutex
 	jobs map[job.ID]job.Spec
@@ -36,6 +38,9 @@
 	// One in cancelOneIn jobs is canceled; one in crashOneIn crashes its workers if CrashWorkers is set.
 	cancelOneIn = 20
 	crashOneIn  = 25
+	// One in gangOneIn jobs begins with a gang, of up to maxMoreMembers more members than tasks, if the caller draws gangs.
+	gangOneIn      = 3
+	maxMoreMembers = 4
 )
 
 // NewCaller returns a caller whose random choices follow a seed.
@@ -111,9 +116,20 @@
 		}
 		spec.Steps = append(spec.Steps, step)
 	}
+	c.drawGang(&spec.Steps[0])
 	return spec
 }
 
+// drawGang draws whether a step is a gang of more members than its tasks.
+func (c *Caller) drawGang(step *job.Step) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gangs != nil && c.gangs.IntN(gangOneIn) == 0 {
+		step.Gang = true
+		step.Count += c.gangs.IntN(maxMoreMembers + 1)
+	}
+}
+
 // jobCount returns how many jobs were added.
 func (c *Caller) jobCount() int {
 	c.mu.Lock()
@@ -206,7 +222,7 @@
 	for _, s := range spec.Steps {
 		steps = append(steps, map[string]any{
 			"count": s.Count, "cpu": s.Size.CPU, "mem-mb": s.Size.Memory, "estimate-ms": s.Estimate.Milliseconds(), "depends-on": s.DependsOn,
-			"long-running": s.LongRunning,
+			"long-running": s.LongRunning, "gang": s.Gang,
 		})
 	}
 	return map[string]any{"spec": spec.Text, "steps": steps}
--- a/proving/fleet/checker.go
+++ b/proving/fleet/checker.go
@@ -19,6 +19,9 @@
 	// closedAt is when each closed hall was closed.
 	closedAt   map[string]time.Time
 	startCount int
+	// gangs are the runs of gangs, failedRuns the failed runs of each task, with the members of a gang as one.
+	gangs      map[gangKey]*gangRun
+	failedRuns map[job.TaskID]map[int]bool
 	// firstCalls are the times from the starts of incarnations to the first calls that reached them.
 	firstCalls []time.Duration
 }
@@ -59,6 +62,7 @@
 func NewChecker() *Checker {
 	return &Checker{
 		jobs: make(map[job.ID]*jobRecord), tasks: make(map[job.TaskID]*taskRecord), closedAt: make(map[string]time.Time),
+		gangs: make(map[gangKey]*gangRun), failedRuns: make(map[job.TaskID]map[int]bool),
 	}
 }
 
@@ -157,8 +161,8 @@
 	case unknown && j.accepted && j.canceledAt.IsZero():
 		c.recordViolation("job %s was accepted and is not known", id)
 	case unknown:
-	case state == job.Failed && !c.mayFail(id, j):
-		c.recordViolation("job %s is shown as failed, but no task of it lost two workers by crashes", id)
+	case state == job.Failed && !c.mayFail(id, j) && !c.hasFailed(id):
+		c.recordViolation("job %s is shown as failed, but no task of it lost two workers by crashes or failed %d times", id, queueAttempts)
 	case state == job.Completed && !c.allDone(id, j):
 		c.recordViolation("job %s is shown as completed, but some of its tasks are not done", id)
 	default:
@@ -166,13 +170,11 @@
 	}
 }
 
-// allDone reports whether each task of a job was done at least once; c.mu is held.
+// allDone reports whether all steps of a job are done; c.mu is held.
 func (c *Checker) allDone(id job.ID, j *jobRecord) bool {
-	for n, step := range j.spec.Steps {
-		for i := range step.Count {
-			if c.task(job.TaskID{Job: id, Step: n, Index: i}).doneCount == 0 {
-				return false
-			}
+	for n := range j.spec.Steps {
+		if !c.stepDone(id, n) {
+			return false
 		}
 	}
 	return true
@@ -210,10 +212,8 @@
 		c.recordViolation("%s runs twice: run %d on %s and run %d on %s", id, number, other, run, inc)
 	}
 	for _, d := range j.spec.Steps[id.Step].DependsOn {
-		for i := range j.spec.Steps[d].Count {
-			if c.task(job.TaskID{Job: id.Job, Step: d, Index: i}).doneCount == 0 {
-				c.recordViolation("%s was started before step %d was done", id, d)
-			}
+		if !c.stepDone(id.Job, d) {
+			c.recordViolation("%s was started before step %d was done", id, d)
 		}
 	}
 	t.running[worker] = run
@@ -311,13 +311,13 @@
 // String returns the violations, one per line.
 func (c *Checker) String() string { return strings.Join(c.Violations(), "\n") }
 
-// running returns how many tasks of a step have a run on a worker.
-func (c *Checker) running(id job.ID, step int) int {
+// running returns how many tasks of the first step of a job have a run on a worker.
+func (c *Checker) running(id job.ID) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	count := 0
-	for i := range c.jobs[id].spec.Steps[step].Count {
-		if len(c.task(job.TaskID{Job: id, Step: step, Index: i}).running) > 0 {
+	for i := range c.jobs[id].spec.Steps[0].Count {
+		if len(c.task(job.TaskID{Job: id, Index: i}).running) > 0 {
 			count++
 		}
 	}
--- a/proving/fleet/disturbances.go
+++ b/proving/fleet/disturbances.go
@@ -33,7 +33,7 @@
 	{"entry frozen", func(f *Fleet, n int, d time.Duration) { freeze(f.entry(n), d) }},
 	{"agent frozen", func(f *Fleet, n int, d time.Duration) { freeze(f.agent(n), d) }},
 	{"all killed", func(f *Fleet, _ int, _ time.Duration) { f.killAll() }},
-	{"settings read again", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Signal(syscall.SIGHUP) }},
+	{"settings read again", func(f *Fleet, n int, _ time.Duration) { f.entry(n).Reload() }},
 	{"worker crashed", func(f *Fleet, n int, _ time.Duration) { f.worker(n).Crash() }},
 	{"worker silent", func(f *Fleet, n int, d time.Duration) {
 		f.worker(n).SetSilent(true)
--- a/proving/fleet/drain_test.go
+++ b/proving/fleet/drain_test.go
@@ -44,7 +44,7 @@
 	defer f.Close()
 	stopping := f.entries[0]
 	stoppedAt := time.Now()
-	stopping.remove()
+	stopping.remove(syscall.SIGTERM)
 	assert.NilError(t, f.await(entryDrain/2, func() bool { leader := f.leader(); return leader != nil && leader != stopping }))
 	leader, next := f.leader(), f.entries[1]
 	if next == leader {
@@ -53,8 +53,7 @@
 	store := f.storeRelays[next.name]
 	store.Refuse()
 	<-time.After(time.Until(stoppedAt.Add(killed)))
-	leader.remove()
-	leader.Signal(syscall.SIGKILL)
+	leader.remove(syscall.SIGKILL)
 	time.AfterFunc(time.Until(stoppedAt.Add(cutUntil)), func() { assert.Check(t, store.Reopen()) })
 	status, err := requestCount(&http.Client{Timeout: 2 * callerTimeout}, stopping, deadline)
 	assert.NilError(t, err)
--- a/proving/fleet/fleet_test.go
+++ b/proving/fleet/fleet_test.go
@@ -48,6 +48,12 @@
 	runSeeds(t, "testdata/seeds_rates.txt", Size{Entries: 3, Agents: 4}, Soak{Duration: 8 * time.Second, LimitRates: true})
 }
 
+// TestSoakOfComposedFaults runs seeds with gangs, workers that fail what they start, reloads during stops, and long-running tasks whose worker is lost
+// just before all entries are killed.
+func TestSoakOfComposedFaults(t *testing.T) {
+	runSeeds(t, "testdata/seeds_composed.txt", Size{Entries: 3, Agents: 5}, Soak{Duration: 8 * time.Second, Composed: true})
+}
+
 // runSeeds runs the seeds of a file, which has one per line with the reason for it.
 func runSeeds(t *testing.T, name string, size Size, s Soak) {
 	t.Helper()
--- a/proving/fleet/hangup_test.go
+++ b/proving/fleet/hangup_test.go
@@ -56,8 +56,8 @@
 		return err == nil && status == http.StatusOK
 	}))
 	stoppedAt := time.Now()
-	entry.remove()
-	agent.remove()
+	entry.remove(syscall.SIGTERM)
+	agent.remove(syscall.SIGTERM)
 	for n := 0; time.Since(stoppedAt) < agentDrain-drainMargin; n++ {
 		<-time.After(100 * time.Millisecond)
 		entry.Signal(syscall.SIGHUP)
--- a/proving/fleet/incarnation.go
+++ b/proving/fleet/incarnation.go
@@ -33,8 +33,11 @@
 	number     int
 	step       job.Step
 	remaining  time.Duration
+	startedAt  time.Time
 	advancedAt time.Time
 	percent    int
+	// fails makes the run fail failureDelay after its start.
+	fails bool
 }
 
 // endedRun is a run whose end is not acknowledged yet.
--- a/proving/fleet/orders.go
+++ b/proving/fleet/orders.go
@@ -30,14 +30,12 @@
 	w.mu.Lock()
 	silent, late, inc := w.unreachable(), w.orderDelay, w.incarnation
 	w.mu.Unlock()
-	if expected := string(ctx.Request.Header.Peek("X-Expect-Instance")); expected != "" && expected != inc.instance {
-		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
-		return
-	}
-	path := string(ctx.Path())
+	expected, path := string(ctx.Request.Header.Peek("X-Expect-Instance")), string(ctx.Path())
 	switch {
 	case silent:
 		dropConnection(ctx)
+	case expected != "" && expected != inc.instance:
+		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 	case path == "/hold":
 		w.recordFirstCall(inc)
 		w.handleRenewal(ctx, inc, o)
@@ -110,7 +108,12 @@
 	inc.extendLease(o.LeaseEnd)
 	inc.lastRuns[id] = o.Run
 	step, taskTime, known := w.checker.step(id)
-	inc.running[id] = &run{number: o.Run, step: step, remaining: taskTime, advancedAt: time.Now(), percent: 100}
+	inc.running[id] = &run{
+		number: o.Run, step: step, remaining: taskTime, startedAt: time.Now(), advancedAt: time.Now(), percent: 100, fails: w.failing,
+	}
+	if step.Gang {
+		w.checker.recordMemberStart(id, o.Run)
+	}
 	w.checker.checkStart(inc, w.hall, id, o.Run, o.Spec)
 	if crashesWorker(o.Spec, id) {
 		w.scheduleCrash(inc, id, crashDelayOf(o.Spec))
--- a/proving/fleet/planned_test.go
+++ b/proving/fleet/planned_test.go
@@ -17,21 +17,6 @@
 	idleTimeout = 6 * time.Second
 )
 
-// runs returns how many runs are in progress on the worker.
-func (w *Worker) runs() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.incarnation.running)
-}
-
-// remove ends a process by SIGTERM and does not start it again.
-func (p *Process) remove() {
-	p.mu.Lock()
-	p.closing = true
-	p.mu.Unlock()
-	p.Signal(syscall.SIGTERM)
-}
-
 // TestRunsContinueUntilTheVMOfTheirAgentIsRemoved guards against runs whose leases expire while their VM, which is about to be removed, still has
 // its grace period: their agent had ended at once at SIGTERM, and long-running tasks stood still on workers with capacity.
 func TestRunsContinueUntilTheVMOfTheirAgentIsRemoved(t *testing.T) {
@@ -55,7 +40,7 @@
 	for removed := range len(f.agents) - 1 {
 		w := f.workers[removed]
 		runs := w.runs()
-		f.agents[removed].remove()
+		f.agents[removed].remove(syscall.SIGTERM)
 		for removedAt := time.Now().Add(gracePeriod); time.Now().Before(removedAt); {
 			assert.Equal(t, w.runs(), runs, "%v before the VM is removed", time.Until(removedAt))
 			<-time.After(100 * time.Millisecond)
--- a/proving/fleet/power_test.go
+++ b/proving/fleet/power_test.go
@@ -25,7 +25,7 @@
 	step.LongRunning = true
 	longRunning := c.addJob(job.Spec{Text: "work=1s", Steps: []job.Step{step}})
 	assert.NilError(t, f.await(finishTimeout, func() bool { return c.submit(longRunning) }))
-	runs := func() bool { return f.checker.running(longRunning, 0) == step.Count }
+	runs := func() bool { return f.checker.running(longRunning) == step.Count }
 	assert.NilError(t, f.await(finishTimeout, runs))
 	var batch []job.ID
 	for range 6 {
--- a/proving/fleet/process.go
+++ b/proving/fleet/process.go
@@ -24,6 +24,9 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	closing bool
+	// launchedAt is when the program was last started, hangups counts its ends by SIGHUP.
+	launchedAt time.Time
+	hangups    int
 }
 
 func newProcess(name, callers, binaries, dir string) *Process {
@@ -59,7 +62,7 @@
 	command.Stdout, command.Stderr = p.log, p.log
 	// The kernel kills the program if the soak is killed.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	p.command = command
+	p.command, p.launchedAt = command, time.Now()
 	return command.Start()
 }
 
@@ -72,6 +75,7 @@
 		p.mu.Unlock()
 		// The error is ignored: most ends are kills.
 		_ = command.Wait()
+		p.recordEnd(command.ProcessState)
 		<-time.After(restartDelay)
 		if p.launch() != nil {
 			return
@@ -79,6 +83,28 @@
 	}
 }
 
+// recordEnd records whether SIGHUP ended the program.
+func (p *Process) recordEnd(state *os.ProcessState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if status, ok := state.Sys().(syscall.WaitStatus); ok && status.Signaled() && status.Signal() == syscall.SIGHUP {
+		p.hangups++
+	}
+}
+
+// handlerTime is how long a program may take until it handles SIGHUP.
+const handlerTime = 100 * time.Millisecond
+
+// Reload makes the program read its settings again, unless it has just started.
+func (p *Process) Reload() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.launchedAt) > handlerTime {
+		// The error is ignored: the program may just have ended.
+		_ = p.command.Process.Signal(syscall.SIGHUP)
+	}
+}
+
 // Signal sends a signal to the running program.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
@@ -87,6 +113,14 @@
 	_ = p.command.Process.Signal(s)
 }
 
+// remove ends the program by a signal and does not start it again.
+func (p *Process) remove(s syscall.Signal) {
+	p.mu.Lock()
+	p.closing = true
+	p.mu.Unlock()
+	p.Signal(s)
+}
+
 func (p *Process) close() {
 	p.mu.Lock()
 	p.closing = true
--- a/proving/fleet/return_test.go
+++ b/proving/fleet/return_test.go
@@ -34,13 +34,13 @@
 	step.LongRunning = true
 	id := c.addJob(job.Spec{Text: "work=1s", Steps: []job.Step{step}})
 	assert.NilError(t, f.await(finishTimeout, func() bool { return c.submit(id) }))
-	runs := func() bool { return f.checker.running(id, 0) == step.Count }
+	runs := func() bool { return f.checker.running(id) == step.Count }
 	assert.NilError(t, f.await(finishTimeout, runs), "at the start")
 	for n := range 4 {
 		// A task whose worker crashes right after its start may be given up.
 		<-time.After(2 * time.Second)
 		f.worker(n).Crash()
-		assert.NilError(t, f.await(placementTimeout, runs), "%d after crash %d", f.checker.running(id, 0), n)
+		assert.NilError(t, f.await(placementTimeout, runs), "%d after crash %d", f.checker.running(id), n)
 	}
 	assert.NilError(t, f.checker.verify())
 }
--- a/proving/fleet/settings.go
+++ b/proving/fleet/settings.go
@@ -15,6 +15,9 @@
 	closurePrefix = "op/evacuate/"
 )
 
+// queueAttempts is how many failed runs of a task or gang fail its job.
+const queueAttempts = 3
+
 // halls are the halls of a fleet, to which entries and agents are assigned in turn.
 var halls = []string{"h1", "h2"}
 
@@ -36,7 +39,7 @@
 func route(name, prefix string) map[string]any {
 	return map[string]any{
 		"name": name, "host": queueHost, "path-prefix": prefix, "timeout-ms": 3000, "target-latency-ms": 1000,
-		"priority": 0, "service": service, "attempts": 3, "stretch": 2.0,
+		"priority": 0, "service": service, "attempts": queueAttempts, "stretch": 2.0,
 	}
 }
 
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -1,10 +1,14 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
 )
 
 // Soak is the configuration of a soak.
@@ -17,6 +21,8 @@
 	CrashWorkers bool
 	// ReuseIDs makes workers restart under ids used before.
 	ReuseIDs bool
+	// Composed adds composedDisturbances and gangs, and ends the soak with the loss of a worker that runs long-running tasks.
+	Composed bool
 	// LimitRates makes the store rate limited in alternating periods.
 	LimitRates bool
 	// Logf logs each fault when it starts.
@@ -50,6 +56,14 @@
 			w.SetIdentities(randomIdentities(s.Seed + uint64(n)<<32))
 		}
 	}
+	var lasting job.ID
+	if s.Composed {
+		caller.gangs = rand.New(rand.NewPCG(s.Seed, 15))
+		var err error
+		if lasting, err = f.submitLasting(caller); err != nil {
+			return err
+		}
+	}
 	var calls sync.WaitGroup
 	calls.Go(func() { caller.Run(s.JobInterval, stop) })
 	calls.Go(func() { f.closeHalls(s, stop) })
@@ -59,15 +73,36 @@
 	f.injectFaults(s)
 	close(stop)
 	calls.Wait()
+	if s.Composed {
+		if err := f.loseWorker(s, lasting); err != nil {
+			return fmt.Errorf("%w\n%s", err, f.checker)
+		}
+		if err := f.await(completionTimeout, func() bool { return caller.cancel(lasting) }); err != nil {
+			return err
+		}
+	}
 	if err := f.awaitFinished(caller, completionTimeout); err != nil {
 		return fmt.Errorf("%w\n%s", err, f.checker)
 	}
-	if err := f.checker.verify(); err != nil {
+	if err := errors.Join(f.checker.verify(), f.checkHangups()); err != nil {
 		return err
 	}
 	return f.checker.checkFirstCalls()
 }
 
+// checkHangups returns an error if SIGHUP has ended a process.
+func (f *Fleet) checkHangups() error {
+	for _, p := range slices.Concat(f.entries, f.agents) {
+		p.mu.Lock()
+		hangups := p.hangups
+		p.mu.Unlock()
+		if hangups > 0 {
+			return fmt.Errorf("%s was ended %d times by SIGHUP", p.name, hangups)
+		}
+	}
+	return nil
+}
+
 // limitedRate is a rate limit of the store that the callers and the leader of a fleet of a few processes exceed.
 const limitedRate = 40
 
@@ -89,7 +124,7 @@
 // injectFaults starts a fault in each random interval; each ends by itself.
 func (f *Fleet) injectFaults(s Soak) {
 	first, second := rand.New(rand.NewPCG(s.Seed, 11)), rand.New(rand.NewPCG(s.Seed, 12))
-	third := rand.New(rand.NewPCG(s.Seed, 13))
+	third, composed := rand.New(rand.NewPCG(s.Seed, 13)), rand.New(rand.NewPCG(s.Seed, 17))
 	var faults sync.WaitGroup
 	for began := time.Now(); time.Since(began) < s.Duration; {
 		next := disturbances[first.IntN(len(disturbances))]
@@ -107,6 +142,11 @@
 			s.Logf("%v %s in addition", time.Since(began).Round(time.Millisecond), next.name)
 			faults.Go(func() { next.inject(f, target, duration) })
 		}
+		if s.Composed && composed.IntN(additionalOneIn) == 0 {
+			next := composedDisturbances[composed.IntN(len(composedDisturbances))]
+			s.Logf("%v %s in addition", time.Since(began).Round(time.Millisecond), next.name)
+			faults.Go(func() { next.inject(f, target, duration) })
+		}
 		<-time.After(time.Duration(minGapMillis+first.IntN(gapRangeMillis)) * time.Millisecond)
 	}
 	faults.Wait()
--- a/proving/fleet/worker.go
+++ b/proving/fleet/worker.go
@@ -35,6 +35,8 @@
 	// backAt is when the worker answers and reports again after a crash by a task; until then its relay refuses connections.
 	backAt time.Time
 	relay  *relay.Relay
+	// failing makes the worker fail what it starts.
+	failing bool
 	// onCrash is called when a task crashes the worker.
 	onCrash func()
 }
@@ -56,9 +58,12 @@
 // restart starts a new incarnation; w.mu is held once the worker runs.
 func (w *Worker) restart() {
 	if w.incarnation != nil {
-		for id := range w.incarnation.running {
+		for id, r := range w.incarnation.running {
 			w.checker.recordRunEnd(w.incarnation.key, id, false)
 			w.checker.recordLostRun(id)
+			if r.step.Gang {
+				w.checker.recordMemberEnd(id, r.number)
+			}
 		}
 	}
 	w.incarnations++
@@ -152,6 +157,33 @@
 	w.silent = silent
 }
 
+// runs returns how many runs are in progress on the worker.
+func (w *Worker) runs() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.incarnation.running)
+}
+
+// runsOf returns how many runs of a job are in progress on the worker.
+func (w *Worker) runsOf(id job.ID) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := 0
+	for task := range w.incarnation.running {
+		if task.Job == id {
+			count++
+		}
+	}
+	return count
+}
+
+// SetFailing makes the worker fail what it starts, or ends this.
+func (w *Worker) SetFailing(failing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failing = failing
+}
+
 // SetOrderDelay makes the worker execute orders for odd run numbers late and without an answer; 0 ends this.
 func (w *Worker) SetOrderDelay(delay time.Duration) {
 	w.mu.Lock()
@@ -191,11 +223,24 @@
 		}
 	}
 	for id, r := range inc.running {
-		r.remaining -= now.Sub(r.advancedAt) * time.Duration(r.percent) / 100
+		works := true
+		if r.step.Gang {
+			var end job.End
+			var ends bool
+			if end, ends, works = w.checker.gangOutcome(id, r); ends && !lapsed {
+				w.endRun(id, end)
+				continue
+			}
+		}
+		if works {
+			r.remaining -= now.Sub(r.advancedAt) * time.Duration(r.percent) / 100
+		}
 		r.advancedAt = now
 		switch {
 		case lapsed:
 			w.endRun(id, job.EndLapsed)
+		case r.fails && now.Sub(r.startedAt) >= failureDelay:
+			w.endRun(id, job.EndFailed)
 		case r.remaining <= 0 && !r.step.LongRunning:
 			w.endRun(id, job.EndDone)
 		}
@@ -210,4 +255,10 @@
 	inc.lastEnd++
 	inc.endedRuns = append(inc.endedRuns, endedRun{number: inc.lastEnd, task: id, run: r.number, kind: kind})
 	w.checker.recordRunEnd(inc.key, id, kind == job.EndDone)
+	if kind == job.EndFailed {
+		w.checker.recordFailedRun(id, r.number)
+	}
+	if r.step.Gang && kind != job.EndDone {
+		w.checker.recordMemberEnd(id, r.number)
+	}
 }
