--- a/proving/fleet/fleet_test.go
+++ b/proving/fleet/fleet_test.go
@@ -70,12 +70,16 @@
 		t.Run(number, func(t *testing.T) {
 			t.Parallel()
 			t.Log(reason)
-			f, err := New(size, binaries, t.ArtifactDir())
+			dir := t.ArtifactDir()
+			f, err := New(size, binaries, dir)
 			assert.NilError(t, err)
 			defer f.Close()
 			soak := s
 			soak.Seed, soak.JobInterval, soak.Logf = seed, 120*time.Millisecond, t.Logf
-			assert.NilError(t, f.RunSoak(soak))
+			if err := f.RunSoak(soak); err != nil {
+				keepLogs(t, dir, f.checker.Unfinished())
+				t.Fatal(err)
+			}
 			t.Log(f.Checker().Counts())
 		})
 	}
