Lose workers permanently in the cluster model

The model had no worker that is gone while its agent goes on reporting, so no drawn change of the leader could meet one. It now loses one of three workers at any moment, and checks after each report that all leases have expired that the leader has nothing placed there.

--- a/internal/dispatch/clustermodel_property_test.go
+++ b/internal/dispatch/clustermodel_property_test.go
@@ -26,7 +26,7 @@
 
 func (m *clusterModel) performAction() {
 	a := rapid.SampledFrom(m.agents).Draw(m.t, "agent")
-	switch rapid.IntRange(0, 16).Draw(m.t, "act") {
+	switch rapid.IntRange(0, 17).Draw(m.t, "act") {
 	case 0, 1:
 		m.submit()
 	case 2:
@@ -47,6 +47,9 @@
 		m.store.ApplyLate()
 		time.Sleep(time.Duration(rapid.IntRange(1, 4000).Draw(m.t, "ms")) * time.Millisecond)
 	case 14:
+		if a.lost {
+			return
+		}
 		switch rapid.IntRange(0, 5).Draw(m.t, "kind of restart") {
 		case 0:
 			a.replaceWorker(rapid.Bool().Draw(m.t, "reports start time"))
@@ -59,6 +62,10 @@
 		}
 	case 16:
 		m.toggleHall(rapid.SampledFrom(testHalls).Draw(m.t, "hall"))
+	case 17:
+		if rapid.IntRange(0, 4).Draw(m.t, "is lost") == 0 {
+			m.loseWorker(a)
+		}
 	}
 }
 
--- a/internal/dispatch/clustermodel_workers_test.go
+++ b/internal/dispatch/clustermodel_workers_test.go
@@ -37,6 +37,9 @@
 		VM: a.vm, Hall: a.hall, Epoch: a.epoch, Instance: a.known.Worker(), StartMillis: a.known.StartMillis(), Service: testService, CPU: testCapacity.CPU,
 		Memory: testCapacity.Memory, Fenced: true, Rejected: a.rejected,
 	}
+	if a.lost {
+		r.Unreachable, r.LeaseExpired, r.Fenced = true, time.Now().After(a.lostLeaseEnd), a.epoch == a.lostEpoch
+	}
 	for _, name := range sortedKeys(a.worker.running) {
 		run := link.Run{Task: name, Number: a.worker.running[name].number}
 		a.listed[run] = true
@@ -79,6 +82,30 @@
 		m.applyAnswer(a, r, answer, sent)
 	}
 	a.pendingOrders = append(a.pendingOrders, delayed...)
+	if err == nil && r.LeaseExpired && t == m.currentTerm() {
+		m.checkReleased(a)
+	}
+}
+
+// loseWorker loses the worker of an agent permanently, unless another one is lost: the jobs need the capacity of the rest.
+func (m *clusterModel) loseWorker(a *fakeAgent) {
+	for _, other := range m.agents {
+		if other.lost {
+			return
+		}
+	}
+	a.detectWorker()
+	a.lost, a.lostLeaseEnd, a.lostEpoch = true, a.leaseEnd, a.epoch
+	a.worker.running, a.worker.ended = make(map[string]fakeRun), nil
+}
+
+// checkReleased fails the test if a task is placed on a lost worker after its agent has reported to the leader that its leases have expired.
+func (m *clusterModel) checkReleased(a *fakeAgent) {
+	for _, h := range m.currentTerm().hosts.onVM(a.vm) {
+		if h.worker.Host.Incarnation == a.known && len(h.runs) > 0 {
+			m.t.Fatalf("%d runs are placed on %s, whose leases have expired", len(h.runs), a.known)
+		}
+	}
 }
 
 func (m *clusterModel) applyAnswer(a *fakeAgent, r link.Report, answer link.ReportAnswer, sent time.Time) {
@@ -139,6 +166,11 @@
 	if a.listed[s.Run] {
 		return
 	}
+	if a.lost {
+		a.refusedRuns[s.Task] = max(a.refusedRuns[s.Task], s.Number)
+		a.rejected = append(a.rejected, link.Rejected{Run: s.Run, Refusal: 1})
+		return
+	}
 	if s.Number <= a.refusedRuns[s.Task] {
 		if worker.running[s.Task].number != s.Number && !slices.ContainsFunc(worker.ended, func(e link.Ended) bool { return e.Run == s.Run }) {
 			a.rejected = append(a.rejected, link.Rejected{Run: s.Run, Refusal: 3})
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -98,6 +98,10 @@
 	rejected     []link.Rejected
 	// refusedRuns is the highest run number of each task that the agent refuses to start.
 	refusedRuns map[string]int
+	// lost is set once the worker is gone permanently; its leases expire at lostLeaseEnd, and it has answered up to the epoch lostEpoch.
+	lost         bool
+	lostLeaseEnd time.Time
+	lostEpoch    uint64
 }
 
 // fakeSession is the leader's session with an agent.
