Start the soak's programs with the default action of SIGHUP

Under nohup the programs of the soak inherit that SIGHUP is ignored, so that no check could notice a process that it would end: the mutant that restores the default action while a process stops survived there. It is red now also under nohup.

--- a/proving/fleet/process.go
+++ b/proving/fleet/process.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -63,6 +64,15 @@
 	// The kernel kills the program if the soak is killed.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p.command, p.launchedAt = command, time.Now()
+	return startWithDefaultHangup(command)
+}
+
+// startWithDefaultHangup starts a program for which SIGHUP has its default action, also if this process ignores the signal, as under nohup: a program
+// inherits that a signal is ignored, not that it is handled.
+func startWithDefaultHangup(command *exec.Cmd) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	return command.Start()
 }
 
