--- a/internal/dispatch/earlierleases_test.go
+++ b/internal/dispatch/earlierleases_test.go
@@ -27,8 +27,8 @@
 	unreportedLimit = leaderTimeout + agentLeaseMargin + planAndStartTime
 )
 
-// TestUnreportedWorkerIsGivenUpInTime guards against constants by which the tasks of a worker of which nobody reports wait longer after the loss of
-// all entries than the platform allows.
+// TestUnreportedWorkerIsGivenUpInTime guards against constants by which the tasks of an unreported worker wait longer after the loss of all entries
+// than the platform allows.
 func TestUnreportedWorkerIsGivenUpInTime(t *testing.T) {
 	takeover := leaseTTL + candidateDelay(0, weakestEntry, 1)
 	assert.Assert(t, takeover+unreportedLimit <= lostTaskLimit, "%v", takeover+unreportedLimit)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -25,7 +25,7 @@
 	// agentLease is how long an agent may go on after a report: long enough for another leader to take over.
 	agentLease = 5 * time.Second
 	// leaderTimeout is how long after it last verified its leadership the agent leases of a leader last at most. Runs continue for as long while the
-	// store is unavailable, and a new leader waits as long before it gives up the runs of a worker of which it has no report.
+	// store is unavailable, and a new leader waits as long before it gives up the runs of an unreported worker.
 	leaderTimeout = 7500 * time.Millisecond
 	// agentLeaseMargin covers message delays and the drift of clocks in the computed end of an agent lease.
 	agentLeaseMargin = 400 * time.Millisecond
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -85,7 +85,7 @@
 	// startedAt is when the agent began to run: a previous process has renewed no lease since.
 	startedAt time.Time
 	// leaseExpiryReported is set from a report that all leases have expired to the next report of a worker that answers: the leader has given up
-	// the runs, of which an order may still arrive.
+	// the runs, and an order that starts one of them may still arrive.
 	leaseExpiryReported bool
 	// stopping is set once the agent is about to stop.
 	stopping bool
--- a/proving/fleet/gangs.go
+++ b/proving/fleet/gangs.go
@@ -34,7 +34,7 @@
 	return id
 }
 
-// gang returns the run of a gang of which a member has a run; c.mu is held.
+// gang returns the run of the gang that a member belongs to; c.mu is held.
 func (c *Checker) gang(member job.TaskID, run int) *gangRun {
 	key := gangKey{c.unit(member), run}
 	if c.gangs[key] == nil {
