--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -70,8 +70,9 @@
 	capacity size
 	record   *record
 	behave   func(w *worker, task string, number int) behavior
-	// answerDelay delays the answers to starts.
 	listener net.Listener
+	// ticket returns the ticket that a start of a task on a life of the worker has to bring; nil for queues without advice.
+	ticket func(life, task string) string
 
 	mu       sync.Mutex
 	id       string
@@ -228,6 +229,7 @@
 	Run      int    `json:"run"`
 	Text     string `json:"spec"`
 	Until    int64  `json:"until-ms"`
+	Ticket   string `json:"ticket"`
 	Percent  int    `json:"percent"`
 	Fence    uint64 `json:"fence"`
 	LastSeen uint64 `json:"last-seen"`
@@ -299,6 +301,10 @@
 		w.record.add("refuse", w, o.Task, o.Run, "late")
 		w.refuse(rw, "late")
 		return
+	case w.ticket != nil && o.Ticket != w.ticket(w.id, o.Task):
+		w.record.add("refuse", w, o.Task, o.Run, "ticket")
+		w.refuse(rw, "ticket")
+		return
 	case !w.used().plus(b.size).fits(w.capacity):
 		w.extend(o.Until)
 		w.record.add("refuse", w, o.Task, o.Run, "room")
