--- a/review/standin2/orders.go
+++ b/review/standin2/orders.go
@@ -38,7 +38,7 @@
 			var sent sync.WaitGroup
 			for n := range jobs {
 				sent.Go(func() {
-					s.submit("/lohu930/", id(n), map[string]any{"spec": strings.Repeat("<a>&</a>", 500), "steps": []any{map[string]any{
+					s.submit("/lohu930/", id(n), map[string]any{"spec": strings.Repeat("<&>", 1333), "steps": []any{map[string]any{
 						"count": 1, "cpu": 100, "mem-mb": 200, "estimate-ms": 500, "requires": "b", "long-running": true}}})
 				})
 			}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -209,6 +209,9 @@
 	}
 }
 
+// maxValue is the largest value in bytes, as the settings of a process give it.
+const maxValue = 1 << 20
+
 // maxPage and maxPageBytes bound a page of a range.
 const (
 	maxPage      = 500
@@ -309,7 +312,11 @@
 		return
 	}
 	for _, p := range body.Puts {
-		if len(p.Value) > 1<<20 || strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+		if len(p.Value) > maxValue {
+			reply(w, 400, map[string]string{"error": "the value is too large"})
+			return
+		}
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
 			reply(w, 403, map[string]string{})
 			return
 		}
