--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -166,6 +166,7 @@
 
 // watchLease kills everything when the lease is over.
 func (w *worker) watchLease(life int) {
+	lapsed := false
 	for {
 		time.Sleep(5 * time.Millisecond)
 		w.mu.Lock()
@@ -173,6 +174,11 @@
 			w.mu.Unlock()
 			return
 		}
+		over := w.until > 0 && w.clock() > w.until
+		if over && !lapsed {
+			w.record.add("lapse", w, "", 0, "the lease of the worker is over")
+		}
+		lapsed = over
 		if w.clock() > w.until {
 			for _, task := range w.tasks() {
 				w.end(w.runs[task], "lapsed")
