--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -26,8 +26,8 @@
 	duration time.Duration
 	how      string
 	size     size
-	// saved returns the checkpoint of a run of an age; nil for a step that saves no progress.
-	saved func(age time.Duration) string
+	// atStop is the checkpoint that a stopped run leaves, empty for a step that saves no progress.
+	atStop string
 	// measure returns the fifth entry of the run's row.
 	measure func() int
 }
@@ -49,14 +49,6 @@
 	saved    string
 }
 
-// saved returns the latest checkpoint of the run, empty for none.
-func (r *run) saved() string {
-	if r.behavior.saved == nil {
-		return ""
-	}
-	return r.behavior.saved(time.Since(r.begun))
-}
-
 // maxEnds is how many ends the worker lists at once.
 const maxEnds = 500
 
@@ -89,7 +81,9 @@
 	changed  chan struct{}
 	beats    uint64
 	draining bool
-	conns    map[net.Conn]bool
+	// remaining is when a draining worker is gone.
+	remaining time.Time
+	conns     map[net.Conn]bool
 }
 
 func (w *worker) start() error {
@@ -139,29 +133,54 @@
 func (w *worker) clock() time.Duration { return time.Since(w.born) + 5*time.Second }
 
 func (w *worker) beat(life int) {
+	for w.report(life) {
+		time.Sleep(1100 * time.Millisecond)
+	}
+}
+
+// report sends one heartbeat of a life, and reports whether that life goes on.
+func (w *worker) report(life int) bool {
 	client := &http.Client{Timeout: time.Second}
-	for {
-		w.mu.Lock()
-		if !w.up || w.life != life {
-			w.mu.Unlock()
-			return
-		}
-		w.beats++
-		state := "ready"
-		if w.draining {
-			state = "draining"
-		}
-		body, _ := json.Marshal(map[string]any{
-			"service": w.service, "address": w.address, "zone": "cba-a", "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0,
-			"capacity": w.capacity, "labels": w.labels, "clock-ms": w.clock().Milliseconds(), "sequence": w.beats,
-		})
-		url := "http://" + w.control + "/instances/" + w.id + "/heartbeat"
+	w.mu.Lock()
+	if !w.up || w.life != life {
 		w.mu.Unlock()
-		if answer, err := client.Post(url, "application/json", bytes.NewReader(body)); err == nil {
+		return false
+	}
+	w.beats++
+	state := "ready"
+	if w.draining {
+		state = "draining"
+	}
+	account := map[string]any{
+		"service": w.service, "address": w.address, "zone": "cba-a", "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0,
+		"capacity": w.capacity, "labels": w.labels, "clock-ms": w.clock().Milliseconds(), "sequence": w.beats,
+	}
+	if w.draining {
+		account["remaining-ms"] = max(time.Until(w.remaining).Milliseconds(), 0)
+	}
+	body, _ := json.Marshal(account)
+	url := "http://" + w.control + "/instances/" + w.id + "/heartbeat"
+	w.mu.Unlock()
+	if answer, err := client.Post(url, "application/json", bytes.NewReader(body)); err == nil {
+		_ = answer.Body.Close()
+	}
+	return true
+}
+
+// leave reports the worker as draining, and ends it for good after the time that it goes on serving.
+func (w *worker) leave(after time.Duration) {
+	w.mu.Lock()
+	w.draining, w.remaining = true, time.Now().Add(after)
+	life, url := w.life, "http://"+w.control+"/instances/"+w.id+"/deregister"
+	w.record.add("drain", w, "", 0, "")
+	w.mu.Unlock()
+	w.report(life)
+	time.AfterFunc(after, func() {
+		if answer, err := (&http.Client{Timeout: time.Second}).Post(url, "application/json", nil); err == nil {
 			_ = answer.Body.Close()
 		}
-		time.Sleep(1100 * time.Millisecond)
-	}
+		w.crash()
+	})
 }
 
 // watchLease kills everything when the lease is over.
@@ -206,7 +225,11 @@
 	delete(w.runs, r.task)
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	w.sequence++
-	w.ends = append(w.ends, ended{w.sequence, r.task, r.number, how, r.saved()})
+	saved := ""
+	if how == "stopped" {
+		saved = r.behavior.atStop
+	}
+	w.ends = append(w.ends, ended{w.sequence, r.task, r.number, how, saved})
 	w.record.add("end", w, r.task, r.number, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -369,7 +392,7 @@
 		if r.behavior.measure != nil {
 			measured = r.behavior.measure()
 		}
-		running = append(running, []any{task, r.number, r.saved(), percent, measured})
+		running = append(running, []any{task, r.number, "", percent, measured})
 	}
 	for _, e := range w.ends[:min(len(w.ends), maxEnds)] {
 		ends = append(ends, []any{e.sequence, e.task, e.number, e.how, e.saved})
