Treat a full list of ended runs as incomplete

Cause: a worker lists at most 500 ended runs at once. The leader took a placed run that the list did not have for one whose start was lost and ordered it again; the worker refused it as old, and after two lists without the run the agent reported it as rejected, so that the task was placed again. Either step reads a list that is cut off as complete.

The agent counts complete lists only: until one was requested after the refusal the run is pending. The leader neither orders nor places runs that such a report lacks. Each acknowledgement shows the next ends, so the list becomes complete. Runs that a crashed worker may have had are forgotten by complete lists only.

--- a/internal/dispatch/clustermodel_workers_test.go
+++ b/internal/dispatch/clustermodel_workers_test.go
@@ -46,10 +46,15 @@
 		r.Running = append(r.Running, link.Running{Run: run, Pace: 100})
 	}
 	for _, e := range a.worker.ended {
-		if e.Sequence > a.acknowledgedEnds {
+		if e.Sequence > a.acknowledgedEnds && len(r.Ended) < maxModelEnds {
 			r.Ended = append(r.Ended, e)
 		}
 	}
+	r.MoreEnds = len(r.Ended) == maxModelEnds
+	if !r.MoreEnds {
+		r.Rejected = append(r.Rejected, a.refusedAsOld(r.Ended)...)
+	}
+	r.Pending = append(r.Pending, a.refusedOld...)
 	for _, orders := range a.pendingOrders {
 		if orders.Incarnation() != a.known {
 			continue
@@ -186,9 +191,7 @@
 	}
 	if worker.latest[s.Task] >= s.Number {
 		if run, runs := worker.running[s.Task]; !runs || run.number != s.Number {
-			if !slices.ContainsFunc(worker.ended, func(e link.Ended) bool { return e.Run == s.Run }) {
-				a.rejected = append(a.rejected, link.Rejected{Run: s.Run, Refusal: 2})
-			}
+			a.refusedOld = append(a.refusedOld, s.Run)
 		}
 		return
 	}
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -11,6 +11,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/boottimetest"
 	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/hall"
+	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
@@ -96,6 +97,8 @@
 	worker       *fakeWorker
 	incarnations int
 	rejected     []link.Rejected
+	// refusedOld are the runs whose start the worker refused as old: they are rejected once a complete list of ends has none of them.
+	refusedOld []link.Run
 	// refusedRuns is the highest run number of each task that the agent refuses to start.
 	refusedRuns map[string]int
 	// lost is set once the worker is gone permanently; its leases expire at lostLeaseEnd, and it has answered up to the epoch lostEpoch.
@@ -155,7 +158,22 @@
 		return
 	}
 	a.known, a.acknowledgedEnds, a.rejected, a.refusedRuns = a.worker.id, 0, nil, make(map[string]int)
-	a.listed = make(map[link.Run]bool)
+	a.listed, a.refusedOld = make(map[link.Run]bool), nil
+}
+
+// maxModelEnds is how many ended runs a worker of the model lists at once.
+const maxModelEnds = 2
+
+// refusedAsOld returns the rejections of the starts refused as old whose runs a complete list of ends does not have.
+func (a *fakeAgent) refusedAsOld(ended []link.Ended) []link.Rejected {
+	var rejected []link.Rejected
+	for _, run := range a.refusedOld {
+		if !slices.ContainsFunc(ended, func(e link.Ended) bool { return e.Run == run }) {
+			rejected = append(rejected, link.Rejected{Run: run, Refusal: int(host.RefusedOld)})
+		}
+	}
+	a.refusedOld = nil
+	return rejected
 }
 
 // updateHall records a status of the hall that was received from the leader and is confirmed up to a time.
--- a/internal/dispatch/latestart_test.go
+++ b/internal/dispatch/latestart_test.go
@@ -122,3 +122,24 @@
 		assert.Equal(t, len(a.pendingOrders[0].Starts), 1)
 	})
 }
+
+// TestRunMissingFromCutOffEndsIsNotOrderedAgain guards against starts that are ordered again although the run has ended, since the worker lists only a
+// part of its ended runs at once.
+func TestRunMissingFromCutOffEndsIsNotOrderedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &fakeAgent{vm: "vm"}
+		leader := termWithPlacedTask(t, kvtest.New(), a)
+		a.pendingOrders = nil
+		time.Sleep(2 * resendAfter)
+		cutOff := testReport("i1")
+		cutOff.MoreEnds = true
+		_, err := leader.report(fakeSession{a}, cutOff)
+		assert.NilError(t, err)
+		runCycle(t, leader)
+		assert.Equal(t, len(a.pendingOrders), 0)
+		_, err = leader.report(fakeSession{a}, testReport("i1"))
+		assert.NilError(t, err)
+		runCycle(t, leader)
+		assert.Equal(t, len(a.pendingOrders), 1, "a complete report shows that the start was lost")
+	})
+}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -69,7 +69,8 @@
 	}
 }
 
-// compareRuns orders the starts of missing runs again and stops runs that are not placed or are stopping.
+// compareRuns orders the starts of missing runs again and stops runs that are not placed or are stopping. Runs that are missing from an incomplete list
+// of ends may have ended.
 func (t *term) compareRuns(h *hostState, r link.Report) {
 	reported := make(map[job.TaskID]int, len(r.Running)+len(r.Pending))
 	for _, running := range r.Running {
@@ -87,7 +88,7 @@
 	}
 	for _, id := range h.sortedRuns() {
 		p := h.runs[id]
-		if reported[id] != p.number && p.committed && !p.stopping && time.Since(p.startSentAt) > resendAfter {
+		if reported[id] != p.number && !r.MoreEnds && p.committed && !p.stopping && time.Since(p.startSentAt) > resendAfter {
 			t.orderStart(h.worker.Host, id, p)
 		}
 		if reported[id] != p.number && p.stopping && time.Since(p.stopSentAt) > resendAfter {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -79,7 +79,9 @@
 	Incarnation incarnation.ID
 	Running     []Running
 	Ended       []EndedRun
-	Clock       Clock
+	// MoreEnds reports whether the worker may have ended runs beyond those in Ended; it lists them once these are acknowledged.
+	MoreEnds bool
+	Clock    Clock
 }
 
 // Renewal extends the leases of all runs of a worker, acknowledges its ended runs up to a sequence number and requests its View.
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -109,8 +109,10 @@
 	LeaseExpired bool `json:"lapsed,omitempty"`
 	// FirstFailureMillis is how long the calls to the worker have been failing, 0 while they succeed.
 	FirstFailureMillis int64 `json:"broken_ms,omitempty"`
-	// Fenced is set once the worker has acknowledged a fence of this epoch, so that Running, Ended and Pending are complete.
+	// Fenced is set once the worker has acknowledged a fence of this epoch, so that Running and Pending are complete, and Ended unless MoreEnds is set.
 	Fenced bool `json:"fenced,omitempty"`
+	// MoreEnds is set if the worker may have ended runs beyond those in Ended.
+	MoreEnds bool `json:"more_ends,omitempty"`
 	// Running are the runs of the worker. Once the leader numbers its list of entries it reads Rows instead, with RowNames for the runs
 	// that are new on the connection; Running is then left out.
 	Running  []Running  `json:"running,omitempty"`
--- a/internal/runner/possible.go
+++ b/internal/runner/possible.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// applyView updates the runs from a view. A run that is not listed once its start has expired is removed: a start given up with the leader that
-// ordered it would otherwise reserve capacity without end.
+// applyView updates the runs from a view. A run that a complete view does not list once its start has expired is removed: a start given up with the
+// leader that ordered it would otherwise reserve capacity without end.
 func (p runSet) applyView(view host.View, now time.Time) {
 	for _, running := range view.Running {
 		known := p.entry(running.Run)
@@ -79,6 +79,9 @@
 	for _, e := range view.Ended {
 		delete(p, e.Run)
 	}
+	if view.MoreEnds {
+		return
+	}
 	for run, known := range p {
 		if known.listedAt.Before(now) && now.Sub(known.sentAt) >= runLease {
 			delete(p, run)
--- a/internal/runner/refusal_test.go
+++ b/internal/runner/refusal_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/record"
 )
@@ -94,3 +95,45 @@
 		})
 	}
 }
+
+// TestRefusalAsOldIsUnsettledWhileEndsAreCutOff guards against a second start of a task that is done: its worker listed only a part of the ended runs, and
+// the agent reported a repeated start, refused as old, as rejected since no view listed its end.
+func TestRefusalAsOldIsUnsettledWhileEndsAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTest(&fakeWorker{answerStart: func() (host.Refusal, error) { return host.RefusedOld, nil }})
+		_, err := r.handleOrders(t.Context(), nil, startOrders())
+		assert.NilError(t, err)
+		synctest.Wait()
+		other := host.EndedRun{Sequence: 1, Run: host.Run{Task: job.TaskID{Job: "00000000000000bb"}, Number: 1}}
+		for range 2 * viewsAfterEvent {
+			r.recordRenewal(t.Context(), testID, host.Renewal{}, host.View{Ended: []host.EndedRun{other}, MoreEnds: true})
+			report, _ := r.compose()
+			assert.Assert(t, report.MoreEnds)
+			assert.Equal(t, len(report.Pending), 1)
+			assert.Equal(t, len(report.Rejected), 0)
+		}
+		done := host.EndedRun{Sequence: 2, Run: testRun(1), End: job.EndDone}
+		for range 2 * viewsAfterEvent {
+			r.recordRenewal(t.Context(), testID, host.Renewal{}, host.View{Ended: []host.EndedRun{done}})
+			report, _ := r.compose()
+			assert.Equal(t, len(report.Ended), 1)
+			assert.Equal(t, len(report.Pending)+len(report.Rejected), 0)
+		}
+	})
+}
+
+// TestRunMissingFromCutOffEndsRemainsPossible guards against a crash report without a run whose end the worker had not listed yet: the leader took such
+// a run for one that never started.
+func TestRunMissingFromCutOffEndsRemainsPossible(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTest(&fakeWorker{answerStart: accept})
+		_, err := r.handleOrders(t.Context(), nil, startOrders())
+		assert.NilError(t, err)
+		synctest.Wait()
+		time.Sleep(runLease)
+		r.recordRenewal(t.Context(), testID, host.Renewal{}, host.View{MoreEnds: true})
+		assert.DeepEqual(t, runNumbers(r.worker.possibleRuns), []int{1})
+		r.recordRenewal(t.Context(), testID, host.Renewal{}, host.View{})
+		assert.Equal(t, len(r.worker.possibleRuns), 0)
+	})
+}
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -238,6 +238,9 @@
 	r.fences.recordAnswer(renewal.Fence)
 	w.view = view
 	w.views++
+	if !view.MoreEnds {
+		w.completeViews++
+	}
 	w.possibleRuns.applyView(view, now)
 	w.removeStopped()
 	w.prune()
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -245,6 +245,7 @@
 	report.Draining, report.RemainingMillis = latest.Draining, latest.Remaining.Milliseconds()
 	report.Unreachable, report.FirstFailureMillis = w.unreachable, millisSince(w.firstFailure)
 	report.Fenced = w.views > 0 && r.fences.covers(w.highestFence, r.epoch)
+	report.MoreEnds = w.view.MoreEnds
 	w.addRuns(&report)
 	return report, w
 }
@@ -279,7 +280,7 @@
 	}
 	for run, o := range w.orders {
 		switch {
-		case !o.final || !o.coveredBy(w.views):
+		case !o.final || !o.coveredBy(w.completeViews):
 			report.Pending = append(report.Pending, wireRun(run))
 		case !listed[run]:
 			report.Rejected = append(report.Rejected, link.Rejected{Run: wireRun(run), Refusal: int(o.refused)})
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -31,9 +31,11 @@
 	confirmedAt boottime.Instant
 	// firstFailure is when the first call failed because its connection broke, zero while calls succeed.
 	firstFailure time.Time
-	// view is the latest view, views the number of views received, acknowledgedEnds the sequence up to which the leader has committed ended runs.
+	// view is the latest view, views the number of views received, completeViews that of the views that listed all ended runs, acknowledgedEnds the
+	// sequence up to which the leader has committed ended runs.
 	view             host.View
 	views            uint64
+	completeViews    uint64
 	acknowledgedEnds uint64
 	unreachable      bool
 	// terminated reports whether the worker has another incarnation, idChanged whether that has another id, deregistered whether this one deregistered before
@@ -78,7 +80,7 @@
 	text   string
 	stop   bool
 	cancel context.CancelFunc
-	// refused is why the run will never run, final whether that is settled, viewsAtRefusal the number of views received by then.
+	// refused is why the run will never run, final whether that is settled, viewsAtRefusal the number of complete views received by then.
 	refused        host.Refusal
 	final          bool
 	viewsAtRefusal uint64
@@ -117,7 +119,7 @@
 // incarnation while the current one crashed under the run.
 func (w *workerState) removeStopped() {
 	for run, o := range w.orders {
-		if o.final && o.refused == host.RefusedOld && o.coveredBy(w.views) {
+		if o.final && o.refused == host.RefusedOld && o.coveredBy(w.completeViews) {
 			delete(w.possibleRuns, run)
 		}
 	}
@@ -145,13 +147,15 @@
 	}
 }
 
-// coveredBy reports whether the latest view was requested after the refusal, so that it lists the end of the run if there was one.
-func (o *order) coveredBy(views uint64) bool { return views >= o.viewsAtRefusal+viewsAfterEvent }
+// coveredBy reports whether a complete view was requested after the refusal, so that it listed the end of the run if there was one.
+func (o *order) coveredBy(completeViews uint64) bool {
+	return completeViews >= o.viewsAtRefusal+viewsAfterEvent
+}
 
 // awaitsView reports whether the end of a stop is unreported until the next view; the stopped task runs nowhere until then.
 func (w *workerState) awaitsView() bool {
 	for _, o := range w.orders {
-		if o.stop && o.final && !o.coveredBy(w.views) {
+		if o.stop && o.final && !o.coveredBy(w.completeViews) {
 			return true
 		}
 	}
@@ -198,5 +202,5 @@
 func (o *order) refuse(w *workerState, run host.Run, refusal host.Refusal) {
 	w.possibleRuns.removeUnanswered(run)
 	w.refused[run.Task] = max(w.refused[run.Task], run.Number)
-	o.refused, o.final, o.viewsAtRefusal = refusal, true, w.views
+	o.refused, o.final, o.viewsAtRefusal = refusal, true, w.completeViews
 }
--- a/proving/fleet/incarnation.go
+++ b/proving/fleet/incarnation.go
@@ -11,6 +11,9 @@
 // maxLease is the longest lease that a worker accepts, as on the users' sites.
 const maxLease = 6 * time.Second
 
+// maxListedEnds is how many ended runs a worker lists at once, as on the users' sites.
+const maxListedEnds = 500
+
 // incarnation is the time of a worker from a start to the next crash.
 type incarnation struct {
 	identity
@@ -98,7 +101,7 @@
 	for id, r := range inc.running {
 		running = append(running, []any{id.String(), r.number, "", r.progress(), r.step.Size.CPU})
 	}
-	for _, e := range inc.endedRuns {
+	for _, e := range inc.endedRuns[:min(len(inc.endedRuns), maxListedEnds)] {
 		ended = append(ended, []any{e.number, e.task.String(), e.run, e.kind.String(), ""})
 	}
 	return inc.withStartTime(map[string]any{"clock-ms": inc.clock(), "running": running, "ended": ended})
