Bound the checkpoints in the progress of a job

Neither the count of a step nor the length of a checkpoint is bounded by the platform. The leader goes on using all of them; the next one starts the tasks without one anew. No job is refused for it.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -51,7 +51,7 @@
 			break
 		}
 		delete(t.dirty, id)
-		if err := b.add(t.jobs[id]); err != nil {
+		if err := t.addProgress(b, t.jobs[id]); err != nil {
 			return nil, err
 		}
 	}
@@ -76,21 +76,32 @@
 	return b, nil
 }
 
-// add adds the progress record of a job; nil stands for a job that was removed.
-func (b *batch) add(tracked *trackedJob) error {
+// addProgress adds the progress record of a job; nil stands for a job that was removed.
+func (t *term) addProgress(b *batch, tracked *trackedJob) error {
 	if tracked == nil {
 		return nil
 	}
-	value, err := tracked.job.EncodeProgress()
+	value, omitted, err := tracked.job.EncodeProgress(job.MaxStoredCheckpoints)
 	if err != nil {
 		return err
 	}
+	t.recordOmittedCheckpoints(tracked, omitted)
 	b.txn.Puts = append(b.txn.Puts, kv.Put{Key: record.ProgressKey(tracked.job.ID()), Value: value})
 	b.versions[tracked] = tracked.version
 	tracked.unsavedCheckpoints, tracked.batchedAt = false, time.Now()
 	return nil
 }
 
+// recordOmittedCheckpoints logs a change of how many checkpoints of a job the store does not have for their length.
+func (t *term) recordOmittedCheckpoints(tracked *trackedJob, omitted int) {
+	if omitted == tracked.omittedCheckpoints {
+		return
+	}
+	tracked.omittedCheckpoints = omitted
+	t.logger.Warn("checkpoints are left out of the progress of a job; job=%s omitted=%d max_bytes=%d",
+		tracked.job.ID(), omitted, job.MaxStoredCheckpoints)
+}
+
 // addCheckpoints adds jobs with new checkpoints to a batch that is not empty, so that little work is repeated if all VMs
 // are lost at once.
 func (t *term) addCheckpoints(b *batch) error {
@@ -105,7 +116,7 @@
 	}
 	slices.Sort(due)
 	for _, id := range due[:min(len(due), maxRecords-len(b.versions))] {
-		if err := b.add(t.jobs[id]); err != nil {
+		if err := t.addProgress(b, t.jobs[id]); err != nil {
 			return err
 		}
 	}
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -20,6 +20,8 @@
 	savedVersion uint64
 	// unsavedCheckpoints reports whether tasks have checkpoints that are not in the store, batchedAt is when the job was last added to a batch.
 	unsavedCheckpoints bool
+	// omittedCheckpoints counts the checkpoints that the latest progress record leaves out.
+	omittedCheckpoints int
 	batchedAt          time.Time
 	failedHosts        map[job.Host]bool
 	// suspectedSince has the tasks that wait to start alone on a worker, with the start of the wait.
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -120,9 +120,11 @@
 	j.Task(id).failures = stored
 }
 
-// EncodeProgress returns the stored form of the job's progress.
-func (j *Job) EncodeProgress() ([]byte, error) {
+// EncodeProgress returns the stored form of the job's progress with at most maxCheckpoints bytes of checkpoints, and the number of those left out: tasks
+// whose checkpoint is not stored start anew under the next leader.
+func (j *Job) EncodeProgress(maxCheckpoints int) (data []byte, omitted int, err error) {
 	stored := storedProgress{State: int(j.State())}
+	checkpoints, omitted := j.checkpointsWithin(maxCheckpoints)
 	hosts := make(map[Host]int)
 	var startTimes []storedHost
 	var histories []storedHistory
@@ -132,7 +134,7 @@
 		}
 		row := storedTask{
 			Iteration: id.Iteration, Step: id.Step, Index: id.Index, Phase: int(t.phase), Run: t.run,
-			Failures: j.storedFailures(id), Checkpoint: t.checkpoint,
+			Failures: j.storedFailures(id), Checkpoint: checkpoints[id],
 		}
 		if t.phase == Placed {
 			if _, known := hosts[t.host]; !known {
@@ -149,9 +151,11 @@
 	})
 	stored.Hosts = append(stored.Hosts, startTimes...)
 	if len(histories) == 0 {
-		return cbor.Marshal(stored)
+		data, err = cbor.Marshal(stored)
+		return data, omitted, err
 	}
-	return cbor.Marshal(storedProgressWithCrashes[storedHistory]{State: stored.State, Hosts: stored.Hosts, Tasks: stored.Tasks, Histories: histories})
+	data, err = cbor.Marshal(storedProgressWithCrashes[storedHistory]{State: stored.State, Hosts: stored.Hosts, Tasks: stored.Tasks, Histories: histories})
+	return data, omitted, err
 }
 
 // encodeHistory returns the stored form of the task's crash history.
--- a/internal/job/spec_test.go
+++ b/internal/job/spec_test.go
@@ -86,7 +86,7 @@
 	for i, h := range hosts {
 		j.Place(TaskID{Job: id, Index: i}, h, 0)
 	}
-	data, err := j.EncodeProgress()
+	data, _, err := j.EncodeProgress(MaxStoredCheckpoints)
 	assert.NilError(t, err)
 	decoded := New(id, spec, Queue{}, time.Unix(1, 0))
 	assert.NilError(t, decoded.ApplyProgress(data))
@@ -116,7 +116,7 @@
 			j.RecordCrash(TaskID{Job: j.id}, 1, crash.NewFinding(crash.LikelyCause, true))
 			j.RecordLoss(TaskID{Job: j.id}, 1, crash.UnreachableLoss())
 		}
-		progress, err := j.EncodeProgress()
+		progress, _, err := j.EncodeProgress(MaxStoredCheckpoints)
 		if err != nil {
 			f.Fatal(err)
 		}
