Commit the other jobs when the store refuses a record

Evidence: each retry is answered within milliseconds with status 400, while plans go on; entries that take over do the same.

A refusal of the content (400, 403, 413) is narrowed down: the changes of the batch are committed one record at a time, without models and removals, then a record without its checkpoints. A job whose record is refused even so is suspended: what the store doesn't have never starts, and no end is acknowledged that it doesn't have, but all else goes on. Ends are acknowledged up to the first that isn't stored. Batches take no record from 256 KiB on.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -14,6 +14,9 @@
 // of the leader record, for the models of interference and of run times, and for the bound of the leases.
 const maxRecords = kv.MaxEntries - 7
 
+// maxBatchBytes is the size of the progress records from which a batch gets no further one: a commit must pass the slowest links within its timeout.
+const maxBatchBytes = 256 << 10
+
 // checkpointInterval is the least time between two writes of a job that are due to checkpoints alone: tasks save a
 // checkpoint once or twice a second, and a record has up to some kilobytes.
 const checkpointInterval = time.Second
@@ -24,6 +27,10 @@
 	versions map[*trackedJob]uint64
 	runs     []batchedRun
 	removed  []job.ID
+	// bytes is the size of the progress records, models reports whether the batch has models, alone whether it has the record of an isolated job.
+	bytes  int
+	models bool
+	alone  bool
 	// reacquire reports whether the batch writes the leader record under a new lease.
 	reacquire bool
 }
@@ -46,19 +53,9 @@
 		b.txn.Conditions = []kv.Condition{{Key: record.LeaderKey}}
 		b.txn.Puts = []kv.Put{leader}
 	}
-	for _, id := range t.sortedDirty() {
-		if len(b.versions) == maxRecords {
-			break
-		}
-		delete(t.dirty, id)
-		if err := t.addProgress(b, t.jobs[id]); err != nil {
-			return nil, err
-		}
-	}
-	if err := t.addCheckpoints(b); err != nil {
+	if err := t.addChanged(b); err != nil {
 		return nil, err
 	}
-	t.addRemovals(b)
 	if len(b.versions) == 0 && len(b.removed) == 0 && !b.reacquire {
 		return nil, nil
 	}
@@ -76,18 +73,47 @@
 	return b, nil
 }
 
+// addChanged adds the changed jobs that fit into a batch, then due checkpoints and removals; an isolated job is added alone.
+func (t *term) addChanged(b *batch) error {
+	for _, id := range t.sortedDirty() {
+		if len(b.versions) == maxRecords || b.bytes >= maxBatchBytes {
+			break
+		}
+		if t.isolated[id] && len(b.versions) > 0 {
+			continue
+		}
+		delete(t.dirty, id)
+		if err := t.addProgress(b, t.jobs[id]); err != nil {
+			return err
+		}
+		if b.alone = t.isolated[id]; b.alone {
+			return nil
+		}
+	}
+	if err := t.addCheckpoints(b); err != nil {
+		return err
+	}
+	t.addRemovals(b)
+	return nil
+}
+
 // addProgress adds the progress record of a job; nil stands for a job that was removed.
 func (t *term) addProgress(b *batch, tracked *trackedJob) error {
 	if tracked == nil {
 		return nil
 	}
-	value, omitted, err := tracked.job.EncodeProgress(job.MaxStoredCheckpoints)
+	maxCheckpoints := job.MaxStoredCheckpoints
+	if tracked.omitsCheckpoints {
+		maxCheckpoints = 0
+	}
+	value, omitted, err := tracked.job.EncodeProgress(maxCheckpoints)
 	if err != nil {
 		return err
 	}
 	t.recordOmittedCheckpoints(tracked, omitted)
 	b.txn.Puts = append(b.txn.Puts, kv.Put{Key: record.ProgressKey(tracked.job.ID()), Value: value})
 	b.versions[tracked] = tracked.version
+	b.bytes += len(value)
 	tracked.unsavedCheckpoints, tracked.batchedAt = false, time.Now()
 	return nil
 }
@@ -98,8 +124,7 @@
 		return
 	}
 	tracked.omittedCheckpoints = omitted
-	t.logger.Warn("checkpoints are left out of the progress of a job; job=%s omitted=%d max_bytes=%d",
-		tracked.job.ID(), omitted, job.MaxStoredCheckpoints)
+	t.logger.Warn("checkpoints are left out of the progress of a job; job=%s omitted=%d", tracked.job.ID(), omitted)
 }
 
 // addCheckpoints adds jobs with new checkpoints to a batch that is not empty, so that little work is repeated if all VMs
@@ -110,12 +135,15 @@
 	}
 	var due []job.ID
 	for id, tracked := range t.jobs {
-		if tracked.unsavedCheckpoints && !b.contains(tracked) && time.Since(tracked.batchedAt) >= checkpointInterval {
+		if tracked.unsavedCheckpoints && !b.contains(tracked) && !t.isolated[id] && time.Since(tracked.batchedAt) >= checkpointInterval {
 			due = append(due, id)
 		}
 	}
 	slices.Sort(due)
 	for _, id := range due[:min(len(due), maxRecords-len(b.versions))] {
+		if b.bytes >= maxBatchBytes {
+			return nil
+		}
 		if err := t.addProgress(b, t.jobs[id]); err != nil {
 			return err
 		}
@@ -148,6 +176,9 @@
 // addRemovals adds the removal of jobs whose retention after the end is over.
 func (t *term) addRemovals(b *batch) {
 	const keysPerJob = 3
+	if t.removalsRefused {
+		return
+	}
 	for id, tracked := range t.jobs {
 		if len(b.versions)+keysPerJob*(len(b.removed)+1) > maxRecords {
 			return
--- a/internal/dispatch/clustermodel_property_test.go
+++ b/internal/dispatch/clustermodel_property_test.go
@@ -21,7 +21,7 @@
 		return kvtest.None
 	}
 	m.consecutiveFailures++
-	return rapid.SampledFrom([]kvtest.Failure{kvtest.Refused, kvtest.AnswerLost, kvtest.Late, kvtest.RequestLost}).Draw(m.t, "how")
+	return rapid.SampledFrom([]kvtest.Failure{kvtest.Refused, kvtest.AnswerLost, kvtest.Late, kvtest.RequestLost, kvtest.Invalid}).Draw(m.t, "how")
 }
 
 func (m *clusterModel) performAction() {
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -21,6 +21,7 @@
 func (t *term) schedule() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.resumeSuspended(time.Now())
 	t.expireWorkers()
 	t.stopStalled()
 	t.moveFromDraining()
@@ -71,6 +72,9 @@
 		if fault.Is(err, fault.Stale) || ctx.Err() != nil {
 			return err
 		}
+		if refusesContent(err) && t.narrowRefusal(b, err) {
+			return nil
+		}
 		t.logger.Warn("commit failed and is retried; commit=%d records=%d reason=%v", t.commitCount+1, len(b.versions), err)
 		if fault.Is(err, fault.NotFound) {
 			return fault.Wrap(err, fault.Stale, "the leader's lease has expired")
@@ -110,6 +114,10 @@
 	}
 	for tracked, version := range b.versions {
 		tracked.savedVersion = max(tracked.savedVersion, version)
+		if b.alone {
+			delete(t.isolated, tracked.job.ID())
+			tracked.refusedDelay = 0
+		}
 	}
 	for _, id := range b.removed {
 		maps.DeleteFunc(t.advice, func(s stepID, _ *advice) bool { return s.job == id })
--- a/internal/dispatch/groups.go
+++ b/internal/dispatch/groups.go
@@ -19,7 +19,7 @@
 	var groups []*plan.Group
 	now := time.Now()
 	for _, tracked := range t.jobs {
-		if tracked.job.State().IsFinal() {
+		if tracked.job.State().IsFinal() || tracked.suspended() {
 			continue
 		}
 		tracked.updateIdle(now)
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -96,10 +96,7 @@
 // markDirty records that a job changed and has to be committed.
 func (t *term) markDirty(tracked *trackedJob) {
 	tracked.version++
-	if _, queued := t.dirty[tracked.job.ID()]; !queued {
-		t.changeCount++
-		t.dirty[tracked.job.ID()] = t.changeCount
-	}
+	t.enqueue(tracked)
 }
 
 // stopRuns requests the stop of all remaining runs of a job that ended.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
@@ -55,7 +57,8 @@
 		t.logger.Warn("report rejected; vm=%s instance=%s reason=%v", r.VM, r.Incarnation(), err)
 		return link.ReportAnswer{}, err
 	}
-	return t.completeAnswer(received, t.awaitSaved(received.requiredVersions)), nil
+	t.awaitSaved(received.requiredVersions)
+	return t.completeAnswer(received), nil
 }
 
 // receiveReport records the reported state of an agent and its worker and prepares the answer.
@@ -97,18 +100,16 @@
 	return received, nil
 }
 
-// completeAnswer adds the lease, the entries and, if the changes from the report are saved, the acknowledgements to the answer.
-func (t *term) completeAnswer(received *receivedReport, saved bool) link.ReportAnswer {
+// completeAnswer adds the lease, the entries and the acknowledgements of what is saved to the answer.
+func (t *term) completeAnswer(received *receivedReport) link.ReportAnswer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a, r, answer := received.agent, received.report, received.answer
-	if saved {
+	if !t.unsaved(received.requiredVersions) {
 		answer.AcknowledgedCrashes = received.lastCrash
 	}
-	if saved && received.reconciled && a.host == (job.Host{VM: r.VM, Incarnation: r.Incarnation()}) {
-		for _, e := range r.Ended {
-			a.acknowledgedEnds = max(a.acknowledgedEnds, e.Sequence)
-		}
+	if received.reconciled && a.host == (job.Host{VM: r.VM, Incarnation: r.Incarnation()}) {
+		a.acknowledgedEnds = max(a.acknowledgedEnds, t.lastSavedEnd(received))
 	}
 	age := t.verificationAge()
 	answer.AcknowledgedEnds = a.acknowledgedEnds
@@ -184,20 +185,50 @@
 	t.hosts.get(current).draining = r.Draining
 }
 
-// awaitSaved waits until the required versions of jobs are saved, and reports whether they are within commitWaitTimeout.
+// lastSavedEnd returns the sequence up to which all reported ends are saved, 0 for none. An acknowledgement covers all ends up to its sequence.
+func (t *term) lastSavedEnd(received *receivedReport) uint64 {
+	last := uint64(0)
+	ends := slices.SortedFunc(slices.Values(received.report.Ended), func(x, y link.Ended) int { return cmp.Compare(x.Sequence, y.Sequence) })
+	for _, e := range ends {
+		if tracked := t.jobOf(e.Run); tracked != nil && tracked.savedVersion < received.requiredVersions[tracked] {
+			break
+		}
+		last = e.Sequence
+	}
+	return last
+}
+
+// unsaved reports whether the required version of a job is not saved.
+func (t *term) unsaved(required map[*trackedJob]uint64) bool {
+	for tracked, version := range required {
+		if tracked.savedVersion < version {
+			return true
+		}
+	}
+	return false
+}
+
+// savesPending reports whether the required version of a job is not saved but may be soon.
+func (t *term) savesPending(required map[*trackedJob]uint64) bool {
+	for tracked, version := range required {
+		if tracked.savedVersion < version && !tracked.suspended() {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitSaved waits until the required versions of jobs are saved, and reports whether they are within commitWaitTimeout. It does not wait for jobs whose
+// progress the store refuses.
 func (t *term) awaitSaved(required map[*trackedJob]uint64) bool {
 	deadline := time.NewTimer(commitWaitTimeout)
 	defer deadline.Stop()
 	for {
 		t.mu.Lock()
-		committed := t.committed
-		missing := false
-		for tracked, version := range required {
-			missing = missing || tracked.savedVersion < version
-		}
+		committed, pending, unsaved := t.committed, t.savesPending(required), t.unsaved(required)
 		t.mu.Unlock()
-		if !missing {
-			return true
+		if !pending {
+			return !unsaved
 		}
 		select {
 		case <-committed:
--- a/internal/dispatch/savedmodel.go
+++ b/internal/dispatch/savedmodel.go
@@ -36,7 +36,7 @@
 
 // addModels adds the models to a batch that commits jobs, if their save is due.
 func (t *term) addModels(b *batch) {
-	if time.Since(t.modelSavedAt) < modelSaveInterval || len(b.versions) == 0 {
+	if time.Since(t.modelSavedAt) < modelSaveInterval || len(b.versions) == 0 || b.alone || t.modelsRefused {
 		return
 	}
 	for _, m := range t.savedModels() {
@@ -45,7 +45,7 @@
 			t.logger.Error("cannot encode the %s: %v", m.name, err)
 			continue
 		}
-		t.modelSavedAt = time.Now()
+		t.modelSavedAt, b.models = time.Now(), true
 		b.txn.Puts = append(b.txn.Puts, kv.Put{Key: m.key, Value: value})
 	}
 }
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -94,6 +94,10 @@
 	// closuresUnconfirmed reports whether placement is paused because the store has not confirmed recently which halls are closed.
 	closuresUnconfirmed bool
 	leaseReplaced       bool
+	// isolated has the jobs whose records are committed alone since the store refused a batch with them; modelsRefused and removalsRefused are set once
+	// it refused one for its models or removals.
+	isolated                       map[job.ID]bool
+	modelsRefused, removalsRefused bool
 	// leasesStored reports whether the store has the bound of the leases up to this term.
 	leasesStored bool
 	backlog      batchBacklog
@@ -117,7 +121,7 @@
 		dispatcher: d, epoch: epoch, lease: lease, store: d.config.Store, logger: d.logger, startedAt: time.Now(),
 		changed: make(chan struct{}, 1), done: make(chan struct{}), committed: make(chan struct{}),
 		jobs: make(map[job.ID]*trackedJob), hosts: newHostSet(), agents: make(map[string]*agent),
-		roster: newRoster(d.config.Address), dirty: make(map[job.ID]uint64), advice: make(map[stepID]*advice),
+		roster: newRoster(d.config.Address), dirty: make(map[job.ID]uint64), isolated: make(map[job.ID]bool), advice: make(map[stepID]*advice),
 		unreachable: make(map[job.Host]unreachable),
 		lateStarts:  make(host.LateCalls[lateStart]),
 		pressure:    pressure.NewModel(), closures: d.config.Closures,
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -22,8 +22,13 @@
 	unsavedCheckpoints bool
 	// omittedCheckpoints counts the checkpoints that the latest progress record leaves out.
 	omittedCheckpoints int
-	batchedAt          time.Time
-	failedHosts        map[job.Host]bool
+	// omitsCheckpoints is set once the store has refused the record with checkpoints; refusedDelay is the delay after the latest refusal without, and
+	// suspendedUntil its end, zero unless the job waits for it.
+	omitsCheckpoints bool
+	refusedDelay     time.Duration
+	suspendedUntil   time.Time
+	batchedAt        time.Time
+	failedHosts      map[job.Host]bool
 	// suspectedSince has the tasks that wait to start alone on a worker, with the start of the wait.
 	suspectedSince map[job.TaskID]time.Time
 	// idleTasks are the long-running tasks that do not run.
--- a/internal/kvtest/kvtest.go
+++ b/internal/kvtest/kvtest.go
@@ -26,6 +26,8 @@
 	Late
 	// RequestLost calls take no effect, and their answer is lost.
 	RequestLost
+	// Invalid calls take no effect and are refused for their content.
+	Invalid
 )
 
 // Store is an in-memory store.
@@ -42,8 +44,9 @@
 	late    []kv.Txn
 	commits int
 	changed chan struct{}
-	// failure returns the failure of the next commit.
+	// failure returns the failure of the next commit, refuses reports whether the store refuses the content of a put.
 	failure func() Failure
+	refuses func(kv.Put) bool
 }
 
 var _ kv.Store = (*Store)(nil)
@@ -60,6 +63,13 @@
 	s.failure = failure
 }
 
+// SetRefuses sets the function that reports whether the store refuses the content of a put.
+func (s *Store) SetRefuses(refuses func(kv.Put) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuses = refuses
+}
+
 // ApplyLate applies the late commits in order.
 func (s *Store) ApplyLate() {
 	s.mu.Lock()
@@ -170,6 +180,9 @@
 		max(len(change.Conditions), len(change.Puts), len(change.Removes)) > kv.MaxEntries {
 		return 0, fault.New(fault.BadInput, "more than %d entries", kv.MaxEntries)
 	}
+	if s.refuses != nil && slices.ContainsFunc(change.Puts, s.refuses) {
+		return 0, fault.New(fault.BadInput, "refused as invalid")
+	}
 	failure := None
 	if s.failure != nil {
 		failure = s.failure()
@@ -177,6 +190,8 @@
 	switch failure {
 	case Refused:
 		return 0, fault.New(fault.Unavailable, "refused")
+	case Invalid:
+		return 0, fault.New(fault.BadInput, "refused as invalid")
 	case RequestLost:
 		return 0, fault.New(fault.OutcomeUnknown, "no answer")
 	case Late:
