Keep reports of agents below the limit of a message

Callers would have seen a worker count as lost for good: a report over 2 MiB ends the connection, and the agent sends the same again without end.

Neither the runs of a worker nor the length of a checkpoint is bounded. Ended runs now go as far as 512 KiB of checkpoints allow, by their size in JSON, and the report says that there are more; those of running runs follow with later reports. A checkpoint that fits into no message is given up.

--- a/internal/link/rows.go
+++ b/internal/link/rows.go
@@ -100,10 +100,11 @@
 // NewRowWriter returns a writer for a new connection.
 func NewRowWriter() *RowWriter { return &RowWriter{named: make(map[Run]namedRow)} }
 
-// Write returns the runs of a report as rows, with the names of the runs that are new on the connection.
+// Write returns the runs of a report as rows, with the names of the runs that are new on the connection. Checkpoints that don't fit into the report
+// are written with later ones.
 func (w *RowWriter) Write(running []Running) ([]Row, []RowName) {
 	rows, names := make([]Row, 0, len(running)), []RowName(nil)
-	named := make(map[Run]namedRow, len(running))
+	named, budget := make(map[Run]namedRow, len(running)), NewCheckpointBudget()
 	for _, r := range running {
 		known, ok := w.named[r.Run]
 		if !ok || known.checkpoint != "" && r.Checkpoint == "" {
@@ -112,7 +113,7 @@
 			names = append(names, RowName{Run: r.Run, Row: known.number})
 		}
 		row := Row{number: known.number, percent: r.Percent, measurement: r.Measurement, pace: r.Pace, starting: r.Starting}
-		if r.Checkpoint != known.checkpoint {
+		if r.Checkpoint != known.checkpoint && budget.Take(r.Checkpoint) {
 			row.checkpoint, known.checkpoint = r.Checkpoint, r.Checkpoint
 		}
 		named[r.Run] = known
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -129,12 +129,19 @@
 	entryList uint64
 }
 
-// compact replaces the running runs of a report by rows if the leader reads them.
+// compact replaces the running runs of a report by rows if the leader reads them. Checkpoints that don't fit into the report follow in later ones.
 func (u *uplink) compact(report *link.Report) {
 	report.EntriesVersion = u.entryList
 	if u.rowWriter != nil {
 		report.Rows, report.RowNames = u.rowWriter.Write(report.Running)
 		report.Running = nil
+		return
+	}
+	budget := link.NewCheckpointBudget()
+	for i := range report.Running {
+		if !budget.Take(report.Running[i].Checkpoint) {
+			report.Running[i].Checkpoint = ""
+		}
 	}
 }
 
@@ -245,7 +252,6 @@
 	report.Draining, report.RemainingMillis = latest.Draining, latest.Remaining.Milliseconds()
 	report.Unreachable, report.FirstFailureMillis = w.unreachable, millisSince(w.firstFailure)
 	report.Fenced = w.views > 0 && r.fences.covers(w.highestFence, r.epoch)
-	report.MoreEnds = w.view.MoreEnds
 	w.addRuns(&report)
 	return report, w
 }
@@ -259,14 +265,30 @@
 	return !r.startedAt.IsZero() && now.Sub(r.startedAt) > runLease
 }
 
+// addEnded adds the ended runs of the latest view to a report, up to the first whose checkpoint doesn't fit: the next follow once these are
+// acknowledged. A checkpoint that fits into no message is given up.
+func (w *workerState) addEnded(report *link.Report) {
+	budget := link.NewCheckpointBudget()
+	report.MoreEnds = w.view.MoreEnds
+	for _, e := range w.view.Ended {
+		checkpoint := e.Checkpoint
+		if link.TooLong(checkpoint) {
+			checkpoint = ""
+		}
+		if !budget.Take(checkpoint) {
+			report.MoreEnds = true
+			return
+		}
+		report.Ended = append(report.Ended, link.Ended{Run: wireRun(e.Run), Sequence: e.Sequence, End: int(e.End), Checkpoint: checkpoint})
+	}
+}
+
 // addRuns adds the runs of the latest view and the unsettled orders to a report.
 func (w *workerState) addRuns(report *link.Report) {
+	w.addEnded(report)
 	listed := make(map[host.Run]bool, len(w.view.Ended)+len(w.view.Running))
 	for _, e := range w.view.Ended {
 		listed[e.Run] = true
-		report.Ended = append(report.Ended, link.Ended{
-			Run: wireRun(e.Run), Sequence: e.Sequence, End: int(e.End), Checkpoint: e.Checkpoint,
-		})
 	}
 	for _, running := range w.view.Running {
 		listed[running.Run] = true
