End the wait of failed tasks for other workers

Cause: a worker on which a run of the task has failed, or which its job avoids, was excluded as long as another worker could take the task by its total capacity, whether that one ever has room or not, and without end.

Evidence: after `run ended` the plan leaves the task out for this reason alone; no worker is ejected, and the wait of last attempts has an end.

The exclusion ends 2.5 s after the task became ready, below the 3 s within which it must start. Each run waits anew, so that the attempts are spread over the time for which a worker fails all that it starts.

--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -63,7 +63,8 @@
 	return &trackedJob{
 		job: j, acceptedAt: localAcceptTime(j.Accepted()), failedHosts: make(map[job.Host]bool), suspectedSince: make(map[job.TaskID]time.Time),
 		idleTasks: make(map[job.TaskID]idleTask), backoffs: make(map[job.TaskID]backoff), failedOn: make(map[job.TaskID][]job.Host), lastAttempts: make(map[job.TaskID]lastAttempt),
-		gangFailures: make(map[gangWorker]int),
+		excludedWaits: make(map[job.TaskID]excludedWait),
+		gangFailures:  make(map[gangWorker]int),
 	}
 }
 
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -12,6 +12,9 @@
 const (
 	// maxHealthyWait is how long a task on its last attempt waits for a healthy worker before a degraded one will do.
 	maxHealthyWait = 2 * time.Second
+	// maxExcludedWait is how long a restarted task waits for room outside the workers on which it failed or that its job avoids; then it restarts there:
+	// a task with its turn and room for it must start within 3 s.
+	maxExcludedWait = 2500 * time.Millisecond
 	// strictAvoidDivisor is the divisor of the number of schedulable workers of a service that gives how many a job may avoid
 	// before avoidance is only a cost: otherwise a job whose tasks fail everywhere could not restart them.
 	strictAvoidDivisor = 2
@@ -24,6 +27,12 @@
 	held bool
 }
 
+// excludedWait is the wait of a restarted task for room outside its excluded workers since the end of a run.
+type excludedWait struct {
+	run   int
+	since time.Time
+}
+
 // retryRules splits the waiting groups of a plan by where their tasks may start.
 type retryRules struct {
 	term    *term
@@ -43,10 +52,12 @@
 	// the tasks have failed.
 	restarted bool
 	failedOn  []job.Host
+	// waited is set once the tasks have waited long enough for room elsewhere to start on any worker.
+	waited bool
 }
 
 func (k retryKind) equal(other retryKind) bool {
-	return k.lastAttempt == other.lastAttempt && k.worst == other.worst && k.restarted == other.restarted && slices.Equal(k.failedOn, other.failedOn)
+	return k.lastAttempt == other.lastAttempt && k.worst == other.worst && k.restarted == other.restarted && k.waited == other.waited && slices.Equal(k.failedOn, other.failedOn)
 }
 
 // splitRetries gives tasks on their last attempt and restarted tasks groups of their own, with the workers where they must
@@ -120,6 +131,7 @@
 // kindOf returns the kind of a waiting finite task, or of the gang of a first member.
 func (r *retryRules) kindOf(tracked *trackedJob, id job.TaskID, service string) retryKind {
 	kind := retryKind{restarted: len(tracked.failedHosts) > 0 && tracked.job.Task(id).Run() > 0, failedOn: tracked.failedOn[id]}
+	kind.waited = r.waitedForOther(tracked, id, kind)
 	if r.allHealthy || !tracked.job.OnLastAttempt(id) {
 		return kind
 	}
@@ -133,6 +145,20 @@
 	return kind
 }
 
+// waitedForOther reports whether a restarted task has waited maxExcludedWait since its latest run for a worker that is not excluded. Such a worker may never
+// have room.
+func (r *retryRules) waitedForOther(tracked *trackedJob, id job.TaskID, kind retryKind) bool {
+	if !kind.restarted && len(kind.failedOn) == 0 {
+		return false
+	}
+	run, waiting := tracked.job.Task(id).Run(), tracked.excludedWaits[id]
+	if waiting.run != run {
+		waiting = excludedWait{run: run, since: r.now}
+		tracked.excludedWaits[id] = waiting
+	}
+	return r.now.Sub(waiting.since) >= maxExcludedWait
+}
+
 // waitedForHealthy reports whether a task on its last attempt has waited maxHealthyWait for a healthy worker.
 func (r *retryRules) waitedForHealthy(tracked *trackedJob, id job.TaskID) bool {
 	waiting, waits := tracked.lastAttempts[id]
@@ -157,8 +183,11 @@
 }
 
 // excluded returns the workers on which tasks of a kind must not start. Workers that the job avoids, and then also those on
-// which runs of the tasks have failed, are allowed again if the tasks could start on no other worker.
+// which runs of the tasks have failed, are allowed again if the tasks could start on no other worker or have waited for one.
 func (r *retryRules) excluded(g *plan.Group, tracked *trackedJob, kind retryKind) map[job.Host]bool {
+	if kind.waited {
+		return nil
+	}
 	failed := make(map[job.Host]bool)
 	for _, h := range kind.failedOn {
 		failed[h] = true
--- a/internal/dispatch/retries_test.go
+++ b/internal/dispatch/retries_test.go
@@ -81,3 +81,28 @@
 		})
 	}
 }
+
+// TestFailedTaskRestartsWhereItFailedIfOthersStayFull guards against a task that waits without end beside a worker with room: it had failed there once, and
+// the only other worker that it may run on stays full.
+func TestFailedTaskRestartsWhereItFailedIfOthersStayFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &healthFleet{t: t, store: kvtest.New(), began: time.Now()}
+		f.lead(healthEntry("e", f.store, true))
+		full := f.addWorker("a", 4000)
+		f.run(100 * time.Millisecond)
+		f.healthTask(1, 4000, 9, time.Hour)
+		f.run(100 * time.Millisecond)
+		bad := f.addWorker("b", 4000)
+		const grey = 5 * time.Second
+		bad.failsFrom, bad.failsTo = time.Now(), time.Now().Add(grey)
+		f.run(20 * time.Millisecond)
+		failing := f.healthTask(2, 1000, 4, 300*time.Millisecond)
+		f.run(maxExcludedWait - 200*time.Millisecond)
+		assert.Equal(t, f.failed, 1, "it waits for room elsewhere first")
+		assert.Equal(t, len(full.runs), 1)
+		f.run(400 * time.Millisecond)
+		assert.Equal(t, f.failed, 2)
+		f.run(grey)
+		assert.Equal(t, f.leader.jobs[failing.Job].job.State(), job.Completed)
+	})
+}
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -38,9 +38,11 @@
 	// gangFailures has the latest failed or stalled run of each gang by the worker of the members that failed.
 	gangFailures map[gangWorker]int
 	// failedOn has the workers on which runs of a finite task have failed, lastAttempts the tasks on their last attempt that wait for a healthy
-	// worker; both have a gang by its first member and are only used where the health of workers is tracked.
-	failedOn     map[job.TaskID][]job.Host
-	lastAttempts map[job.TaskID]lastAttempt
+	// worker, excludedWaits those that wait for one that is not excluded; all have a gang by its first member and are only used where the health of
+	// workers is tracked.
+	failedOn      map[job.TaskID][]job.Host
+	lastAttempts  map[job.TaskID]lastAttempt
+	excludedWaits map[job.TaskID]excludedWait
 	// endedTasks has the run times of the ended tasks of each step, as far as they count as evidence.
 	endedTasks map[stepID]*estimate.Step
 }
