Request advice for workers that come later

The only worker that may run the step had crashed and was back.

Cause: the answers about a step had one time of expiry for the step, so that a worker that was not named in the call, as it came later or was draining, unreported or in a chunk after a failed call, was not asked about until two thirds of valid_ms were over.

Evidence: the record of the service has one call, the log of the leader no start; the worker takes other tasks meanwhile.

Answers are now kept for each incarnation. Whenever tasks of the step wait, the leader asks about the schedulable incarnations for which it has no valid answer, and only about these: the service takes one call at a time. Answers before a failed call hold; a refused ticket drops that of its worker.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -37,11 +38,23 @@
 	adviceRetryDelay = 300 * time.Millisecond
 )
 
-// advice holds the tickets of one step.
+// advice is what the advisor has answered about one step.
 type advice struct {
-	tickets    map[incarnation.ID]string
+	answers map[incarnation.ID]adviceAnswer
+	pending bool
+	// retryAt is until when no call is made after a failed one.
+	retryAt time.Time
+}
+
+// adviceAnswer is the answer about one incarnation: the ticket for its starts, empty if it may not run the step.
+type adviceAnswer struct {
+	ticket     string
 	validUntil time.Time
-	pending    bool
+}
+
+// missing returns those of some incarnations about which there is no valid answer.
+func (a *advice) missing(incarnations []incarnation.ID, now time.Time) []incarnation.ID {
+	return slices.DeleteFunc(incarnations, func(id incarnation.ID) bool { return now.Before(a.answers[id].validUntil) })
 }
 
 type stepID struct {
@@ -54,22 +67,26 @@
 	return job.TaskID{Job: s.job, Iteration: s.time, Step: s.step}.StepName()
 }
 
-// ticketsFor returns the tickets of a step by worker, and requests new ones in the background if none are valid.
+// ticketsFor returns the valid tickets of a step by worker, and requests in the background those of schedulable workers about which the advisor has not
+// answered yet: an answer covers only the incarnations that were named in the call.
 func (t *term) ticketsFor(id stepID, service string) map[job.Host]string {
 	cached := t.advice[id]
 	if cached == nil {
-		cached = &advice{}
+		cached = &advice{answers: make(map[incarnation.ID]adviceAnswer)}
 		t.advice[id] = cached
 	}
-	if !cached.pending && time.Now().After(cached.validUntil) {
-		cached.pending, cached.tickets = true, nil
-		go t.fetchAdvice(id, t.openIncarnations(service))
+	now := time.Now()
+	if !cached.pending && !now.Before(cached.retryAt) {
+		if missing := cached.missing(t.openIncarnations(service), now); len(missing) > 0 {
+			cached.pending = true
+			go t.fetchAdvice(id, cached, missing)
+		}
 	}
 	tickets := make(map[job.Host]string)
 	for _, h := range t.hosts.all() {
 		host := h.worker.Host
-		if ticket, ok := cached.tickets[host.Incarnation]; ok {
-			tickets[host] = ticket
+		if answer := cached.answers[host.Incarnation]; answer.ticket != "" && now.Before(answer.validUntil) {
+			tickets[host] = answer.ticket
 		}
 	}
 	return tickets
@@ -85,30 +102,42 @@
 	return incarnations
 }
 
-// fetchAdvice asks about all workers of a step in chunks; the service accepts only one call at a time.
-func (t *term) fetchAdvice(id stepID, workers []incarnation.ID) {
+// fetchAdvice asks about workers of a step in chunks; the service accepts only one call at a time. The answers to earlier chunks hold if a later call fails.
+func (t *term) fetchAdvice(id stepID, cached *advice, workers []incarnation.ID) {
 	t.adviceMu.Lock()
 	defer t.adviceMu.Unlock()
-	byIncarnation := make(map[incarnation.ID]string)
-	valid := adviceRetryDelay
 	for chunk := range slices.Chunk(workers, maxAdvisedWorkers) {
 		ctx, cancel := context.WithTimeout(context.Background(), adviceTimeout)
 		tickets, err := t.dispatcher.config.Advisor.Advise(ctx, id.String(), workerIDs(chunk))
 		cancel()
 		if err != nil {
 			t.logger.Warn("advice request failed; step=%s workers=%d reason=%v", id, len(chunk), err)
-			break
-		}
-		for _, worker := range chunk {
-			if ticket, ok := tickets.ByInstance[worker.Worker()]; ok {
-				byIncarnation[worker] = ticket
-			}
+			t.endAdvice(cached, time.Now().Add(adviceRetryDelay))
+			return
 		}
-		valid = max(adviceRetryDelay, tickets.Valid-tickets.Valid/ticketReserveDivisor)
+		t.applyAdvice(cached, chunk, tickets)
+	}
+	t.endAdvice(cached, time.Time{})
+}
+
+// applyAdvice adds the answer about a chunk of workers and drops answers that have expired.
+func (t *term) applyAdvice(cached *advice, workers []incarnation.ID, tickets Tickets) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(cached.answers, func(_ incarnation.ID, a adviceAnswer) bool { return !now.Before(a.validUntil) })
+	validUntil := now.Add(max(adviceRetryDelay, tickets.Valid-tickets.Valid/ticketReserveDivisor))
+	for _, worker := range workers {
+		cached.answers[worker] = adviceAnswer{ticket: tickets.ByInstance[worker.Worker()], validUntil: validUntil}
 	}
+	t.notifyChange()
+}
+
+// endAdvice ends a request about a step; retryAt is the time of the next after a failed call, zero otherwise.
+func (t *term) endAdvice(cached *advice, retryAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.advice[id] = &advice{tickets: byIncarnation, validUntil: time.Now().Add(valid)}
+	cached.pending, cached.retryAt = false, retryAt
 	t.notifyChange()
 }
 
@@ -121,8 +150,12 @@
 	return ids
 }
 
-// dropAdvice discards the tickets of a step after a worker refused one of them.
-func (t *term) dropAdvice(id job.TaskID) { delete(t.advice, stepID{id.Job, id.Iteration, id.Step}) }
+// dropAdvice discards the ticket of a step for a worker that refused it.
+func (t *term) dropAdvice(id job.TaskID, worker job.Host) {
+	if cached := t.advice[stepID{id.Job, id.Iteration, id.Step}]; cached != nil {
+		delete(cached.answers, worker.Incarnation)
+	}
+}
 
 // addTickets adds the tickets of the step to a group if its queue is advised.
 func (t *term) addTickets(g *plan.Group, queue job.Queue) {
--- a/internal/dispatch/incarnations_test.go
+++ b/internal/dispatch/incarnations_test.go
@@ -224,7 +224,8 @@
 		leader := termWithStartTime(t, kvtest.New(), a)
 		leader.dispatcher.config.Advisor = &fakeAdvisor{allowed: "i1"}
 		step := stepID{job: testJob}
-		leader.fetchAdvice(step, leader.openIncarnations(testService))
+		leader.ticketsFor(step, testService)
+		time.Sleep(10 * time.Millisecond)
 		host := job.Host{VM: "vm", Incarnation: incarnation.New("i1", 1)}
 		assert.Equal(t, leader.ticket(host, job.TaskID{Job: testJob}), "ticket")
 		host.Incarnation = incarnation.New("i1", 2)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -137,5 +137,5 @@
 	if stepAdvice == nil {
 		return ""
 	}
-	return stepAdvice.tickets[h.Incarnation]
+	return stepAdvice.answers[h.Incarnation].ticket
 }
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -58,7 +58,7 @@
 	case p.handedOver:
 		// The run was never ordered on this incarnation, so its rejection says nothing about the worker.
 	case host.Refusal(r.Refusal) == host.RefusedTicket:
-		t.dropAdvice(id)
+		t.dropAdvice(id, h.worker.Host)
 	default:
 		tracked.failedHosts[h.worker.Host] = true
 		tracked.backOffAfterRefusal(id, host.Refusal(r.Refusal))
