Wait for leases that calls for a previous incarnation set

Workers start again under their ids, and their VMs are cut off soon after.

Cause: a deadline is a time on the clock of one incarnation. The leader gave up the runs 5.4 s after the last report.

Renewals and starts have a deadline only if the incarnation has just answered, and renewals use their fence, so that a later incarnation rejects them. For a call that the next one carries out before the fence reaches it, the agent assumes the longest lease from that moment and reports it; the leader waits for it before it gives up the runs, and stores it with them for the next leader.

--- a/internal/dispatch/agentlease.go
+++ b/internal/dispatch/agentlease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
 
@@ -16,6 +17,27 @@
 	return r.Epoch == t.epoch && r.Instance != "" && r.Fenced
 }
 
+// confirm records that its agent has confirmed the incarnation, whose runs may go on without it until a time. The first report decides: from then on the
+// worker rejects calls for previous incarnations, and the agent lease bounds all others.
+func (h *hostState) confirm(heldUntil time.Time) {
+	if !h.confirmed {
+		h.confirmed, h.heldUntil = true, heldUntil
+	}
+}
+
+// leaseMayLast reports whether the lease of a worker may last although that of its agent has expired: a call for the previous incarnation under the same
+// id may have set it on another clock.
+func (h *hostState) leaseMayLast(now time.Time) bool { return now.Before(h.heldUntil) }
+
+// remainingLease returns how long the runs of a worker may go on without its agent. It is stored with the runs, so that the next leader knows it.
+func (t *term) remainingLease(worker job.Host) time.Duration {
+	h := t.hosts.get(worker)
+	if h == nil || worker.Incarnation.StartMillis() == 0 {
+		return 0
+	}
+	return max(time.Until(h.heldUntil), 0)
+}
+
 // releaseRuns gives up the runs of the reported incarnation, or all runs on the VM if its agent knows no worker, once the report shows that their
 // leases have expired. A worker that is gone can confirm nothing, so its answer is not needed: the agent follows this leader, so no earlier one
 // prolongs a lease through it, and its own clock covers what it and its previous process have sent.
@@ -23,8 +45,9 @@
 	if r.Epoch != t.epoch || !r.LeaseExpired {
 		return
 	}
+	now := time.Now()
 	for _, h := range t.hosts.onVM(r.VM) {
-		if r.Instance == "" || h.worker.Host.Incarnation == r.Incarnation() {
+		if r.Instance == "" && !h.leaseMayLast(now) || h.worker.Host.Incarnation == r.Incarnation() {
 			t.markUnreachable(h, "its agent reports that all leases have expired")
 		}
 	}
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -106,7 +106,7 @@
 	if tracked.omitsCheckpoints {
 		maxCheckpoints = 0
 	}
-	value, omitted, err := tracked.job.EncodeProgress(maxCheckpoints)
+	value, omitted, err := tracked.job.EncodeProgress(maxCheckpoints, t.remainingLease)
 	if err != nil {
 		return err
 	}
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -17,6 +17,9 @@
 	runs   map[job.TaskID]*placedRun
 	// ended reports whether the incarnation has ended and its runs were counted as lost.
 	ended bool
+	// heldUntil is until when its runs may go on without its agent, as stored or as first reported; confirmed reports whether it is known.
+	confirmed bool
+	heldUntil time.Time
 	// draining reports whether the worker drains: it takes no more starts, and its runs end with it.
 	draining bool
 	// sampledAt is when the measurements were last evaluated, imageUsage has the share of the worker's processors that the best-effort tasks
--- a/internal/dispatch/modelworker_test.go
+++ b/internal/dispatch/modelworker_test.go
@@ -32,6 +32,11 @@
 	lastEnd        uint64
 	// startDelay delays starts, which then get no answer; with 0 they are carried out and answered at once.
 	startDelay time.Duration
+	// lateRenewals makes the next incarnation under the same id carry out the renewals that the previous one has not answered, once it is up.
+	lateRenewals bool
+	// stopTime is how long a stop takes, stopAt when the run of the one in progress ends, zero for none.
+	stopTime time.Duration
+	stopAt   time.Time
 	// refusesStarts makes the worker refuse starts as one that is busy.
 	refusesStarts bool
 	// highestSentFence is the highest fence of the starts that were sent to any incarnation.
@@ -50,6 +55,7 @@
 func (w *modelWorker) reset(id incarnation.ID, clock time.Duration) {
 	w.id, w.startedAt, w.startClock = id, time.Now(), clock
 	w.reportSequence, w.fence, w.leaseUntil, w.run, w.latestRun, w.ends, w.lastEnd = 0, 0, 0, nil, 0, nil, 0
+	w.stopAt = time.Time{}
 }
 
 // restart crashes the worker, which answers again as another incarnation after simulatedDowntime.
@@ -88,6 +94,8 @@
 	case w.run == nil:
 	case w.now() > w.leaseUntil:
 		w.endRun(job.EndLapsed)
+	case !w.stopAt.IsZero() && !time.Now().Before(w.stopAt):
+		w.endRun(job.EndStopped)
 	case !w.simulation.longRunning && time.Since(w.runStartedAt) >= w.simulation.taskTime:
 		w.endRun(job.EndDone)
 	}
@@ -96,7 +104,7 @@
 func (w *modelWorker) endRun(end job.End) {
 	w.lastEnd++
 	w.ends = append(w.ends, host.EndedRun{Sequence: w.lastEnd, Run: *w.run, End: end})
-	w.run = nil
+	w.run, w.stopAt = nil, time.Time{}
 }
 
 // lockForCall locks the worker for a call, or returns an error without the lock if the worker does not answer or has another id.
@@ -169,8 +177,7 @@
 
 // extendLease extends the lease, by at most 6 s from now; w must be locked.
 func (w *modelWorker) extendLease(until host.Clock) {
-	const longest = 6 * time.Second
-	w.leaseUntil = max(w.leaseUntil, min(until, w.now()+host.Clock(longest)))
+	w.leaseUntil = max(w.leaseUntil, min(until, w.now()+host.Clock(w.simulation.maxRenewal)))
 }
 
 // Stop implements host.Worker.
@@ -183,8 +190,9 @@
 		return host.RefusedFence, nil
 	}
 	w.fence, w.latestRun = max(w.fence, fence), max(w.latestRun, run.Number)
-	if w.run != nil && *w.run == run {
-		w.endRun(job.EndStopped)
+	if w.run != nil && *w.run == run && w.stopAt.IsZero() {
+		w.stopAt = time.Now().Add(w.stopTime)
+		w.advance()
 	}
 	return host.Accepted, nil
 }
@@ -218,6 +226,9 @@
 	}
 	defer w.unlock()
 	if w.id != calledID || time.Now().Before(w.downUntil) {
+		if w.lateRenewals && w.id.SameWorker(calledID) {
+			go w.renewLate(w.id, renewal, w.downUntil)
+		}
 		return host.View{}, host.RefusedInvalid, fault.New(fault.OutcomeUnknown, "connection reset")
 	}
 	view := host.View{Incarnation: w.id, Clock: w.now(), Ended: slices.Clone(w.ends)}
@@ -227,6 +238,16 @@
 	return view, host.Accepted, nil
 }
 
+// renewLate carries out a renewal on a later incarnation once that is up, unless it has received a higher fence.
+func (w *modelWorker) renewLate(id incarnation.ID, renewal host.Renewal, at time.Time) {
+	wait.For(w.simulation.ctx, time.Until(at)+time.Millisecond)
+	w.lock()
+	defer w.unlock()
+	if w.id == id && renewal.Fence >= w.fence {
+		w.extendLease(renewal.Until)
+	}
+}
+
 // acknowledgeEnds removes acknowledged ends; w must be locked.
 func (w *modelWorker) acknowledgeEnds(acknowledged uint64) {
 	w.ends = slices.DeleteFunc(w.ends, func(e host.EndedRun) bool {
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -33,10 +33,10 @@
 		switch {
 		case a != nil && a.host == host:
 			h.worker.Schedulable = h.worker.Schedulable && now.Sub(a.confirmedAt) < maxReportAge
-			if a.leaseExpired(now) {
+			if a.leaseExpired(now) && !h.leaseMayLast(now) {
 				t.markUnreachable(h, "its agent no longer confirms it")
 			}
-		case t.earlierLeasesExpired(now) && (a == nil || a.leaseExpired(now)):
+		case t.earlierLeasesExpired(now) && (a == nil || a.leaseExpired(now)) && !h.leaseMayLast(now):
 			t.markUnreachable(h, "its agent has not confirmed it to this leader")
 		}
 	}
--- a/internal/dispatch/release_test.go
+++ b/internal/dispatch/release_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -52,3 +53,34 @@
 		})
 	}
 }
+
+// TestWorkerThatMayStillHoldALeaseIsNotReleased guards against a second run beside one on a restarted worker: the process of its agent that knew of its
+// lease has ended, and the next one reports that those which it could know of have expired.
+func TestWorkerThatMayStillHoldALeaseIsNotReleased(t *testing.T) {
+	const lease = 6 * time.Second
+	for name, nextLeader := range map[string]bool{"same leader": false, "next leader": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, a := kvtest.New(), &fakeAgent{vm: "vm"}
+				leader := testTerm(t, store)
+				placed := reportWithStartTime(1)
+				placed.MaxLeaseMillis = lease.Milliseconds()
+				reportAndRun(t, leader, a, placed)
+				assert.Equal(t, testTask(leader).Phase(), job.Placed)
+				if nextLeader {
+					leader = takeOverFrom(t, store, "f")
+				}
+				expired := link.Report{VM: "vm", Epoch: leader.epoch, LeaseExpired: true}
+				for _, c := range []struct {
+					after time.Duration
+					phase job.Phase
+				}{{0, job.Placed}, {lease - time.Millisecond, job.Placed}, {time.Millisecond, job.Waiting}} {
+					time.Sleep(c.after)
+					_, err := leader.report(fakeSession{a}, expired)
+					assert.NilError(t, err)
+					assert.Equal(t, testTask(leader).Phase(), c.phase)
+				}
+			})
+		})
+	}
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -175,14 +175,17 @@
 	if !r.Unreachable {
 		t.resolveUnreachable(current)
 	}
-	w := &t.ensureHost(current).worker
-	if open := !r.Draining && !r.Unreachable; open != w.Schedulable {
+	h := t.ensureHost(current)
+	h.confirm(a.lastReport.Add(time.Duration(r.MaxLeaseMillis) * time.Millisecond))
+	w := &h.worker
+	open := !r.Draining && !r.Unreachable
+	if open != w.Schedulable {
 		t.notifyChange()
 	}
 	w.Service, w.Labels = r.Service, r.Labels
 	w.Capacity = job.Size{CPU: r.CPU, Memory: r.Memory, GPU: r.GPU}
-	w.Schedulable, w.Stopping = !r.Draining && !r.Unreachable, r.Stopping
-	t.hosts.get(current).draining = r.Draining
+	w.Schedulable, w.Stopping = open, r.Stopping
+	h.draining = r.Draining
 }
 
 // lastSavedEnd returns the sequence up to which all reported ends are saved, 0 for none. An acknowledgement covers all ends up to its sequence.
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -80,8 +80,11 @@
 	staleLeader      kv.Item
 	staleLeaderUntil time.Time
 	// leaderCut cuts the leader from the store; cutAgent is the VM whose agent reads the outdated record at any time, -1 for none.
-	leaderCut          *atomic.Bool
-	cutAgent           int
+	leaderCut *atomic.Bool
+	cutAgent  int
+	// maxRenewal is the longest lease that a worker grants; vmNetworks are the connections of the VMs.
+	maxRenewal         time.Duration
+	vmNetworks         []*vmNetwork
 	taskTime           time.Duration
 	longRunning        bool
 	violations         []string
@@ -100,9 +103,10 @@
 func newSimulation(ctx context.Context, t *testing.T, vms int, longRunning bool) *simulation {
 	s := &simulation{
 		t: t, ctx: ctx, store: kvtest.New(), network: make(pipeNetwork), uptime: &boottimetest.Clock{}, longRunning: longRunning,
-		cutAgent: -1, taskTime: 400 * time.Millisecond, done: make(map[host.Run]bool),
+		maxRenewal: 6 * time.Second, cutAgent: -1, taskTime: 400 * time.Millisecond, done: make(map[host.Run]bool),
 	}
 	for n := range vms {
+		s.vmNetworks = append(s.vmNetworks, &vmNetwork{network: s.network})
 		s.workers = append(s.workers, newModelWorker(s, fmt.Sprintf("i-%d", n)))
 		s.agents, s.killAgent = append(s.agents, nil), append(s.killAgent, nil)
 		s.startAgent(n)
@@ -201,8 +205,8 @@
 	mux := rpc.NewMux(timeline.NewClock(time.Now))
 	pool := relay.NewPool("", "", mux, nil)
 	r := runner.New(runner.Config{
-		VM: fmt.Sprintf("vm%d", n), ClosureDelay: testClosureDelay, MaxRenewal: 6 * time.Second, Worker: s.workers[n],
-		Store: relay.New(staleLeaderStore{s.store, s, n}, health, pool), Pool: pool, Clock: timeline.NewClock(time.Now), Dial: s.network.dial,
+		VM: fmt.Sprintf("vm%d", n), ClosureDelay: testClosureDelay, MaxRenewal: s.maxRenewal, Worker: s.workers[n],
+		Store: relay.New(staleLeaderStore{s.store, s, n}, health, pool), Pool: pool, Clock: timeline.NewClock(time.Now), Dial: s.vmNetworks[n].dial,
 		Uptime: s.uptime, Random: func() float64 { return 0.5 }, Logger: logging.Discard(), Metrics: metric.New(),
 	})
 	ctx, cancel := context.WithCancel(s.ctx)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -177,8 +177,10 @@
 	}
 	tracked.job.Each(func(id job.TaskID, task *job.Task) {
 		if task.Phase() == job.Placed {
-			t.ensureHost(task.Host()).addRun(id, &tracked.job.Spec().Steps[id.Step], task.Run())
-			t.hosts.get(task.Host()).runs[id].stopping = tracked.job.State().IsFinal()
+			h := t.ensureHost(task.Host())
+			h.addRun(id, &tracked.job.Spec().Steps[id.Step], task.Run())
+			h.runs[id].stopping = tracked.job.State().IsFinal()
+			h.confirmed, h.heldUntil = true, later(h.heldUntil, t.startedAt.Add(tracked.job.StoredLease(task.Host())))
 		}
 	})
 	if tracked.job.State().IsFinal() {
--- a/internal/job/spec_test.go
+++ b/internal/job/spec_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -74,6 +75,38 @@
 	assert.Assert(t, j.LastCrashCounted(TaskID{Job: id}, 2))
 }
 
+// noLeases is the lease of a host whose agent bounds it.
+func noLeases(Host) time.Duration { return 0 }
+
+// TestLeasesOfWorkersAreStored guards against a new leader that doesn't know that the lease of a restarted worker outlasts that of its agent, and checks
+// that leaders of the previous release can read what is stored.
+func TestLeasesOfWorkersAreStored(t *testing.T) {
+	const id ID = "00000000000000aa"
+	spec := Spec{Steps: []Step{{Count: 2}}}
+	hosts := []Host{{VM: "a", Incarnation: incarnation.New("i-1", 7)}, {VM: "b", Incarnation: incarnation.New("i-2", 8)}}
+	j := New(id, spec, Queue{}, time.Unix(1, 0))
+	for i, h := range hosts {
+		j.Place(TaskID{Job: id, Index: i}, h, 0)
+	}
+	data, _, err := j.EncodeProgress(MaxStoredCheckpoints, func(h Host) time.Duration {
+		if h == hosts[1] {
+			return 6 * time.Second
+		}
+		return 0
+	})
+	assert.NilError(t, err)
+	decoded := New(id, spec, Queue{}, time.Unix(1, 0))
+	assert.NilError(t, decoded.ApplyProgress(data))
+	for i, lease := range []time.Duration{0, 6 * time.Second} {
+		assert.Equal(t, decoded.Task(TaskID{Job: id, Index: i}).Host(), hosts[i])
+		assert.Equal(t, decoded.StoredLease(hosts[i]), lease)
+	}
+	var previous storedProgress
+	assert.NilError(t, cbor.Unmarshal(data, &previous))
+	assert.Equal(t, slices.IndexFunc(previous.Hosts, func(h storedHost) bool { return h.VM == "" }), len(hosts), "start times follow the hosts")
+	assert.Equal(t, previous.Hosts[len(hosts)+1].Instance, "8")
+}
+
 // TestStartTimesOfWorkersAreStored checks that start times are stored in a form that leaders of the previous release ignore.
 func TestStartTimesOfWorkersAreStored(t *testing.T) {
 	const id ID = "00000000000000aa"
@@ -86,7 +119,7 @@
 	for i, h := range hosts {
 		j.Place(TaskID{Job: id, Index: i}, h, 0)
 	}
-	data, _, err := j.EncodeProgress(MaxStoredCheckpoints)
+	data, _, err := j.EncodeProgress(MaxStoredCheckpoints, noLeases)
 	assert.NilError(t, err)
 	decoded := New(id, spec, Queue{}, time.Unix(1, 0))
 	assert.NilError(t, decoded.ApplyProgress(data))
@@ -116,7 +149,7 @@
 			j.RecordCrash(TaskID{Job: j.id}, 1, crash.NewFinding(crash.LikelyCause, true))
 			j.RecordLoss(TaskID{Job: j.id}, 1, crash.UnreachableLoss())
 		}
-		progress, _, err := j.EncodeProgress(MaxStoredCheckpoints)
+		progress, _, err := j.EncodeProgress(MaxStoredCheckpoints, noLeases)
 		if err != nil {
 			f.Fatal(err)
 		}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -107,6 +107,8 @@
 	// that only a previous process of the agent knew.
 	Unreachable  bool `json:"silent,omitempty"`
 	LeaseExpired bool `json:"lapsed,omitempty"`
+	// MaxLeaseMillis is how long the runs of the worker may go on without another report, 0 from agents of the previous release.
+	MaxLeaseMillis int64 `json:"max_lease_ms,omitempty"`
 	// FirstFailureMillis is how long the calls to the worker have been failing, 0 while they succeed.
 	FirstFailureMillis int64 `json:"broken_ms,omitempty"`
 	// Fenced is set once the worker has acknowledged a fence of this epoch, so that Running and Pending are complete, and Ended unless MoreEnds is set.
--- a/internal/runner/candidates.go
+++ b/internal/runner/candidates.go
@@ -57,7 +57,7 @@
 		return
 	}
 	r.logger.Info("report of another incarnation received; instance=%s present=%s", report.Incarnation, r.worker.id)
-	r.candidates = append(r.candidates, newWorkerState(report, now))
+	r.candidates = append(r.candidates, r.newWorker(report, now))
 	r.raiseFence()
 	wait.Notify(r.candidateAdded)
 }
@@ -122,10 +122,8 @@
 	r.ended.add(r.worker.id)
 	r.recordPendingStarts(r.worker, now)
 	r.worker.cancelOrders()
-	if next.id.SameWorker(r.worker.id) {
-		// A renewal for the previous incarnation may have reached this one and set its lease by the other clock.
-		next.leaseEnd = now.Add(r.config.MaxRenewal)
-	}
+	r.raiseFence()
+	next.minFence = min(r.fences.highestUsed+1, r.epoch)
 	r.worker = next
 	for _, run := range r.lateStartRuns(next.id, now) {
 		r.logger.Info("stopping a late start sent to a previous incarnation; task=%s run=%d instance=%s", run.Task, run.Number, next.id)
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -133,6 +133,11 @@
 		if until == 0 {
 			break
 		}
+		if fence == 0 {
+			// Whether the incarnation is still there is unknown: a start with a deadline on its clock must not reach the next one.
+			wait.For(ctx, orderRetryDelay)
+			continue
+		}
 		if ctx.Err() != nil {
 			r.recordStartOutcome(w, run, startNotCarriedOut)
 			return
@@ -174,8 +179,8 @@
 	return refusal == host.RefusedFence && fence < r.fences.current
 }
 
-// prepareStart returns the deadline of a run to start, 0 if nothing may start any more, the fence to send the start under, and whether the order is
-// still valid.
+// prepareStart returns the deadline of a run to start, 0 if nothing may start any more, the fence to send the start under, 0 if it must wait for an answer of
+// the worker, and whether the order is still valid.
 func (r *Runner) prepareStart(w *workerState, run host.Run, o *order) (host.Clock, uint64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -184,7 +189,7 @@
 		until = 0
 	}
 	valid := r.isCurrent(w, run, o)
-	if !valid || until == 0 {
+	if !valid || until == 0 || w.unconfirmed {
 		return until, 0, valid
 	}
 	w.possibleRuns.recordStart(run)
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -115,11 +115,15 @@
 		return incarnation.ID{}, host.Renewal{}, false
 	}
 	r.stopExpiredRuns(w)
-	renewal := host.Renewal{Fence: r.fences.current, Acknowledged: r.acknowledged(w), Until: r.runDeadline(w), Wait: renewalWait}
-	if renewal.Acknowledged > 0 {
+	renewal := host.Renewal{Fence: r.fences.current, Acknowledged: r.acknowledged(w), Wait: renewalWait}
+	confirmed := r.justConfirmed(w)
+	if confirmed {
+		renewal.Until = r.runDeadline(w)
+	}
+	if renewal.Acknowledged > 0 || renewal.Until > 0 {
 		r.fences.use()
 	}
-	if w.highestFence < r.fences.current || w.awaitsView() {
+	if w.highestFence < r.fences.current || w.awaitsView() || !confirmed && !w.unreachable {
 		renewal.Wait = 0
 	}
 	return w.id, renewal, true
@@ -128,10 +132,15 @@
 // minRestartTime is the time within which a worker that has just answered cannot have crashed and restarted.
 const minRestartTime = 300 * time.Millisecond
 
-// acknowledged returns up to which sequence the next renewal acknowledges ended runs, 0 for none. Sequences restart with each incarnation and the
-// call may reach the next one, so it covers only runs that the worker listed, and only right after an answer.
+// justConfirmed reports whether the incarnation has answered so recently that a call sent now reaches no later one. Sequences and clocks restart with
+// each incarnation, so only such a call may acknowledge ended runs or set the lease.
+func (r *Runner) justConfirmed(w *workerState) bool {
+	return !w.confirmedAt.IsZero() && r.config.Uptime.Now().Sub(w.confirmedAt) <= minRestartTime
+}
+
+// acknowledged returns up to which sequence the next renewal acknowledges ended runs, 0 for none. It covers only runs that the worker listed.
 func (r *Runner) acknowledged(w *workerState) uint64 {
-	if w.confirmedAt.IsZero() || r.config.Uptime.Now().Sub(w.confirmedAt) > minRestartTime {
+	if !r.justConfirmed(w) {
 		return 0
 	}
 	listed := slices.ContainsFunc(w.view.Ended, func(e host.EndedRun) bool { return e.Sequence <= w.acknowledgedEnds })
@@ -170,9 +179,7 @@
 		return 0
 	}
 	end := time.Now().Add(remaining)
-	if end.After(w.leaseEnd) {
-		w.leaseEnd = end
-	}
+	w.extendLeaseEnd(end)
 	// The worker's clock shows at least this at end, even at its slowest rate, so its runs have ended by then. The steady clock measures the time since
 	// the reading without suspensions, in which the worker's clock may have stopped as well.
 	return w.clock + host.Clock(minClockRate*float64(end.Sub(w.clockReadAt)))
@@ -190,7 +197,7 @@
 	if w == nil || w.id != id {
 		return
 	}
-	w.confirmedAt = 0
+	w.confirmedAt, w.unconfirmed = 0, true
 	// A worker that refuses a call is running; its next view identifies the incarnation.
 	if !fault.Is(err, fault.Conflict) {
 		r.raiseFence()
@@ -232,9 +239,13 @@
 		r.logger.Info("worker answers again; instance=%s", id)
 	}
 	w.clock, w.clockReadAt, w.answeredAt, w.unreachable = view.Clock, now, now, false
-	w.confirmedAt = r.config.Uptime.Now()
+	w.confirmedAt, w.unconfirmed = r.config.Uptime.Now(), false
 	w.firstFailure, w.terminated, w.idChanged = time.Time{}, false, false
 	w.highestFence = max(w.highestFence, renewal.Fence)
+	if !w.fenced && renewal.Fence >= w.minFence && r.fences.covers(renewal.Fence, r.epoch) {
+		w.fenced = true
+		r.assumeLease(w, now)
+	}
 	r.fences.recordAnswer(renewal.Fence)
 	w.view = view
 	w.views++
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -154,7 +154,7 @@
 	case r.worker == nil:
 		r.logger.Info("first report of a worker received; instance=%s service=%s cpu=%d memory=%d labels=%v draining=%t",
 			report.Incarnation, report.Service, report.Capacity.CPU, report.Capacity.Memory, report.Labels, report.Draining)
-		r.worker = newWorkerState(report, now)
+		r.worker = r.newWorker(report, now)
 		wait.Notify(r.heartbeat)
 	case r.worker.id != report.Incarnation:
 		r.addCandidate(report, now)
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -251,7 +251,8 @@
 	report.CPU, report.Memory, report.GPU = latest.Capacity.CPU, latest.Capacity.Memory, latest.Capacity.GPU
 	report.Draining, report.RemainingMillis = latest.Draining, latest.Remaining.Milliseconds()
 	report.Unreachable, report.FirstFailureMillis = w.unreachable, millisSince(w.firstFailure)
-	report.Fenced = w.views > 0 && r.fences.covers(w.highestFence, r.epoch)
+	report.Fenced = w.fenced && r.fences.covers(w.highestFence, r.epoch)
+	report.MaxLeaseMillis = max(time.Until(w.leaseEnd), 0).Milliseconds()
 	w.addRuns(&report)
 	return report, w
 }
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -27,8 +27,13 @@
 	// answeredAt is when the worker answered last, leaseEnd when its runs have ended at the latest, by this clock.
 	answeredAt time.Time
 	leaseEnd   time.Time
-	// confirmedAt is when this incarnation answered last, zero once a call has failed since.
+	// confirmedAt is when this incarnation answered last, zero once a call has failed since; unconfirmed reports whether that is so.
 	confirmedAt boottime.Instant
+	unconfirmed bool
+	// minFence is above the fences of all calls for previous incarnations, fenced reports whether the incarnation has answered under it: it then rejects
+	// those calls.
+	minFence uint64
+	fenced   bool
 	// firstFailure is when the first call failed because its connection broke, zero while calls succeed.
 	firstFailure time.Time
 	// view is the latest view, views the number of views received, completeViews that of the views that listed all ended runs, acknowledgedEnds the
@@ -97,6 +102,31 @@
 	}
 }
 
+// mayHoldLease reports whether a call for a previous incarnation may have set the lease: that one may have had the same id if the worker reports its start
+// time.
+func (w *workerState) mayHoldLease() bool { return w.id.StartMillis() != 0 }
+
+// assumeLease assumes that a call for a previous incarnation, with a deadline on its clock, has just set the lease for as long as the worker grants at most.
+func (r *Runner) assumeLease(w *workerState, now time.Time) {
+	if w.mayHoldLease() {
+		w.extendLeaseEnd(now.Add(time.Duration(float64(r.config.MaxRenewal) / minClockRate)))
+	}
+}
+
+// newWorker returns the state of an incarnation that has not answered yet.
+func (r *Runner) newWorker(report host.Report, now time.Time) *workerState {
+	w := newWorkerState(report, now)
+	r.assumeLease(w, now)
+	return w
+}
+
+// extendLeaseEnd moves the time by which the runs have ended at the latest.
+func (w *workerState) extendLeaseEnd(end time.Time) {
+	if end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+}
+
 // updateReport stores a newer report and returns whether it is newer. A draining worker never becomes ready again.
 func (w *workerState) updateReport(report host.Report) bool {
 	if report.Sequence < w.report.Sequence {
