Skip odd entries of other writers and bound what is logged of them

Operators of systems like this one saw machines end again and again, or stop following a list, for one odd entry of another writer.

- one odd entry made the list of VMs of the product's own interface unreadable as a whole; entries are now split without decoding, and an odd one is skipped and logged with its position;
- the reason for which a report is refused quoted the value, in the log and in the answer; the longest had 1,048,692 bytes.

Rows of workers' answers are still read all or not at all: a run that is not seen could not be stopped, and a skipped end would be acknowledged.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -56,7 +56,7 @@
 	p := &process{
 		settings: s, logger: logger, clock: clock, metrics: metric.New(),
 		recorder: timeline.NewRecorder(clock, s.ID(), timelineEvents),
-		store:    store.NewHTTP(s.Store()), vms: vmlist.NewHTTP(s.VMs()),
+		store:    store.NewHTTP(s.Store()), vms: vmlist.NewHTTP(s.VMs(), logger.Named("vms")),
 	}
 	p.metrics.RegisterProcess()
 	p.metrics.Gauge("control.bytes", rpc.BytesTransferred)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,8 +1,10 @@
 package logging
 
 import (
+	"fmt"
 	"io"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -88,30 +90,42 @@
 	return Logger{logger: l.logger, prefix: name + ": ", limit: l.limit}
 }
 
+// maxMessage is the length of the longest message in bytes: errors may quote what other writers have sent.
+const maxMessage = 2048
+
+// message returns the text of a message, cut at maxMessage.
+func (l Logger) message(format string, args []any) string {
+	text := l.prefix + fmt.Sprintf(format, args...)
+	if len(text) <= maxMessage {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxMessage], "") + "..."
+}
+
 // Debug writes a message for troubleshooting.
 func (l Logger) Debug(format string, args ...any) {
 	if l.logger.Level <= log.DebugLevel && l.allowLine() {
-		l.logger.Debug().Msgf(l.prefix+format, args...)
+		l.logger.Debug().Msg(l.message(format, args))
 	}
 }
 
 // Info writes a message about normal operation.
 func (l Logger) Info(format string, args ...any) {
 	if l.logger.Level <= log.InfoLevel && l.allowLine() {
-		l.logger.Info().Msgf(l.prefix+format, args...)
+		l.logger.Info().Msg(l.message(format, args))
 	}
 }
 
 // Warn writes a message about a problem that the process can handle.
 func (l Logger) Warn(format string, args ...any) {
 	if l.logger.Level <= log.WarnLevel && l.allowLine() {
-		l.logger.Warn().Msgf(l.prefix+format, args...)
+		l.logger.Warn().Msg(l.message(format, args))
 	}
 }
 
 // Error writes a message about a problem that needs attention.
 func (l Logger) Error(format string, args ...any) {
 	if l.logger.Level <= log.ErrorLevel && l.allowLine() {
-		l.logger.Error().Msgf(l.prefix+format, args...)
+		l.logger.Error().Msg(l.message(format, args))
 	}
 }
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -28,3 +28,15 @@
 	assert.Equal(t, strings.Count(out.String(), "3 lines were dropped"), 1)
 	assert.Equal(t, strings.Count(out.String(), "part: another"), 1)
 }
+
+// TestMessagesAreBounded guards against log lines of a megabyte, when an error quotes what another writer has sent.
+func TestMessagesAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	l := Logger{logger: &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: &out}}}.Named("part")
+	l.Warn("entry skipped; key=%s reason=%s", "k", strings.Repeat("é", 1<<20))
+	assert.Assert(t, out.Len() < 2*maxMessage, "the line has %d bytes", out.Len())
+	assert.Assert(t, strings.Contains(out.String(), "part: entry skipped; key=k"))
+	out.Reset()
+	l.Warn("short; key=%s", "k")
+	assert.Assert(t, strings.Contains(out.String(), `part: short; key=k"`))
+}
--- a/internal/vmlist/http.go
+++ b/internal/vmlist/http.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/httpclient"
+	"github.com/saffronpulley/saffronpulley/internal/logging"
 )
 
 const callTimeout = 2 * time.Second
@@ -25,11 +27,19 @@
 type HTTP struct {
 	client  *fasthttp.HostClient
 	address string
+	logger  logging.Logger
+	// skippedLog rate-limits the log lines about skipped entries.
+	skippedLog rate.Sometimes
 }
 
+// skippedLogInterval is the minimum time between log lines about skipped entries.
+const skippedLogInterval = 2 * time.Second
+
 // NewHTTP returns the client of the list at an address of the form host:port.
-func NewHTTP(address string) *HTTP {
-	return &HTTP{address: address, client: httpclient.New(address, callTimeout)}
+func NewHTTP(address string, logger logging.Logger) *HTTP {
+	return &HTTP{
+		address: address, client: httpclient.New(address, callTimeout), logger: logger, skippedLog: rate.Sometimes{Interval: skippedLogInterval},
+	}
 }
 
 // VMs implements List.
@@ -44,19 +54,31 @@
 	if response.StatusCode() != fasthttp.StatusOK {
 		return nil, fault.New(fault.Unavailable, "the list of VMs answered status %d", response.StatusCode())
 	}
-	var wires []Wire
-	if err := json.Unmarshal(response.Body(), &wires); err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "the list of VMs cannot be decoded")
-	}
-	return decode(wires), nil
+	return decodeList(response.Body(), func(position int, reason error) {
+		h.skippedLog.Do(func() { h.logger.Warn("entry of the list of VMs skipped; position=%d reason=%v", position, reason) })
+	})
 }
 
-func decode(wires []Wire) []VM {
-	vms := make([]VM, 0, len(wires))
-	for _, w := range wires {
-		vms = append(vms, NewVM(w.Instance, w.Hall, w.Rack, parseState(w.State)))
+// decodeList returns the VMs of a list, without the entries that cannot be used, which are passed to skip with their position.
+func decodeList(data []byte, skip func(position int, reason error)) ([]VM, error) {
+	elements, err := splitArray(data)
+	if err != nil {
+		return nil, err
+	}
+	vms := make([]VM, 0, len(elements))
+	for position, element := range elements {
+		var w Wire
+		err := json.Unmarshal(element, &w)
+		switch {
+		case err != nil:
+			skip(position, err)
+		case w.Instance == "" || w.Hall == "" || w.Rack < 1:
+			skip(position, fault.New(fault.BadInput, "an instance, a hall or a rack from 1 is missing"))
+		default:
+			vms = append(vms, NewVM(w.Instance, w.Hall, w.Rack, parseState(w.State)))
+		}
 	}
-	return vms
+	return vms, nil
 }
 
 func parseState(name string) State {
