Stop runs that two incarnations have before placing them again

Callers could have seen a task run twice (TWICE): if one attempt of a start is carried out by an incarnation that lists the run, and another by the next incarnation under its id before its first call, the run counted as lost with the first and was placed again at once.

Agents report such runs with the crash; the leader keeps them placed, also those that the next incarnation reports without a crash, stops them there and places the task again once they have ended.

Two tests fail before: a start is ordered beside the run.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -33,7 +33,7 @@
 			for id, p := range h.runs {
 				t.addAffected(link.NewRun(id, p.number), affected)
 			}
-			t.retireIncarnation(a, h, &c, r.Incarnation(), "its agent reported its end")
+			t.retireIncarnation(a, h, &c, r, "its agent reported its end")
 		}
 	}
 	return latest
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -43,6 +43,8 @@
 	stopSentAt  time.Time
 	// handedOver reports whether the run was ordered on a previous incarnation of the worker: this incarnation must only reject it.
 	handedOver bool
+	// onNext reports whether the next incarnation of the worker has the run as well.
+	onNext bool
 	// neverHad reports whether the incarnation ended without the run, by the report of its end; a later start clears it.
 	neverHad bool
 	percent  int
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/link"
 )
@@ -43,9 +42,11 @@
 // another incarnation on its VM.
 //
 // A late start is not lost with the incarnation that it was sent to: the next incarnation under the same id could carry it out beside the run
-// that replaces it. It stays placed until that incarnation has reported, and is stopped there first. current is the incarnation that the agent
-// reports now, which may not have raised its fence yet, zero if the agent has none.
-func (t *term) retireIncarnation(a *agent, h *hostState, reported *link.Crash, current incarnation.ID, reason string) {
+// that replaces it. It stays placed until that incarnation has reported, and is stopped there first; so is a run that both have. r is the
+// current report of the agent, whose incarnation may not have raised its fence yet and is zero if the agent has none.
+func (t *term) retireIncarnation(a *agent, h *hostState, reported *link.Crash, r link.Report, reason string) {
+	current := r.Incarnation()
+	h.markOnNext(reported, r)
 	t.forgetWorker(h.worker.Host)
 	if !h.ended {
 		t.countLosses(a, h, reported)
@@ -55,7 +56,7 @@
 	for _, id := range h.sortedRuns() {
 		p := h.runs[id]
 		switch {
-		case !p.committed || p.startSettled(settled, link.NewRun(id, p.number)):
+		case !p.committed || !p.onNext && p.startSettled(settled, link.NewRun(id, p.number)):
 			lost = append(lost, id)
 		case !current.IsZero() && !current.SameWorker(ended):
 			t.recordLateStart(h.worker.Host, link.NewRun(id, p.number))
@@ -67,6 +68,26 @@
 	t.recordLostRuns(h, lost, reason)
 }
 
+// markOnNext marks the runs of an ended incarnation that the next one has as well, by the report of its end or by those that the next one reports.
+func (h *hostState) markOnNext(reported *link.Crash, r link.Report) {
+	mark := func(run link.Run) {
+		if p := h.findRun(run); p != nil {
+			p.onNext = true
+		}
+	}
+	if reported != nil {
+		for _, run := range reported.Next {
+			mark(run)
+		}
+	}
+	if current := r.Incarnation(); current == h.worker.Host.Incarnation || !current.SameWorker(h.worker.Host.Incarnation) {
+		return
+	}
+	for _, running := range r.Running {
+		mark(running.Run)
+	}
+}
+
 // startSettled reports whether no start of the run may still be carried out, by the agent's report of the crash or, without one, by whether
 // the worker has reported the run as running.
 func (p *placedRun) startSettled(reported map[link.Run]bool, run link.Run) bool {
--- a/internal/dispatch/incarnations_test.go
+++ b/internal/dispatch/incarnations_test.go
@@ -251,3 +251,39 @@
 		})
 	}
 }
+
+// TestRunOnBothIncarnationsIsStoppedBeforeItIsPlacedAgain guards against a second run beside the first: one attempt of a start was carried out by an
+// incarnation that has listed the run, another one by the next incarnation, and the run counted as lost with the first.
+func TestRunOnBothIncarnationsIsStoppedBeforeItIsPlacedAgain(t *testing.T) {
+	run := link.NewRun(job.TaskID{Job: testJob}, 1)
+	crashed := withFirstRun(reportWithStartTime(1))
+	crashed.Running, crashed.Unreachable = nil, true
+	crashed.Crashes = []link.Crash{{Number: 1, Instance: "i1", StartMillis: 1, Next: []link.Run{run}}}
+	next := withFirstRun(reportWithStartTime(2))
+	both := next
+	both.Crashes = crashed.Crashes
+	for name, reports := range map[string][]link.Report{
+		"next incarnation reported, no crash": {next}, "crash and next incarnation reported": {both}, "crash reported first": {crashed, next},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := &fakeAgent{vm: "vm"}
+				leader := termWithStartTime(t, kvtest.New(), a)
+				reportAndRun(t, leader, a, withFirstRun(reportWithStartTime(1)))
+				var stopped []link.Run
+				for _, r := range reports {
+					starts, stops := reportAndRun(t, leader, a, r)
+					assert.Equal(t, len(starts), 0)
+					stopped = append(stopped, stops...)
+				}
+				assert.DeepEqual(t, stopped, []link.Run{run})
+				assert.Equal(t, testTask(leader).Phase(), job.Placed)
+				ended := reportWithStartTime(2)
+				ended.Ended = []link.Ended{{Run: run, Sequence: 1, End: int(job.EndStopped)}}
+				starts, _ := reportAndRun(t, leader, a, ended)
+				assert.Equal(t, len(starts), 1)
+				assert.Equal(t, starts[0].Number, 2)
+			})
+		})
+	}
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -167,7 +167,7 @@
 		a.host, a.acknowledgedEnds, a.pendingOrders = current, 0, nil
 		for _, other := range t.hosts.onVM(r.VM) {
 			if other.worker.Host != current {
-				t.retireIncarnation(a, other, nil, current.Incarnation, "the worker has another incarnation")
+				t.retireIncarnation(a, other, nil, r, "the worker has another incarnation")
 			}
 		}
 		t.stopLateStarts(current)
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -70,8 +70,10 @@
 	Planned bool `json:"planned,omitempty"`
 	// FirstFailureMillis is how long before the report the calls to the worker began to fail, 0 if unknown.
 	FirstFailureMillis int64 `json:"broken_ms,omitempty"`
-	// Runs are the runs that the incarnation had or may have had.
+	// Runs are the runs that the incarnation had or may have had, Next those among its runs that the next incarnation under the same id has: it carried out
+	// another start of them.
 	Runs []CrashedRun `json:"runs"`
+	Next []Run        `json:"next,omitempty"`
 }
 
 // CrashedRun is a run that a worker had, or may have had, when it crashed.
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -20,6 +20,7 @@
 	if !crash.Planned {
 		crash.Runs = r.crashedRuns(w)
 	}
+	crash.Next = w.sharedRuns()
 	for _, discarded := range r.crashes.add(crash, w.firstFailure) {
 		r.logger.Warn("crash discarded before a leader committed it; instance=%s runs=%d", discarded.crash.Instance, len(discarded.crash.Runs))
 	}
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -279,3 +279,18 @@
 			"%v", report.Crashes[0].Runs)
 	})
 }
+
+// TestRunThatTheNextIncarnationHasIsReported guards against a leader that is not told that a run goes on on the next incarnation, and takes it for lost.
+func TestRunThatTheNextIncarnationHasIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{}
+		r := newIncarnationTest(t, worker)
+		worker.restart(secondIncarnation)
+		worker.setView(host.View{Clock: host.Clock(time.Millisecond), Running: []host.Running{{Run: testRun(3)}, {Run: testRun(4)}}})
+		time.Sleep(time.Second)
+		crashes := reportedCrashes(r)
+		assert.Equal(t, len(crashes), 1)
+		assert.Equal(t, len(crashes[0].Runs), 0)
+		assert.DeepEqual(t, crashes[0].Next, []link.Run{wireRun(testRun(3))})
+	})
+}
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/boottime"
@@ -211,6 +212,18 @@
 	}
 }
 
+// sharedRuns returns the runs of the incarnation that the next one has as well, sorted by task.
+func (w *workerState) sharedRuns() []link.Run {
+	var shared []link.Run
+	for run := range w.possibleRuns {
+		if w.runsOnNext[run] {
+			shared = append(shared, wireRun(run))
+		}
+	}
+	slices.SortFunc(shared, func(a, b link.Run) int { return strings.Compare(a.Task, b.Task) })
+	return shared
+}
+
 // cancelOrders discards all orders; the worker rejects those on their way once it has received a higher fence.
 func (w *workerState) cancelOrders() {
 	for run, o := range w.orders {
