Place nothing where runs may outlast a new leader's wait

A worker that has restarted under its id now takes tasks once its lease can't last for longer than a new leader waits for an unreported worker anyway (7.5 s): at once where workers grant 6 s, after some 2.7 s where they grant 10 s. A new leader then never waits for longer than before.

TestLeaseOfARestartedWorkerDoesNotOutlastANewLeadersWait fails before: the task is placed at once.

--- a/internal/dispatch/agentlease.go
+++ b/internal/dispatch/agentlease.go
@@ -25,6 +25,10 @@
 	}
 }
 
+// outlivesLeader reports whether runs on the worker could go on for longer than a new leader waits for those of an unreported worker: nothing is placed there
+// until then.
+func (h *hostState) outlivesLeader(now time.Time) bool { return h.heldUntil.Sub(now) > leaderTimeout }
+
 // leaseMayLast reports whether the lease of a worker may last although that of its agent has expired: a call for the previous incarnation under the same
 // id may have set it on another clock.
 func (h *hostState) leaseMayLast(now time.Time) bool { return now.Before(h.heldUntil) }
--- a/internal/dispatch/earlierleases_test.go
+++ b/internal/dispatch/earlierleases_test.go
@@ -171,3 +171,31 @@
 	assert.NilError(t, next.load(t.Context()))
 	return next
 }
+
+// TestLeaseOfARestartedWorkerDoesNotOutlastANewLeadersWait guards against a run that goes on beside another, and against a wait that grows with each change of
+// the leader: nothing is placed on a restarted worker while its lease may last longer than a new leader waits.
+func TestLeaseOfARestartedWorkerDoesNotOutlastANewLeadersWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const longest = 10200 * time.Millisecond
+		store, a := kvtest.New(), &fakeAgent{vm: "vm"}
+		leader := testTerm(t, store)
+		report := reportWithStartTime(1)
+		report.MaxLeaseMillis = longest.Milliseconds()
+		reportAndRun(t, leader, a, report)
+		assert.Equal(t, testTask(leader).Phase(), job.Waiting)
+		time.Sleep(longest - leaderTimeout)
+		assert.NilError(t, leader.closures.Load(t.Context()))
+		reportAndRun(t, leader, a, reportWithStartTime(1))
+		assert.Equal(t, testTask(leader).Phase(), job.Placed)
+		for _, name := range []string{"f", "g", "h"} {
+			time.Sleep(time.Second)
+			leader = takeOverFrom(t, store, name)
+			time.Sleep(leaderTimeout + agentLeaseMargin - time.Millisecond)
+			leader.schedule()
+			assert.Equal(t, testTask(leader).Phase(), job.Placed)
+		}
+		time.Sleep(2 * time.Millisecond)
+		leader.schedule()
+		assert.Equal(t, testTask(leader).Phase(), job.Waiting)
+	})
+}
