Store leases again once a new leader's wait covers them

Workers take tasks at once again. The runs on a worker whose lease may outlast the wait of a new leader are stored again as soon as that can no longer be, so that the wait does not grow with each leader: one more commit of their jobs, 2.7 s after a restart, where workers grant 10 s.

TestWaitForARestartedWorkerDoesNotGrowWithEachLeader is red without it.

--- a/internal/dispatch/agentlease.go
+++ b/internal/dispatch/agentlease.go
@@ -25,10 +25,23 @@
 	}
 }
 
-// outlivesLeader reports whether runs on the worker could go on for longer than a new leader waits for those of an unreported worker: nothing is placed there
-// until then.
+// outlivesLeader reports whether runs on the worker could go on for longer than a new leader waits for those of an unreported worker.
 func (h *hostState) outlivesLeader(now time.Time) bool { return h.heldUntil.Sub(now) > leaderTimeout }
 
+// updateStoredLease has the jobs on a worker stored again as soon as its lease cannot outlast the wait of a new leader any more, which counts what is stored
+// from its own start.
+func (t *term) updateStoredLease(h *hostState, now time.Time) {
+	outlives := h.outlivesLeader(now)
+	if h.outlived && !outlives {
+		for id := range h.runs {
+			if tracked := t.jobs[id.Job]; tracked != nil {
+				t.markDirty(tracked)
+			}
+		}
+	}
+	h.outlived = outlives
+}
+
 // leaseMayLast reports whether the lease of a worker may last although that of its agent has expired: a call for the previous incarnation under the same
 // id may have set it on another clock.
 func (h *hostState) leaseMayLast(now time.Time) bool { return now.Before(h.heldUntil) }
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -20,6 +20,8 @@
 	// heldUntil is until when its runs may go on without its agent, as stored or as first reported; confirmed reports whether it is known.
 	confirmed bool
 	heldUntil time.Time
+	// outlived reports whether the lease could outlast the wait of a new leader when that was last checked.
+	outlived bool
 	// draining reports whether the worker drains: it takes no more starts, and its runs end with it.
 	draining bool
 	// sampledAt is when the measurements were last evaluated, imageUsage has the share of the worker's processors that the best-effort tasks
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -28,6 +28,7 @@
 	now := time.Now()
 	t.expireUnreachable(now)
 	for _, h := range t.hosts.all() {
+		t.updateStoredLease(h, now)
 		host := h.worker.Host
 		a := t.agents[host.VM]
 		switch {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -178,7 +178,7 @@
 	h := t.ensureHost(current)
 	h.confirm(a.lastReport.Add(time.Duration(r.MaxLeaseMillis) * time.Millisecond))
 	w := &h.worker
-	open := !r.Draining && !r.Unreachable && !h.outlivesLeader(a.lastReport)
+	open := !r.Draining && !r.Unreachable
 	if open != w.Schedulable {
 		t.notifyChange()
 	}
