Store the bound of leases again after a refused batch

Found in reading: a refused batch is composed anew, but the bound of the leases that it may have had counted as stored. Only after an upgrade, where the bound is not stored at the start of a term.

TestBoundOfTheLeasesIsStoredAfterARefusedBatch fails before: the store has no bound. A log line and some comments use the usual terms.

--- a/internal/dispatch/refusedrecords.go
+++ b/internal/dispatch/refusedrecords.go
@@ -29,6 +29,8 @@
 		t.commitCount+1, len(b.versions), b.bytes, b.models, len(b.removed), reason)
 	// An earlier attempt that got no answer must not pass for the next batch.
 	t.commitCount++
+	// The bound of the leases may have been part of the batch.
+	t.leasesStored = false
 	for tracked := range b.versions {
 		t.enqueue(tracked)
 	}
@@ -63,7 +65,7 @@
 	tracked.suspendedUntil = time.Now().Add(tracked.refusedDelay)
 	delete(t.dirty, id)
 	t.withdrawPlacements(tracked)
-	t.logger.Error("the store refuses the progress of a job, of which nothing starts until it is stored; job=%s bytes=%d retry_ms=%d",
+	t.logger.Error("progress refused by the store, job suspended; job=%s bytes=%d retry_ms=%d",
 		id, bytes, tracked.refusedDelay.Milliseconds())
 }
 
--- a/internal/dispatch/refusedrecords_test.go
+++ b/internal/dispatch/refusedrecords_test.go
@@ -164,3 +164,19 @@
 		assert.Equal(t, len(startedTasks(a)), 1)
 	})
 }
+
+// TestBoundOfTheLeasesIsStoredAfterARefusedBatch guards against a successor that assumes the longest leases, since the batch with their bound was refused and
+// the bound counted as stored.
+func TestBoundOfTheLeasesIsStoredAfterARefusedBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, a := kvtest.New(), &fakeAgent{vm: "vm"}
+		leader := testTerm(t, store)
+		assert.NilError(t, store.CommitAsOperator(kv.Txn{Removes: []string{record.LeasesKey}}))
+		leader.leasesStored = false
+		store.SetRefuses(func(p kv.Put) bool { return p.Key == record.PressureKey })
+		_, err := leader.report(fakeSession{a}, testReport("i1"))
+		assert.NilError(t, err)
+		runCycle(t, leader)
+		assert.Equal(t, len(store.Keys(record.LeasesKey)), 1)
+	})
+}
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -12,8 +12,8 @@
 const (
 	// maxHealthyWait is how long a task on its last attempt waits for a healthy worker before a degraded one will do.
 	maxHealthyWait = 2 * time.Second
-	// maxExcludedWait is how long a restarted task waits for room outside the workers on which it failed or that its job avoids; then it restarts there:
-	// a task with its turn and room for it must start within 3 s.
+	// maxExcludedWait is how long a restarted task waits for capacity outside the workers on which it failed or that its job avoids; then it restarts
+	// there, since a waiting task must start within 3 s if any worker has the capacity.
 	maxExcludedWait = 2500 * time.Millisecond
 	// strictAvoidDivisor is the divisor of the number of schedulable workers of a service that gives how many a job may avoid
 	// before avoidance is only a cost: otherwise a job whose tasks fail everywhere could not restart them.
@@ -27,7 +27,7 @@
 	held bool
 }
 
-// excludedWait is the wait of a restarted task for room outside its excluded workers since the end of a run.
+// excludedWait is the wait of a restarted task, since a run ended, for capacity outside its excluded workers.
 type excludedWait struct {
 	run   int
 	since time.Time
@@ -52,7 +52,7 @@
 	// the tasks have failed.
 	restarted bool
 	failedOn  []job.Host
-	// waited is set once the tasks have waited long enough for room elsewhere to start on any worker.
+	// waited is set once the tasks have waited long enough for other workers to start on any.
 	waited bool
 }
 
@@ -146,7 +146,7 @@
 }
 
 // waitedForOther reports whether a restarted task has waited maxExcludedWait since its latest run for a worker that is not excluded. Such a worker may never
-// have room.
+// have the capacity.
 func (r *retryRules) waitedForOther(tracked *trackedJob, id job.TaskID, kind retryKind) bool {
 	if !kind.restarted && len(kind.failedOn) == 0 {
 		return false
