--- a/internal/job/checkpoints.go
+++ b/internal/job/checkpoints.go
@@ -13,23 +13,19 @@
 // so that as many tasks as possible resume.
 func (j *Job) checkpointsWithin(maxBytes int) (kept map[TaskID]string, omitted int) {
 	kept = make(map[TaskID]string)
+	var longestFirst []TaskID
 	total := 0
 	j.Each(func(id TaskID, t *Task) {
 		if t.phase != Done && t.checkpoint != "" {
 			kept[id] = t.checkpoint
+			longestFirst = append(longestFirst, id)
 			total += len(t.checkpoint)
 		}
 	})
 	if total <= maxBytes {
 		return kept, 0
 	}
-	longestFirst := make([]TaskID, 0, len(kept))
-	for id := range kept {
-		longestFirst = append(longestFirst, id)
-	}
-	slices.SortFunc(longestFirst, func(a, b TaskID) int {
-		return cmp.Or(cmp.Compare(len(kept[b]), len(kept[a])), compareTasks(a, b))
-	})
+	slices.SortStableFunc(longestFirst, func(a, b TaskID) int { return cmp.Compare(len(kept[b]), len(kept[a])) })
 	for _, id := range longestFirst {
 		if total <= maxBytes {
 			break
@@ -40,7 +36,3 @@
 	}
 	return kept, omitted
 }
-
-func compareTasks(a, b TaskID) int {
-	return cmp.Or(cmp.Compare(a.Iteration, b.Iteration), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
-}
