Log runs that are given up while a start of them may be outstanding

The leader logs and counts runs that it gives up unreported (lead.unreported_losses), with the reason and the time since their placement. An agent logs a start that it refuses itself while an earlier call for the run is outstanding, and its age with each crash.

--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -75,7 +75,11 @@
 func (t *term) markUnreachable(h *hostState, reason string) {
 	runs := t.recordLosses(h, func(run link.Run) (crash.Loss, bool) { return crash.UnreachableLoss(), !h.findRun(run).neverHad })
 	for _, id := range h.runsWhere(func(p *placedRun) bool { return p.committed && p.reportedAt.IsZero() }) {
-		t.recordLateStart(h.worker.Host, link.NewRun(id, h.runs[id].number))
+		p := h.runs[id]
+		t.dispatcher.config.Metrics.Counter("lead.unreported_losses").Inc(1)
+		t.logger.Warn("run given up that was never reported, so a start of it may still be carried out; task=%s run=%d vm=%s instance=%s placed_ms=%d reason=%s",
+			id, p.number, h.worker.Host.VM, h.worker.Host.Incarnation, time.Since(p.placedAt).Milliseconds(), reason)
+		t.recordLateStart(h.worker.Host, link.NewRun(id, p.number))
 	}
 	if len(runs) > 0 {
 		t.unreachable[h.worker.Host] = unreachable{since: time.Now(), runs: runs}
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -44,7 +44,7 @@
 			run.Task, run.Number, w.id, known.answered, settled, age)
 		crashed = append(crashed, link.CrashedRun{Run: wireRun(run), Answered: known.answered, Settled: settled, AgeMillis: age})
 	}
-	r.logger.Warn("worker crashed; instance=%s runs=%d", w.id, len(runs))
+	r.logger.Warn("worker crashed; instance=%s runs=%d agent_age_ms=%d", w.id, len(runs), time.Since(r.startedAt).Milliseconds())
 	return crashed
 }
 
--- a/internal/runner/late.go
+++ b/internal/runner/late.go
@@ -22,6 +22,11 @@
 	r.lateStarts.Add(lateStart{worker: id.Worker(), run: run}, now)
 }
 
+// startOutstanding reports whether a call that starts the run is in progress, or got no answer and may still be carried out.
+func (r *Runner) startOutstanding(w *workerState, run host.Run) bool {
+	return w.startsInFlight[run] > 0 || r.lateStarts.Has(lateStart{worker: w.id.Worker(), run: run}, time.Now())
+}
+
 // lateStartDelay returns how long after its stop a run is not reported as refused: the stop binds one incarnation, while the next may still carry out
 // a start that got no answer, for up to host.MaxCallDelay. The delay applies only if the worker has reused an id before, and not to a long-running
 // task, which would be down for longer than its callers can tolerate.
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -75,6 +75,9 @@
 	refusal := r.checkStart(w, run, start)
 	w.orders[run] = o
 	if refusal != host.Accepted {
+		if r.startOutstanding(w, run) {
+			r.logger.Warn("start refused by the agent while a call that starts the run is outstanding; task=%s run=%d refusal=%s", run.Task, run.Number, refusal)
+		}
 		o.refuse(w, run, refusal)
 		wait.Notify(r.reportDue)
 		return
