Keep runs placed while a later incarnation may carry out a start of them

Operators saw tasks run twice: a worker was down, a start of a run waited for it, the leases expired, the leader placed the task elsewhere, and the worker came back under its id and carried the start out.

Cause: the end of all leases bounds what the present incarnation runs. It says nothing of calls that are on their way and that the next one, whose clock starts over, accepts. Three paths gave runs up by leases alone: a report that all have expired, the end of the agent lease, and the wait of a new leader.

A run is settled once its worker has listed it and no start of it is outstanding. Agents report which runs are not, and their own age, since a new process knows no call of its predecessor; the leader keeps unsettled runs placed until the next incarnation has confirmed their stop, or until no start can be carried out any more, and stores what the next leader needs to know. After a start is accepted the agent asks for a view at once, so that a run is unsettled for milliseconds instead of up to a second. An incarnation that ended under its id no longer counts as lapsed by the lease of the ended one. Workers without a start time reuse no id; nothing changes for them.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -106,7 +106,9 @@
 	if tracked.omitsCheckpoints {
 		maxCheckpoints = 0
 	}
-	value, omitted, err := tracked.job.EncodeProgress(maxCheckpoints, t.remainingLease)
+	value, omitted, err := tracked.job.EncodeProgress(maxCheckpoints, func(h job.Host) job.HostState {
+		return job.HostState{Lease: t.remainingLease(h), Unsettled: t.hasUnsettled(h, tracked.job.ID())}
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -62,6 +62,8 @@
 	Features Features
 	// Uptime is the clock of agent leases and of leadership; it includes the time that the system was suspended.
 	Uptime boottime.Clock
+	// MaxRenewal is the longest lease that a worker grants its runs.
+	MaxRenewal time.Duration
 }
 
 // Dispatcher campaigns for leadership and runs the terms of its process.
--- a/internal/dispatch/earlierleases_test.go
+++ b/internal/dispatch/earlierleases_test.go
@@ -114,6 +114,7 @@
 		store, a := kvtest.New(), &fakeAgent{vm: "vm"}
 		previous := termWithStartTime(t, store, a)
 		reportAndRun(t, previous, a, withFirstRun(reportWithStartTime(1)))
+		storeJob(t, previous)
 		assert.NilError(t, store.CommitAsOperator(kv.Txn{Removes: []string{record.LeasesKey}}))
 		first := takeOverFrom(t, store, "f")
 		assert.Equal(t, first.earlierLeases, previousReleaseTimeout)
@@ -183,7 +184,7 @@
 		report.MaxLeaseMillis = longest.Milliseconds()
 		reportAndRun(t, leader, a, report)
 		assert.Equal(t, testTask(leader).Phase(), job.Placed)
-		runCycle(t, leader)
+		reportAndRun(t, leader, a, withFirstRun(report))
 		time.Sleep(longest - leaderTimeout)
 		runCycle(t, leader)
 		for _, name := range []string{"f", "g", "h"} {
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -36,7 +36,7 @@
 func newTestEntry(name string, store kv.Store) *Dispatcher {
 	clock := &boottimetest.Clock{}
 	return New(Config{
-		Uptime: clock, Process: name, Boot: name, Address: name, Strength: 1, Store: store, Health: &kv.Health{}, Policies: noPolicies{},
+		Uptime: clock, MaxRenewal: 10 * time.Second, Process: name, Boot: name, Address: name, Strength: 1, Store: store, Health: &kv.Health{}, Policies: noPolicies{},
 		Closures: hall.New(store, testClosures, testClosureDelay, clock, logging.Discard()),
 		Logger:   logging.Discard(), Metrics: metric.New(),
 		Leader: follow.New(store, record.LeaderKey, record.DecodeLeader, logging.Discard()),
--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -45,6 +45,10 @@
 	stopSentAt  time.Time
 	// handedOver reports whether the run was ordered on a previous incarnation of the worker: this incarnation must only reject it.
 	handedOver bool
+	// settled reports whether the worker has listed the run and no later incarnation of it may carry out a start of the run.
+	settled bool
+	// kept reports whether the run was kept placed after the leases of its worker had expired.
+	kept bool
 	// onNext reports whether the next incarnation of the worker has the run as well.
 	onNext bool
 	// neverHad reports whether the incarnation ended without the run, by the report of its end; a later start clears it.
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -88,13 +88,12 @@
 	}
 }
 
-// startSettled reports whether no start of the run may still be carried out, by the agent's report of the crash or, without one, by whether
-// the worker has reported the run as running.
+// startSettled reports whether no start of the run may still be carried out, by the agent's report of the crash or, without one, by its earlier reports.
 func (p *placedRun) startSettled(reported map[link.Run]bool, run link.Run) bool {
 	if settled, found := reported[run]; found {
 		return settled
 	}
-	return !p.reportedAt.IsZero()
+	return !p.reportedAt.IsZero() && p.settled
 }
 
 // settledRuns returns the runs in the report of an ended incarnation, each with whether no start of it may still be carried out.
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/crash"
@@ -30,7 +31,7 @@
 	if report != nil {
 		h.markNeverHad(ages)
 	}
-	t.recordLosses(h, func(run link.Run) (crash.Loss, bool) {
+	t.recordLosses(h, h.sortedRuns(), func(run link.Run) (crash.Loss, bool) {
 		if report == nil {
 			return h.findRun(run).observedLoss(shared), true
 		}
@@ -70,36 +71,38 @@
 	return observed
 }
 
-// markUnreachable ends all runs of an incarnation whose agent lease has expired and counts them as lost, whether its worker
+// markUnreachable ends the runs of an incarnation whose agent lease has expired, except unsettled ones, and counts them as lost, whether its worker
 // crashed or not, except those that a report of its end has shown it never had.
-func (t *term) markUnreachable(h *hostState, reason string) {
-	runs := t.recordLosses(h, func(run link.Run) (crash.Loss, bool) { return crash.UnreachableLoss(), !h.findRun(run).neverHad })
-	for _, id := range h.runsWhere(func(p *placedRun) bool { return p.committed && p.reportedAt.IsZero() }) {
-		p := h.runs[id]
-		t.dispatcher.config.Metrics.Counter("lead.unreported_losses").Inc(1)
-		t.logger.Warn("run given up that was never reported, so a start of it may still be carried out; task=%s run=%d vm=%s instance=%s placed_ms=%d reason=%s",
-			id, p.number, h.worker.Host.VM, h.worker.Host.Incarnation, time.Since(p.placedAt).Milliseconds(), reason)
-		t.recordLateStart(h.worker.Host, link.NewRun(id, p.number))
+func (t *term) markUnreachable(h *hostState, unsettled func(link.Run, *placedRun) bool, reason string) {
+	released := t.releasedRuns(h, unsettled, reason)
+	if len(released) == 0 && len(h.runs) > 0 {
+		return
+	}
+	runs := t.recordLosses(h, released, func(run link.Run) (crash.Loss, bool) { return crash.UnreachableLoss(), !h.findRun(run).neverHad })
+	for _, id := range released {
+		if p := h.runs[id]; p.committed && p.reportedAt.IsZero() {
+			t.recordLateStart(h.worker.Host, link.NewRun(id, p.number))
+		}
 	}
 	if len(runs) > 0 {
-		t.unreachable[h.worker.Host] = unreachable{since: time.Now(), runs: runs}
+		t.unreachable[h.worker.Host] = unreachable{since: time.Now(), runs: slices.Concat(t.unreachable[h.worker.Host].runs, runs)}
 	}
 	if a := t.agents[h.worker.Host.VM]; a != nil && a.host == h.worker.Host {
 		// An order that is not sent yet could still start one of the runs.
 		a.pendingOrders = nil
 	}
-	t.recordLostRuns(h, h.sortedRuns(), reason)
+	t.recordLostRuns(h, released, reason)
 }
 
-// recordLosses counts the runs of an incarnation as lost and returns those that were counted. It bounds the starts of a
+// recordLosses counts some runs of an incarnation as lost and returns those that were counted. It bounds the starts of a
 // task whose crashes stay unreported or are never attributed to it. lossOf returns how a run was lost, false if the
 // incarnation never had it. Runs of a draining worker and runs that were never ordered do not count.
-func (t *term) recordLosses(h *hostState, lossOf func(link.Run) (crash.Loss, bool)) []link.Run {
+func (t *term) recordLosses(h *hostState, runs []job.TaskID, lossOf func(link.Run) (crash.Loss, bool)) []link.Run {
 	if h.draining {
 		return nil
 	}
 	var counted []link.Run
-	for _, id := range h.sortedRuns() {
+	for _, id := range runs {
 		p, tracked := h.runs[id], t.jobs[id.Job]
 		run := link.NewRun(id, p.number)
 		loss, ran := lossOf(run)
--- a/internal/dispatch/lostworker_test.go
+++ b/internal/dispatch/lostworker_test.go
@@ -53,6 +53,7 @@
 				store, a := kvtest.New(), &fakeAgent{vm: "vm"}
 				leader := termWithStartTime(t, store, a)
 				reportAndRun(t, leader, a, withFirstRun(reportWithStartTime(1)))
+				storeJob(t, leader)
 				if c.newLeader {
 					earlier := leader.epoch
 					store.RemoveLeasedKeys()
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -50,7 +50,7 @@
 	if orders == nil {
 		return
 	}
-	p.startSentAt, p.neverHad = time.Now(), false
+	p.startSentAt, p.neverHad, p.settled = time.Now(), false, false
 	checkpoint := tracked.job.Task(id).Checkpoint()
 	if p.step.Gang {
 		checkpoint = tracked.job.GangCheckpoint(id.Iteration, id.Step)
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -35,10 +35,10 @@
 		case a != nil && a.host == host:
 			h.worker.Schedulable = h.worker.Schedulable && now.Sub(a.confirmedAt) < maxReportAge
 			if a.leaseExpired(now) && !h.leaseMayLast(now) {
-				t.markUnreachable(h, "its agent no longer confirms it")
+				t.markUnreachable(h, t.unsettledWithout(a, now), "its agent no longer confirms it")
 			}
 		case t.earlierLeasesExpired(now) && (a == nil || a.leaseExpired(now)) && !h.leaseMayLast(now):
-			t.markUnreachable(h, "its agent has not confirmed it to this leader")
+			t.markUnreachable(h, t.unsettledWithout(a, now), "its agent has not confirmed it to this leader")
 		}
 	}
 }
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -34,6 +34,7 @@
 	for _, rejected := range r.Rejected {
 		t.handleRejected(h, rejected)
 	}
+	t.recordSettled(h, r)
 	if !r.Unreachable {
 		t.compareRuns(h, r)
 		t.sample(h, r)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -180,7 +180,9 @@
 			h := t.ensureHost(task.Host())
 			h.addRun(id, &tracked.job.Spec().Steps[id.Step], task.Run())
 			h.runs[id].stopping = tracked.job.State().IsFinal()
-			h.confirmed, h.heldUntil = true, later(h.heldUntil, t.startedAt.Add(tracked.job.StoredLease(task.Host())))
+			stored := tracked.job.StoredHost(task.Host())
+			h.runs[id].settled = !stored.Unsettled
+			h.confirmed, h.heldUntil = true, later(h.heldUntil, t.startedAt.Add(stored.Lease))
 		}
 	})
 	if tracked.job.State().IsFinal() {
--- /dev/null
+++ b/internal/dispatch/unsettled.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+const (
+	// maxStartTime bounds the time from when an agent sends a start to when it records that the call got no answer.
+	maxStartTime = 600 * time.Millisecond
+	// maxFirstReport is the time after its start within which a worker reports to its agent, which stops what it finds there.
+	maxFirstReport = 2 * time.Second
+	// startOutstanding is how long after it was sent a start may begin a run that nobody has stopped, while its agent runs.
+	startOutstanding = maxStartTime + host.MaxCallDelay + maxFirstReport
+	// minWorkerClockRate is the lowest rate of a worker's clock relative to this one, by the platform's specification.
+	minWorkerClockRate = 0.98
+)
+
+// mayReuseID reports whether a later incarnation of the worker may have the same id.
+func (h *hostState) mayReuseID() bool { return h.worker.Host.Incarnation.StartMillis() != 0 }
+
+// recordSettled records which runs are settled by a report: a run that is listed while no start of it is outstanding is not started again. An agent that
+// has restarted does not know what its predecessor has sent.
+func (t *term) recordSettled(h *hostState, r link.Report) {
+	now := time.Now()
+	age := time.Duration(r.AgentAgeMillis) * time.Millisecond
+	for _, running := range r.Running {
+		p := h.findRun(running.Run)
+		if p == nil || p.settled || slices.Contains(r.Unsettled, running.Run) {
+			continue
+		}
+		orderedByThis := !p.startSentAt.IsZero() && now.Sub(p.startSentAt) < age
+		if !h.mayReuseID() || age == 0 || age > startOutstanding || orderedByThis {
+			p.settled = true
+			t.storeSettled(h, running.Run, p)
+		}
+	}
+}
+
+// storeSettled has the job of a long-running task stored again once its run is settled: a new leader would otherwise keep the run placed for longer than
+// callers can tolerate if the VM is lost with this leader. The records of other tasks change soon anyway.
+func (t *term) storeSettled(h *hostState, run link.Run, p *placedRun) {
+	if tracked := t.jobOf(run); tracked != nil && p.step.LongRunning && h.mayReuseID() {
+		t.markDirty(tracked)
+	}
+}
+
+// hasUnsettled reports whether a job has an unsettled run on a worker that may reuse its id.
+func (t *term) hasUnsettled(worker job.Host, id job.ID) bool {
+	h := t.hosts.get(worker)
+	if h == nil || !h.mayReuseID() {
+		return false
+	}
+	for task, p := range h.runs {
+		if task.Job == id && !p.settled {
+			return true
+		}
+	}
+	return false
+}
+
+// unsettledBy returns which runs are unsettled by a report that all leases have expired.
+func unsettledBy(r link.Report) func(link.Run, *placedRun) bool {
+	age := time.Duration(r.AgentAgeMillis) * time.Millisecond
+	return func(run link.Run, p *placedRun) bool {
+		return slices.Contains(r.Unsettled, run) || !p.settled && age > 0 && age <= startOutstanding
+	}
+}
+
+// unsettledWithout returns which runs are unsettled while their agent, nil if it is unknown, does not report: starts may be sent until its lease has
+// expired, and the runs that they begin may go on for the longest lease.
+func (t *term) unsettledWithout(a *agent, now time.Time) func(link.Run, *placedRun) bool {
+	leaseEnd := t.startedAt.Add(t.earlierLeases)
+	if a != nil {
+		leaseEnd = later(leaseEnd, a.leasedAt.Add(agentLease))
+	}
+	maxLease := time.Duration(float64(t.dispatcher.config.MaxRenewal) / minWorkerClockRate)
+	until := leaseEnd.Add(agentLeaseMargin + startOutstanding + maxLease)
+	return func(_ link.Run, p *placedRun) bool { return !p.settled && now.Before(until) }
+}
+
+// releasedRuns returns the runs of an incarnation whose leases have expired that may be placed again, sorted, and logs those that may not.
+func (t *term) releasedRuns(h *hostState, unsettled func(link.Run, *placedRun) bool, reason string) []job.TaskID {
+	if !h.mayReuseID() {
+		return h.sortedRuns()
+	}
+	var released []job.TaskID
+	for _, id := range h.sortedRuns() {
+		p := h.runs[id]
+		if !p.committed || !unsettled(link.NewRun(id, p.number), p) {
+			released = append(released, id)
+			continue
+		}
+		if !p.kept {
+			p.kept = true
+			t.dispatcher.config.Metrics.Counter("lead.kept_runs").Inc(1)
+			t.logger.Warn("run of a lost worker stays placed, since a later incarnation may carry out a start of it; task=%s run=%d vm=%s instance=%s reason=%s",
+				id, p.number, h.worker.Host.VM, h.worker.Host.Incarnation, reason)
+		}
+	}
+	return released
+}
--- a/internal/job/checkpoints_test.go
+++ b/internal/job/checkpoints_test.go
@@ -33,7 +33,7 @@
 				j.RecordLoss(id, 1, crash.UnreachableLoss())
 				j.RecordEnd(id, 1, EndStopped, strings.Repeat("c", c.length))
 			}
-			data, omitted, err := j.EncodeProgress(MaxStoredCheckpoints, noLeases)
+			data, omitted, err := j.EncodeProgress(MaxStoredCheckpoints, settledHost)
 			assert.NilError(t, err)
 			assert.Assert(t, len(data) < valueLimit, "the record has %d bytes", len(data))
 			assert.Equal(t, omitted, c.omitted)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -16,8 +16,8 @@
 	unfinished int
 	// tasks is indexed by iteration, step and index in the step.
 	tasks [][][]Task
-	// storedLeases are those in the progress that the job was restored from.
-	storedLeases map[Host]time.Duration
+	// storedHosts are the states of hosts in the progress that the job was restored from.
+	storedHosts map[Host]HostState
 }
 
 // Queue is the configuration of the queue that a job was submitted to.
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -1,15 +1,10 @@
 package job
 
 import (
-	"slices"
-	"strconv"
-	"time"
-
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
-	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 )
 
 // storedProgress is the progress of a job in the store; tasks that never had a run are omitted.
@@ -60,63 +55,6 @@
 	CrashRun        int
 }
 
-// storedHost is a host by the identifier of its worker. The start times of the incarnations follow the hosts in the same list, as entries
-// without a VM in the same order, and the milliseconds for which their leases may last follow these, unless all are 0. Leaders of earlier releases
-// ignore what they don't know.
-type storedHost struct {
-	_        struct{} `cbor:",toarray"`
-	VM       string
-	Instance string
-}
-
-// decodeHosts returns the stored hosts with the start times of their incarnations and the leases that may last there, if those are stored.
-func decodeHosts(stored []storedHost) ([]Host, map[Host]time.Duration) {
-	count := slices.IndexFunc(stored, func(h storedHost) bool { return h.VM == "" })
-	if count < 0 {
-		count = len(stored)
-	}
-	hosts, leases := make([]Host, count), make(map[Host]time.Duration)
-	for i, h := range stored[:count] {
-		hosts[i] = Host{VM: h.VM, Incarnation: incarnation.New(h.Instance, storedMillis(stored, count+i))}
-		if lease := storedMillis(stored, 2*count+i); lease > 0 {
-			leases[hosts[i]] = millis(lease)
-		}
-	}
-	return hosts, leases
-}
-
-// storedMillis returns the number in an entry without a VM, 0 if there is none or it is unreadable.
-func storedMillis(stored []storedHost, index int) int64 {
-	if index >= len(stored) {
-		return 0
-	}
-	n, err := strconv.ParseInt(stored[index].Instance, 10, 64)
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
-// encodeHosts returns the stored form of hosts, with the leases that may last there.
-func encodeHosts(hosts []Host, leaseOf func(Host) time.Duration) []storedHost {
-	names, startTimes, leases := make([]storedHost, 0, len(hosts)), make([]storedHost, 0, len(hosts)), make([]storedHost, 0, len(hosts))
-	anyLease := false
-	for _, h := range hosts {
-		lease := leaseOf(h).Milliseconds()
-		anyLease = anyLease || lease > 0
-		names = append(names, storedHost{VM: h.VM, Instance: h.Incarnation.Worker()})
-		startTimes = append(startTimes, storedHost{Instance: strconv.FormatInt(h.Incarnation.StartMillis(), 10)})
-		leases = append(leases, storedHost{Instance: strconv.FormatInt(lease, 10)})
-	}
-	if !anyLease {
-		leases = nil
-	}
-	return slices.Concat(names, startTimes, leases)
-}
-
-// StoredLease returns how long the lease of a host may have lasted when the progress was stored.
-func (j *Job) StoredLease(h Host) time.Duration { return j.storedLeases[h] }
-
 // storedTask is a task that has had a run. Only the first member of a gang has failures; Failures of the member at gangFailedRun is the latest
 // run that was counted in them, which leaders of the previous release keep without reading it.
 type storedTask struct {
@@ -152,8 +90,8 @@
 }
 
 // EncodeProgress returns the stored form of the job's progress with at most maxCheckpoints bytes of checkpoints, and the number of those left out: tasks
-// whose checkpoint is not stored start anew under the next leader. leaseOf returns how long the lease of a host may last without its agent.
-func (j *Job) EncodeProgress(maxCheckpoints int, leaseOf func(Host) time.Duration) (data []byte, omitted int, err error) {
+// whose checkpoint is not stored start anew under the next leader. stateOf returns the state of a host.
+func (j *Job) EncodeProgress(maxCheckpoints int, stateOf func(Host) HostState) (data []byte, omitted int, err error) {
 	stored := storedProgress{State: int(j.State())}
 	checkpoints, omitted := j.checkpointsWithin(maxCheckpoints)
 	positions := make(map[Host]int)
@@ -179,7 +117,7 @@
 			histories = append(histories, t.encodeHistory(id))
 		}
 	})
-	stored.Hosts = encodeHosts(hosts, leaseOf)
+	stored.Hosts = encodeHosts(hosts, stateOf)
 	if len(histories) == 0 {
 		data, err = cbor.Marshal(stored)
 		return data, omitted, err
@@ -235,8 +173,8 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "the progress of job "+string(j.id)+" cannot be read")
 	}
-	hosts, leases := decodeHosts(stored.Hosts)
-	j.storedLeases = leases
+	hosts, states := decodeHosts(stored.Hosts)
+	j.storedHosts = states
 	for _, row := range stored.Tasks {
 		id := TaskID{Job: j.id, Iteration: row.Iteration, Step: row.Step, Index: row.Index}
 		task := j.Task(id)
--- a/internal/job/script_test.go
+++ b/internal/job/script_test.go
@@ -38,7 +38,7 @@
 	t.Helper()
 	accepted, err := Encode(j.spec, j.queue, j.accepted)
 	assert.NilError(t, err)
-	progress, _, err := j.EncodeProgress(MaxStoredCheckpoints, noLeases)
+	progress, _, err := j.EncodeProgress(MaxStoredCheckpoints, settledHost)
 	assert.NilError(t, err)
 	decoded, err := Decode(j.id, accepted)
 	assert.NilError(t, err)
--- a/internal/job/spec_test.go
+++ b/internal/job/spec_test.go
@@ -75,11 +75,11 @@
 	assert.Assert(t, j.LastCrashCounted(TaskID{Job: id}, 2))
 }
 
-// noLeases is the lease of a host whose agent bounds it.
-func noLeases(Host) time.Duration { return 0 }
+// settledHost is the state of a host whose agent bounds its lease, without unsettled runs.
+func settledHost(Host) HostState { return HostState{} }
 
-// TestLeasesOfWorkersAreStored guards against a new leader that doesn't know that the lease of a restarted worker outlasts that of its agent, and checks
-// that leaders of the previous release can read what is stored.
+// TestLeasesOfWorkersAreStored guards against a new leader that doesn't know that the lease of a restarted worker outlasts that of its agent, or that a start
+// is outstanding there, and checks that leaders of the previous release can read what is stored.
 func TestLeasesOfWorkersAreStored(t *testing.T) {
 	const id ID = "00000000000000aa"
 	spec := Spec{Steps: []Step{{Count: 2}}}
@@ -88,23 +88,20 @@
 	for i, h := range hosts {
 		j.Place(TaskID{Job: id, Index: i}, h, 0)
 	}
-	data, _, err := j.EncodeProgress(MaxStoredCheckpoints, func(h Host) time.Duration {
-		if h == hosts[1] {
-			return 6 * time.Second
+	for _, states := range [][]HostState{{{}, {}}, {{}, {Lease: 6 * time.Second}}, {{Unsettled: true}, {}}, {{Lease: time.Second}, {Lease: time.Second, Unsettled: true}}} {
+		data, _, err := j.EncodeProgress(MaxStoredCheckpoints, func(h Host) HostState { return states[slices.Index(hosts, h)] })
+		assert.NilError(t, err)
+		decoded := New(id, spec, Queue{}, time.Unix(1, 0))
+		assert.NilError(t, decoded.ApplyProgress(data))
+		for i, state := range states {
+			assert.Equal(t, decoded.Task(TaskID{Job: id, Index: i}).Host(), hosts[i])
+			assert.Equal(t, decoded.StoredHost(hosts[i]), state)
 		}
-		return 0
-	})
-	assert.NilError(t, err)
-	decoded := New(id, spec, Queue{}, time.Unix(1, 0))
-	assert.NilError(t, decoded.ApplyProgress(data))
-	for i, lease := range []time.Duration{0, 6 * time.Second} {
-		assert.Equal(t, decoded.Task(TaskID{Job: id, Index: i}).Host(), hosts[i])
-		assert.Equal(t, decoded.StoredLease(hosts[i]), lease)
+		var previous storedProgress
+		assert.NilError(t, cbor.Unmarshal(data, &previous))
+		assert.Equal(t, slices.IndexFunc(previous.Hosts, func(h storedHost) bool { return h.VM == "" }), len(hosts), "start times follow the hosts")
+		assert.Equal(t, previous.Hosts[len(hosts)+1].Instance, "8")
 	}
-	var previous storedProgress
-	assert.NilError(t, cbor.Unmarshal(data, &previous))
-	assert.Equal(t, slices.IndexFunc(previous.Hosts, func(h storedHost) bool { return h.VM == "" }), len(hosts), "start times follow the hosts")
-	assert.Equal(t, previous.Hosts[len(hosts)+1].Instance, "8")
 }
 
 // TestStartTimesOfWorkersAreStored checks that start times are stored in a form that leaders of the previous release ignore.
@@ -119,7 +116,7 @@
 	for i, h := range hosts {
 		j.Place(TaskID{Job: id, Index: i}, h, 0)
 	}
-	data, _, err := j.EncodeProgress(MaxStoredCheckpoints, noLeases)
+	data, _, err := j.EncodeProgress(MaxStoredCheckpoints, settledHost)
 	assert.NilError(t, err)
 	decoded := New(id, spec, Queue{}, time.Unix(1, 0))
 	assert.NilError(t, decoded.ApplyProgress(data))
@@ -149,7 +146,7 @@
 			j.RecordCrash(TaskID{Job: j.id}, 1, crash.NewFinding(crash.LikelyCause, true))
 			j.RecordLoss(TaskID{Job: j.id}, 1, crash.UnreachableLoss())
 		}
-		progress, _, err := j.EncodeProgress(MaxStoredCheckpoints, noLeases)
+		progress, _, err := j.EncodeProgress(MaxStoredCheckpoints, settledHost)
 		if err != nil {
 			f.Fatal(err)
 		}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -125,6 +125,10 @@
 	Ended    []Ended    `json:"ended,omitempty"`
 	Pending  []Run      `json:"pending,omitempty"`
 	Rejected []Rejected `json:"rejected,omitempty"`
+	// Unsettled are the runs that a later incarnation of the worker may carry out or have carried out, by calls of this process of the agent.
+	Unsettled []Run `json:"unsettled,omitempty"`
+	// AgentAgeMillis is the age of the process of the agent, which knows no call of its predecessor, 0 from agents of the previous release.
+	AgentAgeMillis int64 `json:"agent_ms,omitempty"`
 	// MissingProfiles are the runs for which the agent has no profile.
 	MissingProfiles []Run `json:"unknown,omitempty"`
 	// Crashes are the ended incarnations; each is reported until a leader has committed its consequences.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -51,8 +51,8 @@
 		Advisor: advisor, Features: p.settings.Features(),
 		Process: p.settings.ID(), Boot: p.boot, Address: p.settings.PeerAddress(), Strength: p.settings.Strength(),
 		Closures: hall.New(p.store, platform.ClosuresPrefix, p.settings.ClosureDelay(), boottime.System{}, p.logger.Named("closures")),
-		Uptime:   boottime.System{},
-		Store:    p.store, Health: p.health, Leader: e.leader, Policies: e.policies, Logger: p.logger.Named("dispatch"), Metrics: p.metrics,
+		Uptime:   boottime.System{}, MaxRenewal: p.settings.MaxRenewal(),
+		Store: p.store, Health: p.health, Leader: e.leader, Policies: e.policies, Logger: p.logger.Named("dispatch"), Metrics: p.metrics,
 	})
 	e.server = intake.New(intake.Config{
 		Store: relay.New(p.store, p.health, p.pool), Pool: p.pool, Policies: e.policies, Leader: e.leader, Dispatcher: e.dispatcher,
--- a/internal/runner/candidates.go
+++ b/internal/runner/candidates.go
@@ -147,6 +147,9 @@
 	if !w.terminated {
 		r.logger.Warn("worker incarnation ended; instance=%s same_id=%t", w.id, sameID)
 		r.recordEnd(w)
+		if sameID {
+			r.assumeLease(w, time.Now())
+		}
 		wait.Notify(r.reportDue)
 	}
 	w.terminated, w.unreachable, w.idChanged = true, true, w.idChanged || !sameID
--- a/internal/runner/late.go
+++ b/internal/runner/late.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/incarnation"
+	"github.com/saffronpulley/saffronpulley/internal/link"
 	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
@@ -27,6 +29,39 @@
 	return w.startsInFlight[run] > 0 || r.lateStarts.Has(lateStart{worker: w.id.Worker(), run: run}, time.Now())
 }
 
+// unsettledRuns returns the runs that a later incarnation with the id may carry out, or have carried out under the name of this one, sorted by task: those
+// with an outstanding start, and those whose start was sent and that this incarnation has not listed since. A worker that reports no start time reuses no id.
+func (r *Runner) unsettledRuns(w *workerState, now time.Time) []link.Run {
+	if !w.mayHoldLease() {
+		return nil
+	}
+	runs := make(map[host.Run]bool)
+	for _, run := range r.lateStartRuns(w.id, now) {
+		runs[run] = true
+	}
+	for run := range w.startsInFlight {
+		runs[run] = true
+	}
+	for run, known := range w.possibleRuns {
+		if !known.listed() && now.Sub(known.sentAt) <= host.MaxCallDelay {
+			runs[run] = true
+		}
+	}
+	for run, o := range w.orders {
+		if o.start != nil && !o.final {
+			runs[run] = true
+		}
+	}
+	unsettled := make([]link.Run, 0, len(runs))
+	for run := range runs {
+		unsettled = append(unsettled, wireRun(run))
+	}
+	slices.SortFunc(unsettled, func(a, b link.Run) int {
+		return cmp.Or(strings.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
+	})
+	return unsettled
+}
+
 // lateStartDelay returns how long after its stop a run is not reported as refused: the stop binds one incarnation, while the next may still carry out
 // a start that got no answer, for up to host.MaxCallDelay. The delay applies only if the worker has reused an id before, and not to a long-running
 // task, which would be down for longer than its callers can tolerate.
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -228,6 +228,7 @@
 		w.possibleRuns.recordAccepted(run)
 		delete(w.orders, run)
 		w.profiles[run] = o.start.Profile
+		r.requestLook()
 		return true
 	case refusal == host.RefusedLate:
 		return false
--- a/internal/runner/possible.go
+++ b/internal/runner/possible.go
@@ -20,6 +20,8 @@
 	// latest start was sent.
 	answered bool
 	listings int
+	// startCalls counts the start calls sent.
+	startCalls int
 	// inProgress counts the start calls without an outcome yet, unanswered reports whether one got no answer: the worker may have carried it out.
 	inProgress int
 	unanswered bool
@@ -50,6 +52,7 @@
 func (p runSet) recordStart(run host.Run) {
 	known := p.entry(run)
 	known.listings = 0
+	known.startCalls++
 	known.inProgress++
 }
 
@@ -68,13 +71,22 @@
 	}
 }
 
-// applyView updates the runs from a view. A run that a complete view does not list once its start has expired is removed: a start given up with the
-// leader that ordered it would otherwise reserve capacity without end.
+// applyView updates the runs from a view of the renewal loop, and counts the listings.
 func (p runSet) applyView(view host.View, now time.Time) {
+	p.update(view, now)
+	for _, running := range view.Running {
+		if known := p[running.Run]; known != nil {
+			known.listings++
+		}
+	}
+}
+
+// update updates the runs from a view. A run that a complete view does not list once its start has expired is removed: a start given up with the
+// leader that ordered it would otherwise reserve capacity without end.
+func (p runSet) update(view host.View, now time.Time) {
 	for _, running := range view.Running {
 		known := p.entry(running.Run)
 		known.answered, known.listedAt = true, now
-		known.listings++
 	}
 	for _, e := range view.Ended {
 		delete(p, e.Run)
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -221,22 +221,32 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.worker
-	if w == nil || w.id != id {
+	if w == nil || w.id != id || !r.recordAnswer(w, renewal, view) {
 		return false
 	}
+	if !view.MoreEnds {
+		w.completeViews++
+	}
+	w.possibleRuns.applyView(view, w.clockReadAt)
+	r.applyView(ctx, w)
+	return len(view.Ended) > 0
+}
+
+// recordAnswer records that the present incarnation answered a renewal, and reports whether the answer is newer than the latest one.
+func (r *Runner) recordAnswer(w *workerState, renewal host.Renewal, view host.View) bool {
 	if w.views > 0 && view.Clock < w.clock {
 		// A newer answer arrived first.
-		r.logOutdated("answer", id, time.Duration(view.Clock).Milliseconds(), time.Duration(w.clock).Milliseconds())
+		r.logOutdated("answer", w.id, time.Duration(view.Clock).Milliseconds(), time.Duration(w.clock).Milliseconds())
 		return false
 	}
-	r.checkAcknowledgement(id, renewal.Acknowledged, view)
+	r.checkAcknowledgement(w.id, renewal.Acknowledged, view)
 	now := time.Now()
 	if w.terminated {
 		// The agent dropped its orders meanwhile; the leader sends them again.
 		w.cancelOrders()
 	}
 	if w.unreachable {
-		r.logger.Info("worker answers again; instance=%s", id)
+		r.logger.Info("worker answers again; instance=%s", w.id)
 	}
 	w.clock, w.clockReadAt, w.answeredAt, w.unreachable = view.Clock, now, now, false
 	w.confirmedAt, w.unconfirmed = r.config.Uptime.Now(), false
@@ -249,13 +259,13 @@
 	r.fences.recordAnswer(renewal.Fence)
 	w.view = view
 	w.views++
-	if !view.MoreEnds {
-		w.completeViews++
-	}
-	w.possibleRuns.applyView(view, now)
+	return true
+}
+
+// applyView brings the state of the runs up to date with the latest view.
+func (r *Runner) applyView(ctx context.Context, w *workerState) {
 	w.removeStopped()
 	w.prune()
 	r.adjustPaces(ctx, w)
 	wait.Notify(r.reportDue)
-	return len(view.Ended) > 0
 }
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -239,7 +239,7 @@
 func (r *Runner) compose() (link.Report, *workerState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	report := link.Report{VM: r.config.VM, Hall: r.config.Hall, Epoch: r.epoch, Crashes: r.crashes.compose(), Stopping: r.stopping}
+	report := link.Report{VM: r.config.VM, Hall: r.config.Hall, Epoch: r.epoch, Crashes: r.crashes.compose(), Stopping: r.stopping, AgentAgeMillis: r.ageMillis()}
 	w := r.worker
 	report.LeaseExpired = r.leasesExpired(time.Now())
 	r.leaseExpiryReported = report.LeaseExpired || r.leaseExpiryReported && (w == nil || w.unreachable)
@@ -253,6 +253,7 @@
 	report.Unreachable, report.FirstFailureMillis = w.unreachable, millisSince(w.firstFailure)
 	report.Fenced = w.fenced && r.fences.covers(w.highestFence, r.epoch)
 	report.MaxLeaseMillis = max(time.Until(w.leaseEnd), 0).Milliseconds()
+	report.Unsettled = r.unsettledRuns(w, time.Now())
 	w.addRuns(&report)
 	return report, w
 }
@@ -266,6 +267,14 @@
 	return !r.startedAt.IsZero() && now.Sub(r.startedAt) > runLease
 }
 
+// ageMillis returns the age of the process, at least 1 once it runs.
+func (r *Runner) ageMillis() int64 {
+	if r.startedAt.IsZero() {
+		return 0
+	}
+	return max(time.Since(r.startedAt).Milliseconds(), 1)
+}
+
 // addEnded adds the ended runs of the latest view to a report, up to the first whose checkpoint doesn't fit: the next follow once these are
 // acknowledged. A checkpoint that fits into no message is given up.
 func (w *workerState) addEnded(report *link.Report) {
