Start runs only on a worker that has just answered

A worker that crashes while calls to it wait takes them as its next incarnation. Its agent noticed a crash by a failed renewal, which waits for a run to end, so for up to 1.1 s it sent starts that only the next incarnation could get.

Before each attempt the agent looks at the worker unless it has answered within 50 ms, and sends nothing if the look fails or another incarnation answers. The same look follows an accepted start; callers share the one in progress. A view that was requested before a start no longer discards the profile of the run, which counted as no capacity until the leader sent it again.

--- a/internal/dispatch/heldcalls_test.go
+++ b/internal/dispatch/heldcalls_test.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/incarnation"
 )
 
@@ -95,6 +97,88 @@
 	return s.violations
 }
 
+// heldCallSeeds is how many random sequences of restarts with held calls are played.
+const heldCallSeeds = 300
+
+// TestTaskRunsOnceAfterRandomRestartsWithHeldCalls guards against a second run beside the first after restarts of workers that hold calls meanwhile, late
+// starts, cuts, and failures of agents and leaders in any order.
+func TestTaskRunsOnceAfterRandomRestartsWithHeldCalls(t *testing.T) {
+	for seed := range uint64(heldCallSeeds) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			var f randomFailures
+			synctest.Test(t, func(t *testing.T) { f = playRandomHeldCalls(t, seed) })
+			if len(f.simulation.violations) > 0 {
+				t.Errorf("%v after %v", f.simulation.violations, f.played)
+			}
+		})
+	}
+}
+
+func playRandomHeldCalls(t *testing.T, seed uint64) randomFailures {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	random := rand.New(rand.NewPCG(seed, 2)) //nolint:gosec // the sequence must repeat
+	s := newSimulation(ctx, t, randomVMs, random.IntN(2) == 0)
+	f := randomFailures{simulation: s, random: random, lost: -1}
+	s.maxRenewal, s.taskTime = time.Duration(6+4*random.IntN(2))*time.Second, 8*time.Second
+	for vm, w := range s.workers {
+		w.stopTime, w.holdsCalls = slowStop, true
+		s.killAgent[vm]()
+		s.startAgent(vm)
+	}
+	time.Sleep(2 * time.Second)
+	began := time.Now()
+	s.submitJob()
+	for n := range 4 + random.IntN(6) {
+		time.Sleep(time.Duration([]int{2, 15, 40, 200, 600, 1500, 4000}[random.IntN(7)]+random.IntN(100)) * time.Millisecond)
+		vm := f.drawVM()
+		f.played = append(f.played, fmt.Sprintf("%v vm%d %s", time.Since(began), vm, f.playHeldCall(vm, n)))
+	}
+	for vm, w := range s.workers {
+		w.startDelay = 0
+		s.vmNetworks[vm].setCut(false)
+	}
+	time.Sleep(host.MaxCallDelay)
+	s.awaitOutcome(restartCase{longRunning: s.longRunning, restarts: make([]restart, f.crashes)})
+	s.end(cancel)
+	return f
+}
+
+// playHeldCall plays a restart with a random downtime, or another random failure, and returns its name.
+func (f *randomFailures) playHeldCall(vm, n int) string {
+	s, w := f.simulation, f.simulation.workers[vm]
+	switch f.random.IntN(8) {
+	case 0, 1, 2:
+		f.crashes++
+		downtime := time.Duration([]int{300, 600, 1500, 2700, 4500, 7000}[f.random.IntN(6)]+f.random.IntN(200)) * time.Millisecond
+		clock := []time.Duration{time.Second, time.Minute, time.Duration(n+2) * time.Hour}[f.random.IntN(3)]
+		w.restartAfter(incarnation.New(w.id.Worker(), clockStart+int64(n)+1), clock, downtime)
+		return fmt.Sprintf("down for %v, then clock %v", downtime, clock)
+	case 3:
+		s.vmNetworks[vm].setCut(true)
+		return "cut off"
+	case 4:
+		s.elect()
+		return "leader replaced"
+	case 5:
+		s.killAgent[vm]()
+		time.Sleep(time.Duration(f.random.IntN(3)*400) * time.Millisecond)
+		s.startAgent(vm)
+		return "agent restarted"
+	case 6:
+		for other := range s.vmNetworks {
+			s.vmNetworks[other].setCut(false)
+		}
+		return "cuts end"
+	}
+	delay := []time.Duration{0, 250 * time.Millisecond, 2 * time.Second, 6 * time.Second}[f.random.IntN(4)]
+	for _, w := range s.workers {
+		w.startDelay = delay
+	}
+	return fmt.Sprintf("starts delayed by %v", delay)
+}
+
 // event is something that happens some time after the start of a case.
 type event struct {
 	after  time.Duration
--- a/internal/dispatch/modelworker_test.go
+++ b/internal/dispatch/modelworker_test.go
@@ -30,6 +30,8 @@
 	latestRun      int
 	ends           []host.EndedRun
 	lastEnd        uint64
+	// lapsedEnd is the last end before the lease expired; such ends do not count as acknowledged.
+	lapsedEnd uint64
 	// startDelay delays starts, which then get no answer; with 0 they are carried out and answered at once.
 	startDelay time.Duration
 	// holdsCalls makes calls during the downtime wait for the next incarnation, which carries them out once it is up, in place of a refused connection.
@@ -56,7 +58,7 @@
 
 func (w *modelWorker) reset(id incarnation.ID, clock time.Duration) {
 	w.id, w.startedAt, w.startClock = id, time.Now(), clock
-	w.reportSequence, w.fence, w.leaseUntil, w.run, w.latestRun, w.ends, w.lastEnd = 0, 0, 0, nil, 0, nil, 0
+	w.reportSequence, w.fence, w.leaseUntil, w.run, w.latestRun, w.ends, w.lastEnd, w.lapsedEnd = 0, 0, 0, nil, 0, nil, 0, 0
 	w.stopAt = time.Time{}
 }
 
@@ -96,6 +98,9 @@
 
 // advance ends the run if it is done or its lease has expired; w must be locked.
 func (w *modelWorker) advance() {
+	if w.now() > w.leaseUntil {
+		w.lapsedEnd = w.lastEnd
+	}
 	switch {
 	case w.run == nil:
 	case w.now() > w.leaseUntil:
@@ -151,7 +156,13 @@
 	w.unlock()
 	go func() {
 		wait.For(w.simulation.ctx, delay)
-		if w.lockForCall(id) == nil {
+		w.lock()
+		up := w.downUntil
+		w.unlock()
+		if w.holdsCalls {
+			wait.For(w.simulation.ctx, time.Until(up))
+		}
+		if w.simulation.ctx.Err() == nil && w.lockForCall(id) == nil {
 			w.startRun(start)
 			w.unlock()
 		}
@@ -262,7 +273,7 @@
 	}
 	view := host.View{Incarnation: w.id, Clock: w.now(), Ended: slices.Clone(w.ends)}
 	if w.run != nil {
-		view.Running = []host.Running{{Run: *w.run, Percent: 50}}
+		view.Running = []host.Running{{Run: *w.run, Percent: int(100 * time.Since(w.runStartedAt) / w.simulation.taskTime)}}
 	}
 	return view, host.Accepted, nil
 }
@@ -316,7 +327,7 @@
 // acknowledgeEnds removes acknowledged ends; w must be locked.
 func (w *modelWorker) acknowledgeEnds(acknowledged uint64) {
 	w.ends = slices.DeleteFunc(w.ends, func(e host.EndedRun) bool {
-		if e.Sequence <= acknowledged && e.End == job.EndDone {
+		if e.Sequence <= acknowledged && e.Sequence > w.lapsedEnd && e.End == job.EndDone {
 			w.simulation.completionRecorded = true
 		}
 		return e.Sequence <= acknowledged
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -239,6 +239,7 @@
 		orders.StartMillis = firstIncarnation.StartMillis()
 		_, err := r.handleOrders(t.Context(), nil, orders)
 		assert.NilError(t, err)
+		synctest.Wait()
 		r.recordLateStart(firstIncarnation, testRun(4), time.Now())
 		for range viewsAfterEvent {
 			r.worker.possibleRuns.applyView(host.View{Running: []host.Running{{Run: testRun(3)}, {Run: testRun(4)}}}, time.Now())
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -6,7 +6,6 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/incarnation"
-	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 // lookTimeout bounds a look; the worker is on the same VM and has nothing to wait for.
@@ -21,16 +20,44 @@
 	startCalls map[host.Run]int
 }
 
-// lookLoop asks for a view whenever one is due. A view that lists a run after its start was answered shows that the present incarnation has the run.
-func (r *Runner) lookLoop(ctx context.Context) error {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-r.lookDue:
-			r.look(ctx)
-		}
+// maxConfirmationAge is how long after an answer of the worker a start may be sent. A worker that has crashed since takes the start as its next incarnation,
+// perhaps after the task was placed elsewhere.
+const maxConfirmationAge = 50 * time.Millisecond
+
+// confirmedWithin reports whether the incarnation has answered within a time, and no call has failed since.
+func (r *Runner) confirmedWithin(w *workerState, age time.Duration) bool {
+	return !w.confirmedAt.IsZero() && r.config.Uptime.Now().Sub(w.confirmedAt) <= age
+}
+
+// confirmWorker looks at the worker unless it has just answered.
+func (r *Runner) confirmWorker(ctx context.Context, w *workerState) {
+	r.lookUnless(ctx, func() bool { return r.confirmedWithin(w, maxConfirmationAge) })
+}
+
+// confirmRun looks at the worker unless it has listed a run since its start.
+func (r *Runner) confirmRun(ctx context.Context, w *workerState, run host.Run) {
+	r.lookUnless(ctx, func() bool { return w.possibleRuns[run] == nil || w.possibleRuns[run].listed() })
+}
+
+// lookUnless asks for a view unless it is not needed, also by the end of the look in progress.
+func (r *Runner) lookUnless(ctx context.Context, unneeded func() bool) {
+	needed := func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return !unneeded()
+	}
+	if !needed() {
+		return
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case r.looking <- struct{}{}:
+	}
+	defer func() { <-r.looking }()
+	if needed() {
+		r.look(ctx)
 	}
-	return ctx.Err()
 }
 
 // look asks for one view.
@@ -44,6 +71,7 @@
 	sentAt := time.Now()
 	view, refusal, err := r.config.Worker.Renew(bounded, l.id, l.renewal)
 	switch {
+	case ctx.Err() != nil:
 	case err == nil && refusal == host.Accepted && view.Incarnation != l.id:
 		r.recordNextRuns(l.id, view)
 		r.recordFailedRenewal(l.id, sentAt, errSameID)
@@ -88,6 +116,3 @@
 		}
 	}
 }
-
-// requestLook has the worker asked for a view.
-func (r *Runner) requestLook() { wait.Notify(r.lookDue) }
--- /dev/null
+++ b/internal/runner/look_test.go
@@ -0,0 +1,63 @@
+package runner
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// TestNothingStartsOnAWorkerThatHasNotJustAnswered guards against a start that the next incarnation of a crashed worker carries out: the agent had not noticed
+// the crash yet, since its renewal waited for a run to end.
+func TestNothingStartsOnAWorkerThatHasNotJustAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		crash  func(worker *fakeWorker)
+		starts int
+	}{
+		"answers":           {crash: func(*fakeWorker) {}, starts: 1},
+		"has crashed":       {crash: func(w *fakeWorker) { w.setUnavailable(true) }},
+		"has been replaced": {crash: func(w *fakeWorker) { w.restart(secondIncarnation) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &fakeWorker{answerStart: accept}
+				r := newIncarnationTest(t, worker)
+				time.Sleep(8 * maxConfirmationAge)
+				c.crash(worker)
+				orders := startOrders()
+				orders.StartMillis = firstIncarnation.StartMillis()
+				_, err := r.handleOrders(t.Context(), nil, orders)
+				assert.NilError(t, err)
+				time.Sleep(time.Second)
+				assert.Equal(t, len(worker.started()), c.starts)
+			})
+		})
+	}
+}
+
+// TestRunIsSettledOnceItIsListedAfterItsStart guards against runs that stay placed for long after their worker was lost, since a view that lists them was
+// awaited for up to a second, and against runs that count as settled by a view from before their latest start.
+func TestRunIsSettledOnceItIsListedAfterItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{answerStart: accept}
+		r := newIncarnationTest(t, worker)
+		view := host.View{Clock: host.Clock(time.Hour + time.Second), Running: []host.Running{{Run: testRun(1)}, {Run: testRun(3)}}}
+		worker.setView(view)
+		orders := startOrders()
+		orders.StartMillis = firstIncarnation.StartMillis()
+		_, err := r.handleOrders(t.Context(), nil, orders)
+		assert.NilError(t, err)
+		synctest.Wait()
+		report, _ := r.compose()
+		assert.Equal(t, len(report.Unsettled), 0)
+		l, _ := r.nextLook()
+		r.worker.possibleRuns.recordStart(testRun(1))
+		r.recordLook(t.Context(), l, view)
+		report, _ = r.compose()
+		assert.DeepEqual(t, report.Unsettled, []link.Run{wireRun(testRun(1))})
+	})
+}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -129,6 +129,7 @@
 	outcomeUnknown := false
 	timeout := r.startTimeout.First()
 	for range maxStartAttempts {
+		r.confirmWorker(ctx, w)
 		until, fence, valid := r.prepareStart(w, run, o)
 		if !valid {
 			return
@@ -152,6 +153,9 @@
 		outcome := startOutcomeOf(refusal, err)
 		r.recordStartOutcome(w, run, outcome)
 		if err == nil && !r.fenceRaised(fence, refusal) && r.recordStartAnswer(w, run, o, refusal, outcomeUnknown) {
+			if refusal == host.Accepted {
+				r.confirmRun(r.runContext, w, run)
+			}
 			return
 		}
 		if fault.Is(err, fault.Stale) {
@@ -192,7 +196,7 @@
 		until = 0
 	}
 	valid := r.isCurrent(w, run, o)
-	if !valid || until == 0 || w.unconfirmed {
+	if !valid || until == 0 || !r.confirmedWithin(w, maxConfirmationAge) {
 		return until, 0, valid
 	}
 	w.possibleRuns.recordStart(run)
@@ -228,7 +232,6 @@
 		w.possibleRuns.recordAccepted(run)
 		delete(w.orders, run)
 		w.profiles[run] = o.start.Profile
-		r.requestLook()
 		return true
 	case refusal == host.RefusedLate:
 		return false
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -134,9 +134,7 @@
 
 // justConfirmed reports whether the incarnation has answered so recently that a call sent now reaches no later one. Sequences and clocks restart with
 // each incarnation, so only such a call may acknowledge ended runs or set the lease.
-func (r *Runner) justConfirmed(w *workerState) bool {
-	return !w.confirmedAt.IsZero() && r.config.Uptime.Now().Sub(w.confirmedAt) <= minRestartTime
-}
+func (r *Runner) justConfirmed(w *workerState) bool { return r.confirmedWithin(w, minRestartTime) }
 
 // acknowledged returns up to which sequence the next renewal acknowledges ended runs, 0 for none. It covers only runs that the worker listed.
 func (r *Runner) acknowledged(w *workerState) uint64 {
@@ -197,7 +195,7 @@
 	if w == nil || w.id != id {
 		return
 	}
-	w.confirmedAt, w.unconfirmed = 0, true
+	w.confirmedAt = 0
 	// A worker that refuses a call is running; its next view identifies the incarnation.
 	if !fault.Is(err, fault.Conflict) {
 		r.raiseFence()
@@ -249,7 +247,7 @@
 		r.logger.Info("worker answers again; instance=%s", w.id)
 	}
 	w.clock, w.clockReadAt, w.answeredAt, w.unreachable = view.Clock, now, now, false
-	w.confirmedAt, w.unconfirmed = r.config.Uptime.Now(), false
+	w.confirmedAt = r.config.Uptime.Now()
 	w.firstFailure, w.terminated, w.idChanged = time.Time{}, false, false
 	w.highestFence = max(w.highestFence, renewal.Fence)
 	if !w.fenced && renewal.Fence >= w.minFence && r.fences.covers(renewal.Fence, r.epoch) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -56,8 +56,8 @@
 	candidateAdded chan struct{}
 	// startDecided signals the uplink that a start call has an outcome.
 	startDecided chan struct{}
-	// lookDue signals that a view of the worker is needed at once.
-	lookDue chan struct{}
+	// looking holds an element while a look is in progress.
+	looking chan struct{}
 	// unusableLog rate-limits the log lines about unusable reports.
 	unusableLog rate.Sometimes
 	// outdatedLog rate-limits the log lines about outdated reports and answers.
@@ -101,7 +101,7 @@
 	r := &Runner{
 		config: config, logger: config.Logger, reportDue: make(chan struct{}, 1),
 		endsAcknowledged: make(chan struct{}, 1), heartbeat: make(chan struct{}, 1), candidateAdded: make(chan struct{}, 1),
-		startDecided: make(chan struct{}, 1), lookDue: make(chan struct{}, 1),
+		startDecided: make(chan struct{}, 1), looking: make(chan struct{}, 1),
 		startTimeout: wait.NewTimeout(minStartTimeout, maxStartTimeout), unusableLog: rate.Sometimes{Interval: unusableLogInterval},
 		outdatedLog: rate.Sometimes{Interval: ignoredLogInterval}, storeBackoff: wait.NewBackoff(minStoreDelay, maxStoreDelay, config.Random),
 		runContext: context.Background(),
@@ -121,7 +121,6 @@
 	defer r.orderTasks.Wait()
 	defer r.cancelOrders()
 	group.Go(func() error { return r.renewLoop(bounded) })
-	group.Go(func() error { return r.lookLoop(bounded) })
 	group.Go(func() error { return r.verifyCandidates(bounded) })
 	group.Go(func() error { return r.runUplink(bounded) })
 	return group.Wait()
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -28,9 +28,8 @@
 	// answeredAt is when the worker answered last, leaseEnd when its runs have ended at the latest, by this clock.
 	answeredAt time.Time
 	leaseEnd   time.Time
-	// confirmedAt is when this incarnation answered last, zero once a call has failed since; unconfirmed reports whether that is so.
+	// confirmedAt is when this incarnation answered last, zero once a call has failed since.
 	confirmedAt boottime.Instant
-	unconfirmed bool
 	// minFence is above the fences of all calls for previous incarnations, fenced reports whether the incarnation has answered under it: it then rejects
 	// those calls.
 	minFence uint64
@@ -168,7 +167,7 @@
 		listed[running.Run] = true
 	}
 	for run := range w.profiles {
-		if !listed[run] && w.orders[run] == nil {
+		if !listed[run] && w.orders[run] == nil && w.possibleRuns[run] == nil {
 			delete(w.profiles, run)
 			delete(w.violations, run)
 			delete(w.trackers, run)
