Stop a run that the agent refuses while a call for it is outstanding

It judged by the attempts of the second order alone and reported the run as rejected, so that the task was placed elsewhere while the first call could still start it.

Such a start is withdrawn by a stop now, after which the worker rejects the run.

TestStartIsStoppedIfAnEarlierCallForItIsOutstanding: no stop in any of three cases before.

--- a/internal/runner/look_test.go
+++ b/internal/runner/look_test.go
@@ -39,6 +39,33 @@
 	}
 }
 
+// TestStartIsStoppedIfAnEarlierCallForItIsOutstanding guards against a run that starts although it was reported as rejected: an order of an earlier leader
+// was sent without an answer, and that of the next one was refused by the agent or never sent.
+func TestStartIsStoppedIfAnEarlierCallForItIsOutstanding(t *testing.T) {
+	for name, refuse := range map[string]func(r *Runner, worker *fakeWorker){
+		"refused by the agent": func(r *Runner, _ *fakeWorker) { r.worker.report.Draining = true },
+		"refused as busy": func(_ *Runner, worker *fakeWorker) {
+			worker.answerStart = func() (host.Refusal, error) { return host.RefusedBusy, nil }
+		},
+		"not sent": func(r *Runner, _ *fakeWorker) { r.hall.confirmedAt = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &fakeWorker{answerStart: accept}
+				r := newIncarnationTest(t, worker)
+				refuse(r, worker)
+				r.recordLateStart(firstIncarnation, testRun(1), time.Now())
+				orders := startOrders()
+				orders.StartMillis, orders.Hall = firstIncarnation.StartMillis(), link.Hall{}
+				_, err := r.handleOrders(t.Context(), nil, orders)
+				assert.NilError(t, err)
+				time.Sleep(3 * time.Second)
+				assert.DeepEqual(t, worker.stopped(), []host.Run{testRun(1)})
+			})
+		})
+	}
+}
+
 // TestRunIsSettledOnceItIsListedAfterItsStart guards against runs that stay placed for long after their worker was lost, since a view that lists them was
 // awaited for up to a second, and against runs that count as settled by a view from before their latest start.
 func TestRunIsSettledOnceItIsListedAfterItsStart(t *testing.T) {
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -74,15 +74,19 @@
 	o := &order{start: start, text: text, cancel: cancel}
 	refusal := r.checkStart(w, run, start)
 	w.orders[run] = o
+	if refusal != host.Accepted && run.Number > w.refused[run.Task] && r.startOutstanding(w, run) {
+		r.logger.Warn("withdrawing a start that the agent refuses while an earlier call for the run is outstanding; task=%s run=%d refusal=%s",
+			run.Task, run.Number, refusal)
+		r.stopRun(w, run)
+		return
+	}
 	if refusal != host.Accepted {
-		if r.startOutstanding(w, run) {
-			r.logger.Warn("start refused by the agent while a call that starts the run is outstanding; task=%s run=%d refusal=%s", run.Task, run.Number, refusal)
-		}
 		o.refuse(w, run, refusal)
 		wait.Notify(r.reportDue)
 		return
 	}
-	r.orderTasks.Go(func() { r.sendStart(ctx, w, run, o) })
+	outstanding := r.startOutstanding(w, run)
+	r.orderTasks.Go(func() { r.sendStart(ctx, w, run, o, outstanding) })
 }
 
 // checkStart returns why the agent itself refuses a start, Accepted if it does not.
@@ -123,10 +127,10 @@
 	return r.worker == w && !w.terminated && w.orders[run] == o
 }
 
-// sendStart sends a start until the worker answers; one that may have been carried out is withdrawn by a stop.
-func (r *Runner) sendStart(ctx context.Context, w *workerState, run host.Run, o *order) {
+// sendStart sends a start until the worker answers; one that may have been carried out is withdrawn by a stop. The outcome is unknown from the beginning if
+// an earlier call for the run is outstanding.
+func (r *Runner) sendStart(ctx context.Context, w *workerState, run host.Run, o *order, outcomeUnknown bool) {
 	defer o.cancel()
-	outcomeUnknown := false
 	timeout := r.startTimeout.First()
 	for range maxStartAttempts {
 		r.confirmWorker(ctx, w)
