Hold tasks back while a withdrawn start of them is outstanding

A stop binds one incarnation of a worker. If a start got no answer, its stop was answered and the worker restarted under its id within seconds, the next incarnation could begin the run beside the one that had replaced it. The agent waited for the call only if this process had seen its worker reuse an id, and never for long-running tasks.

Agents report the runs that their worker rejects while a start of them is outstanding, and the leader does not place their tasks until that is over: the call is too old, or the next incarnation has answered under a fence that outdates it. It knows this after a restart of the agent as well. A task is also held back while a worker lists a run of it that is not placed there, until that is stopped. Since waiting is expensive, a start on a worker that may reuse its id is sent ten times in place of four before it is withdrawn: the attempts are one run to the worker. Other runs of the task on that worker do not count as settled meanwhile, nor, for an agent that has just restarted, what it has not sent.

The fake worker of the agent's tests no longer answers after a crash.

--- a/internal/dispatch/agentlease.go
+++ b/internal/dispatch/agentlease.go
@@ -65,7 +65,7 @@
 	now := time.Now()
 	for _, h := range t.hosts.onVM(r.VM) {
 		if r.Instance == "" && !h.leaseMayLast(now) || h.worker.Host.Incarnation == r.Incarnation() {
-			t.markUnreachable(h, unsettledBy(r), "its agent reports that all leases have expired")
+			t.markUnreachable(h, t.unsettledBy(r), "its agent reports that all leases have expired")
 		}
 	}
 }
--- a/internal/dispatch/idle.go
+++ b/internal/dispatch/idle.go
@@ -72,6 +72,8 @@
 		return t.placedIdleReason(id, task, now)
 	case t.closuresUnconfirmed:
 		return "placement is suspended"
+	case t.heldBack()[id]:
+		return "another run of it goes on or may begin"
 	case now.Before(tracked.backoffs[id].until):
 		return "its restart is delayed"
 	}
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -56,7 +56,7 @@
 	for _, id := range h.sortedRuns() {
 		p := h.runs[id]
 		switch {
-		case !p.committed || !p.onNext && p.startSettled(settled, link.NewRun(id, p.number)):
+		case !p.committed || !p.onNext && t.startSettled(h, id, settled, r):
 			lost = append(lost, id)
 		case !current.IsZero() && !current.SameWorker(ended):
 			t.recordLateStart(h.worker.Host, link.NewRun(id, p.number))
@@ -89,9 +89,13 @@
 }
 
 // startSettled reports whether no start of the run may still be carried out, by the agent's report of the crash or, without one, by its earlier reports.
-func (p *placedRun) startSettled(reported map[link.Run]bool, run link.Run) bool {
-	if settled, found := reported[run]; found {
-		return settled
+func (t *term) startSettled(h *hostState, id job.TaskID, reported map[link.Run]bool, r link.Report) bool {
+	p := h.runs[id]
+	if h.mayReuseID() && t.isOutstanding(id, h.worker.Host.VM) {
+		return false
+	}
+	if settled, found := reported[link.NewRun(id, p.number)]; found {
+		return settled && (p.settled || !h.mayReuseID() || p.startsKnown(r))
 	}
 	return !p.reportedAt.IsZero() && p.settled
 }
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -73,7 +73,7 @@
 
 // markUnreachable ends the runs of an incarnation whose agent lease has expired, except unsettled ones, and counts them as lost, whether its worker
 // crashed or not, except those that a report of its end has shown it never had.
-func (t *term) markUnreachable(h *hostState, unsettled func(link.Run, *placedRun) bool, reason string) {
+func (t *term) markUnreachable(h *hostState, unsettled func(job.TaskID, *placedRun) bool, reason string) {
 	released := t.releasedRuns(h, unsettled, reason)
 	if len(released) == 0 && len(h.runs) > 0 {
 		return
--- /dev/null
+++ b/internal/dispatch/outstanding_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/host"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/kvtest"
+	"github.com/saffronpulley/saffronpulley/internal/link"
+)
+
+// TestTaskOfAWithdrawnStartWaits guards against a second run beside the first: the next incarnation of a worker begins a run whose stop the present one has
+// answered, while a start of it is outstanding.
+func TestTaskOfAWithdrawnStartWaits(t *testing.T) {
+	run := link.NewRun(job.TaskID{Job: testJob}, 1)
+	report := func(startMillis int64, age time.Duration) link.Report {
+		r := reportWithStartTime(startMillis)
+		r.AgentAgeMillis = age.Milliseconds()
+		return r
+	}
+	unconfirmed, running := report(2, time.Hour), report(2, time.Hour)
+	unconfirmed.Fenced = false
+	running.Running = []link.Running{{Run: run, Percent: 1}}
+	stillWithdrawn := report(1, time.Hour)
+	stillWithdrawn.Unsettled, stillWithdrawn.Withdrawn = []link.Run{run}, []link.Run{run}
+	for name, c := range map[string]struct {
+		then  link.Report
+		after time.Duration
+		waits bool
+	}{
+		"still withdrawn":                             {then: stillWithdrawn, waits: true},
+		"no start is outstanding":                     {then: report(1, time.Hour)},
+		"agent restarted":                             {then: report(1, time.Second), after: 2 * time.Second, waits: true},
+		"agent restarted long ago":                    {then: report(1, startOutstanding+time.Second), after: startOutstanding + 2*time.Second},
+		"next incarnation has not answered":           {then: unconfirmed, waits: true},
+		"next incarnation has begun the run":          {then: running, waits: true},
+		"next incarnation has not begun the run":      {then: report(2, time.Hour)},
+		"no report since the start could be sent":     {after: agentLease + startOutstanding, waits: true},
+		"no report since the run could have gone on":  {after: agentLease + agentLeaseMargin + startOutstanding + 11*time.Second},
+		"worker is another one without the late call": {then: testReport("i2")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, a, other := kvtest.New(), &fakeAgent{vm: "vm"}, &fakeAgent{vm: "other"}
+				leader := termWithStartTime(t, store, a)
+				withdrawn := stillWithdrawn
+				withdrawn.Rejected = []link.Rejected{{Run: run, Refusal: int(host.RefusedOld)}}
+				reportAndRun(t, leader, a, withdrawn)
+				assert.Equal(t, testTask(leader).Phase(), job.Waiting)
+				time.Sleep(c.after)
+				if c.then.VM != "" {
+					reportAndRun(t, leader, a, c.then)
+				}
+				free := testReport("i9")
+				free.VM = "other"
+				assert.NilError(t, leader.closures.Load(t.Context()))
+				for range 10 {
+					time.Sleep(100 * time.Millisecond)
+					reportAndRun(t, leader, other, free)
+					if c.then.VM != "" {
+						reportAndRun(t, leader, a, c.then)
+					}
+				}
+				assert.Equal(t, testTask(leader).Phase() == job.Waiting, c.waits)
+			})
+		})
+	}
+}
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -91,7 +91,7 @@
 		h.countStarting()
 		workers = append(workers, &h.worker)
 	}
-	groups = t.splitRetries(groups, workers)
+	groups = t.splitRetries(t.withoutHeldBack(groups), workers)
 	l := t.currentLoad()
 	t.observeShortWork(l.short, groups)
 	loadLogged := t.logLoad(l, groups)
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -102,6 +102,7 @@
 func (t *term) handleRunning(h *hostState, id job.TaskID, r link.Running) {
 	p := h.runs[id]
 	if p == nil || p.number != r.Number {
+		t.recordUnplacedRun(h.worker.Host.VM, id)
 		t.orderStop(h.worker.Host, id, r.Number)
 		return
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -77,6 +77,7 @@
 	}
 	received := &receivedReport{agent: a, report: r, requiredVersions: make(map[*trackedJob]uint64)}
 	affected := make(map[*trackedJob]bool)
+	t.recordOutstanding(r)
 	received.lastCrash = t.recordCrashes(a, r, affected)
 	t.recordAgent(a, s, r)
 	if received.leased = t.grantsLease(a, r); received.leased {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -107,6 +107,7 @@
 	// unreachable are the incarnations whose leases expired while they were unreachable, lateStarts are the late starts.
 	unreachable map[job.Host]unreachable
 	lateStarts  host.LateCalls[lateStart]
+	outstanding outstandingTasks
 	// otherAnsweredAt is when an entry last reported a newer answer from the store while the calls of the leader failed.
 	otherAnsweredAt time.Time
 	// otherReadmittedAt is when an entry last reported that the store answered it again after it had rate limited it.
@@ -124,6 +125,7 @@
 		roster: newRoster(d.config.Address), dirty: make(map[job.ID]uint64), isolated: make(map[job.ID]bool), advice: make(map[stepID]*advice),
 		unreachable: make(map[job.Host]unreachable),
 		lateStarts:  make(host.LateCalls[lateStart]),
+		outstanding: make(outstandingTasks),
 		pressure:    pressure.NewModel(), closures: d.config.Closures,
 		runTimes: newRunTimes(d.config.Features), reserves: newShortReserves(),
 		commitTimeouts: wait.NewTimeout(minCommitTimeout, maxCommitTimeout),
--- a/internal/dispatch/unsettled.go
+++ b/internal/dispatch/unsettled.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
@@ -26,21 +25,32 @@
 // recordSettled records which runs are settled by a report: a run that is listed while no start of it is outstanding is not started again. An agent that
 // has restarted does not know what its predecessor has sent.
 func (t *term) recordSettled(h *hostState, r link.Report) {
-	now := time.Now()
-	age := time.Duration(r.AgentAgeMillis) * time.Millisecond
 	for _, running := range r.Running {
 		p := h.findRun(running.Run)
-		if p == nil || p.settled || slices.Contains(r.Unsettled, running.Run) {
+		id, _ := running.TaskID()
+		if p == nil || p.settled || t.isOutstanding(id, h.worker.Host.VM) {
 			continue
 		}
-		orderedByThis := !p.startSentAt.IsZero() && now.Sub(p.startSentAt) < age
-		if !h.mayReuseID() || age == 0 || age > startOutstanding || orderedByThis {
+		if !h.mayReuseID() || p.startsKnown(r) {
 			p.settled = true
 			t.storeSettled(h, running.Run, p)
 		}
 	}
 }
 
+// knowsAllStarts reports whether the agent knows all starts that may be outstanding. An agent of the previous release does not say what it knows.
+func knowsAllStarts(r link.Report) bool {
+	return r.AgentAgeMillis == 0 || agentAge(r) > startOutstanding
+}
+
+// agentAge returns the age of the agent that sent a report.
+func agentAge(r link.Report) time.Duration { return time.Duration(r.AgentAgeMillis) * time.Millisecond }
+
+// startsKnown reports whether the agent knows all starts of the run that may be outstanding.
+func (p *placedRun) startsKnown(r link.Report) bool {
+	return knowsAllStarts(r) || !p.startSentAt.IsZero() && time.Since(p.startSentAt) < agentAge(r)
+}
+
 // storeSettled has the job of a long-running task stored again once its run is settled: a new leader would otherwise keep the run placed for longer than
 // callers can tolerate if the VM is lost with this leader. The records of other tasks change soon anyway.
 func (t *term) storeSettled(h *hostState, run link.Run, p *placedRun) {
@@ -64,34 +74,43 @@
 }
 
 // unsettledBy returns which runs are unsettled by a report that all leases have expired.
-func unsettledBy(r link.Report) func(link.Run, *placedRun) bool {
-	age := time.Duration(r.AgentAgeMillis) * time.Millisecond
-	return func(run link.Run, p *placedRun) bool {
-		return slices.Contains(r.Unsettled, run) || !p.settled && age > 0 && age <= startOutstanding
+func (t *term) unsettledBy(r link.Report) func(job.TaskID, *placedRun) bool {
+	return func(id job.TaskID, p *placedRun) bool {
+		return t.isOutstanding(id, r.VM) || !p.settled && !knowsAllStarts(r)
 	}
 }
 
 // unsettledWithout returns which runs are unsettled while their agent, nil if it is unknown, does not report: starts may be sent until its lease has
 // expired, and the runs that they begin may go on for the longest lease.
-func (t *term) unsettledWithout(a *agent, now time.Time) func(link.Run, *placedRun) bool {
+func (t *term) unsettledWithout(a *agent, now time.Time) func(job.TaskID, *placedRun) bool {
+	until := t.outstandingUntil(a)
+	return func(_ job.TaskID, p *placedRun) bool { return !p.settled && now.Before(until) }
+}
+
+// outstandingUntil returns until when runs may begin or go on that an agent, nil if it is unknown, has started, if it reports no more.
+func (t *term) outstandingUntil(a *agent) time.Time {
 	leaseEnd := t.startedAt.Add(t.earlierLeases)
 	if a != nil {
 		leaseEnd = later(leaseEnd, a.leasedAt.Add(agentLease))
 	}
+	return t.startsOver(leaseEnd)
+}
+
+// startsOver returns when the runs have ended that an agent has started by the end of its lease.
+func (t *term) startsOver(leaseEnd time.Time) time.Time {
 	maxLease := time.Duration(float64(t.dispatcher.config.MaxRenewal) / minWorkerClockRate)
-	until := leaseEnd.Add(agentLeaseMargin + startOutstanding + maxLease)
-	return func(_ link.Run, p *placedRun) bool { return !p.settled && now.Before(until) }
+	return leaseEnd.Add(agentLeaseMargin + startOutstanding + maxLease)
 }
 
 // releasedRuns returns the runs of an incarnation whose leases have expired that may be placed again, sorted, and logs those that may not.
-func (t *term) releasedRuns(h *hostState, unsettled func(link.Run, *placedRun) bool, reason string) []job.TaskID {
+func (t *term) releasedRuns(h *hostState, unsettled func(job.TaskID, *placedRun) bool, reason string) []job.TaskID {
 	if !h.mayReuseID() {
 		return h.sortedRuns()
 	}
 	var released []job.TaskID
 	for _, id := range h.sortedRuns() {
 		p := h.runs[id]
-		if !p.committed || !unsettled(link.NewRun(id, p.number), p) {
+		if !p.committed || !unsettled(id, p) {
 			released = append(released, id)
 			continue
 		}
--- a/internal/dispatch/withdrawnstart_test.go
+++ b/internal/dispatch/withdrawnstart_test.go
@@ -23,8 +23,8 @@
 
 func withdrawnStartCases(longRunning bool, failed concurrentFailure) []withdrawnStartCase {
 	var cases []withdrawnStartCase
-	for _, carriedOutAfter := range []time.Duration{5, 8, 12} {
-		for _, crashAfter := range []time.Duration{3500, 4500, 7500} {
+	for _, carriedOutAfter := range []time.Duration{7, 9, 12} {
+		for _, crashAfter := range []time.Duration{3500, 6800, 9500} {
 			for _, downtime := range []time.Duration{600, 2700} {
 				cases = append(cases, withdrawnStartCase{
 					longRunning: longRunning, carriedOutAfter: carriedOutAfter * time.Second, crashAfter: crashAfter * time.Millisecond,
@@ -63,10 +63,11 @@
 	time.Sleep(2 * time.Second)
 	w, other := s.workers[0], s.workers[1]
 	w.holdsCalls, w.startDelay, other.refusesStarts = true, c.carriedOutAfter, true
-	const withdrawnAfter = 1800 * time.Millisecond
+	const refusalTime, withdrawnAfter = 300 * time.Millisecond, 6500 * time.Millisecond
 	playEvents([]event{
 		{0, s.submitJob},
-		{withdrawnAfter, func() { w.startDelay, other.refusesStarts = 0, false }},
+		{refusalTime, func() { other.refusesStarts = false }},
+		{withdrawnAfter, func() { w.startDelay = 0 }},
 		{c.crashAfter - 100*time.Millisecond, func() { s.fail(0, c.failed) }},
 		{c.crashAfter, func() { w.restartAfter(incarnation.New(w.id.Worker(), clockStart+1), time.Minute, c.downtime) }},
 	})
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -127,6 +127,8 @@
 	Rejected []Rejected `json:"rejected,omitempty"`
 	// Unsettled are the runs that a later incarnation of the worker may carry out or have carried out, by calls of this process of the agent.
 	Unsettled []Run `json:"unsettled,omitempty"`
+	// Withdrawn are those among them that the present incarnation rejects, since their stop was answered.
+	Withdrawn []Run `json:"withdrawn,omitempty"`
 	// AgentAgeMillis is the age of the process of the agent, which knows no call of its predecessor, 0 from agents of the previous release.
 	AgentAgeMillis int64 `json:"agent_ms,omitempty"`
 	// MissingProfiles are the runs for which the agent has no profile.
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -39,7 +39,7 @@
 		}
 		known := w.possibleRuns[run]
 		age := known.ageAt(w.firstFailure).Milliseconds()
-		settled := known.listed() && w.orders[run] == nil && !r.lateStarts.Has(lateStart{worker: w.id.Worker(), run: run}, time.Now())
+		settled := known.listed() && w.orders[run] == nil && !r.startOutstanding(w, run)
 		r.logger.Info("worker crashed under a run; task=%s run=%d instance=%s answered=%t settled=%t age_ms=%d",
 			run.Task, run.Number, w.id, known.answered, settled, age)
 		crashed = append(crashed, link.CrashedRun{Run: wireRun(run), Answered: known.answered, Settled: settled, AgeMillis: age})
--- a/internal/runner/fakes_test.go
+++ b/internal/runner/fakes_test.go
@@ -85,6 +85,9 @@
 	wait.For(ctx, h.Wait)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.unavailable {
+		return host.View{}, host.RefusedInvalid, fault.New(fault.OutcomeUnknown, "connection reset")
+	}
 	view := f.view
 	view.Incarnation = current
 	return view, host.Accepted, nil
--- a/internal/runner/late.go
+++ b/internal/runner/late.go
@@ -32,7 +32,7 @@
 // unsettledRuns returns the runs that a later incarnation with the id may carry out, or have carried out under the name of this one, sorted by task: those
 // with an outstanding start, and those whose start was sent and that this incarnation has not listed since. A worker that reports no start time reuses no id.
 func (r *Runner) unsettledRuns(w *workerState, now time.Time) []link.Run {
-	if !w.mayHoldLease() {
+	if !w.mayHoldLease() || w.idChanged {
 		return nil
 	}
 	runs := make(map[host.Run]bool)
@@ -52,14 +52,39 @@
 			runs[run] = true
 		}
 	}
-	unsettled := make([]link.Run, 0, len(runs))
+	return wireRuns(runs)
+}
+
+// wireRuns returns the wire form of runs, sorted.
+func wireRuns(runs map[host.Run]bool) []link.Run {
+	sorted := make([]link.Run, 0, len(runs))
 	for run := range runs {
-		unsettled = append(unsettled, wireRun(run))
+		sorted = append(sorted, wireRun(run))
 	}
-	slices.SortFunc(unsettled, func(a, b link.Run) int {
+	slices.SortFunc(sorted, func(a, b link.Run) int {
 		return cmp.Or(strings.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
 	})
-	return unsettled
+	return sorted
+}
+
+// withdrawnRuns returns the runs that this incarnation rejects while a start of them that was sent to it is outstanding, sorted.
+func (w *workerState) withdrawnRuns(now time.Time) []link.Run {
+	if !w.mayHoldLease() || w.idChanged {
+		return nil
+	}
+	runs := make(map[host.Run]bool)
+	withdrawn := func(run host.Run) bool { return run.Number <= w.refused[run.Task] && w.possibleRuns[run] == nil }
+	for run := range w.unanswered {
+		if w.unanswered.Has(run, now) && withdrawn(run) {
+			runs[run] = true
+		}
+	}
+	for run := range w.startsInFlight {
+		if withdrawn(run) {
+			runs[run] = true
+		}
+	}
+	return wireRuns(runs)
 }
 
 // lateStartDelay returns how long after its stop a run is not reported as refused: the stop binds one incarnation, while the next may still carry out
--- a/internal/runner/look_test.go
+++ b/internal/runner/look_test.go
@@ -26,7 +26,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				worker := &fakeWorker{answerStart: accept}
 				r := newIncarnationTest(t, worker)
-				time.Sleep(8 * maxConfirmationAge)
+				for confirmed := true; confirmed; time.Sleep(maxConfirmationAge) {
+					r.mu.Lock()
+					confirmed = r.confirmedWithin(r.worker, 2*maxConfirmationAge)
+					r.mu.Unlock()
+				}
 				c.crash(worker)
 				orders := startOrders()
 				orders.StartMillis = firstIncarnation.StartMillis()
@@ -88,3 +92,33 @@
 		assert.DeepEqual(t, report.Unsettled, []link.Run{wireRun(testRun(1))})
 	})
 }
+
+// TestWithdrawnRunIsReportedWhileAStartOfItIsOutstanding guards against a task that is placed elsewhere while a start without an answer is on its way, and
+// against one that waits although its start was answered after all.
+func TestWithdrawnRunIsReportedWhileAStartOfItIsOutstanding(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer    func() (host.Refusal, error)
+		withdrawn int
+	}{
+		"without an answer": {answer: noAnswer, withdrawn: 1},
+		"refused":           {answer: func() (host.Refusal, error) { return host.RefusedBusy, nil }},
+		"accepted":          {answer: accept},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &fakeWorker{answerStart: c.answer}
+				r := newIncarnationTest(t, worker)
+				orders := startOrders()
+				orders.StartMillis, orders.Starts[0].LongRunning = firstIncarnation.StartMillis(), true
+				_, err := r.handleOrders(t.Context(), nil, orders)
+				assert.NilError(t, err)
+				time.Sleep(3 * time.Second)
+				report, _ := r.compose()
+				assert.Equal(t, len(report.Withdrawn), c.withdrawn)
+				time.Sleep(host.MaxCallDelay)
+				report, _ = r.compose()
+				assert.Equal(t, len(report.Withdrawn), 0)
+			})
+		})
+	}
+}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -18,6 +18,9 @@
 	orderRetryDelay = 80 * time.Millisecond
 	// maxStartAttempts is how often a start is sent before it is withdrawn by a stop.
 	maxStartAttempts = 4
+	// maxPatientAttempts applies to a worker that may reuse its id: until a withdrawn start can no longer be carried out by a later incarnation, its task
+	// waits, so that another attempt is worth more.
+	maxPatientAttempts = 10
 	// minStartTimeout and maxStartTimeout bound the timeout of a start: eight times the usual response time, which is some milliseconds on one VM, and
 	// longer with each attempt. A repeated start gets the same answer as the first.
 	minStartTimeout = 100 * time.Millisecond
@@ -132,7 +135,7 @@
 func (r *Runner) sendStart(ctx context.Context, w *workerState, run host.Run, o *order, outcomeUnknown bool) {
 	defer o.cancel()
 	timeout := r.startTimeout.First()
-	for range maxStartAttempts {
+	for range w.maxStartAttempts() {
 		r.confirmWorker(ctx, w)
 		until, fence, valid := r.prepareStart(w, run, o)
 		if !valid {
@@ -171,6 +174,14 @@
 	r.withdrawStart(w, run, o, outcomeUnknown)
 }
 
+// maxStartAttempts returns how often a start is sent to the worker before it is withdrawn.
+func (w *workerState) maxStartAttempts() int {
+	if w.mayHoldLease() {
+		return maxPatientAttempts
+	}
+	return maxStartAttempts
+}
+
 // tryStart sends a start once, with a timeout for the answer.
 func (r *Runner) tryStart(ctx context.Context, timeout time.Duration, id incarnation.ID, start host.Start) (host.Refusal, error) {
 	bounded, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/runner/possible.go
+++ b/internal/runner/possible.go
@@ -154,6 +154,7 @@
 	defer r.mu.Unlock()
 	if outcome == startUnanswered {
 		r.recordLateStart(w.id, run, time.Now())
+		w.unanswered.Add(run, time.Now())
 	}
 	w.startEnded(run)
 	w.possibleRuns.recordOutcome(run, outcome)
--- a/internal/runner/uplink.go
+++ b/internal/runner/uplink.go
@@ -253,7 +253,7 @@
 	report.Unreachable, report.FirstFailureMillis = w.unreachable, millisSince(w.firstFailure)
 	report.Fenced = w.fenced && r.fences.covers(w.highestFence, r.epoch)
 	report.MaxLeaseMillis = max(time.Until(w.leaseEnd), 0).Milliseconds()
-	report.Unsettled = r.unsettledRuns(w, time.Now())
+	report.Unsettled, report.Withdrawn = r.unsettledRuns(w, time.Now()), w.withdrawnRuns(time.Now())
 	w.addRuns(&report)
 	return report, w
 }
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -56,6 +56,8 @@
 	possibleRuns runSet
 	// startsInFlight counts the start calls of each run that have no outcome yet; an entry of possibleRuns may expire before its calls end.
 	startsInFlight map[host.Run]int
+	// unanswered are the starts of runs that got no answer from this incarnation.
+	unanswered host.LateCalls[host.Run]
 	// refused is the highest refused run of each task; a repeated start of it is refused again.
 	refused  map[job.TaskID]int
 	profiles map[host.Run]link.Profile
@@ -95,7 +97,7 @@
 func newWorkerState(report host.Report, now time.Time) *workerState {
 	return &workerState{
 		id: report.Incarnation, report: report, clock: report.Clock, clockReadAt: now, answeredAt: now, leaseEnd: now.Add(runLease),
-		orders: make(map[host.Run]*order), possibleRuns: make(runSet), startsInFlight: make(map[host.Run]int), refused: make(map[job.TaskID]int),
+		orders: make(map[host.Run]*order), possibleRuns: make(runSet), startsInFlight: make(map[host.Run]int), unanswered: make(host.LateCalls[host.Run]), refused: make(map[job.TaskID]int),
 		profiles: make(map[host.Run]link.Profile), paces: make(map[host.Run]int),
 		violations: make(map[host.Run]time.Time), trackers: make(map[host.Run]*pressure.Tracker),
 		residuals: make(map[host.Run]*pressure.Residual),
