Look only at workers that may reuse their ids

Looks, and the rule that a start follows an answer within 50 ms, are limited to workers that report a start time, as everything else of this change is. The look after a start waits 50 ms, so that one serves all starts of that time.

--- a/internal/runner/late.go
+++ b/internal/runner/late.go
@@ -32,7 +32,7 @@
 // unsettledRuns returns the runs that a later incarnation with the id may carry out, or have carried out under the name of this one, sorted by task: those
 // with an outstanding start, and those whose start was sent and that this incarnation has not listed since. A worker that reports no start time reuses no id.
 func (r *Runner) unsettledRuns(w *workerState, now time.Time) []link.Run {
-	if !w.mayHoldLease() || w.idChanged {
+	if !w.mayReuseID() || w.idChanged {
 		return nil
 	}
 	runs := make(map[host.Run]bool)
@@ -69,7 +69,7 @@
 
 // withdrawnRuns returns the runs that this incarnation rejects while a start of them that was sent to it is outstanding, sorted.
 func (w *workerState) withdrawnRuns(now time.Time) []link.Run {
-	if !w.mayHoldLease() || w.idChanged {
+	if !w.mayReuseID() || w.idChanged {
 		return nil
 	}
 	runs := make(map[host.Run]bool)
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -6,6 +6,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/host"
 	"github.com/saffronpulley/saffronpulley/internal/incarnation"
+	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
 // lookTimeout bounds a look; the worker is on the same VM and has nothing to wait for.
@@ -29,14 +30,24 @@
 	return !w.confirmedAt.IsZero() && r.config.Uptime.Now().Sub(w.confirmedAt) <= age
 }
 
+// mayStartOn reports whether a start that is sent now would reach the present incarnation, as far as the agent can know.
+func (r *Runner) mayStartOn(w *workerState) bool {
+	return !w.unconfirmed && (!w.mayReuseID() || r.confirmedWithin(w, maxConfirmationAge))
+}
+
 // confirmWorker looks at the worker unless it has just answered.
 func (r *Runner) confirmWorker(ctx context.Context, w *workerState) {
-	r.lookUnless(ctx, func() bool { return r.confirmedWithin(w, maxConfirmationAge) })
+	if w.mayReuseID() {
+		r.lookUnless(ctx, func() bool { return r.confirmedWithin(w, maxConfirmationAge) })
+	}
 }
 
-// confirmRun looks at the worker unless it has listed a run since its start.
+// confirmRun looks at the worker unless it has listed a run since its start. It waits a little, so that one look serves all starts of that time.
 func (r *Runner) confirmRun(ctx context.Context, w *workerState, run host.Run) {
-	r.lookUnless(ctx, func() bool { return w.possibleRuns[run] == nil || w.possibleRuns[run].listed() })
+	if w.mayReuseID() {
+		wait.For(ctx, maxConfirmationAge)
+		r.lookUnless(ctx, func() bool { return w.possibleRuns[run] == nil || w.possibleRuns[run].listed() })
+	}
 }
 
 // lookUnless asks for a view unless it is not needed, also by the end of the look in progress.
--- a/internal/runner/look_test.go
+++ b/internal/runner/look_test.go
@@ -82,6 +82,7 @@
 		orders.StartMillis = firstIncarnation.StartMillis()
 		_, err := r.handleOrders(t.Context(), nil, orders)
 		assert.NilError(t, err)
+		time.Sleep(maxConfirmationAge)
 		synctest.Wait()
 		report, _ := r.compose()
 		assert.Equal(t, len(report.Unsettled), 0)
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -176,7 +176,7 @@
 
 // maxStartAttempts returns how often a start is sent to the worker before it is withdrawn.
 func (w *workerState) maxStartAttempts() int {
-	if w.mayHoldLease() {
+	if w.mayReuseID() {
 		return maxPatientAttempts
 	}
 	return maxStartAttempts
@@ -211,7 +211,7 @@
 		until = 0
 	}
 	valid := r.isCurrent(w, run, o)
-	if !valid || until == 0 || !r.confirmedWithin(w, maxConfirmationAge) {
+	if !valid || until == 0 || !r.mayStartOn(w) {
 		return until, 0, valid
 	}
 	w.possibleRuns.recordStart(run)
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -195,7 +195,7 @@
 	if w == nil || w.id != id {
 		return
 	}
-	w.confirmedAt = 0
+	w.confirmedAt, w.unconfirmed = 0, true
 	// A worker that refuses a call is running; its next view identifies the incarnation.
 	if !fault.Is(err, fault.Conflict) {
 		r.raiseFence()
@@ -247,7 +247,7 @@
 		r.logger.Info("worker answers again; instance=%s", w.id)
 	}
 	w.clock, w.clockReadAt, w.answeredAt, w.unreachable = view.Clock, now, now, false
-	w.confirmedAt = r.config.Uptime.Now()
+	w.confirmedAt, w.unconfirmed = r.config.Uptime.Now(), false
 	w.firstFailure, w.terminated, w.idChanged = time.Time{}, false, false
 	w.highestFence = max(w.highestFence, renewal.Fence)
 	if !w.fenced && renewal.Fence >= w.minFence && r.fences.covers(renewal.Fence, r.epoch) {
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -28,8 +28,9 @@
 	// answeredAt is when the worker answered last, leaseEnd when its runs have ended at the latest, by this clock.
 	answeredAt time.Time
 	leaseEnd   time.Time
-	// confirmedAt is when this incarnation answered last, zero once a call has failed since.
+	// confirmedAt is when this incarnation answered last, zero once a call has failed since; unconfirmed reports whether that is so.
 	confirmedAt boottime.Instant
+	unconfirmed bool
 	// minFence is above the fences of all calls for previous incarnations, fenced reports whether the incarnation has answered under it: it then rejects
 	// those calls.
 	minFence uint64
@@ -104,13 +105,12 @@
 	}
 }
 
-// mayHoldLease reports whether a call for a previous incarnation may have set the lease: that one may have had the same id if the worker reports its start
-// time.
-func (w *workerState) mayHoldLease() bool { return w.id.StartMillis() != 0 }
+// mayReuseID reports whether incarnations of the worker may have the same id: only if it reports its start time.
+func (w *workerState) mayReuseID() bool { return w.id.StartMillis() != 0 }
 
 // assumeLease assumes that a call for a previous incarnation, with a deadline on its clock, has just set the lease for as long as the worker grants at most.
 func (r *Runner) assumeLease(w *workerState, now time.Time) {
-	if w.mayHoldLease() {
+	if w.mayReuseID() {
 		w.extendLeaseEnd(now.Add(time.Duration(float64(r.config.MaxRenewal) / minClockRate)))
 	}
 }
