Give kept runs up once their worker answers without them

Runs that were kept while their VM was cut off counted as stalled when it returned after 9 s, and its worker as faulty, so that it took one task at a time.

An agent that confirms the worker again tells which runs it has: the others are given up then, unless a start of them is outstanding, and the progress of the rest counts from that time.

TestKeptRunIsGivenUpOnceItsWorkerAnswersWithoutIt fails before.

--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -36,6 +36,7 @@
 	}
 	t.recordSettled(h, r)
 	if !r.Unreachable {
+		t.releaseKept(h, r)
 		t.compareRuns(h, r)
 		t.sample(h, r)
 	}
--- a/internal/dispatch/unsettled.go
+++ b/internal/dispatch/unsettled.go
@@ -102,6 +102,46 @@
 	return leaseEnd.Add(agentLeaseMargin + startOutstanding + maxLease)
 }
 
+// releaseKept gives up the runs that were kept placed after the leases of their worker had expired and that it does not have, once it answers again. Those
+// that it has are followed from now on: nobody knew of their progress meanwhile.
+func (t *term) releaseKept(h *hostState, r link.Report) {
+	kept := h.runsWhere(func(p *placedRun) bool { return p.kept })
+	if len(kept) == 0 {
+		return
+	}
+	present, lost := presentTasks(r), 0
+	for _, id := range kept {
+		p := h.runs[id]
+		p.kept, p.progressedAt = false, time.Now()
+		if !present[id] && !r.MoreEnds && p.startsKnown(r) && !t.isOutstanding(id, r.VM) {
+			lost++
+			t.recordEnd(id, p.number, job.EndLapsed, "", h.worker.Host)
+		}
+	}
+	t.logger.Info("worker answers again; vm=%s instance=%s kept=%d lost=%d", h.worker.Host.VM, h.worker.Host.Incarnation, len(kept), lost)
+	t.notifyChange()
+}
+
+// presentTasks returns the tasks of which a report lists a run as running, ended or pending.
+func presentTasks(r link.Report) map[job.TaskID]bool {
+	present := make(map[job.TaskID]bool)
+	add := func(run link.Run) {
+		if id, ok := run.TaskID(); ok {
+			present[id] = true
+		}
+	}
+	for _, running := range r.Running {
+		add(running.Run)
+	}
+	for _, e := range r.Ended {
+		add(e.Run)
+	}
+	for _, run := range r.Pending {
+		add(run)
+	}
+	return present
+}
+
 // releasedRuns returns the runs of an incarnation whose leases have expired that may be placed again, sorted, and logs those that may not.
 func (t *term) releasedRuns(h *hostState, unsettled func(job.TaskID, *placedRun) bool, reason string) []job.TaskID {
 	if !h.mayReuseID() {
--- a/internal/dispatch/unsettled_test.go
+++ b/internal/dispatch/unsettled_test.go
@@ -118,3 +118,33 @@
 		assert.Assert(t, takeOverFrom(t, store, "h").hosts.all()[0].runs[job.TaskID{Job: testJob}].settled)
 	})
 }
+
+// TestKeptRunIsGivenUpOnceItsWorkerAnswersWithoutIt guards against runs that were kept while their VM was cut off and counted as stalled when it returned, so
+// that its worker was taken for faulty.
+func TestKeptRunIsGivenUpOnceItsWorkerAnswersWithoutIt(t *testing.T) {
+	run := link.NewRun(job.TaskID{Job: testJob}, 1)
+	for name, c := range map[string]struct {
+		report func(r *link.Report)
+		phase  job.Phase
+	}{
+		"without it":         {report: func(*link.Report) {}, phase: job.Waiting},
+		"with it":            {report: func(r *link.Report) { r.Running = []link.Running{{Run: run, Percent: 1}} }, phase: job.Placed},
+		"with a start of it": {report: func(r *link.Report) { r.Unsettled, r.Pending = []link.Run{run}, []link.Run{run} }, phase: job.Placed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := &fakeAgent{vm: "vm"}
+				leader := termWithStartTime(t, kvtest.New(), a)
+				time.Sleep(agentLease + agentLeaseMargin + time.Second)
+				leader.schedule()
+				assert.Equal(t, testTask(leader).Phase(), job.Placed)
+				report := reportWithStartTime(1)
+				report.AgentAgeMillis, report.Draining = time.Hour.Milliseconds(), true
+				c.report(&report)
+				_, stops := reportAndRun(t, leader, a, report)
+				assert.Equal(t, len(stops), 0, "it is not stalled")
+				assert.Equal(t, testTask(leader).Phase(), c.phase)
+			})
+		})
+	}
+}
