Refuse starts soon on a worker that does not answer

Ten attempts were meant for starts that got no answer. Those that were never sent, since the worker did not answer a look, waited as often, so that the tasks of a worker that was down were refused after 0.8 s or more in place of 0.3 s, and each attempt looked again while the renewal loop does so anyway.

TestStartOnAWorkerThatDoesNotAnswerIsRefusedSoon fails before.

--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -132,3 +132,26 @@
 		assert.DeepEqual(t, []any{report.Fenced, report.Incarnation()}, []any{true, secondIncarnation}, sameIncarnation)
 	})
 }
+
+// TestIncarnationThatEndedUnderItsIDMayHoldALease guards against a run that is given up while the next incarnation, which has carried out its start, has not
+// reported yet: the lease of the ended one had expired.
+func TestIncarnationThatEndedUnderItsIDMayHoldALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{}
+		r := newIncarnationTest(t, worker)
+		r.config.MaxRenewal = 10 * time.Second
+		expired := func() bool {
+			report, _ := r.compose()
+			return report.LeaseExpired
+		}
+		worker.setUnavailable(true)
+		time.Sleep(2 * runLease)
+		assert.Assert(t, expired())
+		worker.restart(secondIncarnation)
+		worker.setUnavailable(false)
+		time.Sleep(time.Second)
+		assert.Assert(t, !expired())
+		time.Sleep(11 * time.Second)
+		assert.Assert(t, expired())
+	})
+}
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -35,10 +35,10 @@
 	return !w.unconfirmed && (!w.mayReuseID() || r.confirmedWithin(w, maxConfirmationAge))
 }
 
-// confirmWorker looks at the worker unless it has just answered.
+// confirmWorker looks at the worker unless it has just answered, or a call has failed since: the renewal loop waits for its next answer then.
 func (r *Runner) confirmWorker(ctx context.Context, w *workerState) {
 	if w.mayReuseID() {
-		r.lookUnless(ctx, func() bool { return r.confirmedWithin(w, maxConfirmationAge) })
+		r.lookUnless(ctx, func() bool { return w.unconfirmed || r.confirmedWithin(w, maxConfirmationAge) })
 	}
 }
 
--- a/internal/runner/look_test.go
+++ b/internal/runner/look_test.go
@@ -43,6 +43,25 @@
 	}
 }
 
+// TestStartOnAWorkerThatDoesNotAnswerIsRefusedSoon guards against tasks that wait for seconds on a worker that is down: nothing was sent, so they may be placed
+// elsewhere at once.
+func TestStartOnAWorkerThatDoesNotAnswerIsRefusedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &fakeWorker{answerStart: accept}
+		r := newIncarnationTest(t, worker)
+		worker.setUnavailable(true)
+		time.Sleep(200 * time.Millisecond)
+		orders := startOrders()
+		orders.StartMillis = firstIncarnation.StartMillis()
+		_, err := r.handleOrders(t.Context(), nil, orders)
+		assert.NilError(t, err)
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, len(worker.started()), 0)
+		o := r.worker.orders[testRun(1)]
+		assert.Assert(t, o.final && o.refused == host.RefusedBusy)
+	})
+}
+
 // TestStartIsStoppedIfAnEarlierCallForItIsOutstanding guards against a run that starts although it was reported as rejected: an order of an earlier leader
 // was sent without an answer, and that of the next one was refused by the agent or never sent.
 func TestStartIsStoppedIfAnEarlierCallForItIsOutstanding(t *testing.T) {
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -18,8 +18,8 @@
 	orderRetryDelay = 80 * time.Millisecond
 	// maxStartAttempts is how often a start is sent before it is withdrawn by a stop.
 	maxStartAttempts = 4
-	// maxPatientAttempts applies to a worker that may reuse its id: until a withdrawn start can no longer be carried out by a later incarnation, its task
-	// waits, so that another attempt is worth more.
+	// maxPatientAttempts applies once a start got no answer from a worker that may reuse its id: until a withdrawn start can no longer be carried out by a
+	// later incarnation, its task waits, so that another attempt is worth more.
 	maxPatientAttempts = 10
 	// minStartTimeout and maxStartTimeout bound the timeout of a start: eight times the usual response time, which is some milliseconds on one VM, and
 	// longer with each attempt. A repeated start gets the same answer as the first.
@@ -135,7 +135,7 @@
 func (r *Runner) sendStart(ctx context.Context, w *workerState, run host.Run, o *order, outcomeUnknown bool) {
 	defer o.cancel()
 	timeout := r.startTimeout.First()
-	for range w.maxStartAttempts() {
+	for attempt := 0; attempt < w.maxStartAttempts(outcomeUnknown); attempt++ {
 		r.confirmWorker(ctx, w)
 		until, fence, valid := r.prepareStart(w, run, o)
 		if !valid {
@@ -175,8 +175,8 @@
 }
 
 // maxStartAttempts returns how often a start is sent to the worker before it is withdrawn.
-func (w *workerState) maxStartAttempts() int {
-	if w.mayReuseID() {
+func (w *workerState) maxStartAttempts(outcomeUnknown bool) int {
+	if outcomeUnknown && w.mayReuseID() {
 		return maxPatientAttempts
 	}
 	return maxStartAttempts
