Keep withdrawn runs placed, so that the next leader knows of them

The rejected run stays placed until no start of it is outstanding; the store has it as unsettled.

TestWithdrawnStartIsKnownToTheNextLeader and TestEndedRunIsNotBegunByTheNext- Incarnation were red before.

--- a/internal/dispatch/hosted.go
+++ b/internal/dispatch/hosted.go
@@ -45,6 +45,11 @@
 	stopSentAt  time.Time
 	// handedOver reports whether the run was ordered on a previous incarnation of the worker: this incarnation must only reject it.
 	handedOver bool
+	// orderedAt is when this leader first ordered the start, unsettledBefore reports whether the run was unsettled under the previous leader.
+	orderedAt       time.Time
+	unsettledBefore bool
+	// withdrawn reports whether the worker rejects the run while a start of it is outstanding.
+	withdrawn bool
 	// settled reports whether the worker has listed the run and no later incarnation of it may carry out a start of the run.
 	settled bool
 	// kept reports whether the run was kept placed after the leases of its worker had expired.
--- a/internal/dispatch/idle.go
+++ b/internal/dispatch/idle.go
@@ -72,7 +72,7 @@
 		return t.placedIdleReason(id, task, now)
 	case t.closuresUnconfirmed:
 		return "placement is suspended"
-	case t.heldBack()[id]:
+	case t.heldBack[id]:
 		return "another run of it goes on or may begin"
 	case now.Before(tracked.backoffs[id].until):
 		return "its restart is delayed"
@@ -91,6 +91,8 @@
 		return "its placement is not committed"
 	case p.stopping:
 		return "its stop is not confirmed"
+	case p.withdrawn:
+		return "a start of its withdrawn run may be carried out"
 	case a == nil:
 		return "its agent has not reported"
 	case a.host != task.Host():
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -51,6 +51,9 @@
 		return
 	}
 	p.startSentAt, p.neverHad, p.settled = time.Now(), false, false
+	if p.orderedAt.IsZero() {
+		p.orderedAt = p.startSentAt
+	}
 	checkpoint := tracked.job.Task(id).Checkpoint()
 	if p.step.Gang {
 		checkpoint = tracked.job.GangCheckpoint(id.Iteration, id.Step)
--- a/internal/dispatch/planning.go
+++ b/internal/dispatch/planning.go
@@ -66,7 +66,7 @@
 
 // stalled reports whether a run that is not long-running has made no progress for too long.
 func (p *placedRun) stalled() bool {
-	if p.step.LongRunning || !p.committed || p.stopping || p.startSentAt.IsZero() {
+	if p.step.LongRunning || !p.committed || p.stopping || p.withdrawn || p.startSentAt.IsZero() {
 		return false
 	}
 	timeout := stallTimeout
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -32,7 +32,7 @@
 		}
 	}
 	for _, rejected := range r.Rejected {
-		t.handleRejected(h, rejected)
+		t.handleRejected(h, rejected, r)
 	}
 	t.recordSettled(h, r)
 	if !r.Unreachable {
@@ -44,12 +44,15 @@
 }
 
 // handleRejected removes a run whose start was rejected and makes its task placeable again.
-func (t *term) handleRejected(h *hostState, r link.Rejected) {
+func (t *term) handleRejected(h *hostState, r link.Rejected, report link.Report) {
 	p := h.findRun(r.Run)
 	if p == nil {
 		return
 	}
 	id, _ := r.TaskID()
+	if t.staysWithdrawn(h, id, p, report) {
+		return
+	}
 	t.logger.Info("start rejected; task=%s run=%d vm=%s reason=%s", r.Task, r.Number, h.worker.Host.VM, host.Refusal(r.Refusal))
 	h.removeRun(id, r.Number)
 	tracked := t.jobs[id.Job]
@@ -103,7 +106,7 @@
 func (t *term) handleRunning(h *hostState, id job.TaskID, r link.Running) {
 	p := h.runs[id]
 	if p == nil || p.number != r.Number {
-		t.recordUnplacedRun(h.worker.Host.VM, id)
+		t.recordUnplacedRun(h, id)
 		t.orderStop(h.worker.Host, id, r.Number)
 		return
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -108,6 +108,7 @@
 	unreachable map[job.Host]unreachable
 	lateStarts  host.LateCalls[lateStart]
 	outstanding outstandingTasks
+	heldBack    map[job.TaskID]bool
 	// otherAnsweredAt is when an entry last reported a newer answer from the store while the calls of the leader failed.
 	otherAnsweredAt time.Time
 	// otherReadmittedAt is when an entry last reported that the store answered it again after it had rate limited it.
@@ -183,7 +184,7 @@
 			h.addRun(id, &tracked.job.Spec().Steps[id.Step], task.Run())
 			h.runs[id].stopping = tracked.job.State().IsFinal()
 			stored := tracked.job.StoredHost(task.Host())
-			h.runs[id].settled = !stored.Unsettled
+			h.runs[id].settled, h.runs[id].unsettledBefore = !stored.Unsettled, stored.Unsettled
 			h.confirmed, h.heldUntil = true, later(h.heldUntil, t.startedAt.Add(stored.Lease))
 		}
 	})
--- a/internal/dispatch/unsettled.go
+++ b/internal/dispatch/unsettled.go
@@ -48,13 +48,17 @@
 
 // startsKnown reports whether the agent knows all starts of the run that may be outstanding.
 func (p *placedRun) startsKnown(r link.Report) bool {
-	return knowsAllStarts(r) || !p.startSentAt.IsZero() && time.Since(p.startSentAt) < agentAge(r)
+	return knowsAllStarts(r) || !p.unsettledBefore && !p.orderedAt.IsZero() && time.Since(p.orderedAt) < agentAge(r)
 }
 
-// storeSettled has the job of a long-running task stored again once its run is settled: a new leader would otherwise keep the run placed for longer than
-// callers can tolerate if the VM is lost with this leader. The records of other tasks change soon anyway.
+// minStoredRunTime is the least estimate of a task whose settled run is stored at once.
+const minStoredRunTime = 4 * time.Second
+
+// storeSettled has the job of a long task stored again once its run is settled: a new leader would otherwise keep the run placed for half a minute if the VM
+// is lost with this leader. The records of short tasks change soon anyway.
 func (t *term) storeSettled(h *hostState, run link.Run, p *placedRun) {
-	if tracked := t.jobOf(run); tracked != nil && p.step.LongRunning && h.mayReuseID() {
+	long := p.step.LongRunning || p.step.Estimate >= minStoredRunTime
+	if tracked := t.jobOf(run); tracked != nil && long && h.mayReuseID() {
 		t.markDirty(tracked)
 	}
 }
@@ -76,7 +80,7 @@
 // unsettledBy returns which runs are unsettled by a report that all leases have expired.
 func (t *term) unsettledBy(r link.Report) func(job.TaskID, *placedRun) bool {
 	return func(id job.TaskID, p *placedRun) bool {
-		return t.isOutstanding(id, r.VM) || !p.settled && !knowsAllStarts(r)
+		return t.isOutstanding(id, r.VM) || !p.settled && !p.startsKnown(r)
 	}
 }
 
@@ -99,7 +103,7 @@
 // startsOver returns when the runs have ended that an agent has started by the end of its lease.
 func (t *term) startsOver(leaseEnd time.Time) time.Time {
 	maxLease := time.Duration(float64(t.dispatcher.config.MaxRenewal) / minWorkerClockRate)
-	return leaseEnd.Add(agentLeaseMargin + startOutstanding + maxLease)
+	return leaseEnd.Add(agentLeaseMargin + maxStartTime + host.MaxCallDelay + maxLease)
 }
 
 // releaseKept gives up the runs that were kept placed after the leases of their worker had expired and that it does not have, once it answers again. Those
