Soak workers that restart under their ids and are cut off

Cause: the operators see tasks that run twice where workers start again under their ids and their VMs are cut off soon after. No fault of the soak does that: its workers refuse connections while they are down, carry out only orders of odd runs late, never renewals, and stop runs at once.

Workers of a third of the fleet hang, crash and stay down while they hold all calls open; the next incarnation under the same id, most often with a clock that starts over, carries them out in their order. Their agents are cut from the entries and the store for seconds, while agents and the leader are killed and the store is down. Jobs come in bursts. Stops and starts take time; a run counts until its stop has finished. A third of the jobs has tasks of 8 to 12 s. runs.log has every start, stop, end and held call.

A relay names the source of a connection by the process that opened it: all processes of a fleet connect from one address, so a cut by address would cut nothing. leader moves from a test to the soak, unchanged.

--- a/proving/cmd/soak/platform.go
+++ b/proving/cmd/soak/platform.go
@@ -9,8 +9,11 @@
 	"github.com/saffronpulley/saffronpulley/proving/fleet"
 )
 
-// jobInterval is the interval between submitted jobs.
-const jobInterval = 120 * time.Millisecond
+// jobInterval is the interval between submitted jobs, recutJobInterval the same for --recut.
+const (
+	jobInterval      = 120 * time.Millisecond
+	recutJobInterval = 60 * time.Millisecond
+)
 
 // platformSoak runs seeds on the stand-in for the users' platform, one after another, and keeps the logs of those that fail.
 type platformSoak struct {
@@ -21,7 +24,10 @@
 	reuseIDs        bool
 	limitRates      bool
 	composed        bool
+	recut           bool
+	maxLease        time.Duration
 	logDir          string
+	keepAll         bool
 }
 
 func (p *platformSoak) run() error {
@@ -53,7 +59,7 @@
 		return err
 	}
 	defer func() { _ = faults.Close() }()
-	f, err := fleet.New(fleet.Size{Entries: p.entries, Agents: p.agents}, binaries, dir)
+	f, err := fleet.New(fleet.Size{Entries: p.entries, Agents: p.agents, MaxLease: p.maxLease}, binaries, dir)
 	if err != nil {
 		return err
 	}
@@ -61,15 +67,19 @@
 	logf := func(format string, args ...any) {
 		fmt.Fprintf(faults, "%s "+format+"\n", append([]any{time.Now().UTC().Format(time.RFC3339Nano)}, args...)...)
 	}
+	interval := jobInterval
+	if p.recut {
+		interval = recutJobInterval
+	}
 	err = f.RunSoak(fleet.Soak{
-		Seed: seed, Duration: p.length, JobInterval: jobInterval, CrashWorkers: p.crashes, ReuseIDs: p.reuseIDs, LimitRates: p.limitRates,
-		Composed: p.composed, Logf: logf,
+		Seed: seed, Duration: p.length, JobInterval: interval, CrashWorkers: p.crashes && !p.recut, ReuseIDs: p.reuseIDs && !p.recut, LimitRates: p.limitRates,
+		Composed: p.composed, Recut: p.recut, Logf: logf,
 	})
 	crashing, harmless := f.Checker().GivenUp()
 	fmt.Printf("seed %d: %s; %d workers crashed by tasks, %d crashing jobs given up, %d others\n",
 		seed, f.Checker().Counts(), f.Checker().CrashCount(), crashing, harmless)
 	fmt.Printf("seed %d: %s\n", seed, f.Checker().FirstCalls())
-	if err == nil {
+	if err == nil && !p.keepAll {
 		return os.RemoveAll(dir)
 	}
 	return err
--- a/proving/fleet/caller.go
+++ b/proving/fleet/caller.go
@@ -23,6 +23,8 @@
 	CrashWorkers bool
 	// gangs draws the jobs whose first step is a gang, nil if none is.
 	gangs *rand.Rand
+	// long draws the jobs of long tasks, nil if none is.
+	long *rand.Rand
 
 	mu   sync.Mutex
 	jobs map[job.ID]job.Spec
@@ -41,6 +43,13 @@
 	// One in gangOneIn jobs begins with a gang, of up to maxMoreMembers more members than tasks, if the caller draws gangs.
 	gangOneIn      = 3
 	maxMoreMembers = 4
+	// One in longOneIn jobs consists of up to maxLongTasks long tasks, if the caller draws them. All tasks are small then, so that they start at once.
+	longOneIn       = 3
+	maxLongTasks    = 3
+	minLongTask     = 8 * time.Second
+	longTaskRange   = 4 * time.Second
+	smallTaskCPU    = 200
+	smallTaskMemory = 300
 )
 
 // NewCaller returns a caller whose random choices follow a seed.
@@ -62,17 +71,22 @@
 			calls.Wait()
 			return
 		case <-ticker.C:
-			spec := c.randomSpec()
-			if c.CrashWorkers && c.jobCount()%crashOneIn == 0 {
-				spec.Text = crashMarker + " " + spec.Text
-			}
-			id := c.addJob(spec)
-			cancel := c.randomN(cancelOneIn) == 0
-			calls.Go(func() { c.submitAndCancel(id, cancel, stop) })
+			c.submitNext(&calls, stop)
 		}
 	}
 }
 
+// submitNext starts the submission of a random job.
+func (c *Caller) submitNext(calls *sync.WaitGroup, stop <-chan struct{}) {
+	spec := c.randomSpec()
+	if c.CrashWorkers && c.jobCount()%crashOneIn == 0 {
+		spec.Text = crashMarker + " " + spec.Text
+	}
+	id := c.addJob(spec)
+	cancel := c.randomN(cancelOneIn) == 0
+	calls.Go(func() { c.submitAndCancel(id, cancel, stop) })
+}
+
 // submitAndCancel submits a job until it is accepted or maxAttempts is reached, and then cancels it if cancel is set.
 func (c *Caller) submitAndCancel(id job.ID, cancel bool, stop <-chan struct{}) {
 	for range maxAttempts {
@@ -117,9 +131,29 @@
 		spec.Steps = append(spec.Steps, step)
 	}
 	c.drawGang(&spec.Steps[0])
+	c.drawLong(&spec)
 	return spec
 }
 
+// drawLong draws whether a job is one of long tasks, and makes the tasks small.
+func (c *Caller) drawLong(spec *job.Spec) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.long == nil {
+		return
+	}
+	small := job.Size{CPU: smallTaskCPU, Memory: smallTaskMemory}
+	for i := range spec.Steps {
+		spec.Steps[i].Size = small
+	}
+	if c.long.IntN(longOneIn) != 0 {
+		return
+	}
+	taskTime := drawDuration(c.long, minLongTask, longTaskRange).Round(time.Millisecond)
+	step := job.Step{Count: 1 + c.long.IntN(maxLongTasks), Estimate: taskTime, Size: small}
+	*spec = job.Spec{Text: "work=" + taskTime.String(), Steps: []job.Step{step}}
+}
+
 // drawGang draws whether a step is a gang of more members than its tasks.
 func (c *Caller) drawGang(step *job.Step) {
 	c.mu.Lock()
--- a/proving/fleet/drain_test.go
+++ b/proving/fleet/drain_test.go
@@ -1,35 +1,14 @@
 package fleet
 
 import (
-	"context"
 	"net/http"
 	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
-// leader returns the entry that leads by the record in the store, nil if there is none.
-func (f *Fleet) leader() *Process {
-	item, err := f.store.data.Get(context.Background(), record.LeaderKey)
-	if err != nil || item.Revision() == 0 {
-		return nil
-	}
-	leader, err := record.DecodeLeader(item.Value())
-	if err != nil {
-		return nil
-	}
-	for _, e := range f.entries {
-		if e.name == leader.Process {
-			return e
-		}
-	}
-	return nil
-}
-
 // TestRequestAtTheEndOfADrainIsAnsweredByTheNextLeader guards against an entry that no longer follows the leader while it still waits for the answers
 // to its last requests, which need the next leader.
 func TestRequestAtTheEndOfADrainIsAnsweredByTheNextLeader(t *testing.T) {
--- a/proving/fleet/fleet.go
+++ b/proving/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -15,10 +16,12 @@
 	"github.com/saffronpulley/saffronpulley/proving/relay"
 )
 
-// Size is the number of processes of a fleet.
+// Size is the number of processes of a fleet, and what its workers allow.
 type Size struct {
 	Entries int
 	Agents  int
+	// MaxLease is the longest lease that workers accept, and that the settings name; 0 for maxLease, which the settings do not name.
+	MaxLease time.Duration
 }
 
 // workerCapacity is the capacity of each worker. Few tasks fit at once, so that jobs have to wait for each other.
@@ -39,6 +42,14 @@
 	// workerRelays relay the connections to the workers, in their order.
 	workerRelays []*relay.Relay
 
+	// cuts counts the overlapping cuts of each agent, by its name.
+	cutsMu sync.Mutex
+	cuts   map[string]int
+
+	// dir is where the logs are, runLog that of the runs, nil for none.
+	dir    string
+	runLog *os.File
+
 	stop      chan struct{}
 	servers   []*fasthttp.Server
 	listeners []net.Listener
@@ -50,7 +61,7 @@
 	var err error
 	// Another process may take a free port before the fleet listens on it.
 	for range startAttempts {
-		f := &Fleet{store: NewStore(), checker: NewChecker(), storeRelays: make(map[string]*relay.Relay), stop: make(chan struct{})}
+		f := &Fleet{store: NewStore(), checker: NewChecker(), storeRelays: make(map[string]*relay.Relay), cuts: make(map[string]int), dir: dir, stop: make(chan struct{})}
 		if err = f.start(size, binaries, dir); err == nil {
 			return f, nil
 		}
@@ -90,7 +101,7 @@
 		}
 	}
 	for i := range size.Agents {
-		if err := f.addAgent(i, a, binaries, dir); err != nil {
+		if err := f.addAgent(i, a, size.MaxLease, binaries, dir); err != nil {
 			return err
 		}
 	}
@@ -123,13 +134,16 @@
 }
 
 // addAgent starts a worker and its agent.
-func (f *Fleet) addAgent(i int, a addresses, binaries, dir string) error {
+func (f *Fleet) addAgent(i int, a addresses, longest time.Duration, binaries, dir string) error {
 	name := fmt.Sprintf("side-%d", i+1)
 	w := NewWorker(name, hallOf(i), hostPort(a.agent(i), a.reports), workerCapacity, f.checker)
 	address, err := f.serve(a.agent(i)+":0", w.Handle)
 	if err != nil {
 		return err
 	}
+	if longest > 0 {
+		w.setMaxLease(longest)
+	}
 	f.workers = append(f.workers, w)
 	workerRelay, err := relay.New(a.agent(i)+":0", address)
 	if err != nil {
@@ -143,7 +157,11 @@
 	if a.store, err = f.addStoreRelay(name, a.store); err != nil {
 		return err
 	}
-	return agent.start(settings(a, name, "agent", a.agent(i), hallOf(i), workerRelay.Address()))
+	text := settings(a, name, "agent", a.agent(i), hallOf(i), workerRelay.Address())
+	if longest > 0 {
+		text += fmt.Sprintf("longest_hold_ms: %d\n", longest.Milliseconds())
+	}
+	return agent.start(text)
 }
 
 // serve starts a stand-in on an address and returns the address it listens on.
@@ -188,4 +206,7 @@
 		_ = s.Shutdown()
 	}
 	f.serving.Wait()
+	if f.runLog != nil {
+		_ = f.runLog.Close()
+	}
 }
--- a/proving/fleet/identity.go
+++ b/proving/fleet/identity.go
@@ -45,3 +45,18 @@
 		return next
 	}
 }
+
+// One in clockAheadOneIn incarnations of sameIDAnyClock has a clock that is ahead of the previous one.
+const clockAheadOneIn = 4
+
+// sameIDAnyClock returns identities with the worker's one id and clocks drawn from a seed: most start over, some are far ahead.
+func sameIDAnyClock(seed uint64) IdentityFunc {
+	random := rand.New(rand.NewPCG(seed, 19))
+	return func(name string, n int) identity {
+		next := identity{instance: "i-" + name, startMillis: time.Now().UnixMilli()}
+		if random.IntN(clockAheadOneIn) == 0 {
+			next.clockStart = time.Duration(n) * time.Hour
+		}
+		return next
+	}
+}
--- a/proving/fleet/incarnation.go
+++ b/proving/fleet/incarnation.go
@@ -8,7 +8,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/job"
 )
 
-// maxLease is the longest lease that a worker accepts, as on the users' sites.
+// maxLease is the longest lease that a worker accepts if the fleet sets none, as on the users' sites.
 const maxLease = 6 * time.Second
 
 // maxListedEnds is how many ended runs a worker lists at once, as on the users' sites.
@@ -29,6 +29,8 @@
 	lastRuns  map[job.TaskID]int
 	endedRuns []endedRun
 	lastEnd   uint64
+	// maxLease is the longest lease that the incarnation accepts.
+	maxLease time.Duration
 }
 
 // run is a task's run in progress.
@@ -41,6 +43,21 @@
 	percent    int
 	// fails makes the run fail failureDelay after its start.
 	fails bool
+	// stopAt is when the stop of the run ends it, zero if it is not being stopped.
+	stopAt time.Time
+}
+
+// outcome returns how a run ends now, and false if it goes on.
+func (r *run) outcome(now time.Time, lapsed bool) (job.End, bool) {
+	switch {
+	case lapsed:
+		return job.EndLapsed, true
+	case !r.stopAt.IsZero():
+		return job.EndStopped, now.After(r.stopAt)
+	case r.fails && now.Sub(r.startedAt) >= failureDelay:
+		return job.EndFailed, true
+	}
+	return job.EndDone, r.remaining <= 0 && !r.step.LongRunning
 }
 
 // endedRun is a run whose end is not acknowledged yet.
@@ -54,9 +71,9 @@
 }
 
 // newIncarnation returns an incarnation without runs.
-func newIncarnation(id identity) *incarnation {
+func newIncarnation(id identity, maxLease time.Duration) *incarnation {
 	return &incarnation{
-		identity: id, key: fmt.Sprintf("%s/%d/%d", id.instance, id.startMillis, incarnationCount.Add(1)), start: time.Now(),
+		identity: id, key: fmt.Sprintf("%s/%d/%d", id.instance, id.startMillis, incarnationCount.Add(1)), start: time.Now(), maxLease: maxLease,
 		running: make(map[job.TaskID]*run), lastRuns: make(map[job.TaskID]int),
 	}
 }
@@ -84,10 +101,10 @@
 	return used
 }
 
-// extendLease extends the lease to a time of the monotonic clock in milliseconds, by at most maxLease from now.
+// extendLease extends the lease to a time of the monotonic clock in milliseconds, by at most inc.maxLease from now.
 func (inc *incarnation) extendLease(until int64) {
 	end := inc.start.Add(time.Duration(until)*time.Millisecond - inc.clockStart)
-	if limit := time.Now().Add(maxLease); end.After(limit) {
+	if limit := time.Now().Add(inc.maxLease); end.After(limit) {
 		end = limit
 	}
 	if end.After(inc.leaseEnd) {
--- a/proving/fleet/orders.go
+++ b/proving/fleet/orders.go
@@ -21,16 +21,19 @@
 	Percent      int    `json:"percent"`
 }
 
+// instanceHeader names the worker that a call is for.
+const instanceHeader = "X-Expect-Instance"
+
 // Handle serves the worker's protocol.
 func (w *Worker) Handle(ctx *fasthttp.RequestCtx) {
 	var o order
-	if !readJSON(ctx, &o) {
+	if !readJSON(ctx, &o) || w.handleHeld(ctx, o) {
 		return
 	}
 	w.mu.Lock()
 	silent, late, inc := w.unreachable(), w.orderDelay, w.incarnation
 	w.mu.Unlock()
-	expected, path := string(ctx.Request.Header.Peek("X-Expect-Instance")), string(ctx.Path())
+	expected, path := string(ctx.Request.Header.Peek(instanceHeader)), string(ctx.Path())
 	switch {
 	case silent:
 		dropConnection(ctx)
@@ -70,6 +73,11 @@
 func (w *Worker) execute(path string, inc *incarnation, o order) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.executeLocked(path, inc, o)
+}
+
+// executeLocked is execute with w.mu held.
+func (w *Worker) executeLocked(path string, inc *incarnation, o order) string {
 	w.advance()
 	id, ok := job.ParseTaskID(o.Task)
 	switch {
@@ -109,11 +117,12 @@
 	inc.lastRuns[id] = o.Run
 	step, taskTime, known := w.checker.step(id)
 	inc.running[id] = &run{
-		number: o.Run, step: step, remaining: taskTime, startedAt: time.Now(), advancedAt: time.Now(), percent: 100, fails: w.failing,
+		number: o.Run, step: step, remaining: taskTime + w.drawDelay(minStartTime, startTimeRange), startedAt: time.Now(), advancedAt: time.Now(), percent: 100, fails: w.failing,
 	}
 	if step.Gang {
 		w.checker.recordMemberStart(id, o.Run)
 	}
+	w.logf("start %s run %d on %s, fence %d, lease left %v", id, o.Run, inc.key, o.Fence, time.Until(inc.leaseEnd).Round(time.Millisecond))
 	w.checker.checkStart(inc, w.hall, id, o.Run, o.Spec)
 	if crashesWorker(o.Spec, id) {
 		w.scheduleCrash(inc, id, crashDelayOf(o.Spec))
@@ -124,12 +133,19 @@
 	return ""
 }
 
-// stopRun ends a run and prevents later starts of runs up to its number; w.mu is held.
+// stopRun ends a run, after the time that a stop takes, and prevents later starts of runs up to its number; w.mu is held.
 func (w *Worker) stopRun(inc *incarnation, id job.TaskID, number int) {
 	inc.lastRuns[id] = max(inc.lastRuns[id], number)
-	if r := inc.running[id]; r != nil && r.number == number {
-		w.endRun(id, job.EndStopped)
+	r := inc.running[id]
+	if r == nil || r.number != number || !r.stopAt.IsZero() {
+		return
+	}
+	w.logf("stop %s run %d on %s", id, number, inc.key)
+	if takes := w.drawDelay(minStopTime, stopTimeRange); takes > 0 {
+		r.stopAt = time.Now().Add(takes)
+		return
 	}
+	w.endRun(id, job.EndStopped)
 }
 
 // handleRenewal renews the lease and answers once there is an unacknowledged end, or after the requested wait.
@@ -139,18 +155,24 @@
 		answerOrder(ctx, inc, reason)
 		return
 	}
+	w.answerRenewal(ctx, inc, o)
+}
+
+// answerRenewal answers a renewal once there is an unacknowledged end, or after the requested wait, and not while the worker holds calls.
+func (w *Worker) answerRenewal(ctx *fasthttp.RequestCtx, inc *incarnation, o order) {
 	deadline := time.Now().Add(time.Duration(o.WaitMillis) * time.Millisecond)
 	for {
 		w.mu.Lock()
 		hasEnds := len(inc.endedRuns) > 0
 		body := inc.renewalAnswer()
-		ended := w.incarnation != inc
+		ended, holds := w.incarnation != inc, w.holds
 		w.mu.Unlock()
-		if ended {
+		switch {
+		case holds:
+		case ended:
 			dropConnection(ctx)
 			return
-		}
-		if hasEnds || time.Now().After(deadline) {
+		case hasEnds || time.Now().After(deadline):
 			writeJSON(ctx, body)
 			return
 		}
@@ -162,6 +184,11 @@
 func (w *Worker) renew(inc *incarnation, o order) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.renewLocked(inc, o)
+}
+
+// renewLocked is renew with w.mu held.
+func (w *Worker) renewLocked(inc *incarnation, o order) string {
 	w.advance()
 	if w.incarnation != inc || o.Fence < inc.fence {
 		return "fence"
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -23,6 +23,8 @@
 	ReuseIDs bool
 	// Composed adds composedDisturbances and gangs, and ends the soak with the loss of a worker that runs long-running tasks.
 	Composed bool
+	// Recut replaces the faults by series in which workers restart under their ids and their VMs are cut off, with jobs of long tasks.
+	Recut bool
 	// LimitRates makes the store rate limited in alternating periods.
 	LimitRates bool
 	// Logf logs each fault when it starts.
@@ -47,18 +49,11 @@
 // RunSoak injects overlapping faults and returns an error that lists the violations.
 func (f *Fleet) RunSoak(s Soak) error {
 	caller, stop := NewCaller(f, s.Seed), make(chan struct{})
-	caller.CrashWorkers = s.CrashWorkers
-	if s.CrashWorkers {
-		f.crashAgentsWithWorkers()
-	}
-	if s.ReuseIDs {
-		for n, w := range f.workers {
-			w.SetIdentities(randomIdentities(s.Seed + uint64(n)<<32))
-		}
+	if err := f.prepare(s, caller); err != nil {
+		return err
 	}
 	var lasting job.ID
-	if s.Composed {
-		caller.gangs = rand.New(rand.NewPCG(s.Seed, 15))
+	if s.Composed || s.Recut {
 		var err error
 		if lasting, err = f.submitLasting(caller); err != nil {
 			return err
@@ -66,21 +61,52 @@
 	}
 	var calls sync.WaitGroup
 	calls.Go(func() { caller.Run(s.JobInterval, stop) })
-	calls.Go(func() { f.closeHalls(s, stop) })
 	if s.LimitRates {
 		calls.Go(func() { f.alternateRateLimit(s, stop) })
 	}
-	f.injectFaults(s)
+	if s.Recut {
+		f.injectRecuts(s, caller, stop)
+	} else {
+		calls.Go(func() { f.closeHalls(s, stop) })
+		f.injectFaults(s)
+	}
 	close(stop)
 	calls.Wait()
 	if s.Composed {
 		if err := f.loseWorker(s, lasting); err != nil {
 			return fmt.Errorf("%w\n%s", err, f.checker)
 		}
+	}
+	if s.Composed || s.Recut {
 		if err := f.await(completionTimeout, func() bool { return caller.cancel(lasting) }); err != nil {
 			return err
 		}
 	}
+	return f.finish(s, caller)
+}
+
+// prepare sets up the workers and the caller as the soak requires.
+func (f *Fleet) prepare(s Soak, caller *Caller) error {
+	caller.CrashWorkers = s.CrashWorkers
+	if s.CrashWorkers {
+		f.crashAgentsWithWorkers()
+	}
+	if s.ReuseIDs {
+		for n, w := range f.workers {
+			w.SetIdentities(randomIdentities(s.Seed + uint64(n)<<32))
+		}
+	}
+	if s.Composed {
+		caller.gangs = rand.New(rand.NewPCG(s.Seed, 15))
+	}
+	if s.Recut {
+		return f.prepareRecuts(s, caller)
+	}
+	return nil
+}
+
+// finish waits until all accepted jobs are finished and returns an error that lists the violations.
+func (f *Fleet) finish(s Soak, caller *Caller) error {
 	if err := f.awaitFinished(caller, completionTimeout); err != nil {
 		return fmt.Errorf("%w\n%s", err, f.checker)
 	}
--- a/proving/fleet/worker.go
+++ b/proving/fleet/worker.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -39,11 +40,24 @@
 	failing bool
 	// onCrash is called when a task crashes the worker.
 	onCrash func()
+	// holds reports whether the worker holds calls open, at least until heldUntil; held are these calls.
+	holds     bool
+	heldUntil time.Time
+	held      []*heldCall
+	// delays draws how long starts and stops take; nil means that they take no time.
+	delays *rand.Rand
+	// maxLease is the longest lease that the worker accepts.
+	maxLease time.Duration
+	// logf logs the start and the end of each run.
+	logf func(format string, args ...any)
 }
 
 // NewWorker returns a worker that reports to an agent once Run is called.
 func NewWorker(name, hall, agent string, capacity job.Size, checker *Checker) *Worker {
-	w := &Worker{name: name, checker: checker, agent: agent, capacity: capacity, hall: hall, onCrash: func() {}, nextIdentity: FreshID}
+	w := &Worker{
+		name: name, checker: checker, agent: agent, capacity: capacity, hall: hall, onCrash: func() {}, nextIdentity: FreshID, maxLease: maxLease,
+		logf: func(string, ...any) {},
+	}
 	w.restart()
 	return w
 }
@@ -58,6 +72,7 @@
 // restart starts a new incarnation; w.mu is held once the worker runs.
 func (w *Worker) restart() {
 	if w.incarnation != nil {
+		w.logf("crash of %s with %d runs", w.incarnation.key, len(w.incarnation.running))
 		for id, r := range w.incarnation.running {
 			w.checker.recordRunEnd(w.incarnation.key, id, false)
 			w.checker.recordLostRun(id)
@@ -67,7 +82,7 @@
 		}
 	}
 	w.incarnations++
-	w.incarnation = newIncarnation(w.nextIdentity(w.name, w.incarnations))
+	w.incarnation = newIncarnation(w.nextIdentity(w.name, w.incarnations), w.maxLease)
 	if down := time.Until(w.backAt); down > 0 {
 		w.incarnation.delayStart(down)
 	}
@@ -81,6 +96,14 @@
 	w.restart()
 }
 
+// setMaxLease sets the longest lease that the worker accepts, and starts an incarnation with it.
+func (w *Worker) setMaxLease(longest time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.maxLease = longest
+	w.restart()
+}
+
 const (
 	// defaultCrashDelay is the time from the start of a crashing task to the crash if the job's text sets none;
 	// crashDowntime is how long the worker is down after it.
@@ -130,7 +153,7 @@
 func (w *Worker) down() bool { return time.Now().Before(w.backAt) }
 
 // unreachable reports whether the worker neither answers nor reports; w.mu is held.
-func (w *Worker) unreachable() bool { return w.silent || w.down() }
+func (w *Worker) unreachable() bool { return w.silent || w.holds || w.down() }
 
 // shrinkGrace is how long after a change of capacity a start may still use the previous one: the platform's bound
 // of 3 s for connected processes and one heartbeat.
@@ -223,26 +246,23 @@
 		}
 	}
 	for id, r := range inc.running {
-		works := true
+		works := r.stopAt.IsZero()
 		if r.step.Gang {
 			var end job.End
 			var ends bool
-			if end, ends, works = w.checker.gangOutcome(id, r); ends && !lapsed {
+			var complete bool
+			if end, ends, complete = w.checker.gangOutcome(id, r); ends && !lapsed {
 				w.endRun(id, end)
 				continue
 			}
+			works = works && complete
 		}
 		if works {
 			r.remaining -= now.Sub(r.advancedAt) * time.Duration(r.percent) / 100
 		}
 		r.advancedAt = now
-		switch {
-		case lapsed:
-			w.endRun(id, job.EndLapsed)
-		case r.fails && now.Sub(r.startedAt) >= failureDelay:
-			w.endRun(id, job.EndFailed)
-		case r.remaining <= 0 && !r.step.LongRunning:
-			w.endRun(id, job.EndDone)
+		if end, ends := r.outcome(now, lapsed); ends {
+			w.endRun(id, end)
 		}
 	}
 }
@@ -254,6 +274,7 @@
 	delete(inc.running, id)
 	inc.lastEnd++
 	inc.endedRuns = append(inc.endedRuns, endedRun{number: inc.lastEnd, task: id, run: r.number, kind: kind})
+	w.logf("end %s run %d on %s: %s", id, r.number, inc.key, kind)
 	w.checker.recordRunEnd(inc.key, id, kind == job.EndDone)
 	if kind == job.EndFailed {
 		w.checker.recordFailedRun(id, r.number)
--- a/proving/relay/relay.go
+++ b/proving/relay/relay.go
@@ -16,11 +16,13 @@
 	closed   bool
 	// target is the address to which new connections are forwarded.
 	target string
-	// cut are the source IP addresses whose traffic is dropped; dropped are the directions in which all bytes are dropped.
+	// identify returns the source of a connection, its IP address by default.
+	identify func(net.Conn) string
+	// cut are the sources whose traffic is dropped; dropped are the directions in which all bytes are dropped.
 	cut     map[string]bool
 	dropped Direction
 	delay   time.Duration
-	// sources are the open connections with their source IP addresses; silenced are those on which all bytes are dropped
+	// sources are the open connections with their sources; silenced are those on which all bytes are dropped
 	// until they close.
 	sources  map[net.Conn]string
 	silenced map[net.Conn]bool
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{address: listener.Addr().String(), listener: listener, target: target, cut: make(map[string]bool), sources: make(map[net.Conn]string), silenced: make(map[net.Conn]bool)}
+	r := &Relay{address: listener.Addr().String(), listener: listener, target: target, cut: make(map[string]bool), sources: make(map[net.Conn]string), silenced: make(map[net.Conn]bool), identify: ipAddress}
 	go r.accept(listener)
 	return r, nil
 }
@@ -94,7 +96,21 @@
 	r.target = target
 }
 
-// SetCut cuts or restores the traffic of a source IP address; restoring it resets its connections.
+// SetIdentify sets how the sources of connections are named, in place of their IP addresses, and resets all connections.
+func (r *Relay) SetIdentify(identify func(net.Conn) string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.identify = identify
+	r.reset(func(string) bool { return true })
+}
+
+// ipAddress returns the source IP address of a connection.
+func ipAddress(conn net.Conn) string {
+	address, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	return address
+}
+
+// SetCut cuts or restores the traffic of a source; restoring it resets its connections.
 func (r *Relay) SetCut(source string, cut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -174,8 +190,7 @@
 
 // serve forwards the bytes of a connection in both directions until either end is closed.
 func (r *Relay) serve(conn net.Conn) {
-	source, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
-	target := r.add(conn, source)
+	source, target := r.add(conn)
 	defer r.remove(conn)
 	upstream, err := net.Dial("tcp", target)
 	if err != nil {
@@ -191,12 +206,16 @@
 	<-done
 }
 
-// add registers an open connection and returns its target.
-func (r *Relay) add(conn net.Conn, source string) string {
+// add registers an open connection and returns its source and target.
+func (r *Relay) add(conn net.Conn) (source, target string) {
+	r.mu.Lock()
+	identify := r.identify
+	r.mu.Unlock()
+	source = identify(conn)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sources[conn] = source
-	return r.target
+	return source, r.target
 }
 
 // remove removes a closed connection.
