--- a/proving/fleet/fleet_test.go
+++ b/proving/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -54,6 +55,11 @@
 	runSeeds(t, "testdata/seeds_composed.txt", Size{Entries: 3, Agents: 5}, Soak{Duration: 8 * time.Second, Composed: true})
 }
 
+// TestSoakOfRestartedWorkersThatAreCutOff runs seeds in which workers restart under their ids and hold calls open meanwhile, and their VMs are cut off.
+func TestSoakOfRestartedWorkersThatAreCutOff(t *testing.T) {
+	runSeeds(t, "testdata/seeds_recut.txt", Size{Entries: 3, Agents: 9}, Soak{Duration: 5 * time.Second, JobInterval: 60 * time.Millisecond, Recut: true})
+}
+
 // runSeeds runs the seeds of a file, which has one per line with the reason for it.
 func runSeeds(t *testing.T, name string, size Size, s Soak) {
 	t.Helper()
@@ -75,7 +81,7 @@
 			assert.NilError(t, err)
 			defer f.Close()
 			soak := s
-			soak.Seed, soak.JobInterval, soak.Logf = seed, 120*time.Millisecond, t.Logf
+			soak.Seed, soak.JobInterval, soak.Logf = seed, cmp.Or(s.JobInterval, 120*time.Millisecond), t.Logf
 			if err := f.RunSoak(soak); err != nil {
 				keepLogs(t, dir, f.checker.Unfinished())
 				t.Fatal(err)
