--- a/internal/dispatch/outstanding.go
+++ b/internal/dispatch/outstanding.go
@@ -37,7 +37,7 @@
 	for _, run := range r.Unsettled {
 		if id, ok := run.TaskID(); ok {
 			o := reported[id]
-			o.reportedAt, o.until, o.withdrawn = now, t.startsOver(now.Add(agentLease)), o.withdrawn || slices.Contains(r.Withdrawn, run)
+			o.reportedAt, o.until, o.withdrawn = now, t.latestEnd(now.Add(agentLease)), o.withdrawn || slices.Contains(r.Withdrawn, run)
 			reported[id] = o
 		}
 	}
--- a/internal/dispatch/unsettled.go
+++ b/internal/dispatch/unsettled.go
@@ -9,14 +9,10 @@
 )
 
 const (
-	// maxStartTime bounds the time from when an agent sends a start to when it records that the call got no answer.
-	maxStartTime = 600 * time.Millisecond
 	// maxFirstReport is the time after its start within which a worker reports to its agent, which stops what it finds there.
 	maxFirstReport = 2 * time.Second
 	// startOutstanding is how long after it was sent a start may begin a run that nobody has stopped, while its agent runs.
-	startOutstanding = maxStartTime + host.MaxCallDelay + maxFirstReport
-	// minWorkerClockRate is the lowest rate of a worker's clock relative to this one, by the platform's specification.
-	minWorkerClockRate = 0.98
+	startOutstanding = host.MaxStartTimeout + host.MaxCallDelay + maxFirstReport
 )
 
 // mayReuseID reports whether a later incarnation of the worker may have the same id.
@@ -97,13 +93,13 @@
 	if a != nil {
 		leaseEnd = later(leaseEnd, a.leasedAt.Add(agentLease))
 	}
-	return t.startsOver(leaseEnd)
+	return t.latestEnd(leaseEnd)
 }
 
-// startsOver returns when the runs have ended that an agent has started by the end of its lease.
-func (t *term) startsOver(leaseEnd time.Time) time.Time {
-	maxLease := time.Duration(float64(t.dispatcher.config.MaxRenewal) / minWorkerClockRate)
-	return leaseEnd.Add(agentLeaseMargin + maxStartTime + host.MaxCallDelay + maxLease)
+// latestEnd returns when all runs have ended that an agent has started by the end of its lease.
+func (t *term) latestEnd(leaseEnd time.Time) time.Time {
+	maxLease := time.Duration(float64(t.dispatcher.config.MaxRenewal) / host.MinClockRate)
+	return leaseEnd.Add(agentLeaseMargin + host.MaxStartTimeout + host.MaxCallDelay + maxLease)
 }
 
 // releaseKept gives up the runs that were kept placed after the leases of their worker had expired and that it does not have, once it answers again. Those
--- a/internal/dispatch/unsettled_test.go
+++ b/internal/dispatch/unsettled_test.go
@@ -72,7 +72,7 @@
 // TestRunWithAnOutstandingStartStaysPlacedWithoutItsAgent guards against a second run beside the first: a worker whose VM is cut off carries out a start of
 // the run as a later incarnation, under this leader or the next.
 func TestRunWithAnOutstandingStartStaysPlacedWithoutItsAgent(t *testing.T) {
-	const maxLease, lastStart = 10 * time.Second * 100 / 98, maxStartTime + host.MaxCallDelay
+	const maxLease, lastStart = 10 * time.Second * 100 / 98, host.MaxStartTimeout + host.MaxCallDelay
 	for name, c := range map[string]struct {
 		listed, newLeader bool
 		wait              time.Duration
--- a/internal/host/latecalls.go
+++ b/internal/host/latecalls.go
@@ -5,6 +5,12 @@
 // MaxCallDelay is how long after a call that got no answer the worker may still carry it out.
 const MaxCallDelay = 15 * time.Second
 
+// MaxStartTimeout is the longest time that an agent waits for the answer to a start.
+const MaxStartTimeout = 600 * time.Millisecond
+
+// MinClockRate is the lowest rate of a worker's clock relative to that of other processes, by the platform's specification.
+const MinClockRate = 0.98
+
 // LateCalls maps calls that the worker may still carry out to the time each was last recorded.
 type LateCalls[K comparable] map[K]time.Time
 
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -21,10 +21,9 @@
 	// maxPatientAttempts applies once a start got no answer from a worker that may reuse its id: until a withdrawn start can no longer be carried out by a
 	// later incarnation, its task waits, so that another attempt is worth more.
 	maxPatientAttempts = 10
-	// minStartTimeout and maxStartTimeout bound the timeout of a start: eight times the usual response time, which is some milliseconds on one VM, and
+	// minStartTimeout and host.MaxStartTimeout bound the timeout of a start: eight times the usual response time, which is some milliseconds on one VM, and
 	// longer with each attempt. A repeated start gets the same answer as the first.
 	minStartTimeout = 100 * time.Millisecond
-	maxStartTimeout = 600 * time.Millisecond
 )
 
 // handleOrders accepts the leader's orders and carries them out asynchronously; orders from an earlier leader or connection are refused.
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -18,8 +18,6 @@
 	renewalWait = 500 * time.Millisecond
 	// runLease is how long the worker's runs may continue after a renewal: longer than an agent takes to restart, shorter than any agent lease.
 	runLease = 3500 * time.Millisecond
-	// minClockRate is the lowest rate of the worker's clock relative to this one, by the platform's specification.
-	minClockRate = 0.98
 	// unreachableAfter is how long a worker may leave calls unanswered before it is reported as unreachable.
 	unreachableAfter = 1500 * time.Millisecond
 	// fenceTimeout bounds the renewal that sends a new fence; the next renewal sends it too.
@@ -180,7 +178,7 @@
 	w.extendLeaseEnd(end)
 	// The worker's clock shows at least this at end, even at its slowest rate, so its runs have ended by then. The steady clock measures the time since
 	// the reading without suspensions, in which the worker's clock may have stopped as well.
-	return w.clock + host.Clock(minClockRate*float64(end.Sub(w.clockReadAt)))
+	return w.clock + host.Clock(host.MinClockRate*float64(end.Sub(w.clockReadAt)))
 }
 
 // maxDisconnectDelay is the longest time in which a renewal fails if its connection breaks; one to a worker that does not answer fails later.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -102,7 +102,7 @@
 		config: config, logger: config.Logger, reportDue: make(chan struct{}, 1),
 		endsAcknowledged: make(chan struct{}, 1), heartbeat: make(chan struct{}, 1), candidateAdded: make(chan struct{}, 1),
 		startDecided: make(chan struct{}, 1), looking: make(chan struct{}, 1),
-		startTimeout: wait.NewTimeout(minStartTimeout, maxStartTimeout), unusableLog: rate.Sometimes{Interval: unusableLogInterval},
+		startTimeout: wait.NewTimeout(minStartTimeout, host.MaxStartTimeout), unusableLog: rate.Sometimes{Interval: unusableLogInterval},
 		outdatedLog: rate.Sometimes{Interval: ignoredLogInterval}, storeBackoff: wait.NewBackoff(minStoreDelay, maxStoreDelay, config.Random),
 		runContext: context.Background(),
 	}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -155,7 +155,7 @@
 		// By a worker's clock that is 2 % slow, two seconds are 1.96 seconds.
 		assert.Equal(t, time.Duration(r.runDeadline(w)), 100*time.Second+1960*time.Millisecond)
 		r.agentLeaseEnd = r.config.Uptime.Now().Add(time.Minute)
-		assert.Equal(t, time.Duration(r.runDeadline(w)), 100*time.Second+time.Duration(minClockRate*float64(runLease)))
+		assert.Equal(t, time.Duration(r.runDeadline(w)), 100*time.Second+time.Duration(host.MinClockRate*float64(runLease)))
 		r.agentLeaseEnd = r.config.Uptime.Now()
 		assert.Equal(t, r.runDeadline(w), host.Clock(0))
 	})
--- a/internal/runner/suspended_test.go
+++ b/internal/runner/suspended_test.go
@@ -34,7 +34,7 @@
 				remaining := min(runLease, 5*time.Second-d)
 				want := host.Clock(0)
 				if remaining > 0 {
-					want = host.Clock(time.Minute) + host.Clock(minClockRate*float64(remaining))
+					want = host.Clock(time.Minute) + host.Clock(host.MinClockRate*float64(remaining))
 				}
 				assert.Equal(t, r.runDeadline(r.worker), want)
 			})
@@ -49,7 +49,7 @@
 		r := newTest(&fakeWorker{answerStart: accept})
 		r.recordRenewal(t.Context(), testID, host.Renewal{}, host.View{Clock: host.Clock(time.Minute)})
 		suspend(t, r, 2*time.Second)
-		assert.Equal(t, r.runDeadline(r.worker), host.Clock(time.Minute)+host.Clock(minClockRate*float64(3*time.Second)))
+		assert.Equal(t, r.runDeadline(r.worker), host.Clock(time.Minute)+host.Clock(host.MinClockRate*float64(3*time.Second)))
 	})
 }
 
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -111,7 +111,7 @@
 // assumeLease assumes that a call for a previous incarnation, with a deadline on its clock, has just set the lease for as long as the worker grants at most.
 func (r *Runner) assumeLease(w *workerState, now time.Time) {
 	if w.mayReuseID() {
-		w.extendLeaseEnd(now.Add(time.Duration(float64(r.config.MaxRenewal) / minClockRate)))
+		w.extendLeaseEnd(now.Add(time.Duration(float64(r.config.MaxRenewal) / host.MinClockRate)))
 	}
 }
 
