--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -9,7 +9,7 @@
 	"github.com/saffronpulley/saffronpulley/internal/wait"
 )
 
-// lookTimeout bounds a look, also of a worker that has become slow.
+// lookTimeout bounds a look, also of a worker that has become slow; the client of the worker may have a lower bound of its own.
 const lookTimeout = 1500 * time.Millisecond
 
 // look is a renewal that extends nothing and is answered at once. Unlike the views of the renewal loop, its view was certainly requested after the start
@@ -93,7 +93,7 @@
 	}
 }
 
-// nextLook returns the next look, false before the worker's first report.
+// nextLook returns the next look, false before the worker's first report and after the end of its incarnation.
 func (r *Runner) nextLook() (look, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
