--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -37,6 +37,10 @@
 	leases   map[uint64]*lease
 	nextID   uint64
 	changed  chan struct{}
+	// silent is set while the store is down without a word. Jobs that are written then are stored lateBy after their call arrived, if its condition
+	// still holds; all other calls are lost. Leases wait meanwhile.
+	silent bool
+	lateBy time.Duration
 }
 
 func newStore() *store {
@@ -54,7 +58,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, l := range s.leases {
-		if time.Now().After(l.end) {
+		if !s.silent && time.Now().After(l.end) {
 			s.endLease(id)
 		}
 	}
@@ -105,6 +109,10 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isSilent() {
+		s.lose(r)
+		return
+	}
 	switch {
 	case r.URL.Path == "/kv-key":
 		s.get(w, r)
@@ -128,6 +136,33 @@
 	}
 }
 
+// setSilent begins or ends an outage in which no call is answered.
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	if !silent {
+		for _, l := range s.leases {
+			l.end = time.Now().Add(l.ttl)
+		}
+	}
+}
+
+func (s *store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
+// lose gives a call no answer, nor any later one on its connection. A write of a job is done late.
+func (s *store) lose(r *http.Request) {
+	var body txn
+	if r.URL.Path == "/kv-txn" && json.NewDecoder(r.Body).Decode(&body) == nil && body.writesJob() {
+		time.AfterFunc(s.lateBy, func() { s.try(body) })
+	}
+	<-r.Context().Done()
+}
+
 func idOf(r *http.Request) uint64 {
 	id, _ := strconv.ParseUint(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:], 10, 64)
 	return id
@@ -193,18 +228,36 @@
 	}
 }
 
+// txn is the body of a transaction.
+type txn struct {
+	Conditions []struct {
+		Key      string `json:"tls-key"`
+		Revision uint64 `json:"revision"`
+	} `json:"if-revision"`
+	Puts    []item   `json:"put"`
+	Removes []string `json:"remove"`
+}
+
+// writesJob reports whether a transaction is that of an entry which accepts a job: it writes one key that has to be absent.
+func (t txn) writesJob() bool {
+	return len(t.Puts) == 1 && len(t.Conditions) == 1 && t.Conditions[0].Revision == 0 && t.Conditions[0].Key == t.Puts[0].Key
+}
+
 func (s *store) commit(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Conditions []struct {
-			Key      string `json:"tls-key"`
-			Revision uint64 `json:"revision"`
-		} `json:"if-revision"`
-		Puts    []item   `json:"put"`
-		Removes []string `json:"remove"`
-	}
+	var body txn
 	if !read(w, r, &body) {
 		return
 	}
+	status, revision, current := s.try(body)
+	if status == http.StatusOK {
+		answer(w, status, map[string]any{"revision": revision})
+		return
+	}
+	answer(w, status, map[string]any{"items": current})
+}
+
+// try carries a transaction out if its conditions hold, and returns its status and revision, or the current items of the conditions.
+func (s *store) try(body txn) (int, uint64, []item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	failed := false
@@ -217,17 +270,15 @@
 		failed = failed || i.Revision != c.Revision
 	}
 	if failed {
-		answer(w, http.StatusPreconditionFailed, map[string]any{"items": current})
-		return
+		return http.StatusPreconditionFailed, 0, current
 	}
 	for _, p := range body.Puts {
 		if p.Lease != 0 && s.leases[p.Lease] == nil {
-			answer(w, http.StatusNotFound, struct{}{})
-			return
+			return http.StatusNotFound, 0, nil
 		}
 	}
 	s.apply(body.Puts, body.Removes)
-	answer(w, http.StatusOK, map[string]any{"revision": s.revision})
+	return http.StatusOK, s.revision, nil
 }
 
 func (s *store) grant(w http.ResponseWriter, r *http.Request) {
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -80,8 +80,8 @@
 	labels                     []string
 	cpu, memory                int
 	world                      *world
-	// tail returns the tail latency of a serving task in milliseconds.
-	tail func() int
+	// tail is the tail latency of its serving tasks in milliseconds.
+	tail int
 
 	mu       sync.Mutex
 	id       string
@@ -286,7 +286,7 @@
 func (w *worker) stopRun(o order) {
 	w.last[o.Task] = max(w.last[o.Task], o.Run)
 	if r := w.running[o.Task]; r != nil && r.number == o.Run && r.stopAt.IsZero() {
-		w.world.note("stop     task=%s run=%d worker=%s percent=%d", r.task, r.number, w.name, r.progress())
+		w.world.stopping(w, r)
 		r.stopAt = time.Now().Add(stopTime)
 	}
 }
@@ -361,7 +361,7 @@
 	for _, t := range w.running {
 		figure := t.step.CPU * t.percent / 100
 		if t.step.TargetMS > 0 {
-			figure = w.tail()
+			figure = w.tail
 		}
 		running = append(running, []any{t.task, t.number, t.saved, t.progress(), figure})
 	}
@@ -382,3 +382,29 @@
 	n, _ := strconv.Atoi(parts[2])
 	return parts[0], n
 }
+
+// failTasks ends the tasks of a job by their own fault, as lasting tasks may at any time.
+func (w *worker) failTasks(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.running {
+		if job, _ := jobOf(r.task); job == id {
+			w.end(r, "failed")
+		}
+	}
+}
+
+// setFailing makes the worker fail all that it starts, or ends this.
+func (w *worker) setFailing(failing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.world.note("failing  worker=%s %t", w.name, failing)
+	w.failing = failing
+}
+
+// setTail sets the tail latency of the serving tasks on the worker in milliseconds.
+func (w *worker) setTail(millis int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tail = millis
+}
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -23,6 +23,7 @@
 	task    string
 	number  int
 	started time.Time
+	stopped time.Time
 	ended   time.Time
 	how     string
 }
@@ -65,6 +66,18 @@
 	w.lives = append(w.lives, &life{worker: at.name, task: r.task, number: r.number, started: time.Now()})
 }
 
+// stopping records that a run is being stopped.
+func (w *world) stopping(at *worker, r *run) {
+	w.note("stop     task=%s run=%d worker=%s percent=%d", r.task, r.number, at.name, r.progress())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, l := range w.lives {
+		if l.worker == at.name && l.task == r.task && l.number == r.number && l.ended.IsZero() {
+			l.stopped = time.Now()
+		}
+	}
+}
+
 func (w *world) ended(at *worker, r *run, how string) {
 	w.note("end      task=%s run=%d worker=%s how=%s", r.task, r.number, at.name, how)
 	w.mu.Lock()
