--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -26,6 +26,7 @@
 	fronts    []string
 	ready     []string
 	processes []*exec.Cmd
+	names     []string
 	dir       string
 	logs      []*os.File
 }
@@ -153,7 +154,7 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
-	f.processes = append(f.processes, command)
+	f.processes, f.names = append(f.processes, command), append(f.names, name)
 	return nil
 }
 
