--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -41,6 +41,9 @@
 	// still holds; all other calls are lost. Leases wait meanwhile.
 	silent bool
 	lateBy time.Duration
+	// delay is how long each answer takes, forgotten the revision up to which the history is gone.
+	delay     time.Duration
+	forgotten uint64
 }
 
 func newStore() *store {
@@ -113,6 +116,7 @@
 		s.lose(r)
 		return
 	}
+	w = s.slowed(w)
 	switch {
 	case r.URL.Path == "/kv-key":
 		s.get(w, r)
@@ -136,6 +140,42 @@
 	}
 }
 
+// slowed returns a writer whose answer takes the delay of the store.
+func (s *store) slowed(w http.ResponseWriter) http.ResponseWriter {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slowWriter{ResponseWriter: w, delay: s.delay}
+}
+
+// slowWriter sends its status, and what follows, after a delay.
+type slowWriter struct {
+	http.ResponseWriter
+	delay time.Duration
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w slowWriter) WriteHeader(status int) {
+	time.Sleep(w.delay)
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// forget drops the history and cuts the watches, which then have to read all keys again.
+func (s *store) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten, s.history = s.revision+1, nil
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// setDelay sets how long each answer takes.
+func (s *store) setDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
 // setSilent begins or ends an outage in which no call is answered.
 func (s *store) setSilent(silent bool) {
 	s.mu.Lock()
@@ -211,8 +251,12 @@
 				events = append(events, i)
 			}
 		}
-		at, changed := s.revision, s.changed
+		at, changed, gone := s.revision, s.changed, after < s.forgotten
 		s.mu.Unlock()
+		if gone {
+			answer(w, http.StatusGone, struct{}{})
+			return
+		}
 		if len(events) > 0 {
 			answer(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
