--- a/review/standin3/cancel.go
+++ b/review/standin3/cancel.go
@@ -36,7 +36,9 @@
 		w.note("store    silent")
 		f.store.setSilent(true)
 		time.AfterFunc(outage, func() {
-			w.note("store    answers again")
+			f.store.mu.Lock()
+			w.note("store    answers again; writes=%d done_late=%d", f.store.writes, f.store.late)
+			f.store.mu.Unlock()
 			f.store.setSilent(false)
 		})
 		time.Sleep(200 * time.Millisecond)
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -116,7 +116,7 @@
 func (b *workerPlace) make(w *world, n int, prepare func(int, *worker)) *worker {
 	made := &worker{
 		name: b.name, address: b.address, agent: b.agent, hall: b.hall, labels: []string{"a", fmt.Sprintf("r1-%d", n/3+1)},
-		cpu: 16000, memory: 64000, world: w, tail: calmTail,
+		cpu: 16000, memory: 64000, world: w,
 	}
 	prepare(n, made)
 	return made
