--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -86,7 +86,11 @@
 		return
 	}
 	tracked := t.jobs[id]
-	if tracked == nil || !tracked.job.Cancel() {
+	if tracked == nil {
+		t.logger.Info("cancellation of an unknown job ignored; job=%s revision=%d", id, item.Revision())
+		return
+	}
+	if !tracked.job.Cancel() {
 		return
 	}
 	t.logger.Info("job canceled; job=%s", id)
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -192,17 +192,23 @@
 		return s.callerError(err)
 	}
 	if item.Revision() == 0 {
-		return fault.New(fault.Gone, "there is no job %s", id)
+		err := fault.New(fault.Gone, "there is no job %s", id)
+		s.recordCancellation(id, start, err)
+		return err
 	}
 	err = s.write(ctx, kv.Txn{
 		Conditions: []kv.Condition{{Key: record.CancelKey(id)}},
 		Puts:       []kv.Put{{Key: record.CancelKey(id), Value: []byte{1}}},
 	})
-	s.countCall("cancel", start, err)
-	s.logger.Info("job canceled; job=%s outcome=%s", id, outcome(err))
+	s.recordCancellation(id, start, err)
 	return err
 }
 
+func (s *Server) recordCancellation(id job.ID, start time.Time, err error) {
+	s.countCall("cancel", start, err)
+	s.logger.Info("job canceled; job=%s ms=%d outcome=%s", id, time.Since(start).Milliseconds(), outcome(err))
+}
+
 // State returns the committed state of a job.
 func (s *Server) State(ctx context.Context, a Address) (job.State, error) {
 	_, id, err := s.jobAt(ctx, a)
