Keep a canceled job from being accepted by a late write

A job whose submission got 502 is canceled, the DELETE gets 410, and all its tasks start 3.8 s later.

Cause: a cancellation that found no record of the job was answered 410 and stored nothing. The write of the submission, which the store had not answered, was carried out afterwards, as its only condition is that there is no record.

Evidence: the entry of the DELETE logs outcome=gone, no key is written until the record, and the leader logs no cancellation before it places the tasks. POST and DELETE came to different entries, so an entry's memory of unknown outcomes can't help.

Change: such a cancellation writes a tombstone to the job's key, on condition that there is none, and is answered 410 once that is stored. The store carries out either the record or the tombstone; an attempt that loses reads which. The leader ignores tombstones and removes them after the retention of ended jobs. A cancellation that finds the record after all cancels the job.

Why it holds: what decides is the condition of the late write itself, at any entry, after any restart, without the leader.

The soak's caller counts 410 as an acknowledgement now.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -27,6 +27,8 @@
 	versions map[*trackedJob]uint64
 	runs     []batchedRun
 	removed  []job.ID
+	// expired are the jobs whose tombstones are removed.
+	expired []job.ID
 	// bytes is the size of the progress records, models reports whether the batch has models, alone whether it has the record of an isolated job.
 	bytes  int
 	models bool
@@ -56,7 +58,7 @@
 	if err := t.addChanged(b); err != nil {
 		return nil, err
 	}
-	if len(b.versions) == 0 && len(b.removed) == 0 && !b.reacquire {
+	if len(b.versions) == 0 && len(b.txn.Removes) == 0 && !b.reacquire {
 		return nil, nil
 	}
 	lastCommit, err := t.lastCommitPut(t.commitCount + 1)
@@ -93,7 +95,10 @@
 	if err := t.addCheckpoints(b); err != nil {
 		return err
 	}
-	t.addRemovals(b)
+	if !t.removalsRefused {
+		t.addRemovals(b)
+		t.addExpiredTombstones(b)
+	}
 	return nil
 }
 
@@ -178,9 +183,6 @@
 // addRemovals adds the removal of jobs whose retention after the end is over.
 func (t *term) addRemovals(b *batch) {
 	const keysPerJob = 3
-	if t.removalsRefused {
-		return
-	}
 	for id, tracked := range t.jobs {
 		if len(b.versions)+keysPerJob*(len(b.removed)+1) > maxRecords {
 			return
--- /dev/null
+++ b/internal/dispatch/cancellations_test.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/kvtest"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+)
+
+// commitInputs commits values of keys, in one change each.
+func commitInputs(t *testing.T, store *kvtest.Store, puts ...kv.Put) {
+	t.Helper()
+	for _, p := range puts {
+		_, err := store.Commit(t.Context(), kv.Txn{Puts: []kv.Put{p}})
+		assert.NilError(t, err)
+	}
+}
+
+// TestTombstoneIsRemovedAfterItsRetention guards against tombstones of canceled jobs that run, that are removed while a submission may still be under way,
+// or that stay for ever, also under the next leaders.
+func TestTombstoneIsRemovedAfterItsRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const buried job.ID = "00000000000000bb"
+		store, a := kvtest.New(), &fakeAgent{vm: "vm"}
+		leader := termWithPlacedTask(t, store, a)
+		commitInputs(t, store, kv.Put{Key: record.JobKey(buried), Value: record.Tombstone()})
+		for _, successor := range []string{"", "f"} {
+			if successor != "" {
+				leader = takeOverFrom(t, store, successor)
+			}
+			_, err := leader.inputsFollower().Next(t.Context(), 0)
+			assert.NilError(t, err)
+			assert.Assert(t, leader.jobs[buried] == nil)
+			time.Sleep(endedJobRetention - time.Second)
+			runCycle(t, leader)
+			assert.Equal(t, len(store.Keys(record.JobKey(buried))), 1)
+		}
+		time.Sleep(2 * time.Second)
+		runCycle(t, leader)
+		assert.Equal(t, len(store.Keys(record.JobKey(buried))), 0)
+		assert.Equal(t, len(leader.tombstones), 0)
+		assert.Equal(t, len(store.Keys(record.JobKey(testJob))), 1)
+	})
+}
+
+// TestManyTombstonesAreRemoved checks that removals are spread over transactions within the store's limit.
+func TestManyTombstonesAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, a := kvtest.New(), &fakeAgent{vm: "vm"}
+		leader := termWithPlacedTask(t, store, a)
+		for n := range 3 * kv.MaxEntries {
+			id := job.ID(string(testJob[:13]) + string([]byte{'0' + byte(n/100), '0' + byte(n/10%10), '0' + byte(n%10)}))
+			commitInputs(t, store, kv.Put{Key: record.JobKey(id), Value: record.Tombstone()})
+		}
+		_, err := leader.inputsFollower().Next(t.Context(), 0)
+		assert.NilError(t, err)
+		time.Sleep(endedJobRetention)
+		for range 6 {
+			runCycle(t, leader)
+		}
+		assert.DeepEqual(t, store.Keys(record.InputPrefix), []string{record.JobKey(testJob)})
+	})
+}
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -124,6 +124,9 @@
 		delete(t.jobs, id)
 		t.forgetJob(id)
 	}
+	for _, id := range b.expired {
+		delete(t.tombstones, id)
+	}
 	for _, r := range b.runs {
 		t.startCommitted(r)
 	}
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -51,6 +51,10 @@
 	if !ok || t.jobs[id] != nil {
 		return
 	}
+	if record.IsTombstone(item.Value()) {
+		t.addTombstone(id)
+		return
+	}
 	decoded, err := job.Decode(id, item.Value())
 	if err != nil {
 		t.logger.Error("record of an accepted job is unreadable; job=%s reason=%v", id, err)
--- a/internal/dispatch/refusedrecords.go
+++ b/internal/dispatch/refusedrecords.go
@@ -26,7 +26,7 @@
 	defer t.mu.Unlock()
 	t.dispatcher.config.Metrics.Counter("lead.refused_batches").Inc(1)
 	t.logger.Error("the store refuses a batch; commit=%d records=%d bytes=%d models=%t removed=%d reason=%v",
-		t.commitCount+1, len(b.versions), b.bytes, b.models, len(b.removed), reason)
+		t.commitCount+1, len(b.versions), b.bytes, b.models, len(b.txn.Removes), reason)
 	// An earlier attempt that got no answer must not pass for the next batch.
 	t.commitCount++
 	// The bound of the leases may have been part of the batch.
@@ -41,7 +41,7 @@
 		}
 	case b.models:
 		t.modelsRefused = true
-	case len(b.removed) > 0:
+	case len(b.txn.Removes) > 0:
 		t.removalsRefused = true
 	case len(b.versions) == 1:
 		for tracked := range b.versions {
--- /dev/null
+++ b/internal/intake/cancellation_test.go
@@ -0,0 +1,113 @@
+package intake
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/saffronpulley/saffronpulley/internal/fault"
+	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
+	"github.com/saffronpulley/saffronpulley/internal/kvtest"
+	"github.com/saffronpulley/saffronpulley/internal/record"
+)
+
+const canceledJob job.ID = "00000000000000aa"
+
+var canceledAddress = Address{Host: "h", Path: "/q/" + string(canceledJob)}
+
+// submit submits the job of the tests of cancellations at an entry.
+func (e *testEntry) submit(t *testing.T) error {
+	t.Helper()
+	return e.server.Submit(t.Context(), canceledAddress, 1, func() (job.Spec, error) {
+		return job.Spec{Steps: []job.Step{{Count: 1}}}, nil
+	})
+}
+
+func (e *testEntry) cancel(t *testing.T) error {
+	t.Helper()
+	return e.server.Cancel(t.Context(), canceledAddress)
+}
+
+// awaitStore waits until the entry calls the store again after calls without an answer.
+func (e *testEntry) awaitStore(t *testing.T) {
+	t.Helper()
+	for {
+		_, err := e.server.config.Store.Get(t.Context(), record.LastCommitKey)
+		if err == nil {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// newTestEntries returns two entries with one store.
+func newTestEntries(t *testing.T) (first, second *testEntry) {
+	t.Helper()
+	first, second = newTestEntryWithQueue(t), newTestEntryWithQueue(t)
+	second.store.Store = first.store.Store
+	return first, second
+}
+
+// writesRecord reports whether a commit writes the record of the job, whatever else it has.
+func writesRecord(change kv.Txn) bool {
+	return slices.ContainsFunc(change.Puts, func(p kv.Put) bool { return p.Key == record.JobKey(canceledJob) })
+}
+
+// assertGone fails the test unless an error is of kind Gone.
+func assertGone(t *testing.T, err error) {
+	t.Helper()
+	assert.Assert(t, fault.Is(err, fault.Gone), "%v", err)
+}
+
+// TestLateSubmissionOfACanceledJobIsNotAccepted guards against a job that is accepted after its cancellation was answered: the cancellation read that
+// there was no record, which a write that was still under way changed.
+func TestLateSubmissionOfACanceledJobIsNotAccepted(t *testing.T) {
+	first, second := newTestEntries(t)
+	data := first.store.Store
+	data.SetDelays(writesRecord)
+	assert.Assert(t, fault.Is(first.submit(t), fault.OutcomeUnknown))
+	data.SetDelays(nil)
+	assertGone(t, second.cancel(t))
+	data.ApplyLate()
+	first.awaitStore(t)
+	item, err := data.Get(t.Context(), record.JobKey(canceledJob))
+	assert.NilError(t, err)
+	_, err = job.Decode(canceledJob, item.Value())
+	assert.Assert(t, err != nil, "there is a record of the job")
+	for _, e := range []*testEntry{first, second} {
+		assertGone(t, e.submit(t))
+		assertGone(t, e.cancel(t))
+		_, err := e.server.State(t.Context(), canceledAddress)
+		assertGone(t, err)
+	}
+}
+
+// TestCancellationIsAnsweredOnceItIsStored guards against an answer before no submission can be accepted any more.
+func TestCancellationIsAnsweredOnceItIsStored(t *testing.T) {
+	first, _ := newTestEntries(t)
+	first.store.SetFailure(func() kvtest.Failure { return kvtest.RequestLost })
+	assert.Assert(t, fault.Is(first.cancel(t), fault.OutcomeUnknown))
+	first.store.SetFailure(nil)
+	first.awaitStore(t)
+	assert.NilError(t, first.submit(t), "the cancellation was not acknowledged")
+	assert.NilError(t, first.cancel(t))
+}
+
+// TestLateCancellationDoesNotApplyToAnAcceptedJob guards against the cancellation of a job that is accepted before the write of a cancellation that
+// found no job.
+func TestLateCancellationDoesNotApplyToAnAcceptedJob(t *testing.T) {
+	first, second := newTestEntries(t)
+	data := first.store.Store
+	data.SetDelays(func(kv.Txn) bool { return true })
+	assert.Assert(t, fault.Is(first.cancel(t), fault.OutcomeUnknown))
+	data.SetDelays(nil)
+	assert.NilError(t, second.submit(t))
+	data.ApplyLate()
+	state, err := second.server.State(t.Context(), canceledAddress)
+	assert.NilError(t, err)
+	assert.Equal(t, state, job.Queued)
+	assert.Equal(t, len(data.Keys(record.CancelKey(canceledJob))), 0)
+}
--- a/internal/intake/pinger_test.go
+++ b/internal/intake/pinger_test.go
@@ -34,6 +34,8 @@
 	mu        sync.Mutex
 	rejecting bool
 	callCount int
+	// afterGet is called once after the read of a key, nil for none.
+	afterGet func(key string)
 }
 
 func (s *rejectingStore) set(rejecting bool) {
@@ -62,7 +64,12 @@
 		return kv.Item{}, err
 	}
 	s.health.Record(sentAt, nil)
-	return s.Store.Get(ctx, key)
+	item, err := s.Store.Get(ctx, key)
+	if hook := s.afterGet; hook != nil {
+		s.afterGet = nil
+		hook(key)
+	}
+	return item, err
 }
 
 // fakeSuccessor is a successor that records the epochs of the suspected leaders.
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -126,11 +126,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "the job cannot be encoded")
 	}
-	err = s.write(ctx, kv.Txn{
-		Conditions: []kv.Condition{{Key: record.JobKey(id)}},
-		Puts:       []kv.Put{{Key: record.JobKey(id), Value: value}},
-	})
-	err = s.unknownJobs.resolve(id, err)
+	err = s.unknownJobs.resolve(id, s.accept(ctx, id, value))
 	s.countCall("submit", start, err)
 	s.logger.Info("job handed in; job=%s queue=%s version=%d ms=%d outcome=%v",
 		id, route.Queue.Name, s.config.Policies.Newest().Version(), time.Since(start).Milliseconds(), outcome(err))
@@ -152,19 +148,10 @@
 	s.config.Metrics.Histogram("jobs." + call + "_ms").Update(time.Since(start).Milliseconds())
 }
 
-// write commits a change whose condition can fail only if the change was committed before.
-func (s *Server) write(ctx context.Context, change kv.Txn) error {
-	err := s.config.Store.Commit(ctx, change)
-	if fault.Is(err, fault.Conflict) {
-		return nil
-	}
-	return s.callerError(err)
-}
-
 // callerError adds to an error when the caller should retry.
 func (s *Server) callerError(err error) error {
-	if err == nil {
-		return nil
+	if err == nil || fault.Is(err, fault.Gone) {
+		return err
 	}
 	kind := fault.KindOf(err)
 	if kind == fault.DeadlineExceeded {
@@ -180,35 +167,6 @@
 	return fault.KindOf(err).String()
 }
 
-// Cancel cancels a job.
-func (s *Server) Cancel(ctx context.Context, a Address) error {
-	start := time.Now()
-	_, id, err := s.jobAt(ctx, a)
-	if err != nil {
-		return err
-	}
-	item, err := s.config.Store.Get(ctx, record.JobKey(id))
-	if err != nil {
-		return s.callerError(err)
-	}
-	if item.Revision() == 0 {
-		err := fault.New(fault.Gone, "there is no job %s", id)
-		s.recordCancellation(id, start, err)
-		return err
-	}
-	err = s.write(ctx, kv.Txn{
-		Conditions: []kv.Condition{{Key: record.CancelKey(id)}},
-		Puts:       []kv.Put{{Key: record.CancelKey(id), Value: []byte{1}}},
-	})
-	s.recordCancellation(id, start, err)
-	return err
-}
-
-func (s *Server) recordCancellation(id job.ID, start time.Time, err error) {
-	s.countCall("cancel", start, err)
-	s.logger.Info("job canceled; job=%s ms=%d outcome=%s", id, time.Since(start).Milliseconds(), outcome(err))
-}
-
 // State returns the committed state of a job.
 func (s *Server) State(ctx context.Context, a Address) (job.State, error) {
 	_, id, err := s.jobAt(ctx, a)
@@ -256,8 +214,8 @@
 	if err != nil {
 		return job.Queued, s.callerError(err)
 	}
-	if accepted.Revision() == 0 {
-		return job.Queued, fault.New(fault.Gone, "there is no job %s", id)
+	if accepted.Revision() == 0 || record.IsTombstone(accepted.Value()) {
+		return job.Queued, errNoJob(id)
 	}
 	return job.Queued, nil
 }
--- a/internal/intake/unknownoutcomes.go
+++ b/internal/intake/unknownoutcomes.go
@@ -29,9 +29,9 @@
 	defer u.mu.Unlock()
 	now := time.Now()
 	switch {
-	case err == nil:
+	case err == nil || fault.Is(err, fault.Gone):
 		delete(u.jobs, id)
-		return nil
+		return err
 	case fault.Is(err, fault.OutcomeUnknown):
 		u.add(id, now)
 		return err
--- a/internal/kvtest/kvtest.go
+++ b/internal/kvtest/kvtest.go
@@ -47,6 +47,8 @@
 	// failure returns the failure of the next commit, refuses reports whether the store refuses the content of a put.
 	failure func() Failure
 	refuses func(kv.Put) bool
+	// delays reports whether a commit is late whatever its failure.
+	delays func(kv.Txn) bool
 }
 
 var _ kv.Store = (*Store)(nil)
@@ -70,6 +72,13 @@
 	s.refuses = refuses
 }
 
+// SetDelays sets the function that selects the commits that are late, nil for none.
+func (s *Store) SetDelays(delays func(kv.Txn) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delays = delays
+}
+
 // ApplyLate applies the late commits in order.
 func (s *Store) ApplyLate() {
 	s.mu.Lock()
@@ -187,6 +196,9 @@
 	if s.failure != nil {
 		failure = s.failure()
 	}
+	if s.delays != nil && s.delays(change) {
+		failure = Late
+	}
 	switch failure {
 	case Refused:
 		return 0, fault.New(fault.Unavailable, "refused")
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -26,10 +26,20 @@
 	cancelPrefix = InputPrefix + "cancel/"
 )
 
+// tombstone is no encoded job: releases that do not know it log an unreadable record and start nothing.
+const tombstone = "canceled"
+
+// Tombstone returns the value that takes the place of a job's record if the job is canceled before it is accepted. Submissions require that the key
+// is absent, so that none is accepted after it.
+func Tombstone() []byte { return []byte(tombstone) }
+
+// IsTombstone reports whether the value of a job's key is a tombstone.
+func IsTombstone(value []byte) bool { return string(value) == tombstone }
+
 // JobKey returns the key of an accepted job, whose value never changes.
 func JobKey(id job.ID) string { return jobPrefix + string(id) }
 
-// CancelKey returns the key that exists once a job is canceled.
+// CancelKey returns the key that exists once an accepted job is canceled.
 func CancelKey(id job.ID) string { return cancelPrefix + string(id) }
 
 // ProgressKey returns the key of a job's progress.
--- a/proving/fleet/caller.go
+++ b/proving/fleet/caller.go
@@ -182,25 +182,31 @@
 	return id
 }
 
-// submit submits a job once and reports whether it was accepted.
-func (c *Caller) submit(id job.ID) bool {
+// submit submits a job once at a random entry and reports whether it was accepted.
+func (c *Caller) submit(id job.ID) bool { return c.submitAt(c.randomEntry(), id) }
+
+// submitAt submits a job once at an entry and reports whether it was accepted.
+func (c *Caller) submitAt(entry *Process, id job.ID) bool {
 	c.mu.Lock()
 	spec := c.jobs[id]
 	c.mu.Unlock()
 	body, _ := json.Marshal(encodeSpec(spec))
 	c.fleet.checker.RecordAttempt(id)
-	status, _ := c.call(fasthttp.MethodPost, id, body)
+	status, _ := c.call(entry, fasthttp.MethodPost, id, body)
 	accepted := status/100 == 2
 	refused := status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
 	c.fleet.checker.RecordAnswer(id, accepted, refused)
 	return accepted
 }
 
-// cancel cancels a job once and reports whether the cancellation was acknowledged.
-func (c *Caller) cancel(id job.ID) bool {
+// cancel cancels a job once at a random entry and reports whether the cancellation was acknowledged.
+func (c *Caller) cancel(id job.ID) bool { return c.cancelAt(c.randomEntry(), id) }
+
+// cancelAt cancels a job once at an entry and reports whether the cancellation was acknowledged, which an answer that there is no such job does as well.
+func (c *Caller) cancelAt(entry *Process, id job.ID) bool {
 	c.fleet.checker.RecordCancelRequest(id)
-	status, _ := c.call(fasthttp.MethodDelete, id, nil)
-	acknowledged := status/100 == 2
+	status, _ := c.call(entry, fasthttp.MethodDelete, id, nil)
+	acknowledged := status/100 == 2 || status == fasthttp.StatusGone
 	if acknowledged {
 		c.fleet.checker.RecordCancellation(id)
 	}
@@ -209,7 +215,7 @@
 
 // queryState queries the state of a job and records it.
 func (c *Caller) queryState(id job.ID) {
-	status, answer := c.call(fasthttp.MethodGet, id, nil)
+	status, answer := c.call(c.randomEntry(), fasthttp.MethodGet, id, nil)
 	var body struct {
 		State string `json:"state"`
 	}
@@ -233,9 +239,10 @@
 	}
 }
 
-// call sends a request to a random entry and returns its status, 0 if there is no answer, and its body.
-func (c *Caller) call(method string, id job.ID, body []byte) (int, []byte) {
-	entry := c.fleet.entries[c.randomN(len(c.fleet.entries))]
+func (c *Caller) randomEntry() *Process { return c.fleet.entries[c.randomN(len(c.fleet.entries))] }
+
+// call sends a request to an entry and returns its status, 0 if there is no answer, and its body.
+func (c *Caller) call(entry *Process, method string, id job.ID, body []byte) (int, []byte) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
--- a/proving/fleet/checker.go
+++ b/proving/fleet/checker.go
@@ -330,3 +330,10 @@
 	defer c.mu.Unlock()
 	return c.jobs[id].accepted
 }
+
+// hasStarted reports whether a task of a job was started.
+func (c *Checker) hasStarted(id job.ID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.jobs[id].started
+}
--- a/proving/fleet/store.go
+++ b/proving/fleet/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -81,6 +82,16 @@
 	}
 }
 
+// DelayPuts makes following commits that write a key late, an empty one for none.
+func (s *Store) DelayPuts(key string) {
+	s.data.SetDelays(func(change kv.Txn) bool {
+		return slices.ContainsFunc(change.Puts, func(p kv.Put) bool { return p.Key == key })
+	})
+}
+
+// ApplyLate applies the late commits.
+func (s *Store) ApplyLate() { s.data.ApplyLate() }
+
 // DropHistory drops the history, so that watches have to restart.
 func (s *Store) DropHistory() { s.data.DropHistory() }
 
