Apply a cancellation only to the job that it was requested for

What callers see: a job is shown as canceled though nobody canceled it (LOST), if a job of its name was canceled while the leader removed it 150 s after its end; and a cancellation of it is acknowledged and does nothing (UNASKED).

Cause: the write of a cancellation had no condition on the job. Carried out after the removal, it stayed for ever; each leader that loaded the jobs later applied it to the next job of the name, while the present one dropped it.

Change: the write requires the job's record at the revision that was read, and a cancellation counts only if it is newer than the record. One that an earlier release left is ignored, and replaced when the job is canceled.

--- a/internal/dispatch/cancellations_test.go
+++ b/internal/dispatch/cancellations_test.go
@@ -13,6 +13,14 @@
 	"github.com/saffronpulley/saffronpulley/internal/record"
 )
 
+// encodedTestJob returns the record of a job of one task.
+func encodedTestJob(t *testing.T) []byte {
+	t.Helper()
+	value, err := job.Encode(job.Spec{Steps: []job.Step{{Count: 1}}}, job.Queue{Service: testService, Attempts: 1}, time.Now())
+	assert.NilError(t, err)
+	return value
+}
+
 // commitInputs commits values of keys, in one change each.
 func commitInputs(t *testing.T, store *kvtest.Store, puts ...kv.Put) {
 	t.Helper()
@@ -67,3 +75,43 @@
 		assert.DeepEqual(t, store.Keys(record.InputPrefix), []string{record.JobKey(testJob)})
 	})
 }
+
+// TestCancellationAppliesToItsJobOnly guards against a job that is shown as canceled without cause, by a cancellation that an earlier job of the name has
+// left, and against one that runs though it was canceled. Changes arrive one by one, in one snapshot, or with the load of the next leader.
+func TestCancellationAppliesToItsJobOnly(t *testing.T) {
+	const id job.ID = "00000000000000bb"
+	canceled := kv.Put{Key: record.CancelKey(id), Value: []byte{1}}
+	for name, order := range map[string]struct {
+		afterwards bool
+	}{"canceled before it was accepted": {false}, "canceled": {true}} {
+		for _, arrival := range []string{"changes", "snapshot", "load"} {
+			t.Run(name+", "+arrival, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					store, a := kvtest.New(), &fakeAgent{vm: "vm"}
+					leader := termWithPlacedTask(t, store, a)
+					puts := []kv.Put{canceled, {Key: record.JobKey(id), Value: encodedTestJob(t)}}
+					if order.afterwards {
+						puts[0], puts[1] = puts[1], puts[0]
+					}
+					follower, after := leader.inputsFollower(), leader.inputsRevision
+					for _, p := range puts {
+						commitInputs(t, store, p)
+						if arrival == "changes" {
+							var err error
+							after, err = follower.Next(t.Context(), after)
+							assert.NilError(t, err)
+						}
+					}
+					switch arrival {
+					case "snapshot":
+						_, err := follower.Next(t.Context(), 0)
+						assert.NilError(t, err)
+					case "load":
+						leader = takeOverFrom(t, store, "f")
+					}
+					assert.Equal(t, leader.jobs[id].job.State() == job.Canceled, order.afterwards)
+				})
+			})
+		}
+	}
+}
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -61,6 +61,7 @@
 		return
 	}
 	t.jobs[id] = newTracked(decoded)
+	t.jobs[id].acceptedRevision = item.Revision()
 }
 
 func newTracked(j *job.Job) *trackedJob {
@@ -90,8 +91,8 @@
 		return
 	}
 	tracked := t.jobs[id]
-	if tracked == nil {
-		t.logger.Info("cancellation of an unknown job ignored; job=%s revision=%d", id, item.Revision())
+	if tracked == nil || item.Revision() < tracked.acceptedRevision {
+		t.logger.Info("cancellation without its job ignored; job=%s revision=%d", id, item.Revision())
 		return
 	}
 	if !tracked.job.Cancel() {
--- a/internal/dispatch/tracked.go
+++ b/internal/dispatch/tracked.go
@@ -5,6 +5,7 @@
 
 	"github.com/saffronpulley/saffronpulley/internal/estimate"
 	"github.com/saffronpulley/saffronpulley/internal/job"
+	"github.com/saffronpulley/saffronpulley/internal/kv"
 )
 
 // trackedJob is a job with the leader's records of it.
@@ -12,7 +13,9 @@
 	job *job.Job
 	// acceptedAt is when the job was accepted, by the leader's own clock.
 	acceptedAt time.Time
-	endedAt    time.Time
+	// acceptedRevision is the revision of the job's record.
+	acceptedRevision kv.Revision
+	endedAt          time.Time
 	// idleSince is when the last placed task of the job ended, zero while a task is placed.
 	idleSince time.Time
 	// version counts the changes, savedVersion is the last version committed to the store.
--- a/internal/intake/cancellation_test.go
+++ b/internal/intake/cancellation_test.go
@@ -111,3 +111,69 @@
 	assert.Equal(t, state, job.Queued)
 	assert.Equal(t, len(data.Keys(record.CancelKey(canceledJob))), 0)
 }
+
+// TestCancellationRacesWithItsJob guards against cancellations that are lost, or that stay for a later job of the name, when the job's record changes
+// between the read and the write.
+func TestCancellationRacesWithItsJob(t *testing.T) {
+	keys := []string{record.JobKey(canceledJob), record.CancelKey(canceledJob)}
+	for name, c := range map[string]struct {
+		before, meanwhile func(t *testing.T, other *testEntry)
+		gone              bool
+		left              []string
+	}{
+		"accepted": {
+			meanwhile: func(t *testing.T, other *testEntry) { t.Helper(); assert.NilError(t, other.submit(t)) },
+			left:      []string{keys[1], keys[0]},
+		},
+		"canceled": {
+			before:    func(t *testing.T, other *testEntry) { t.Helper(); assert.NilError(t, other.submit(t)) },
+			meanwhile: func(t *testing.T, other *testEntry) { t.Helper(); assert.NilError(t, other.cancel(t)) },
+			left:      []string{keys[1], keys[0]},
+		},
+		"removed": {
+			before: func(t *testing.T, other *testEntry) { t.Helper(); assert.NilError(t, other.submit(t)) },
+			meanwhile: func(t *testing.T, other *testEntry) {
+				t.Helper()
+				assert.NilError(t, other.store.CommitAsOperator(kv.Txn{Removes: keys}))
+			},
+			gone: true,
+			left: keys[:1],
+		},
+		"removed, and accepted again": {
+			before: func(t *testing.T, other *testEntry) { t.Helper(); assert.NilError(t, other.submit(t)) },
+			meanwhile: func(t *testing.T, other *testEntry) {
+				t.Helper()
+				assert.NilError(t, other.store.CommitAsOperator(kv.Txn{Removes: keys}))
+				assert.NilError(t, other.submit(t))
+			},
+			left: []string{keys[1], keys[0]},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := newTestEntries(t)
+			if c.before != nil {
+				c.before(t, second)
+			}
+			first.store.afterGet = func(string) { c.meanwhile(t, second) }
+			err := first.cancel(t)
+			assert.Equal(t, fault.Is(err, fault.Gone), c.gone, "%v", err)
+			assert.Assert(t, err == nil || c.gone)
+			assert.DeepEqual(t, first.store.Keys(record.InputPrefix), c.left)
+		})
+	}
+}
+
+// TestCancellationReplacesOneOfAnEarlierJob guards against a job that cannot be canceled since a cancellation was left by an earlier job of the name.
+func TestCancellationReplacesOneOfAnEarlierJob(t *testing.T) {
+	first, _ := newTestEntries(t)
+	key := record.CancelKey(canceledJob)
+	assert.NilError(t, first.store.CommitAsOperator(kv.Txn{Puts: []kv.Put{{Key: key, Value: []byte{1}}}}))
+	assert.NilError(t, first.submit(t))
+	assert.NilError(t, first.submit(t), "the job was not canceled")
+	assert.NilError(t, first.cancel(t))
+	accepted, err := first.store.Get(t.Context(), record.JobKey(canceledJob))
+	assert.NilError(t, err)
+	canceled, err := first.store.Get(t.Context(), key)
+	assert.NilError(t, err)
+	assert.Assert(t, canceled.Revision() > accepted.Revision())
+}
--- a/internal/intake/records.go
+++ b/internal/intake/records.go
@@ -72,7 +72,7 @@
 	return fault.New(fault.Unavailable, "job %s was changed concurrently in every attempt", id).WithRetryAfter(retryAfter)
 }
 
-// tryCancel returns an error of kind Conflict if the record of the job was written meanwhile.
+// tryCancel returns an error of kind Conflict if the record of the job was written or removed meanwhile.
 func (s *Server) tryCancel(ctx context.Context, id job.ID) error {
 	accepted, err := s.config.Store.Get(ctx, record.JobKey(id))
 	switch {
@@ -83,14 +83,15 @@
 	case record.IsTombstone(accepted.Value()):
 		return errNoJob(id)
 	}
-	err = s.config.Store.Commit(ctx, kv.Txn{
-		Conditions: []kv.Condition{{Key: record.CancelKey(id)}},
-		Puts:       []kv.Put{{Key: record.CancelKey(id), Value: []byte{1}}},
-	})
-	if fault.Is(err, fault.Conflict) {
-		return nil
+	err = s.config.Store.Commit(ctx, cancelTxn(id, accepted, 0))
+	if !fault.Is(err, fault.Conflict) {
+		return err
 	}
-	return err
+	canceled, err := s.config.Store.Get(ctx, record.CancelKey(id))
+	if err != nil || canceled.Revision() > accepted.Revision() {
+		return err
+	}
+	return s.config.Store.Commit(ctx, cancelTxn(id, accepted, canceled.Revision()))
 }
 
 // bury keeps a job without a record from being accepted, and returns an error of kind Gone once that is stored.
@@ -104,3 +105,15 @@
 	}
 	return errNoJob(id)
 }
+
+// cancelTxn returns the transaction that cancels an accepted job whose cancellation has a revision, 0 for none. It requires the job's record as it was
+// read: a cancellation that is committed after the removal of the job must not apply to a later job of that name.
+func cancelTxn(id job.ID, accepted kv.Item, canceled kv.Revision) kv.Txn {
+	return kv.Txn{
+		Conditions: []kv.Condition{
+			{Key: record.JobKey(id), Revision: accepted.Revision()},
+			{Key: record.CancelKey(id), Revision: canceled},
+		},
+		Puts: []kv.Put{{Key: record.CancelKey(id), Value: []byte{1}}},
+	}
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -39,7 +39,7 @@
 // JobKey returns the key of an accepted job, whose value never changes.
 func JobKey(id job.ID) string { return jobPrefix + string(id) }
 
-// CancelKey returns the key that exists once an accepted job is canceled.
+// CancelKey returns the key that is written when an accepted job is canceled; one written before the job was accepted is none of this job.
 func CancelKey(id job.ID) string { return cancelPrefix + string(id) }
 
 // ProgressKey returns the key of a job's progress.
