Refuse the submission of a job that was canceled

What callers saw: a job is canceled, and a repeated submission of it, or one that was under way, is answered 200, which says that the job is accepted and kept.

Cause: an entry answered each submission whose key was present as accepted, whatever had happened to the job since.

Change: the entry reads the record and the cancellation in that case, and answers 410 if the job was canceled. A job that nobody canceled is answered 200 at each entry, as before; if the reads fail, the outcome is unknown (502).

Evidence: TestSubmissionOfACanceledJobIsRefused red before; one mutant red. Costs two reads for a submission whose key is present.

--- a/internal/intake/cancellation_test.go
+++ b/internal/intake/cancellation_test.go
@@ -112,6 +112,18 @@
 	assert.Equal(t, len(data.Keys(record.CancelKey(canceledJob))), 0)
 }
 
+// TestSubmissionOfACanceledJobIsRefused guards against an acceptance that stands for a job which was canceled before; a job that nobody canceled is
+// accepted again.
+func TestSubmissionOfACanceledJobIsRefused(t *testing.T) {
+	first, second := newTestEntries(t)
+	assert.NilError(t, first.submit(t))
+	assert.NilError(t, second.submit(t))
+	assert.NilError(t, second.cancel(t))
+	assert.NilError(t, first.cancel(t))
+	assertGone(t, first.submit(t))
+	assertGone(t, second.submit(t))
+}
+
 // TestCancellationRacesWithItsJob guards against cancellations that are lost, or that stay for a later job of the name, when the job's record changes
 // between the read and the write.
 func TestCancellationRacesWithItsJob(t *testing.T) {
--- a/internal/intake/records.go
+++ b/internal/intake/records.go
@@ -34,6 +34,13 @@
 	if record.IsTombstone(accepted.Value()) {
 		return errCanceled(id)
 	}
+	canceled, err := s.config.Store.Get(ctx, record.CancelKey(id))
+	if err != nil {
+		return unknownOutcome(err)
+	}
+	if canceled.Revision() > accepted.Revision() {
+		return errCanceled(id)
+	}
 	return nil
 }
 
