Ignore records of jobs that were removed since they were read

Tasks of jobs that were done run again when the store forgets its history while the leader removes the records of jobs that ended 150 s ago.

Cause: after a loss of history the leader reads all accepted jobs. The store answers the read before the removal is committed, and the leader applies it afterwards, when it no longer tracks the jobs: it took their records for those of new jobs.

Change: the leader keeps the revision of each removal until its follower has passed it, and ignores records that are no newer; the revision tells a later job of the name from the removed one. Such a job was lost until the next leader if its record arrived before the leader knew that the removal was committed; the change is read again then.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -179,18 +179,3 @@
 	_, ok := b.versions[tracked]
 	return ok
 }
-
-// addRemovals adds the removal of jobs whose retention after the end is over.
-func (t *term) addRemovals(b *batch) {
-	const keysPerJob = 3
-	for id, tracked := range t.jobs {
-		if len(b.versions)+keysPerJob*(len(b.removed)+1) > maxRecords {
-			return
-		}
-		if tracked.endedAt.IsZero() || time.Since(tracked.endedAt) < endedJobRetention || tracked.savedVersion < tracked.version {
-			continue
-		}
-		b.removed = append(b.removed, id)
-		b.txn.Removes = append(b.txn.Removes, record.ProgressKey(id), record.JobKey(id), record.CancelKey(id))
-	}
-}
--- a/internal/dispatch/cancellations_test.go
+++ b/internal/dispatch/cancellations_test.go
@@ -52,7 +52,7 @@
 		time.Sleep(2 * time.Second)
 		runCycle(t, leader)
 		assert.Equal(t, len(store.Keys(record.JobKey(buried))), 0)
-		assert.Equal(t, len(leader.tombstones), 0)
+		assert.Equal(t, len(leader.untracked.tombstones), 0)
 		assert.Equal(t, len(store.Keys(record.JobKey(testJob))), 1)
 	})
 }
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/saffronpulley/saffronpulley/internal/boottime"
@@ -119,14 +118,7 @@
 			tracked.refusedDelay = 0
 		}
 	}
-	for _, id := range b.removed {
-		maps.DeleteFunc(t.advice, func(s stepID, _ *advice) bool { return s.job == id })
-		delete(t.jobs, id)
-		t.forgetJob(id)
-	}
-	for _, id := range b.expired {
-		delete(t.tombstones, id)
-	}
+	t.applyRemovals(b, revision)
 	for _, r := range b.runs {
 		t.startCommitted(r)
 	}
--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/follow"
 	"github.com/saffronpulley/saffronpulley/internal/job"
 	"github.com/saffronpulley/saffronpulley/internal/kv"
@@ -31,26 +32,43 @@
 			items = append(items, e.Item())
 		}
 	}
-	if len(items) == 0 {
-		return nil
-	}
 	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, item := range items {
+		if t.replaced(item) {
+			// The removal of the earlier job is committed and about to be applied; the change is read again.
+			return fault.New(fault.Conflict, "%s belongs to a later job of a name whose removal is not applied yet", item.Key())
+		}
+	}
 	for _, item := range items {
 		t.addJob(item)
 	}
 	for _, item := range items {
 		t.applyCancel(item)
 	}
-	t.mu.Unlock()
-	t.notifyChange()
+	t.untracked.forgetRemovals(c.Revision)
+	if len(items) > 0 {
+		t.notifyChange()
+	}
 	return nil
 }
 
+// replaced reports whether an item is the record of a later job than the tracked one of its name.
+func (t *term) replaced(item kv.Item) bool {
+	id, _ := record.ParseJobKey(item.Key())
+	tracked := t.jobs[id]
+	return tracked != nil && item.Revision() > tracked.acceptedRevision
+}
+
 func (t *term) addJob(item kv.Item) {
 	id, ok := record.ParseJobKey(item.Key())
 	if !ok || t.jobs[id] != nil {
 		return
 	}
+	if t.untracked.wasRemoved(id, item) {
+		t.logger.Info("record of a removed job ignored; job=%s revision=%d removed_at=%d", id, item.Revision(), t.untracked.removed[id])
+		return
+	}
 	if record.IsTombstone(item.Value()) {
 		t.addTombstone(id)
 		return
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -78,8 +78,7 @@
 	// verifiedAt is when the leader sent the last request whose answer confirmed its leadership.
 	verifiedAt boottime.Instant
 	jobs       map[job.ID]*trackedJob
-	// tombstones has the jobs that were canceled before they were accepted, with when the leader learned of it.
-	tombstones map[job.ID]time.Time
+	untracked  untrackedJobs
 	hosts      *hostSet
 	agents     map[string]*agent
 	// fenceGrants counts the connections of agents to which fencing tokens were granted.
@@ -124,7 +123,7 @@
 	t := &term{
 		dispatcher: d, epoch: epoch, lease: lease, store: d.config.Store, logger: d.logger, startedAt: time.Now(),
 		changed: make(chan struct{}, 1), done: make(chan struct{}), committed: make(chan struct{}),
-		jobs: make(map[job.ID]*trackedJob), tombstones: make(map[job.ID]time.Time), hosts: newHostSet(), agents: make(map[string]*agent),
+		jobs: make(map[job.ID]*trackedJob), untracked: newUntrackedJobs(), hosts: newHostSet(), agents: make(map[string]*agent),
 		roster: newRoster(d.config.Address), dirty: make(map[job.ID]uint64), isolated: make(map[job.ID]bool), advice: make(map[stepID]*advice),
 		unreachable: make(map[job.Host]unreachable),
 		lateStarts:  make(host.LateCalls[lateStart]),
