Keep jobs with unreadable progress from being read again

Cause: a leader that cannot read the progress of a job leaves the job out. The next read of all jobs, after a loss of history, has its record, which the leader took for that of a new job.

Change: the leader keeps for its term which jobs it has left out.

Evidence: TestJobWithUnreadableProgressIsNotReadAgain red before; one mutant red.

--- a/internal/dispatch/inputs.go
+++ b/internal/dispatch/inputs.go
@@ -62,7 +62,7 @@
 
 func (t *term) addJob(item kv.Item) {
 	id, ok := record.ParseJobKey(item.Key())
-	if !ok || t.jobs[id] != nil {
+	if !ok || t.jobs[id] != nil || t.untracked.unreadable[id] {
 		return
 	}
 	if t.untracked.wasRemoved(id, item) {
--- a/internal/dispatch/removals.go
+++ b/internal/dispatch/removals.go
@@ -15,10 +15,12 @@
 	tombstones map[job.ID]time.Time
 	// removed has the jobs removed from the store that the inputs may still show, with the revision of the removal.
 	removed map[job.ID]kv.Revision
+	// unreadable has the jobs whose progress cannot be read.
+	unreadable map[job.ID]bool
 }
 
 func newUntrackedJobs() untrackedJobs {
-	return untrackedJobs{tombstones: make(map[job.ID]time.Time), removed: make(map[job.ID]kv.Revision)}
+	return untrackedJobs{tombstones: make(map[job.ID]time.Time), removed: make(map[job.ID]kv.Revision), unreadable: make(map[job.ID]bool)}
 }
 
 // addRemovals adds the removal of jobs whose retention after the end is over.
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -177,6 +177,7 @@
 		// Without its progress it is unknown which tasks have run, so none may run again; all other jobs continue.
 		t.logger.Error("the progress of a job cannot be read; the job is ignored and left unchanged in the store; job=%s reason=%v", id, err)
 		delete(t.jobs, id)
+		t.untracked.unreadable[id] = true
 		return
 	}
 	tracked.job.Each(func(id job.TaskID, task *job.Task) {
--- a/internal/dispatch/unreadable_test.go
+++ b/internal/dispatch/unreadable_test.go
@@ -40,3 +40,16 @@
 		assert.Equal(t, string(stored.Value()), "odd", "the record is unchanged")
 	})
 }
+
+// TestJobWithUnreadableProgressIsNotReadAgain guards against tasks that run again although they may be done: a read of all jobs after a loss of history
+// made a job whose progress could not be read a new one.
+func TestJobWithUnreadableProgressIsNotReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const unreadable job.ID = "00000000000000bb"
+		store := kvtest.New()
+		commitInputs(t, store, kv.Put{Key: record.JobKey(unreadable), Value: encodedTestJob(t)}, kv.Put{Key: record.ProgressKey(unreadable), Value: []byte("odd")})
+		leader := termWithPlacedTask(t, store, &fakeAgent{vm: "vm"})
+		assert.NilError(t, leader.applyInputs(readInputs(t.Context(), t, store)))
+		assert.Assert(t, leader.jobs[unreadable] == nil)
+	})
+}
