Send orders in messages below the limit of a connection

Cause: the leader sends all orders for an agent as one message with the texts of their jobs. Over 2 MiB it ends the agent's connection, and the same orders follow with the next report, without end.

Change: orders are split into messages of at most 1 MiB by the most that their strings can take in JSON, each acknowledged before the next; starts come before stops, as in one message. A start alone is below the limit.

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -12,6 +12,9 @@
 // orderTimeout bounds how long an agent may take to acknowledge orders, which it does before it carries them out.
 const orderTimeout = 800 * time.Millisecond
 
+// maxOrdersBytes is the size of one message with orders, well below the limit of a connection: a larger one would end each session in turn.
+const maxOrdersBytes = rpc.MaxMessage / 2
+
 // session is the connection of an agent.
 type session interface {
 	// number returns a number that rises with each session.
@@ -105,12 +108,16 @@
 	}
 }
 
+// send sends orders in messages of at most maxOrdersBytes, one after the other.
 func (t *term) send(vm string, host job.Host, s session, orders link.Orders) {
-	if err := s.send(orders); err != nil {
-		t.logger.Warn("orders were not acknowledged and the agent session is closed; vm=%s starts=%d stops=%d reason=%v",
-			vm, len(orders.Starts), len(orders.Stops), err)
-		t.markUnsent(host, orders)
-		s.close()
+	for _, part := range orders.Split(maxOrdersBytes) {
+		if err := s.send(part); err != nil {
+			t.logger.Warn("orders were not acknowledged and the agent session is closed; vm=%s starts=%d stops=%d reason=%v",
+				vm, len(orders.Starts), len(orders.Stops), err)
+			t.markUnsent(host, orders)
+			s.close()
+			return
+		}
 	}
 }
 
