Start long-running tasks on ejected workers if no other suits

The only worker with a label fails all that it starts for 6.3 s. It is sound again and has space, and a long-running task with that label starts 14.9 s later.

Cause: an ejected worker takes finite tasks as trials, one at a time until its end, and no long-running task, whatever else suits. The task waits for the end of a finite trial or for the evidence to expire.

Change: a long-running task that has waited for 2.5 s accepts an ejected worker, as the last choice, after degraded ones. The worker takes one, and more once a trial has survived there for a second with progress.

Evidence: TestLongRunningTaskRestartsOnAnEjectedWorkerIfNoOtherSuits red before, beside a finite trial, with the bound of 10 s that the platform's figures give; TestLongRunningTaskAvoidsAnEjectedWorkerAtFirst keeps it from ejected workers before that.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -129,9 +129,34 @@
 		if status.AllowsTrial(h.runsTrial(status)) {
 			h.worker.Trials = 1
 		}
+		h.worker.LongRunningTrials = h.longRunningTrials(status, now)
 	}
 }
 
+// longRunningTrials returns how many long-running tasks may start on an ejected worker: one until a run has survived there, then any number. The end of
+// a finite trial, which may take much longer, is not awaited.
+func (h *hostState) longRunningTrials(status health.Status, now time.Time) int {
+	if !status.AllowsTrial(false) {
+		return 0
+	}
+	trials := 1
+	for _, p := range h.runs {
+		switch {
+		case !status.IsTrial(p.placedAt):
+		case p.survives(now):
+			return plan.Unlimited
+		default:
+			trials = 0
+		}
+	}
+	return trials
+}
+
+// survives reports whether the worker lists the run, with progress, quickFailure after its placement.
+func (p *placedRun) survives(now time.Time) bool {
+	return !p.reportedAt.IsZero() && p.percent > 0 && now.Sub(p.placedAt) >= quickFailure
+}
+
 // runsTrial reports whether a trial runs on an ejected worker. Runs from before the ejection do not delay a trial: they may
 // last much longer than a bad phase of the worker.
 func (h *hostState) runsTrial(status health.Status) bool {
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -12,8 +12,8 @@
 const (
 	// maxHealthyWait is how long a task on its last attempt waits for a healthy worker before a degraded one will do.
 	maxHealthyWait = 2 * time.Second
-	// maxExcludedWait is how long a restarted task waits for capacity outside the workers on which it failed or that its job avoids; then it restarts
-	// there, since a waiting task must start within 3 s if any worker has the capacity.
+	// maxExcludedWait is how long a restarted task waits for capacity outside the workers on which it failed or that its job avoids, and a long-running
+	// one for capacity outside the ejected workers; then it starts there, since a waiting task must start within 3 s if any worker has the capacity.
 	maxExcludedWait = 2500 * time.Millisecond
 	// strictAvoidDivisor is the divisor of the number of schedulable workers of a service that gives how many a job may avoid
 	// before avoidance is only a cost: otherwise a job whose tasks fail everywhere could not restart them.
@@ -27,7 +27,7 @@
 	held bool
 }
 
-// excludedWait is the wait of a restarted task, since a run ended, for capacity outside its excluded workers.
+// excludedWait is the wait of a task, since a run ended, for capacity outside its excluded workers.
 type excludedWait struct {
 	run   int
 	since time.Time
@@ -52,16 +52,17 @@
 	// the tasks have failed.
 	restarted bool
 	failedOn  []job.Host
-	// waited is set once the tasks have waited long enough for other workers to start on any.
-	waited bool
+	// waited is set once the tasks have waited long enough for other workers to start on any, and acceptsEjected once long-running tasks have.
+	waited, acceptsEjected bool
 }
 
 func (k retryKind) equal(other retryKind) bool {
-	return k.lastAttempt == other.lastAttempt && k.worst == other.worst && k.restarted == other.restarted && k.waited == other.waited && slices.Equal(k.failedOn, other.failedOn)
+	return k.lastAttempt == other.lastAttempt && k.worst == other.worst && k.restarted == other.restarted && k.waited == other.waited &&
+		k.acceptsEjected == other.acceptsEjected && slices.Equal(k.failedOn, other.failedOn)
 }
 
 // splitRetries gives tasks on their last attempt and restarted tasks groups of their own, with the workers where they must
-// not start. Long-running tasks restart anywhere. Gangs stay whole and may restart on any worker that their last attempt allows: without the
+// not start. Long-running tasks restart anywhere, on ejected workers only after a wait. Gangs stay whole and may restart on any worker that their last attempt allows: without the
 // workers on which they failed, a gang might not fit.
 func (t *term) splitRetries(groups []*plan.Group, workers []*plan.Worker) []*plan.Group {
 	if t.health == nil {
@@ -72,7 +73,7 @@
 	for _, g := range groups {
 		switch {
 		case g.Step.LongRunning:
-			split = append(split, g)
+			split = append(split, rules.splitLongRunning(g)...)
 		case g.Step.Gang:
 			split = append(split, rules.limitGang(g))
 		default:
@@ -104,11 +105,27 @@
 	if r.allHealthy && len(tracked.failedHosts) == 0 && len(tracked.failedOn) == 0 {
 		return []*plan.Group{g}
 	}
+	return r.splitByKind(g, tracked, func(id job.TaskID) retryKind { return r.kindOf(tracked, id, g.Service) })
+}
+
+// splitLongRunning returns the tasks of a long-running group in up to two groups: those that have waited for a worker that is not ejected, and the others.
+func (r *retryRules) splitLongRunning(g *plan.Group) []*plan.Group {
+	if r.ejected[g.Service] == 0 || g.Step.Gang {
+		return []*plan.Group{g}
+	}
+	tracked := r.term.jobs[g.Job.ID()]
+	return r.splitByKind(g, tracked, func(id job.TaskID) retryKind {
+		return retryKind{acceptsEjected: r.waitedSinceRun(tracked, id)}
+	})
+}
+
+// splitByKind returns the tasks of a group in groups of one kind each.
+func (r *retryRules) splitByKind(g *plan.Group, tracked *trackedJob, kindOf func(job.TaskID) retryKind) []*plan.Group {
 	var kinds []retryKind
 	var groups []*plan.Group
 	id := job.TaskID{Job: g.Job.ID(), Iteration: g.Iteration, Step: g.StepIndex}
 	for _, id.Index = range g.Indexes {
-		kind := r.kindOf(tracked, id, g.Service)
+		kind := kindOf(id)
 		at := slices.IndexFunc(kinds, kind.equal)
 		if at < 0 {
 			at = len(kinds)
@@ -151,8 +168,14 @@
 	if !kind.restarted && len(kind.failedOn) == 0 {
 		return false
 	}
-	run, waiting := tracked.job.Task(id).Run(), tracked.excludedWaits[id]
-	if waiting.run != run {
+	return r.waitedSinceRun(tracked, id)
+}
+
+// waitedSinceRun reports whether a waiting task has been in plans for maxExcludedWait since its latest run.
+func (r *retryRules) waitedSinceRun(tracked *trackedJob, id job.TaskID) bool {
+	run := tracked.job.Task(id).Run()
+	waiting, known := tracked.excludedWaits[id]
+	if !known || waiting.run != run {
 		waiting = excludedWait{run: run, since: r.now}
 		tracked.excludedWaits[id] = waiting
 	}
@@ -177,7 +200,7 @@
 // groupOf returns a copy of a group for tasks of one kind, without tasks.
 func (r *retryRules) groupOf(g *plan.Group, tracked *trackedJob, kind retryKind) *plan.Group {
 	group := *g
-	group.Indexes, group.LastAttempt, group.WorstHealth = nil, kind.lastAttempt, kind.worst
+	group.Indexes, group.LastAttempt, group.WorstHealth, group.AcceptsEjected = nil, kind.lastAttempt, kind.worst, kind.acceptsEjected
 	group.Excluded = r.excluded(g, tracked, kind)
 	return &group
 }
--- a/internal/plan/cost.go
+++ b/internal/plan/cost.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"github.com/saffronpulley/saffronpulley/internal/health"
 	"github.com/saffronpulley/saffronpulley/internal/pressure"
 )
 
@@ -33,8 +32,7 @@
 	netValueWeight    = 2.0
 	conflictCost      = 2.0
 	emptyWorkerCost   = 0.5
-	// unhealthyWorkerCost exceeds the sum of all other terms: degraded workers are chosen last. Short work is exempt on
-	// ejected workers, since a failed trial costs it least and a worker that has recovered is readmitted soon.
+	// unhealthyWorkerCost exceeds the sum of all other terms: degraded workers are chosen last.
 	unhealthyWorkerCost = 1000.0
 	// bestEffortWeight is the weight of CPU in use by best-effort tasks relative to reserved CPU, for tasks without a
 	// latency target.
@@ -66,9 +64,7 @@
 	if g.Avoid[w.Host] || w.Stopping {
 		cost += avoidedWorkerCost
 	}
-	if w.Health == health.Degraded || w.Health == health.Ejected && !g.Step.IsShort() {
-		cost += unhealthyWorkerCost
-	}
+	cost += w.healthCost(g)
 	if g.Step.Affinity != "" && !slices.Contains(w.Labels, g.Step.Affinity) {
 		cost += remoteDataCost
 	}
--- a/internal/plan/exclusion.go
+++ b/internal/plan/exclusion.go
@@ -46,7 +46,7 @@
 		return ClosedHall
 	case g.Tickets != nil && !hasTicket:
 		return NoTicket
-	case w.Trials == 0:
+	case *w.trialsOf(g) == 0:
 		return NoTrialLeft
 	case !w.mayStart(g):
 		return BesideSuspect
--- a/internal/plan/group.go
+++ b/internal/plan/group.go
@@ -27,6 +27,8 @@
 	// WorstHealth.
 	LastAttempt bool
 	WorstHealth health.State
+	// AcceptsEjected is set if the long-running tasks have waited for another worker than the ejected ones.
+	AcceptsEjected bool
 	// Tickets maps each worker that may run the step to the ticket that a start there carries; nil allows all workers.
 	Tickets map[job.Host]string
 	// SuspectScore counts the worker crashes attributed to the tasks; with 0 they may start beside other tasks.
@@ -103,8 +105,8 @@
 // undo reverts place.
 func (g *Group) undo(w *Worker) {
 	w.Release(g.Step)
-	if w.Trials >= 0 {
-		w.Trials++
+	if trials := w.trialsOf(g); *trials >= 0 {
+		*trials++
 	}
 	g.TasksByWorker[w.Host]--
 	w.removeStarting(g)
@@ -112,8 +114,8 @@
 
 func (g *Group) place(w *Worker, index, run int) Placement {
 	w.Allocate(g.Step)
-	if w.Trials > 0 {
-		w.Trials--
+	if trials := w.trialsOf(g); *trials > 0 {
+		*trials--
 	}
 	g.TasksByWorker[w.Host]++
 	w.addStarting(g)
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -125,6 +125,8 @@
 				w.Health = health.Ejected
 			case "trials":
 				w.Trials = int(parseFloat(t, value))
+			case "lasting_trials":
+				w.LongRunningTrials = int(parseFloat(t, value))
 			default:
 				t.Fatalf("%s: unknown word %s", line, name)
 			}
@@ -181,6 +183,8 @@
 				g.NoneRunning = true
 			case "last":
 				g.LastAttempt = true
+			case "waited":
+				g.AcceptsEjected = true
 			case "accepts":
 				g.WorstHealth = map[string]health.State{"degraded": health.Degraded, "ejected": health.Ejected}[value]
 			case "excluded":
--- a/internal/plan/worker.go
+++ b/internal/plan/worker.go
@@ -31,6 +31,8 @@
 	// Schedulable is set if new tasks may be placed here; Trials bounds their number, Unlimited for as many as fit.
 	Schedulable bool
 	Trials      int
+	// LongRunningTrials bounds the number of long-running tasks in place of Trials if the worker is ejected.
+	LongRunningTrials int
 	// Stopping is set if the agent of the worker stops: its VM may be removed, or the agent may return within seconds.
 	Stopping bool
 	// Health is the worker's state by the failures of all jobs; it stays healthy where these are not tracked.
