Draw late submissions that are canceled in the soak

The soak counted only 2xx as the acknowledgement of a cancellation and canceled only what it had tried to submit twelve times, so it couldn't show that a job canceled with 410 runs.

--- a/proving/cmd/soak/main.go
+++ b/proving/cmd/soak/main.go
@@ -42,6 +42,7 @@
 	onPlatform.Flag("returns", "Let workers restart under ids used before.").Default("true").BoolVar(&p.reuseIDs)
 	onPlatform.Flag("rates", "Let the store be rate limited at times.").Default("false").BoolVar(&p.limitRates)
 	onPlatform.Flag("composed", "Add composed faults and gangs, and end with a lost worker.").Default("false").BoolVar(&p.composed)
+	onPlatform.Flag("late-submissions", "Cancel jobs before the store writes their records.").Default("false").BoolVar(&p.lateSubmissions)
 	onPlatform.Flag("recut", "Restart workers under their ids and cut off their VMs, in place of the other faults, --crashes and --returns.").Default("false").BoolVar(&p.recut)
 	onPlatform.Flag("max-lease", "Longest lease that workers accept, as in the settings; 0 for 6s, which the settings do not name.").Default("0s").DurationVar(&p.maxLease)
 	onPlatform.Flag("keep", "Directory for the logs of failed seeds.").Default("out/soak").StringVar(&p.logDir)
--- a/proving/cmd/soak/platform.go
+++ b/proving/cmd/soak/platform.go
@@ -24,6 +24,7 @@
 	reuseIDs        bool
 	limitRates      bool
 	composed        bool
+	lateSubmissions bool
 	recut           bool
 	maxLease        time.Duration
 	logDir          string
@@ -73,7 +74,7 @@
 	}
 	err = f.RunSoak(fleet.Soak{
 		Seed: seed, Duration: p.length, JobInterval: interval, CrashWorkers: p.crashes && !p.recut, ReuseIDs: p.reuseIDs && !p.recut, LimitRates: p.limitRates,
-		Composed: p.composed, Recut: p.recut, Logf: logf,
+		Composed: p.composed, Recut: p.recut, LateSubmissions: p.lateSubmissions, Logf: logf,
 	})
 	crashing, harmless := f.Checker().GivenUp()
 	fmt.Printf("seed %d: %s; %d workers crashed by tasks, %d crashing jobs given up, %d others\n",
--- a/proving/fleet/caller.go
+++ b/proving/fleet/caller.go
@@ -210,6 +210,9 @@
 	if acknowledged {
 		c.fleet.checker.RecordCancellation(id)
 	}
+	if status == fasthttp.StatusGone {
+		c.fleet.checker.RecordGone(id)
+	}
 	return acknowledged
 }
 
--- a/proving/fleet/checker.go
+++ b/proving/fleet/checker.go
@@ -39,7 +39,9 @@
 	canceledAt time.Time
 	// cancelRequested says that the caller requested a cancellation, which may have been done without an answer.
 	cancelRequested bool
-	lastState       job.State
+	// gone says that a cancellation was answered that there is no such job, so that none of its tasks may start any more.
+	gone      bool
+	lastState job.State
 }
 
 // taskRecord is what is known of a task from its workers.
@@ -130,6 +132,13 @@
 	}
 }
 
+// RecordGone records that a cancellation of a job was answered that there is no such job.
+func (c *Checker) RecordGone(id job.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[id].gone = true
+}
+
 // RecordClosure records that a hall was closed or opened, or that the change failed.
 func (c *Checker) RecordClosure(hall string, closed bool, err error) {
 	c.mu.Lock()
@@ -204,6 +213,8 @@
 		c.recordViolation("%s was started, but all attempts to submit it were refused", id)
 	case t.acknowledged:
 		c.recordViolation("%s was started after its end was acknowledged: run %d on %s", id, run, inc)
+	case j.gone:
+		c.recordViolation("%s was started after its cancellation was answered that there is no such job", id)
 	case !j.canceledAt.IsZero() && time.Since(j.canceledAt) > cancelGrace:
 		c.recordViolation("%s was started %v after it was canceled", id, time.Since(j.canceledAt))
 	}
--- a/proving/fleet/fleet_test.go
+++ b/proving/fleet/fleet_test.go
@@ -60,6 +60,11 @@
 	runSeeds(t, "testdata/seeds_recut.txt", Size{Entries: 3, Agents: 9}, Soak{Duration: 5 * time.Second, JobInterval: 60 * time.Millisecond, Recut: true})
 }
 
+// TestSoakOfLateSubmissions runs seeds in which jobs are canceled before the store writes their records.
+func TestSoakOfLateSubmissions(t *testing.T) {
+	runSeeds(t, "testdata/seeds_late.txt", Size{Entries: 3, Agents: 4}, Soak{Duration: 8 * time.Second, LateSubmissions: true})
+}
+
 // runSeeds runs the seeds of a file, which has one per line with the reason for it.
 func runSeeds(t *testing.T, name string, size Size, s Soak) {
 	t.Helper()
--- a/proving/fleet/soak.go
+++ b/proving/fleet/soak.go
@@ -27,6 +27,8 @@
 	Recut bool
 	// LimitRates makes the store rate limited in alternating periods.
 	LimitRates bool
+	// LateSubmissions adds jobs that are canceled before the store writes their records.
+	LateSubmissions bool
 	// Logf logs each fault when it starts.
 	Logf func(format string, args ...any)
 }
@@ -64,6 +66,9 @@
 	if s.LimitRates {
 		calls.Go(func() { f.alternateRateLimit(s, stop) })
 	}
+	if s.LateSubmissions {
+		calls.Go(func() { f.cancelLateSubmissions(s, stop) })
+	}
 	if s.Recut {
 		f.injectRecuts(s, caller, stop)
 	} else {
