Don't run a job again whose key is submitted after it was forgotten

Cause: the key brings the id of the job; a leader that doesn't have the id took it for one that was never submitted, though a cell keeps only the latest 64 ended jobs.

Change: entries say whether they made the id or found it under the key. For one that was found, the leader answers outcome_unknown if the job may be a forgotten one: of the ended jobs that are dropped, the one submitted last stays as the first of the list, so no dropped job has a later id. The stored form is unchanged.

--- a/internal/cell/change.go
+++ b/internal/cell/change.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"slices"
+
 	"github.com/saffronpulley/saffronpulley/internal/crash"
 	"github.com/saffronpulley/saffronpulley/internal/fault"
 	"github.com/saffronpulley/saffronpulley/internal/resource"
@@ -155,8 +157,17 @@
 	delete(d.jobs, j.id)
 	d.endedJobs = append(d.endedJobs, *j)
 	if len(d.endedJobs) > EndedLimit {
-		d.endedJobs = d.endedJobs[len(d.endedJobs)-EndedLimit:]
+		d.forgetEnded()
+	}
+}
+
+// forgetEnded drops the earlier submitted one of the first two ended jobs, so that no dropped job was submitted after the first kept one.
+func (d *Document) forgetEnded() {
+	dropped := 0
+	if d.endedJobs[0].id > d.endedJobs[1].id {
+		dropped = 1
 	}
+	d.endedJobs = slices.Delete(slices.Clone(d.endedJobs), dropped, dropped+1)
 }
 
 func (d *Document) hasTasks(job string) bool {
--- a/internal/cell/document.go
+++ b/internal/cell/document.go
@@ -72,9 +72,15 @@
 	return jobs
 }
 
-// EndedJobs returns the kept ended jobs, oldest first.
+// EndedJobs returns the kept ended jobs in the order of their ends. The first may have ended later than others: of the jobs that ended first, the one
+// submitted last is kept.
 func (d *Document) EndedJobs() []Job { return d.endedJobs }
 
+// MayHaveForgotten reports whether a job that the document does not have may be an ended one that is no longer kept.
+func (d *Document) MayHaveForgotten(id string) bool {
+	return len(d.endedJobs) == EndedLimit && id <= d.endedJobs[0].id
+}
+
 // Task returns a task if it was placed at least once or is a replica.
 func (d *Document) Task(id task.ID) (Task, bool) {
 	t, ok := d.tasks[id]
--- a/internal/control/cell.go
+++ b/internal/control/cell.go
@@ -54,6 +54,8 @@
 	Payload         string `json:"payload,omitempty"`
 	Tasks           int    `json:"tasks"`
 	SubmittedMillis int64  `json:"submitted_unix_ms"`
+	// Repeated is set if the key of the job was claimed by an earlier submission, which may have been accepted.
+	Repeated bool `json:"repeated,omitempty"`
 }
 
 // JobQuery identifies the job to return or to cancel.
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -82,16 +82,17 @@
 		}
 		return control.Job{}, fault.New(fault.Impossible, "no worker of the region has a capacity of %s", row.Size())
 	}
-	id := cells[0] + "." + ulid.Make().String()
+	created := cells[0] + "." + ulid.Make().String()
+	id := created
 	if s.Key != "" {
-		claimed, err := e.claimJobKey(ctx, row.Team()+"/"+s.Key, id)
+		claimed, err := e.claimJobKey(ctx, row.Team()+"/"+s.Key, created)
 		if err != nil {
 			return control.Job{}, err
 		}
 		id = claimed
 	}
 	message := control.Submit{
-		ID: id, Workload: s.Workload, Payload: s.Payload, Tasks: s.Tasks, SubmittedMillis: time.Now().UnixMilli(),
+		ID: id, Workload: s.Workload, Payload: s.Payload, Tasks: s.Tasks, SubmittedMillis: time.Now().UnixMilli(), Repeated: id != created,
 	}
 	return callLeader[control.Submit, control.Job](ctx, e, cellOfJob(id), control.MethodSubmit, message)
 }
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -32,6 +32,9 @@
 	job := cell.NewJob(s.ID, s.Workload, s.Payload, s.Tasks, time.UnixMilli(s.SubmittedMillis))
 	o := newOperation(func(d *cell.Document) (bool, error) {
 		_, known := d.Job(s.ID)
+		if !known && s.Repeated && d.MayHaveForgotten(s.ID) {
+			return false, fault.New(fault.OutcomeUnknown, "job %s may have ended long ago; submit it with another key if it must run", s.ID)
+		}
 		d.Submit(job)
 		return !known, nil
 	})
