Keep the limits of long-running trials apart from those of finite ones

What callers would see: a finite best-effort task is not tried on an ejected worker, because a long-running task of the same image that has waited found no trial left there.

Cause: the plan remembers for which tasks no worker was found, by image and by the limits of health.

--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -62,8 +62,8 @@
 }
 
 // splitRetries gives tasks on their last attempt and restarted tasks groups of their own, with the workers where they must
-// not start. Long-running tasks restart anywhere, on ejected workers only after a wait. Gangs stay whole and may restart on any worker that their last attempt allows: without the
-// workers on which they failed, a gang might not fit.
+// not start. Long-running tasks restart anywhere, on ejected workers only after a wait. Gangs stay whole and may restart on any worker that their last
+// attempt allows: without the workers on which they failed, a gang might not fit.
 func (t *term) splitRetries(groups []*plan.Group, workers []*plan.Worker) []*plan.Group {
 	if t.health == nil {
 		return groups
--- a/internal/plan/health.go
+++ b/internal/plan/health.go
@@ -39,11 +39,13 @@
 // healthLimit identifies the tasks that may start on the same workers as far as health decides.
 type healthLimit int
 
-// noHealthLimit is the limit of finite tasks that are not on their last attempt. longRunningLimit is that of long-running
-// tasks that accept no ejected worker if there is one; the others are those of last attempts, by WorstHealth.
+// noHealthLimit is the limit of finite tasks that are not on their last attempt. If a worker is ejected, longRunningLimit is
+// that of long-running tasks, and waitedLimit that of those that accept ejected workers, which have trials of their own; the
+// others are those of last attempts, by WorstHealth.
 const (
 	noHealthLimit healthLimit = iota
 	longRunningLimit
+	waitedLimit
 	lastAttemptLimit
 )
 
@@ -51,7 +53,9 @@
 	switch {
 	case g.LastAttempt:
 		return lastAttemptLimit + healthLimit(g.WorstHealth)
-	case p.hasEjected && g.Step.LongRunning && !g.AcceptsEjected:
+	case p.hasEjected && g.Step.LongRunning && g.AcceptsEjected:
+		return waitedLimit
+	case p.hasEjected && g.Step.LongRunning:
 		return longRunningLimit
 	}
 	return noHealthLimit
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -106,8 +106,12 @@
 	if !g.isUnconstrained() {
 		return false
 	}
-	// A group that is limited by health may start on a part of the workers that others may start on.
-	for _, limit := range [...]healthLimit{noHealthLimit, p.healthLimitOf(g)} {
+	limits := []healthLimit{p.healthLimitOf(g)}
+	if limits[0] != waitedLimit {
+		// A group that is limited by health may start on a part of the workers that others may start on.
+		limits = append(limits, noHealthLimit)
+	}
+	for _, limit := range limits {
 		if smallest, known := p.unplaceable[imageKey{g.Service, g.Step.Image, limit}]; known && smallest.Fits(g.Step.Size) {
 			return true
 		}
