--- a/internal/dispatch/cancellations_test.go
+++ b/internal/dispatch/cancellations_test.go
@@ -34,24 +34,24 @@
 // or that stay for ever, also under the next leaders.
 func TestTombstoneIsRemovedAfterItsRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const buried job.ID = "00000000000000bb"
+		const neverAccepted job.ID = "00000000000000bb"
 		store, a := kvtest.New(), &fakeAgent{vm: "vm"}
 		leader := termWithPlacedTask(t, store, a)
-		commitInputs(t, store, kv.Put{Key: record.JobKey(buried), Value: record.Tombstone()})
+		commitInputs(t, store, kv.Put{Key: record.JobKey(neverAccepted), Value: record.Tombstone()})
 		for _, successor := range []string{"", "f"} {
 			if successor != "" {
 				leader = takeOverFrom(t, store, successor)
 			}
 			_, err := leader.inputsFollower().Next(t.Context(), 0)
 			assert.NilError(t, err)
-			assert.Assert(t, leader.jobs[buried] == nil)
+			assert.Assert(t, leader.jobs[neverAccepted] == nil)
 			time.Sleep(endedJobRetention - time.Second)
 			runCycle(t, leader)
-			assert.Equal(t, len(store.Keys(record.JobKey(buried))), 1)
+			assert.Equal(t, len(store.Keys(record.JobKey(neverAccepted))), 1)
 		}
 		time.Sleep(2 * time.Second)
 		runCycle(t, leader)
-		assert.Equal(t, len(store.Keys(record.JobKey(buried))), 0)
+		assert.Equal(t, len(store.Keys(record.JobKey(neverAccepted))), 0)
 		assert.Equal(t, len(leader.untracked.tombstones), 0)
 		assert.Equal(t, len(store.Keys(record.JobKey(testJob))), 1)
 	})
--- a/internal/dispatch/removals_test.go
+++ b/internal/dispatch/removals_test.go
@@ -33,11 +33,11 @@
 // TestReadBeforeARemovalRestoresNoJob guards against jobs that run again after they were done: a read of all jobs that the store answers before it removes
 // them, and that arrives afterwards, made them new ones. A later job of the name is accepted, and the read that has it ends the guard.
 func TestReadBeforeARemovalRestoresNoJob(t *testing.T) {
-	const buried job.ID = "00000000000000bb"
+	const neverAccepted job.ID = "00000000000000bb"
 	synctest.Test(t, func(t *testing.T) {
 		store, a := kvtest.New(), &fakeAgent{vm: "vm"}
 		leader := termWithPlacedTask(t, store, a)
-		commitInputs(t, store, kv.Put{Key: record.JobKey(buried), Value: record.Tombstone()})
+		commitInputs(t, store, kv.Put{Key: record.JobKey(neverAccepted), Value: record.Tombstone()})
 		assert.NilError(t, leader.applyInputs(readInputs(t.Context(), t, store)))
 		cancelJob(t, store, leader)
 		read := readInputs(t.Context(), t, store)
@@ -52,7 +52,7 @@
 			assert.Equal(t, len(leader.jobs)+len(leader.untracked.tombstones), 0)
 		}
 
-		for _, id := range []job.ID{testJob, buried} {
+		for _, id := range []job.ID{testJob, neverAccepted} {
 			commitInputs(t, store, kv.Put{Key: record.JobKey(id), Value: encodedTestJob(t)})
 		}
 		assert.NilError(t, leader.applyInputs(readInputs(t.Context(), t, store)))
--- a/internal/dispatch/unreadable_test.go
+++ b/internal/dispatch/unreadable_test.go
@@ -3,7 +3,6 @@
 import (
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -19,10 +18,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, a := kvtest.New(), &fakeAgent{vm: "vm"}
 		const unreadable job.ID = "00000000000000bb"
-		value, err := job.Encode(job.Spec{Steps: []job.Step{{Count: 1}}}, job.Queue{Service: testService, Attempts: 1}, time.Now())
-		assert.NilError(t, err)
-		_, err = store.Commit(t.Context(), kv.Txn{Puts: []kv.Put{
-			{Key: record.JobKey(unreadable), Value: value}, {Key: record.ProgressKey(unreadable), Value: []byte("odd")},
+		_, err := store.Commit(t.Context(), kv.Txn{Puts: []kv.Put{
+			{Key: record.JobKey(unreadable), Value: encodedTestJob(t)}, {Key: record.ProgressKey(unreadable), Value: []byte("odd")},
 			{Key: record.JobKey("00000000000000cc"), Value: []byte("odd")}, {Key: record.CancelKey("00000000000000dd"), Value: []byte{0}},
 			{Key: record.LeaderKey, Value: []byte("odd")}, {Key: record.PressureKey, Value: []byte("odd")},
 		}})
--- a/internal/intake/records.go
+++ b/internal/intake/records.go
@@ -86,7 +86,7 @@
 	case err != nil:
 		return err
 	case accepted.Revision() == 0:
-		return s.bury(ctx, id)
+		return s.writeTombstone(ctx, id)
 	case record.IsTombstone(accepted.Value()):
 		return errNoJob(id)
 	}
@@ -101,8 +101,8 @@
 	return s.config.Store.Commit(ctx, cancelTxn(id, accepted, canceled.Revision()))
 }
 
-// bury keeps a job without a record from being accepted, and returns an error of kind Gone once that is stored.
-func (s *Server) bury(ctx context.Context, id job.ID) error {
+// writeTombstone keeps a job without a record from being accepted, and returns an error of kind Gone once that is stored.
+func (s *Server) writeTombstone(ctx context.Context, id job.ID) error {
 	err := s.config.Store.Commit(ctx, kv.Txn{
 		Conditions: []kv.Condition{{Key: record.JobKey(id)}},
 		Puts:       []kv.Put{{Key: record.JobKey(id), Value: record.Tombstone()}},
